--- /dev/null
+++ b/core/clock/clock.go
@@ -0,0 +1,20 @@
+// Package clock carries time into the pure packages. They never read a clock themselves.
+package clock
+
+import "time"
+
+// Now is the time of one event.
+type Now struct {
+	// Mono is the process's monotonic clock, counted from its start.
+	Mono time.Duration
+	// WallMs is the wall clock in Unix milliseconds.
+	WallMs int64
+}
+
+// rateMargin is the largest difference assumed between two monotonic clocks, as a divisor: 1/50 is 2%.
+const rateMargin = 50
+
+// WithMargin returns d plus the margin for clocks that run at different rates.
+func WithMargin(d time.Duration) time.Duration {
+	return d + d/rateMargin
+}
--- /dev/null
+++ b/core/holder/holder.go
@@ -0,0 +1,148 @@
+// Package holder decides at a side process which orders of a decider its worker carries out.
+//
+// Permits and leases count from the worker's clock when it was asked for its status, just before the poll was sent. A
+// reply that arrives late is therefore worth less, and one that arrives after a pause is worth nothing.
+package holder
+
+import (
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// Poll is one question to the decider.
+type Poll struct {
+	// Sequence identifies the poll.
+	Sequence uint64
+	// Status is the worker's report at the time of the poll.
+	Status platform.WorkerStatus
+}
+
+// Order acts on one attempt.
+type Order struct {
+	Task       string
+	Attempt    uint32
+	Action     Action
+	Reason     string
+	ShareMilli int64
+}
+
+// Action is what an order does.
+type Action string
+
+// Actions.
+const (
+	Stop       Action = "stop"
+	Checkpoint Action = "checkpoint"
+	Throttle   Action = "throttle"
+	Unthrottle Action = "unthrottle"
+)
+
+// Renewal extends the lease of an attempt.
+type Renewal struct {
+	Task    string
+	Attempt uint32
+}
+
+// Reply is a decider's answer.
+type Reply struct {
+	Epoch          uint64
+	Sequence       uint64
+	LeaseMs        int64
+	ServiceLeaseMs int64
+	PermitMs       int64
+	Starts         []platform.TaskSpec
+	Orders         []Order
+	Renewed        []Renewal
+	Acknowledged   []Renewal
+}
+
+// Effects are what the side process asks of its worker, in order.
+type Effects struct {
+	Renew  []platform.Lease
+	Forget []Renewal
+	Orders []Order
+	Start  []platform.TaskSpec
+	// Refused says why the reply was ignored; empty if it was taken.
+	Refused string
+}
+
+// State is what a side process remembers of deciders.
+type State struct {
+	epoch       uint64
+	outstanding uint64
+	sequence    uint64
+	newest      map[string]uint32
+	services    map[string]bool
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{newest: make(map[string]uint32), services: make(map[string]bool)}
+}
+
+// Epoch returns the highest epoch seen.
+func (s *State) Epoch() uint64 { return s.epoch }
+
+// Begin opens a poll.
+func (s *State) Begin(status platform.WorkerStatus) Poll {
+	s.sequence++
+	s.outstanding = s.sequence
+	for _, t := range status.Tasks {
+		s.see(t.TaskSpec)
+	}
+	return Poll{s.sequence, status}
+}
+
+func (s *State) see(t platform.TaskSpec) {
+	s.newest[t.Task] = max(s.newest[t.Task], t.Attempt)
+	s.epoch = max(s.epoch, t.Epoch)
+	s.services[t.Task] = t.Kind == record.ServiceJob
+}
+
+// Receive takes the reply to a poll.
+func (s *State) Receive(p Poll, r Reply) Effects {
+	switch {
+	case r.Sequence != p.Sequence || p.Sequence != s.outstanding:
+		return Effects{Refused: "reply to an earlier poll"}
+	case r.Epoch < s.epoch:
+		return Effects{Refused: "reply of an older epoch"}
+	}
+	s.epoch, s.outstanding = r.Epoch, 0
+	e := Effects{Orders: r.Orders, Forget: r.Acknowledged}
+	for _, l := range r.Renewed {
+		e.Renew = append(e.Renew, platform.Lease{Task: l.Task, Attempt: l.Attempt, ExpiresMs: s.expiry(p, r, l.Task)})
+	}
+	for _, t := range r.Starts {
+		if t.Attempt <= s.newest[t.Task] {
+			continue
+		}
+		s.newest[t.Task] = t.Attempt
+		s.services[t.Task] = t.Kind == record.ServiceJob
+		t.Epoch = r.Epoch
+		t.ExpiresMs = s.expiry(p, r, t.Task)
+		t.StartByMs = p.Status.NowMs + r.PermitMs
+		e.Start = append(e.Start, t)
+	}
+	s.forget(r.Acknowledged)
+	return e
+}
+
+func (s *State) expiry(p Poll, r Reply, task string) int64 {
+	if s.services[task] {
+		return p.Status.NowMs + r.ServiceLeaseMs
+	}
+	return p.Status.NowMs + r.LeaseMs
+}
+
+func (s *State) forget(ended []Renewal) {
+	for _, t := range ended {
+		delete(s.services, t.Task)
+	}
+}
+
+// StartFailed tells that the worker refused a start, so that the same attempt may be ordered again.
+func (s *State) StartFailed(task string, attempt uint32) {
+	if s.newest[task] == attempt {
+		s.newest[task] = attempt - 1
+	}
+}
--- /dev/null
+++ b/record/sequence.go
@@ -0,0 +1,26 @@
+package record
+
+// WriterSeq is the newest record of one writer on one stream.
+type WriterSeq struct {
+	// Incarnation is the newest incarnation seen.
+	Incarnation uint64 `cbor:"1,keyasint"`
+	// Seq is the highest sequence number of that incarnation.
+	Seq uint64 `cbor:"2,keyasint"`
+}
+
+// Sequences drops repeated and outdated records of a stream.
+type Sequences map[string]WriterSeq
+
+// Accept reports whether the record is new, and notes it. A record of an older incarnation is dropped, because its
+// writer was replaced.
+func (s Sequences) Accept(rec *Record) bool {
+	last := s[rec.Writer]
+	if rec.Incarnation < last.Incarnation {
+		return false
+	}
+	if rec.Incarnation == last.Incarnation && rec.Seq <= last.Seq {
+		return false
+	}
+	s[rec.Writer] = WriterSeq{rec.Incarnation, rec.Seq}
+	return true
+}
