--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,89 @@
+// Command standin runs a stand-in for a part of the platform. It serves tests, measurements and the demo.
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/verbenakeel/verbenakeel/daemon"
+	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/standin"
+)
+
+type logArgs struct {
+	Appends     int           `arg:"--appends-per-second" default:"300" help:"limit on appends; 0 for none"`
+	KeepRecords int           `arg:"--keep-records" default:"100000" help:"records kept per stream; 0 for all"`
+	KeepFor     time.Duration `arg:"--keep-for" default:"24h" help:"time for which records are kept; 0 for ever"`
+}
+
+type workerArgs struct {
+	ID             string        `arg:"--id,required" help:"name of the worker"`
+	CPUMilli       int64         `arg:"--cpu-milli" default:"16000" help:"processors in thousandths of a core"`
+	MemoryMB       int64         `arg:"--memory-mb" default:"60000" help:"memory in megabytes"`
+	Accelerators   int64         `arg:"--accelerators" default:"0" help:"number of accelerators"`
+	UsageLag       time.Duration `arg:"--usage-lag" default:"2s" help:"age of usage reports"`
+	FailEverything bool          `arg:"--fail-everything" help:"fail every attempt"`
+}
+
+type endpointArgs struct {
+	ID          string        `arg:"--id,required" help:"name of the endpoint"`
+	ServiceTime time.Duration `arg:"--service-time" default:"5ms" help:"mean time to serve a request"`
+	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the service times"`
+}
+
+type args struct {
+	Listen   string        `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
+	Log      *logArgs      `arg:"subcommand:log" help:"the platform's log"`
+	Worker   *workerArgs   `arg:"subcommand:worker" help:"a worker"`
+	Endpoint *endpointArgs `arg:"subcommand:endpoint" help:"an endpoint of a customer"`
+}
+
+// server is what every stand-in offers.
+type server interface {
+	Address() string
+	Serve(ctx context.Context, grace time.Duration) error
+}
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	if p.Subcommand() == nil {
+		p.Fail("name one of log, worker and endpoint")
+	}
+	daemon.Exit(run(a))
+}
+
+func run(a args) error {
+	ctx, stop := daemon.Context()
+	defer stop()
+	s, err := listen(ctx, a)
+	if err != nil {
+		return err
+	}
+	daemon.Listening("http", s.Address())
+	daemon.Ready()
+	return s.Serve(ctx, time.Second)
+}
+
+func listen(ctx context.Context, a args) (server, error) {
+	switch {
+	case a.Log != nil:
+		return standin.NewLogServer(a.Listen, memlog.New(memlog.Options{
+			AppendsPerSecond: a.Log.Appends, KeepRecords: a.Log.KeepRecords, KeepFor: a.Log.KeepFor,
+		}))
+	case a.Worker != nil:
+		w := standin.NewWorker(standin.WorkerOptions{
+			ID: a.Worker.ID, UsageLag: a.Worker.UsageLag, FailEverything: a.Worker.FailEverything,
+			Capacity: record.Resources{CPUMilli: a.Worker.CPUMilli, MemoryMB: a.Worker.MemoryMB, Accelerators: a.Worker.Accelerators},
+		})
+		go w.Run(ctx)
+		return standin.NewWorkerServer(a.Listen, w)
+	default:
+		return standin.NewEndpoint(a.Listen, standin.EndpointOptions{
+			ID: a.Endpoint.ID, ServiceTime: a.Endpoint.ServiceTime, Seed: a.Endpoint.Seed,
+		})
+	}
+}
--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -102,14 +102,14 @@
 // Claim returns the newest claim.
 func (s *State) Claim() record.DeciderClaim { return s.claim }
 
-// holds reports whether this run of the process wrote the newest claim.
-func (s *State) holds() bool {
+// Holds reports whether this run of the process wrote the newest claim.
+func (s *State) Holds() bool {
 	return s.epoch > 0 && s.holder == s.self && s.holderInc == s.incarnation
 }
 
 // Valid reports whether this entry may act as decider now.
 func (s *State) Valid(now clock.Now) bool {
-	return s.holds() && s.evidence > 0 && now.Mono < s.evidence+s.cfg.TTL
+	return s.Holds() && s.evidence > 0 && now.Mono < s.evidence+s.cfg.TTL
 }
 
 // LogFresh reports whether the newest read of the log was sent less than age ago.
@@ -135,7 +135,7 @@
 	s.presumeKnown, s.releasing = false, nil
 	// A witness that sees a newer epoch never promises an older one again.
 	s.released = max(s.released, oldEpoch)
-	if !s.holds() {
+	if !s.Holds() {
 		return nil
 	}
 	switch {
@@ -168,14 +168,14 @@
 	}
 	s.hasRead = true
 	s.logRead = max(s.logRead, sentAt)
-	if s.holds() {
+	if s.Holds() {
 		s.evidence = max(s.evidence, sentAt)
 	}
 }
 
 // Promised notes an answer of the witness to a question sent at sentAt.
 func (s *State) Promised(epoch uint64, sentAt time.Duration) {
-	if s.holds() && epoch == s.epoch && s.evidence > 0 {
+	if s.Holds() && epoch == s.epoch && s.evidence > 0 {
 		s.evidence = max(s.evidence, sentAt)
 	}
 }
@@ -211,7 +211,7 @@
 		s.releaseSent = now.Mono
 		effects = append(effects, *s.releasing)
 	}
-	if s.holds() {
+	if s.Holds() {
 		if s.claim.Witness != "" && now.Mono >= s.nextPromise {
 			s.nextPromise = now.Mono + s.cfg.PromiseEvery
 			effects = append(effects, AskPromise{s.epoch, s.claim.WitnessIncarnation, s.claim.WitnessAddress})
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -239,6 +239,16 @@
 	return names
 }
 
+// ZoneNames returns the names of all zones that were ever changed, in order.
+func (s *State) ZoneNames() []string {
+	names := make([]string, 0, len(s.Zones))
+	for name := range s.Zones {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // String summarizes the state.
 func (s *State) String() string {
 	return fmt.Sprintf("revision %d, %d contracts, %d zones", s.Revision, len(s.Contracts), len(s.Zones))
--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,181 @@
+// Package core joins the pure reducers of an entry into one: every event of an entry goes through Step, and what is to
+// be done about it comes back as effects.
+package core
+
+import (
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/core/authority"
+	"github.com/verbenakeel/verbenakeel/core/claims"
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/core/decider"
+	"github.com/verbenakeel/verbenakeel/core/members"
+	"github.com/verbenakeel/verbenakeel/core/route"
+	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/scheduler"
+)
+
+// State is everything that an entry decides by.
+type State struct {
+	Config    *config.State
+	Region    *tasks.State
+	Claims    *claims.State
+	Members   *members.State
+	Route     *route.State
+	Authority *authority.State
+	Decider   *decider.State
+}
+
+// Options configure a State.
+type Options struct {
+	Self        string
+	Incarnation uint64
+	Zone        string
+	Heartbeat   time.Duration
+	Authority   authority.Config
+	Decider     decider.Config
+	Scheduler   scheduler.Config
+}
+
+// New returns the state of an entry that knows nothing yet.
+func New(o Options) *State {
+	s := &State{
+		Config: config.New(), Region: tasks.New(), Claims: claims.New(), Members: members.New(o.Heartbeat),
+		Route: route.New(o.Zone), Authority: authority.New(o.Authority, o.Self, o.Incarnation),
+	}
+	s.Decider = decider.New(o.Decider, o.Scheduler, s.Authority, s.Region, s.Config)
+	return s
+}
+
+// Stream names a stream that an entry folds.
+type Stream int
+
+// Streams.
+const (
+	ConfigStream Stream = iota
+	RegionStream
+	ClaimStream
+)
+
+// Event is something that happened.
+type Event interface{ coreEvent() }
+
+// Folded gives the record at an offset of a stream.
+type Folded struct {
+	Stream Stream
+	Offset uint64
+	Record *record.Record
+}
+
+// CaughtUp tells that a read sent at SentAt showed no further records.
+type CaughtUp struct {
+	Stream Stream
+	SentAt time.Duration
+}
+
+// Announced gives an announcement of an endpoint.
+type Announced struct{ Announcement members.Announcement }
+
+// Ticked tells that time has passed. Rank orders the entries of the region.
+type Ticked struct{ Rank int }
+
+// Polled gives a worker's poll.
+type Polled struct{ Poll decider.Poll }
+
+// BatchSettled tells that the batch in flight was folded or was certainly not appended.
+type BatchSettled struct{}
+
+// PromiseReceived tells that the witness promised an epoch.
+type PromiseReceived struct {
+	Epoch  uint64
+	SentAt time.Duration
+}
+
+// ReleaseReceived tells that the old witness released an epoch.
+type ReleaseReceived struct{ Epoch uint64 }
+
+// ZoneHeld asks to hold starts in a zone.
+type ZoneHeld struct {
+	Zone     string
+	Duration time.Duration
+}
+
+// TryWanted asks for an endpoint for a request.
+type TryWanted struct {
+	Service   string
+	Exclude   map[string]bool
+	AvoidZone string
+	Seed      uint64
+	// Retry is true for all tries but the first.
+	Retry bool
+}
+
+// TryEnded tells how a try ended.
+type TryEnded struct {
+	Endpoint string
+	Outcome  route.Outcome
+	Took     time.Duration
+}
+
+func (Folded) coreEvent()          {}
+func (CaughtUp) coreEvent()        {}
+func (Announced) coreEvent()       {}
+func (Ticked) coreEvent()          {}
+func (Polled) coreEvent()          {}
+func (BatchSettled) coreEvent()    {}
+func (PromiseReceived) coreEvent() {}
+func (ReleaseReceived) coreEvent() {}
+func (ZoneHeld) coreEvent()        {}
+func (TryWanted) coreEvent()       {}
+func (TryEnded) coreEvent()        {}
+
+// Effect is something to be done or told.
+type Effect interface{ coreEffect() }
+
+// Do carries an effect of the authority.
+type Do struct{ Effect authority.Effect }
+
+// Append asks to append a batch.
+type Append struct{ Batch *record.Batch }
+
+// ConfigDecided tells the outcome of a change of configuration.
+type ConfigDecided struct{ Outcome config.Outcome }
+
+// ClaimDecided tells the verdict on a claim.
+type ClaimDecided struct{ Verdict claims.Verdict }
+
+// RegionChanged tells what a record changed in the region.
+type RegionChanged struct{ Effect tasks.Effect }
+
+// Wake tells that polls of workers may have something to answer.
+type Wake struct{}
+
+// Answered answers a poll.
+type Answered struct {
+	Answer decider.Answer
+	Err    error
+}
+
+// AnnounceTaken tells what became of an announcement.
+type AnnounceTaken struct {
+	Verdict      members.Verdict
+	SupersededBy uint64
+}
+
+// Routed names the endpoint for a try; nil if there is none.
+type Routed struct{ Endpoint *members.Endpoint }
+
+// Alerted tells operators of something.
+type Alerted struct{ Alert scheduler.Alert }
+
+func (Do) coreEffect()            {}
+func (Append) coreEffect()        {}
+func (ConfigDecided) coreEffect() {}
+func (ClaimDecided) coreEffect()  {}
+func (RegionChanged) coreEffect() {}
+func (Wake) coreEffect()          {}
+func (Answered) coreEffect()      {}
+func (AnnounceTaken) coreEffect() {}
+func (Routed) coreEffect()        {}
+func (Alerted) coreEffect()       {}
--- /dev/null
+++ b/core/decider/sync.go
@@ -0,0 +1,187 @@
+package decider
+
+import (
+	"sort"
+
+	"github.com/verbenakeel/verbenakeel/core/clock"
+	"github.com/verbenakeel/verbenakeel/core/holder"
+	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/scheduler"
+)
+
+// Poll is a worker's question.
+type Poll struct {
+	Worker      string
+	Incarnation uint64
+	Zone        string
+	Rack        string
+	Capacity    record.Resources
+	Epoch       uint64
+	Sequence    uint64
+	WantStarts  bool
+	Held        []holder.Renewal
+	Ended       []record.End
+	Usage       []platform.TaskUsage
+}
+
+// Answer is the reply to a poll.
+type Answer struct {
+	holder.Reply
+	// StartsWaiting is true when the worker should ask again with WantStarts.
+	StartsWaiting bool
+}
+
+// Sync answers a worker's poll. The error is of kind Unavailable when this entry may not act as the decider.
+func (s *State) Sync(now clock.Now, p Poll) (Answer, error) {
+	epoch, _ := s.auth.Epoch()
+	if s.policy == nil || !s.auth.Valid(now) || p.Epoch > epoch {
+		return Answer{}, errdefs.New(errdefs.Unavailable, "this entry is not the decider of the region",
+			"ask the decider that the reply names, or try again")
+	}
+	a := Answer{Reply: holder.Reply{
+		Epoch: epoch, Sequence: p.Sequence, LeaseMs: s.cfg.TaskLease.Milliseconds(),
+		ServiceLeaseMs: s.cfg.ServiceLease.Milliseconds(), PermitMs: s.cfg.PermitTTL.Milliseconds(),
+	}}
+	c := s.contact(now, p.Worker)
+	s.join(now, c, p)
+	seen := make(map[string]bool)
+	for _, e := range p.Ended {
+		s.takeEnd(&a, p, e, seen)
+	}
+	for _, h := range p.Held {
+		s.renew(&a, c, p, h, seen)
+	}
+	s.orderStarts(now, &a, c, p, seen)
+	s.takeUsage(now, p)
+	c.leaseEnds = max(c.leaseEnds, now.Mono+clock.WithMargin(s.cfg.TaskLease))
+	c.serviceEnds = max(c.serviceEnds, now.Mono+clock.WithMargin(s.cfg.ServiceLease))
+	if len(a.Starts) > 0 {
+		c.permitEnds = max(c.permitEnds, now.Mono+clock.WithMargin(s.cfg.PermitTTL))
+	}
+	return a, nil
+}
+
+// join notes contact and proposes the worker's record when it is new or differs.
+func (s *State) join(now clock.Now, c *contact, p Poll) {
+	c.heard = now.Mono
+	w := s.region.Workers[p.Worker]
+	if w == nil || w.Lost || w.Incarnation != p.Incarnation || w.Capacity != p.Capacity || w.Zone != p.Zone || w.Rack != p.Rack {
+		s.joins[p.Worker] = record.WorkerChange{
+			ID: p.Worker, Zone: p.Zone, Rack: p.Rack, Capacity: p.Capacity, Incarnation: p.Incarnation,
+		}
+	}
+	if c.down && w != nil && !w.Lost {
+		c.down = false
+		s.policy.Apply(now.WallMs, scheduler.WorkerUp{ID: w.ID, Zone: w.Zone, Rack: w.Rack, Capacity: w.Capacity})
+	}
+}
+
+// takeEnd proposes the end of a current attempt and acknowledges ends that are on record.
+func (s *State) takeEnd(a *Answer, p Poll, e record.End, seen map[string]bool) {
+	t := s.region.Tasks[e.Task]
+	if t == nil || t.Attempt != e.Attempt || t.Worker != p.Worker || !t.State.Placed() {
+		a.Acknowledged = append(a.Acknowledged, holder.Renewal{Task: e.Task, Attempt: e.Attempt})
+		return
+	}
+	seen[e.Task] = true
+	s.ends[e.Task] = e
+}
+
+// renew extends the lease of a current attempt and orders anything else to stop.
+func (s *State) renew(a *Answer, c *contact, p Poll, h holder.Renewal, seen map[string]bool) {
+	t := s.region.Tasks[h.Task]
+	if t == nil || t.Attempt != h.Attempt || t.Worker != p.Worker || !t.State.Placed() {
+		a.Orders = append(a.Orders, holder.Order{Task: h.Task, Attempt: h.Attempt, Action: holder.Stop, Reason: "the attempt is not assigned to this worker"})
+		return
+	}
+	seen[h.Task] = true
+	c.held[h.Task] = h.Attempt
+	a.Renewed = append(a.Renewed, h)
+	switch t.State {
+	case lifecycle.TaskEvicting:
+		a.Orders = append(a.Orders, holder.Order{Task: h.Task, Attempt: h.Attempt, Action: holder.Checkpoint, Reason: lastCause(t)})
+	case lifecycle.TaskStopping:
+		a.Orders = append(a.Orders, holder.Order{Task: h.Task, Attempt: h.Attempt, Action: holder.Stop, Reason: lastCause(t)})
+	default:
+		if th, ok := c.throttles[h.Task]; ok && th.Attempt == h.Attempt {
+			a.Orders = append(a.Orders, throttleOrder(th))
+			delete(c.throttles, h.Task)
+		}
+	}
+}
+
+func throttleOrder(th scheduler.ThrottleTask) holder.Order {
+	action := holder.Throttle
+	if th.ShareMilli >= 1000 {
+		action = holder.Unthrottle
+	}
+	return holder.Order{Task: th.Task, Attempt: th.Attempt, Action: action, Reason: th.Reason, ShareMilli: th.ShareMilli}
+}
+
+func lastCause(t *tasks.Task) string {
+	if len(t.History) == 0 {
+		return ""
+	}
+	return t.History[len(t.History)-1].Cause
+}
+
+// orderStarts orders placed attempts that the worker does not hold, and closes those that never will be.
+func (s *State) orderStarts(now clock.Now, a *Answer, c *contact, p Poll, seen map[string]bool) {
+	w := s.region.Workers[p.Worker]
+	if w == nil || w.Lost {
+		return
+	}
+	ids := make([]string, 0, len(w.Tasks))
+	for id := range w.Tasks {
+		if !seen[id] {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		t := s.region.Tasks[id]
+		switch {
+		case c.held[id] == t.Attempt:
+			s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, Reason: "the worker no longer holds the attempt"}
+		case leaving(t):
+			// A start ordered before may still be under way until its permit has ended.
+			if now.Mono >= c.permitEnds {
+				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.NotStarted, Reason: "left before it started"}
+			}
+		case !s.mayStart(now, w.Zone):
+		case !p.WantStarts:
+			a.StartsWaiting = true
+		default:
+			a.Starts = append(a.Starts, s.spec(t))
+		}
+	}
+}
+
+func (s *State) spec(t *tasks.Task) platform.TaskSpec {
+	job := s.region.Jobs[t.Job].Spec
+	return platform.TaskSpec{
+		Task: t.ID, Attempt: t.Attempt, Customer: job.Customer, Kind: job.Kind, Size: t.Size,
+		CheckpointMs: t.CheckpointMs, RunMs: job.RunMs, Command: job.Command,
+	}
+}
+
+func (s *State) takeUsage(now clock.Now, p Poll) {
+	byAge := make(map[int64][]scheduler.Sample)
+	for _, u := range p.Usage {
+		byAge[u.AgeMs] = append(byAge[u.AgeMs], scheduler.Sample{
+			Task: u.Task, Attempt: u.Attempt, Used: u.Used, SpeedMilli: u.SpeedMilli, LatencyP99Us: u.LatencyP99Us,
+		})
+	}
+	ages := make([]int64, 0, len(byAge))
+	for age := range byAge {
+		ages = append(ages, age)
+	}
+	sort.Slice(ages, func(i, j int) bool { return ages[i] > ages[j] })
+	for _, age := range ages {
+		s.policy.Apply(now.WallMs, scheduler.UsageReported{Worker: p.Worker, MeasuredMs: now.WallMs - age, Samples: byAge[age]})
+	}
+}
--- a/core/holder/holder.go
+++ b/core/holder/holder.go
@@ -62,6 +62,8 @@
 	Forget []Renewal
 	Orders []Order
 	Start  []platform.TaskSpec
+	// Vanished holds attempts that were started before and that the worker no longer has. Their end must be reported.
+	Vanished []Renewal
 	// Refused says why the reply was ignored; empty if it was taken.
 	Refused string
 }
@@ -114,6 +116,7 @@
 	}
 	for _, t := range r.Starts {
 		if t.Attempt <= s.newest[t.Task] {
+			e.Vanished = append(e.Vanished, Renewal{t.Task, t.Attempt})
 			continue
 		}
 		s.newest[t.Task] = t.Attempt
--- /dev/null
+++ b/core/step.go
@@ -0,0 +1,135 @@
+package core
+
+import (
+	"github.com/verbenakeel/verbenakeel/core/clock"
+	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/core/route"
+	"github.com/verbenakeel/verbenakeel/core/tasks"
+)
+
+// Step applies one event and returns its effects. It changes s in place; equal states and events give equal effects.
+func Step(s *State, now clock.Now, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Folded:
+		return s.fold(now, ev)
+	case CaughtUp:
+		return s.caughtUp(now, ev)
+	case Announced:
+		v, by := s.Members.Announce(now, ev.Announcement)
+		return []Effect{AnnounceTaken{v, by}}
+	case Ticked:
+		return s.tick(now, ev)
+	case Polled:
+		a, err := s.Decider.Sync(now, ev.Poll)
+		return []Effect{Answered{a, err}}
+	case BatchSettled:
+		s.Decider.BatchDone()
+	case PromiseReceived:
+		s.Authority.Promised(ev.Epoch, ev.SentAt)
+	case ReleaseReceived:
+		s.Authority.Released(now, ev.Epoch)
+	case ZoneHeld:
+		s.Decider.Hold(now, ev.Zone, ev.Duration)
+	case TryWanted:
+		return s.route(now, ev)
+	case TryEnded:
+		s.Route.Done(now, ev.Endpoint, ev.Outcome, ev.Took)
+	}
+	return nil
+}
+
+func (s *State) fold(now clock.Now, ev Folded) []Effect {
+	switch ev.Stream {
+	case ConfigStream:
+		return s.foldConfig(now, ev)
+	case RegionStream:
+		return s.foldRegion(now, ev)
+	default:
+		var effects []Effect
+		for _, v := range s.Claims.Fold(ev.Offset, ev.Record) {
+			effects = append(effects, ClaimDecided{v})
+		}
+		return effects
+	}
+}
+
+func (s *State) foldConfig(now clock.Now, ev Folded) []Effect {
+	outcomes := s.Config.Fold(ev.Offset, ev.Record)
+	s.Decider.ConfigChanged(now, outcomes)
+	var effects []Effect
+	for _, o := range outcomes {
+		effects = append(effects, ConfigDecided{o})
+		if o.Change.Shutdown != nil && o.Change.Shutdown.Drain {
+			s.Members.Drain(o.Change.Shutdown.Endpoint)
+		}
+	}
+	return effects
+}
+
+func (s *State) foldRegion(now clock.Now, ev Folded) []Effect {
+	s.Authority.Heard(now, ev.Record.Writer, ev.Record.Incarnation)
+	changes := s.Region.Fold(ev.Offset, ev.Record)
+	var effects []Effect
+	for _, c := range changes {
+		switch c := c.(type) {
+		case tasks.EpochChanged:
+			for _, e := range s.Authority.Claimed(now, c.Epoch, c.Writer, c.Incarnation, c.Claim) {
+				effects = append(effects, Do{e})
+			}
+		case tasks.WitnessChanged:
+			s.Authority.WitnessChanged(c.Claim)
+		}
+		effects = append(effects, RegionChanged{c})
+	}
+	s.Decider.Folded(now, changes)
+	if len(changes) > 0 {
+		effects = append(effects, Wake{})
+	}
+	return effects
+}
+
+func (s *State) caughtUp(now clock.Now, ev CaughtUp) []Effect {
+	switch ev.Stream {
+	case ConfigStream:
+		s.Decider.ConfigRead(ev.SentAt)
+	case RegionStream:
+		s.Authority.Read(now, ev.SentAt)
+	}
+	return nil
+}
+
+func (s *State) tick(now clock.Now, ev Ticked) []Effect {
+	s.Members.Tick(now)
+	var effects []Effect
+	for _, e := range s.Authority.Tick(now, ev.Rank) {
+		effects = append(effects, Do{e})
+	}
+	if b := s.Decider.Tick(now); b != nil {
+		effects = append(effects, Append{b})
+	}
+	for _, a := range s.Decider.Alerts() {
+		effects = append(effects, Alerted{a})
+	}
+	return effects
+}
+
+func (s *State) route(now clock.Now, ev TryWanted) []Effect {
+	if ev.Retry && !s.Route.TakeRetry() {
+		return []Effect{Routed{}}
+	}
+	candidates := s.Members.Usable(ev.Service)
+	kept := candidates[:0]
+	for _, e := range candidates {
+		if e.State == lifecycle.EndpointUp && !s.draining(e.ID) {
+			kept = append(kept, e)
+		}
+	}
+	e, _ := s.Route.Pick(now, route.Request{Candidates: kept, Exclude: ev.Exclude, AvoidZone: ev.AvoidZone, Seed: ev.Seed})
+	return []Effect{Routed{e}}
+}
+
+// draining reports whether the configuration orders the endpoint to shut down.
+func (s *State) draining(endpoint string) bool {
+	v := s.Config.Shutdowns[endpoint]
+	return v != nil && v.Shutdown.Drain
+}
--- a/core/tasks/ends.go
+++ b/core/tasks/ends.go
@@ -44,7 +44,7 @@
 		return lifecycle.FinishTask
 	case task.State == lifecycle.TaskStopping:
 		return lifecycle.EndCancelled
-	case job.Spec.Kind == record.ServiceJob && outcome == record.Lapsed && replaced(job):
+	case job.Spec.Kind == record.ServiceJob && outcome != record.Failed && replaced(job):
 		return lifecycle.LoseTask
 	case outcome == record.Failed && job.Spec.Kind == record.BatchJob && task.Failures >= maxFailures:
 		return lifecycle.FailTask
--- /dev/null
+++ b/core/tasks/fold_test.go
@@ -0,0 +1,74 @@
+package tasks
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+type log struct {
+	state *State
+	next  uint64
+}
+
+func (l *log) append(rec record.Record) []Effect {
+	l.next++
+	rec.Writer, rec.Incarnation, rec.Seq = "e1", 1, l.next
+	return l.state.Fold(l.next, &rec)
+}
+
+func newLog() *log {
+	l := &log{state: New()}
+	l.append(record.Record{DeciderClaim: &record.DeciderClaim{Address: "a"}})
+	l.append(record.Record{Submits: []record.Job{{ID: "c/j", Customer: "c", Kind: record.BatchJob, Tasks: 2, Size: record.Resources{CPUMilli: 600, MemoryMB: 10}}}})
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Workers: []record.WorkerChange{{ID: "w", Zone: "z", Capacity: record.Resources{CPUMilli: 1000, MemoryMB: 100}}}}})
+	return l
+}
+
+func start(task string, attempt uint32) record.Start {
+	return record.Start{Task: task, Attempt: attempt, Worker: "w", Size: record.Resources{CPUMilli: 600, MemoryMB: 10}}
+}
+
+// Guards against a worker that is committed beyond its processors by a faulty decider.
+func TestStartBeyondCapacityIsVoid(t *testing.T) {
+	l := newLog()
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Starts: []record.Start{start("c/j#0", 1), start("c/j#1", 1)}}})
+	assert.Equal(t, l.state.Tasks["c/j#0"].State, lifecycle.TaskStarting)
+	assert.Equal(t, l.state.Tasks["c/j#1"].State, lifecycle.TaskQueued)
+	assert.Equal(t, l.state.Workers["w"].Committed.CPUMilli, int64(600))
+}
+
+// Guards against decisions of a decider that was replaced.
+func TestBatchOfOlderEpochIsVoid(t *testing.T) {
+	l := newLog()
+	l.append(record.Record{DeciderClaim: &record.DeciderClaim{Address: "b"}})
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Starts: []record.Start{start("c/j#0", 1)}}})
+	assert.Equal(t, l.state.Tasks["c/j#0"].State, lifecycle.TaskQueued)
+}
+
+// Guards against a task that resumes twice when the end of an attempt is recorded twice.
+func TestRepeatedEndChangesNothing(t *testing.T) {
+	l := newLog()
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Starts: []record.Start{start("c/j#0", 1)}}})
+	end := record.End{Task: "c/j#0", Attempt: 1, Outcome: record.Lapsed, CheckpointMs: 40}
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Ends: []record.End{end}}})
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Ends: []record.End{end}, Starts: []record.Start{start("c/j#0", 2)}}})
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Ends: []record.End{end}}})
+	task := l.state.Tasks["c/j#0"]
+	assert.Equal(t, task.State, lifecycle.TaskStarting)
+	assert.Equal(t, task.Attempt, uint32(2))
+	assert.Equal(t, task.CheckpointMs, int64(40))
+}
+
+// Guards against a cancel that races a start and leaves both in force.
+func TestCancelBeforeStartWins(t *testing.T) {
+	l := newLog()
+	l.append(record.Record{Cancels: []record.Cancel{{Job: "c/j", By: "x"}}})
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Starts: []record.Start{start("c/j#0", 1)}}})
+	assert.Equal(t, l.state.Jobs["c/j"].State, JobCancelled)
+	assert.Equal(t, l.state.Tasks["c/j#0"].State, lifecycle.TaskCancelled)
+	assert.Equal(t, l.state.Workers["w"].Committed, record.Resources{})
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,45 @@
+// Package daemon holds what the main functions of all processes share: signals, start-up lines and exit codes.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/verbenakeel/verbenakeel/errdefs"
+)
+
+// Exit codes.
+const (
+	// ExitFailed means that the process failed while it ran.
+	ExitFailed = 1
+	// ExitInvalid means that arguments or settings are invalid.
+	ExitInvalid = 2
+)
+
+// Context returns a context that ends with SIGTERM or SIGINT.
+func Context() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Listening prints the bound address of a listener, for launchers that let the kernel choose ports.
+func Listening(name, address string) {
+	fmt.Printf("listening name=%s address=%s\n", name, address)
+}
+
+// Ready prints that all listeners are bound.
+func Ready() { fmt.Println("ready") }
+
+// Exit ends the process with the error's message, if there is one.
+func Exit(err error) {
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if errdefs.KindOf(err) == errdefs.Invalid {
+		os.Exit(ExitInvalid)
+	}
+	os.Exit(ExitFailed)
+}
--- /dev/null
+++ b/entry/auth.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+)
+
+// token is a bearer token of a request.
+type token string
+
+func tokenOf(c *app.RequestContext) token {
+	v, ok := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token(v)
+}
+
+// allowed reports whether the token's sum is among the given ones.
+func (t token) allowed(sums []string) bool {
+	if t == "" {
+		return false
+	}
+	sum := sha256.Sum256([]byte(t))
+	mine := hex.EncodeToString(sum[:])
+	ok := false
+	for _, s := range sums {
+		if subtle.ConstantTimeCompare([]byte(s), []byte(mine)) == 1 {
+			ok = true
+		}
+	}
+	return ok
+}
+
+// customerOf returns the customer that a request's token belongs to.
+func (e *Entry) customerOf(c *app.RequestContext) (string, error) {
+	t := tokenOf(c)
+	customer := ""
+	e.read(func(s *core.State) {
+		for _, name := range s.Config.Customers() {
+			if t.allowed(s.Config.Contracts[name].Contract.TokenSHA256) {
+				customer = name
+			}
+		}
+	})
+	if customer == "" {
+		return "", errdefs.New(errdefs.Unauthorized, "the token belongs to no customer", "send Authorization: Bearer TOKEN")
+	}
+	return customer, nil
+}
+
+// operatorAllowed checks an operator's token. Without a configured token everybody who reaches the listener may operate.
+func (e *Entry) operatorAllowed(c *app.RequestContext) error {
+	if e.set.OperatorTokenSHA256 == "" || tokenOf(c).allowed([]string{e.set.OperatorTokenSHA256}) {
+		return nil
+	}
+	return errdefs.New(errdefs.Unauthorized, "the operators' token is missing or wrong", "set VERBENAKEEL_TOKEN or pass --token")
+}
+
+func asTyped(err error) (*errdefs.Error, bool) {
+	var e *errdefs.Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/twitchtv/twirp"
+
+	"github.com/verbenakeel/verbenakeel/control"
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/decider"
+	"github.com/verbenakeel/verbenakeel/core/holder"
+	"github.com/verbenakeel/verbenakeel/core/members"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// maxWait bounds how long a poll is withheld.
+const maxWait = 30 * time.Second
+
+func (e *Entry) routeControl() {
+	srv := control.NewEntryServer(&controlServer{e})
+	e.control.Any(srv.PathPrefix()+"*method", adaptor.HertzHandler(srv))
+}
+
+// controlServer serves the messages of the system's own processes.
+type controlServer struct{ e *Entry }
+
+var _ control.Entry = (*controlServer)(nil)
+
+// Announce implements control.Entry.
+func (s *controlServer) Announce(_ context.Context, r *control.AnnounceRequest) (*control.AnnounceResponse, error) {
+	if r.Process == nil || r.Process.Id == "" {
+		return nil, twirp.RequiredArgumentError("process.id")
+	}
+	e := s.e
+	resp := &control.AnnounceResponse{NextHeartbeatMs: uint32(e.set.Heartbeat.Milliseconds()), Peers: e.peerList()}
+	for _, eff := range e.step(core.Announced{Announcement: announcement(r)}) {
+		if t, ok := eff.(core.AnnounceTaken); ok && t.Verdict == members.Superseded {
+			resp.SupersededBy = t.SupersededBy
+		}
+	}
+	e.read(func(st *core.State) {
+		resp.Revision = st.Config.Revision
+		if v := st.Config.Shutdowns[r.Process.Id]; v != nil {
+			resp.Shutdown = &control.ShutdownOrder{
+				Drain: v.Shutdown.Drain, LimitMs: uint32(v.Shutdown.LimitMs), Revision: v.Revision,
+			}
+		}
+		if c, _, ok := st.Config.Service(r.Service); ok && st.Config.Revision > r.Revision {
+			if data, err := cbor.Marshal(c); err == nil {
+				resp.Contracts = append(resp.Contracts, data)
+			}
+		}
+	})
+	return resp, nil
+}
+
+func announcement(r *control.AnnounceRequest) members.Announcement {
+	return members.Announcement{
+		ID: r.Process.Id, Incarnation: r.Process.Incarnation, Sequence: r.Sequence, Zone: r.Process.Zone,
+		Rack: r.Process.Rack, Service: r.Service, Address: r.Address, Slots: int(r.Slots), SlotsFree: int(r.SlotsFree),
+		Queue: int(r.QueueLength), Latency: time.Duration(r.LatencyUs) * time.Microsecond, Draining: r.Draining,
+		Drained: r.Drained, EndpointUp: r.EndpointUp, Revision: r.Revision,
+	}
+}
+
+// Sync implements control.Entry. It withholds the answer until there is news for the worker or the wait has passed.
+func (s *controlServer) Sync(ctx context.Context, r *control.SyncRequest) (*control.SyncResponse, error) {
+	if r.Process == nil || r.Process.Id == "" || r.Capacity == nil {
+		return nil, twirp.RequiredArgumentError("process.id and capacity")
+	}
+	e := s.e
+	poll := pollOf(r)
+	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxWait)
+	e.waitForNews(ctx, poll, wait)
+	for _, eff := range e.step(core.Polled{Poll: poll}) {
+		if a, ok := eff.(core.Answered); ok {
+			return e.syncResponse(a)
+		}
+	}
+	return nil, twirp.InternalError("the poll got no answer")
+}
+
+// waitForNews returns when a worker that only renews may have something to do.
+func (e *Entry) waitForNews(ctx context.Context, p decider.Poll, wait time.Duration) {
+	if p.WantStarts || len(p.Ended) > 0 || wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		e.mu.Lock()
+		ready := !e.state.Decider.Active() || e.state.Decider.Waiting(e.now(), p.Worker)
+		wake := e.wake
+		e.mu.Unlock()
+		if ready {
+			return
+		}
+		select {
+		case <-wake:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) syncResponse(a core.Answered) (*control.SyncResponse, error) {
+	if a.Err != nil {
+		resp := &control.SyncResponse{}
+		e.read(func(st *core.State) { resp.DeciderAddress = st.Authority.Address() })
+		if resp.DeciderAddress == e.advertised() {
+			resp.DeciderAddress = ""
+		}
+		if errdefs.KindOf(a.Err) == errdefs.Unavailable {
+			return resp, nil
+		}
+		return nil, twirp.InternalErrorWith(a.Err)
+	}
+	r := a.Answer
+	resp := &control.SyncResponse{
+		Epoch: r.Epoch, Sequence: r.Sequence, LeaseMs: uint32(r.LeaseMs), ServiceLeaseMs: uint32(r.ServiceLeaseMs),
+		PermitMs: uint32(r.PermitMs), StartsWaiting: r.StartsWaiting,
+		NextPollMs: uint32(e.set.Decider.PollEvery.Milliseconds()),
+	}
+	for _, t := range r.Starts {
+		resp.Starts = append(resp.Starts, startOrder(t))
+	}
+	for _, o := range r.Orders {
+		resp.Orders = append(resp.Orders, &control.TaskOrder{
+			Task: o.Task, Attempt: o.Attempt, Action: string(o.Action), Reason: o.Reason, ShareMilli: uint32(o.ShareMilli),
+		})
+	}
+	for _, t := range r.Renewed {
+		resp.Renewed = append(resp.Renewed, &control.HeldTask{Task: t.Task, Attempt: t.Attempt})
+	}
+	for _, t := range r.Acknowledged {
+		resp.Acknowledged = append(resp.Acknowledged, &control.EndedTask{Task: t.Task, Attempt: t.Attempt})
+	}
+	return resp, nil
+}
+
+func startOrder(t platform.TaskSpec) *control.StartOrder {
+	return &control.StartOrder{
+		Task: t.Task, Attempt: t.Attempt, Customer: t.Customer, Kind: string(t.Kind),
+		Resources: &control.Resources{
+			CpuMilli: uint32(t.Size.CPUMilli), MemoryMb: uint32(t.Size.MemoryMB), Accelerators: uint32(t.Size.Accelerators),
+		},
+		CheckpointMs: uint32(t.CheckpointMs), RunMs: uint32(t.RunMs), Service: t.Kind == record.ServiceJob, Command: t.Command,
+	}
+}
+
+func pollOf(r *control.SyncRequest) decider.Poll {
+	p := decider.Poll{
+		Worker: r.Process.Id, Incarnation: r.Process.Incarnation, Zone: r.Process.Zone, Rack: r.Process.Rack,
+		Capacity: record.Resources{
+			CPUMilli: int64(r.Capacity.CpuMilli), MemoryMB: int64(r.Capacity.MemoryMb), Accelerators: int64(r.Capacity.Accelerators),
+		},
+		Epoch: r.Epoch, Sequence: r.Sequence, WantStarts: r.WantStarts,
+	}
+	for _, h := range r.Held {
+		p.Held = append(p.Held, holder.Renewal{Task: h.Task, Attempt: h.Attempt})
+	}
+	for _, t := range r.Ended {
+		p.Ended = append(p.Ended, record.End{
+			Task: t.Task, Attempt: t.Attempt, Outcome: record.Outcome(t.Outcome), Reason: t.Reason,
+			CheckpointMs: int64(t.CheckpointMs), RanMs: int64(t.RanMs),
+		})
+	}
+	for _, u := range r.Usage {
+		p.Usage = append(p.Usage, platform.TaskUsage{
+			Task: u.Task, Attempt: u.Attempt, AgeMs: int64(u.AgeMs),
+			Used:       record.Resources{CPUMilli: int64(u.CpuMilli), MemoryMB: int64(u.MemoryMb)},
+			SpeedMilli: int64(u.SpeedMilli), LatencyP99Us: int64(u.LatencyP99Us),
+		})
+	}
+	return p
+}
+
+// Exchange implements control.Entry.
+func (s *controlServer) Exchange(_ context.Context, r *control.ExchangeRequest) (*control.ExchangeResponse, error) {
+	e := s.e
+	if p := r.Process; p != nil && p.Id != e.set.ID {
+		e.peers.heard(peer{
+			id: p.Id, incarnation: p.Incarnation, zone: p.Zone, address: r.ControlAddress, revision: r.Revision, draining: r.Draining,
+		})
+	}
+	return &control.ExchangeResponse{Process: e.process(), Revision: e.revision(), Peers: e.peerList()}, nil
+}
+
+// Promise implements control.Entry.
+func (s *controlServer) Promise(_ context.Context, r *control.PromiseRequest) (*control.PromiseResponse, error) {
+	resp := &control.PromiseResponse{Incarnation: s.e.incarnation}
+	s.e.read(func(st *core.State) { resp.Promised = st.Authority.Promise(r.Epoch, r.WitnessIncarnation) })
+	return resp, nil
+}
+
+// Release implements control.Entry.
+func (s *controlServer) Release(_ context.Context, r *control.ReleaseRequest) (*control.ReleaseResponse, error) {
+	resp := &control.ReleaseResponse{Incarnation: s.e.incarnation}
+	s.e.read(func(st *core.State) { resp.Released = st.Authority.Release(r.Epoch, r.WitnessIncarnation) })
+	return resp, nil
+}
+
+// Hold implements control.Entry.
+func (s *controlServer) Hold(_ context.Context, r *control.HoldRequest) (*control.HoldResponse, error) {
+	if r.Zone == "" {
+		return nil, twirp.RequiredArgumentError("zone")
+	}
+	s.e.hold(r.Zone, time.Duration(r.DurationMs)*time.Millisecond)
+	return &control.HoldResponse{Held: true}, nil
+}
+
+func (e *Entry) hold(zone string, d time.Duration) {
+	e.log.Log(logevent.ZoneHeld, logevent.Str("zone", zone), logevent.Int("ms", d.Milliseconds()))
+	e.step(core.ZoneHeld{Zone: zone, Duration: d})
+}
+
+// Export implements control.Entry.
+func (s *controlServer) Export(_ context.Context, r *control.ExportRequest) (*control.ExportResponse, error) {
+	data, offset, age, err := s.e.export(r.Stream)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("stream", err.Error())
+	}
+	return &control.ExportResponse{Offset: offset, AgeMs: uint32(age.Milliseconds()), State: data}, nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,294 @@
+// Package entry runs an entry instance: it serves callers, customers and operators, follows the streams of its region,
+// and acts as the decider while it holds the region's epoch. Its decisions are made by package core.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/clock"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/platform/stream"
+	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/scheduler"
+	"github.com/verbenakeel/verbenakeel/settings"
+)
+
+// Times of the runner.
+const (
+	// tickEvery is the time between ticks and so between batches.
+	tickEvery = 50 * time.Millisecond
+	// submitWindow is how long submissions and cancels are grouped.
+	submitWindow = 20 * time.Millisecond
+	// claimWindow is how long claims are grouped; callers wait for it.
+	claimWindow = 3 * time.Millisecond
+	// drainGrace bounds how long listeners wait for requests in progress when the process stops.
+	drainGrace = 30 * time.Second
+	// dialTimeout bounds new connections to side processes.
+	dialTimeout = 500 * time.Millisecond
+	// connsPerEndpoint bounds connections of this entry to one side process.
+	connsPerEndpoint = 64
+)
+
+// Entry is a running entry instance.
+type Entry struct {
+	set         settings.Entry
+	log         logevent.Logger
+	incarnation uint64
+	start       time.Time
+
+	mu    sync.Mutex
+	state *core.State
+	// changed is closed and replaced whenever a fold may have changed something that a waiter looks at.
+	changed chan struct{}
+	// wake is closed and replaced when polls of workers may have an answer.
+	wake chan struct{}
+
+	platform     platform.Log
+	configWriter *stream.Writer
+	regionWriter *stream.Writer
+	submitWriter *stream.Writer
+	claimWriter  *stream.Writer
+
+	public   *httpserver.Server
+	operator *httpserver.Server
+	control  *httpserver.Server
+	forward  *client.Client
+	rpc      *http.Client
+	peers    *peerTable
+	limits   limitTable
+	// seen holds the streams that were read to their end since the start.
+	seen map[core.Stream]bool
+
+	draining atomic.Bool
+	nonce    atomic.Uint64
+	ready    atomic.Bool
+}
+
+// New binds the listeners of an entry. Nothing is served before Run.
+func New(set settings.Entry, log platform.Log, out io.Writer) (*Entry, error) {
+	start := time.Now()
+	e := &Entry{
+		set: set, log: logevent.New(out, set.LogLevel, set.ID), incarnation: uint64(start.UnixMilli()), start: start,
+		seen: make(map[core.Stream]bool), changed: make(chan struct{}), wake: make(chan struct{}), platform: log,
+		rpc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+	}
+	e.state = core.New(core.Options{
+		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat,
+		Authority: set.Authority, Decider: set.Decider, Scheduler: scheduler.DefaultConfig(),
+	})
+	e.newWriters()
+	var err error
+	if e.forward, err = httpserver.NewClient(dialTimeout, connsPerEndpoint); err != nil {
+		return nil, err
+	}
+	if err := e.listen(); err != nil {
+		return nil, fmt.Errorf("entry %s: %w", set.ID, err)
+	}
+	e.peers = newPeerTable(set.Peers)
+	return e, nil
+}
+
+func (e *Entry) newWriters() {
+	opts := stream.WriterOptions{ID: e.set.ID, Incarnation: e.incarnation, WallMs: wallMs}
+	named := func(suffix string, window time.Duration) stream.WriterOptions {
+		o := opts
+		o.ID += suffix
+		o.Window = window
+		return o
+	}
+	e.configWriter = stream.NewWriter(e.platform, configStream, named("", submitWindow))
+	// Decisions and submissions have writers of their own, so that a batch never waits for the window of submissions.
+	e.regionWriter = stream.NewWriter(e.platform, e.regionStream(), named("", 0))
+	e.submitWriter = stream.NewWriter(e.platform, e.regionStream(), named("/submit", submitWindow))
+	e.claimWriter = stream.NewWriter(e.platform, e.claimStream(), named("", claimWindow))
+}
+
+func (e *Entry) listen() error {
+	var err error
+	if e.public, err = httpserver.Listen(e.set.Public); err != nil {
+		return err
+	}
+	if e.operator, err = httpserver.Listen(e.set.Operator); err != nil {
+		return err
+	}
+	if e.control, err = httpserver.Listen(e.set.Control); err != nil {
+		return err
+	}
+	e.routePublic()
+	e.routeOperator()
+	e.routeControl()
+	return nil
+}
+
+// PublicAddress returns the bound address for callers and customers.
+func (e *Entry) PublicAddress() string { return e.public.Address() }
+
+// OperatorAddress returns the bound address for operators.
+func (e *Entry) OperatorAddress() string { return e.operator.Address() }
+
+// ControlAddress returns the bound address for the system's own processes.
+func (e *Entry) ControlAddress() string { return e.control.Address() }
+
+// Run serves until ctx ends, then shuts down gracefully: health fails first, then the listeners close.
+func (e *Entry) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var background sync.WaitGroup
+	run := func(f func(context.Context)) {
+		background.Add(1)
+		go func() { defer background.Done(); f(work) }()
+	}
+	for _, w := range []*stream.Writer{e.configWriter, e.regionWriter, e.submitWriter, e.claimWriter} {
+		run(w.Run)
+	}
+	failed := make(chan error, 8)
+	e.follow(run, failed)
+	run(e.tick)
+	run(e.exchange)
+	serve, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	served := make(chan error, 3)
+	for _, s := range []*httpserver.Server{e.public, e.operator, e.control} {
+		go func() { served <- s.Serve(serve, drainGrace) }()
+	}
+	e.log.Log(logevent.InsecureControl)
+	e.log.Log(logevent.Started, logevent.Str("public", e.PublicAddress()), logevent.Str("operator", e.OperatorAddress()),
+		logevent.Str("control", e.ControlAddress()))
+	var err error
+	select {
+	case <-ctx.Done():
+		e.drain()
+	case err = <-failed:
+	}
+	stopServing()
+	for range 3 {
+		<-served
+	}
+	stop()
+	background.Wait()
+	e.log.Log(logevent.Stopped)
+	return err
+}
+
+// drainNotice is how long the health answer fails before listeners close, so that the balancer stops sending first.
+const drainNotice = time.Second
+
+func (e *Entry) drain() {
+	e.draining.Store(true)
+	e.log.Log(logevent.Stopping)
+	time.Sleep(drainNotice)
+}
+
+func wallMs() int64 { return time.Now().UnixMilli() }
+
+// now returns the time for an event.
+func (e *Entry) now() clock.Now {
+	return clock.Now{Mono: time.Since(e.start), WallMs: wallMs()}
+}
+
+// step applies an event under the lock and carries out its effects after it.
+func (e *Entry) step(ev core.Event) []core.Effect {
+	e.mu.Lock()
+	effects := core.Step(e.state, e.now(), ev)
+	e.mu.Unlock()
+	e.carryOut(effects)
+	return effects
+}
+
+// read calls f with the state under the lock.
+func (e *Entry) read(f func(s *core.State)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e.state)
+}
+
+// waitFor waits until the condition on the state holds.
+func (e *Entry) waitFor(ctx context.Context, cond func(s *core.State) bool) error {
+	for {
+		e.mu.Lock()
+		ok, changed := cond(e.state), e.changed
+		e.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Entry) notify(wake bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.changed)
+	e.changed = make(chan struct{})
+	if wake {
+		close(e.wake)
+		e.wake = make(chan struct{})
+	}
+}
+
+// carryOut starts what effects ask for. Effects that answer the event are read by the caller of step.
+func (e *Entry) carryOut(effects []core.Effect) {
+	for _, eff := range effects {
+		switch eff := eff.(type) {
+		case core.Do:
+			go e.doAuthority(eff.Effect)
+		case core.Append:
+			go e.appendBatch(eff.Batch)
+		case core.Wake:
+			e.notify(true)
+		case core.Alerted:
+			a := eff.Alert
+			e.log.Log(logevent.Alert, logevent.Str("code", a.Code), logevent.Str("job", a.Job), logevent.Str("task", a.Task),
+				logevent.Str("worker", a.Worker), logevent.Str("message", a.Message))
+		case core.RegionChanged:
+			e.logRegion(eff.Effect)
+		case core.ConfigDecided:
+			e.logConfig(eff.Outcome)
+		}
+	}
+}
+
+func (e *Entry) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			e.step(core.Ticked{Rank: e.peers.rank(e.set.ID)})
+			e.notify(e.isDecider())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) isDecider() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Decider.Active()
+}
+
+// appendBatch appends decisions and waits until they were folded.
+func (e *Entry) appendBatch(b *record.Batch) {
+	ctx := context.Background()
+	offset, err := e.regionWriter.Write(ctx, record.Record{Batch: b})
+	if err == nil {
+		_ = e.waitFor(ctx, func(s *core.State) bool { return s.Region.Next > offset })
+	}
+	e.step(core.BatchSettled{})
+}
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// Limits of jobs.
+const (
+	// writeWait bounds how long a submission, a cancel or a change waits for the log.
+	writeWait = 5 * time.Second
+	// maxTasks bounds the tasks of one job.
+	maxTasks = 10_000
+)
+
+var jobName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
+
+// JobAccount tells where a job is, or how it ended and why.
+type JobAccount struct {
+	// Job is the job as recorded.
+	Job *tasks.Job `json:"job"`
+	// Tasks holds the job's tasks with their history.
+	Tasks []tasks.Task `json:"tasks"`
+	// Waiting says why tasks wait, if any do and this entry knows.
+	Waiting string `json:"waiting,omitempty"`
+	// AsOf is the offset of the region's stream that the account includes.
+	AsOf uint64 `json:"as_of"`
+}
+
+func (e *Entry) submitJob(ctx context.Context, c *app.RequestContext) {
+	customer, err := e.customerOf(c)
+	if err != nil {
+		e.refuse(c, err, true)
+		return
+	}
+	job, err := e.parseJob(c.Request.Body(), customer)
+	if err != nil {
+		e.refuse(c, err, true)
+		return
+	}
+	if e.known(job.ID) {
+		e.writeAccount(c, 200, job.ID)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	offset, err := e.submitWriter.Write(ctx, record.Record{Submits: []record.Job{job}})
+	if err == nil {
+		err = e.waitFor(ctx, func(s *core.State) bool { return s.Region.Next > offset })
+	}
+	if err != nil {
+		e.writeNotRecorded(c, err, "job", "/v1/jobs/"+strings.TrimPrefix(job.ID, customer+"/"))
+		return
+	}
+	e.writeAccount(c, 202, job.ID)
+}
+
+// parseJob decodes and checks a job.
+func (e *Entry) parseJob(body []byte, customer string) (record.Job, error) {
+	var job record.Job
+	dec := json.NewDecoder(strings.NewReader(string(body)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&job); err != nil {
+		return job, errdefs.Field("body", err.Error(), "send a job as JSON; docs/operators.md has an example")
+	}
+	if job.ID == "" {
+		job.ID = uuid.NewString()
+	}
+	if !jobName.MatchString(job.ID) {
+		return job, errdefs.Field("id", fmt.Sprintf("%q is not a job name", job.ID), "use up to 100 letters, digits, dots, hyphens and underscores")
+	}
+	job.ID = customer + "/" + job.ID
+	job.Customer = customer
+	job.SubmittedMs = wallMs()
+	return job, CheckJob(job)
+}
+
+// CheckJob returns the first fault of a job.
+func CheckJob(job record.Job) error {
+	switch job.Kind {
+	case record.BatchJob, record.StandingJob, record.ServiceJob:
+	default:
+		return errdefs.Field("kind", fmt.Sprintf("%q is unknown", job.Kind), "use batch, standing or service")
+	}
+	switch {
+	case job.Tasks < 1 || job.Tasks > maxTasks:
+		return errdefs.Field("tasks", "is outside 1 to 10000", "split larger jobs")
+	case job.Size.CPUMilli <= 0 || job.Size.MemoryMB <= 0 || job.Size.Accelerators < 0:
+		return errdefs.Field("size", "needs positive cpu_milli and memory_mb", "declare what each task uses at most")
+	case job.RunMs < 0 || job.DeadlineMs < 0:
+		return errdefs.Field("run_ms", "and deadline_ms must not be negative", "use 0 for none")
+	case job.Kind == record.BatchJob && job.RunMs == 0:
+		return errdefs.Field("run_ms", "is missing", "declare the expected run time of a task in milliseconds")
+	}
+	return nil
+}
+
+func (e *Entry) known(id string) bool {
+	ok := false
+	e.read(func(s *core.State) { ok = s.Region.Jobs[id] != nil })
+	return ok
+}
+
+// writeNotRecorded tells a customer or operator truly whether something may still take effect.
+func (e *Entry) writeNotRecorded(c *app.RequestContext, err error, what, ask string) {
+	if errors.Is(err, platform.ErrNotAppended) {
+		e.refuse(c, errdefs.New(errdefs.Unavailable, "the log does not take records, so the "+what+" was not accepted",
+			"try again after Retry-After"), true)
+		return
+	}
+	p := problemOf(errdefs.New(errdefs.Unknown, "the "+what+" may or may not be on record", "ask GET "+ask+"; sending it again with the same id is safe"))
+	p.Outcome, p.Ask = "unknown", ask
+	httpserver.JSON(c, 502, p)
+}
+
+func (e *Entry) account(id string) (JobAccount, bool) {
+	var a JobAccount
+	ok := false
+	e.read(func(s *core.State) {
+		job := s.Region.Jobs[id]
+		if job == nil {
+			return
+		}
+		ok = true
+		copied := *job
+		a.Job, a.AsOf = &copied, s.Region.Next
+		for _, t := range job.Tasks {
+			a.Tasks = append(a.Tasks, *s.Region.Tasks[t])
+		}
+		if job.State == tasks.JobOpen && s.Decider.Active() {
+			a.Waiting = s.Decider.WaitReason(id)
+		}
+	})
+	return a, ok
+}
+
+func (e *Entry) writeAccount(c *app.RequestContext, status int, id string) {
+	a, ok := e.account(id)
+	if !ok {
+		e.refuse(c, errdefs.New(errdefs.NotFound, "no job "+id+" is on record", "check the id; a job that was just sent may take a second"), false)
+		return
+	}
+	httpserver.JSON(c, status, a)
+}
+
+func (e *Entry) getJob(_ context.Context, c *app.RequestContext) {
+	customer, err := e.customerOf(c)
+	if err != nil {
+		e.refuse(c, err, false)
+		return
+	}
+	e.writeAccount(c, 200, customer+"/"+c.Param("job"))
+}
+
+// JobSummary is one line of a list of jobs.
+type JobSummary struct {
+	ID       string         `json:"id"`
+	Customer string         `json:"customer"`
+	Kind     record.JobKind `json:"kind"`
+	State    tasks.JobState `json:"state"`
+	Open     int            `json:"open"`
+	Tasks    int            `json:"tasks"`
+	Cause    string         `json:"cause"`
+}
+
+func (e *Entry) jobSummaries(customer string) []JobSummary {
+	list := []JobSummary{}
+	e.read(func(s *core.State) {
+		for _, id := range s.Region.JobIDs() {
+			job := s.Region.Jobs[id]
+			if customer != "" && job.Spec.Customer != customer {
+				continue
+			}
+			list = append(list, JobSummary{
+				ID: id, Customer: job.Spec.Customer, Kind: job.Spec.Kind, State: job.State, Open: job.Open,
+				Tasks: len(job.Tasks), Cause: job.History[len(job.History)-1].Cause,
+			})
+		}
+	})
+	return list
+}
+
+func (e *Entry) listJobs(_ context.Context, c *app.RequestContext) {
+	customer, err := e.customerOf(c)
+	if err != nil {
+		e.refuse(c, err, false)
+		return
+	}
+	httpserver.JSON(c, 200, e.jobSummaries(customer))
+}
+
+func (e *Entry) cancelJob(ctx context.Context, c *app.RequestContext) {
+	customer, err := e.customerOf(c)
+	if err != nil {
+		e.refuse(c, err, true)
+		return
+	}
+	e.cancel(ctx, c, customer+"/"+c.Param("job"), "customer "+customer)
+}
+
+func (e *Entry) cancel(ctx context.Context, c *app.RequestContext, id, by string) {
+	if !e.known(id) {
+		e.writeAccount(c, 404, id)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	offset, err := e.submitWriter.Write(ctx, record.Record{Cancels: []record.Cancel{{Job: id, By: by}}})
+	if err == nil {
+		err = e.waitFor(ctx, func(s *core.State) bool { return s.Region.Next > offset })
+	}
+	if err != nil {
+		e.writeNotRecorded(c, err, "cancel", "/v1/jobs/"+id)
+		return
+	}
+	e.writeAccount(c, 202, id)
+}
--- /dev/null
+++ b/entry/once.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/claims"
+	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// Limits of requests that may run at most once.
+const (
+	// maxKept bounds the body of an answer kept for repeats, in bytes.
+	maxKept = 64 << 10
+	// answerWait bounds how long a caller waits for the record of an answer. The answer is given even if it fails.
+	answerWait = 250 * time.Millisecond
+)
+
+// serveOnce claims the request on the log and runs it only if its claim is the first one of its key.
+func (e *Entry) serveOnce(ctx context.Context, c *app.RequestContext, cl *call) {
+	digest := digestOf(c, cl)
+	if known, ok := e.lookupClaim(cl); ok {
+		e.replay(c, cl, known, digest)
+		return
+	}
+	nonce := e.nonce.Add(1)
+	won, err := e.claim(ctx, cl, nonce, digest)
+	if err != nil {
+		e.refuse(c, err, true)
+		return
+	}
+	if !won {
+		known, _ := e.lookupClaim(cl)
+		e.replay(c, cl, known, digest)
+		return
+	}
+	r := e.tryAll(ctx, c, cl, false)
+	e.keepAnswer(cl, nonce, r)
+	e.writeResult(c, cl, r)
+}
+
+func digestOf(c *app.RequestContext, cl *call) uint64 {
+	d := xxhash.New()
+	for _, part := range [][]byte{[]byte(cl.method), {0}, []byte(cl.service + cl.path), {0}, c.Request.Body()} {
+		_, _ = d.Write(part)
+	}
+	return d.Sum64()
+}
+
+func (e *Entry) lookupClaim(cl *call) (claims.Claim, bool) {
+	var found claims.Claim
+	ok := false
+	e.read(func(s *core.State) {
+		if k, has := s.Claims.Lookup(cl.customer, cl.key); has {
+			found, ok = *k, true
+		}
+	})
+	return found, ok
+}
+
+// claim appends a claim and reads it back. An error means that the request certainly does not run.
+func (e *Entry) claim(ctx context.Context, cl *call, nonce, digest uint64) (bool, error) {
+	rc := record.RequestClaim{Customer: cl.customer, Key: cl.key, Nonce: nonce, Digest: digest}
+	offset, err := e.claimWriter.Write(ctx, record.Record{RequestClaims: []record.RequestClaim{rc}})
+	if err == nil {
+		err = e.waitFor(ctx, func(s *core.State) bool { return s.Claims.Next > offset })
+	}
+	if err != nil {
+		if !errors.Is(err, platform.ErrNotAppended) {
+			// The claim may still reach the log. This entry never runs it, and says so on the log.
+			go e.keepAnswer(cl, nonce, result{notRun: true, err: err})
+		}
+		return false, errdefs.New(errdefs.Unavailable, "the log cannot record the request, so it was not run",
+			"send it again with the same key after Retry-After; if the answer then says not run, use a new key")
+	}
+	known, _ := e.lookupClaim(cl)
+	return known.Nonce == nonce && known.Writer == e.set.ID && known.Incarnation == e.incarnation, nil
+}
+
+// keepAnswer records how a claimed request ended.
+func (e *Entry) keepAnswer(cl *call, nonce uint64, r result) {
+	a := record.RequestAnswer{Customer: cl.customer, Key: cl.key, Nonce: nonce}
+	switch {
+	case r.err != nil && r.notRun:
+		a.NotRun = true
+	case r.err != nil:
+		a.Unknown = true
+	default:
+		a.Status, a.ContentType = r.status, r.contentType
+		if len(r.body) <= maxKept {
+			a.Body = r.body
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerWait)
+	defer cancel()
+	if _, err := e.claimWriter.Write(ctx, record.Record{RequestAnswers: []record.RequestAnswer{a}}); err != nil {
+		e.log.Log(logevent.RequestNotWritten, logevent.Str("customer", cl.customer), logevent.Str("key", cl.key), logevent.Err(err))
+	}
+}
+
+// replay answers a repeat of a claimed request.
+func (e *Entry) replay(c *app.RequestContext, cl *call, known claims.Claim, digest uint64) {
+	c.Response.Header.Set(headerRequestID, cl.id)
+	if known.Digest != digest {
+		e.refuse(c, errdefs.Field(headerKey, "was used for another request", "use a new key for a new request"), true)
+		return
+	}
+	switch known.State {
+	case lifecycle.RequestAnswered:
+		c.Response.Header.Set("X-Replayed", "true")
+		c.SetStatusCode(known.Status)
+		c.Response.Header.SetContentType(known.ContentType)
+		c.Response.SetBody(known.Body)
+	case lifecycle.RequestNotRun:
+		e.refuse(c, errdefs.New(errdefs.Unavailable, "the request with this key was not run", "send it again with a new key"), true)
+	case lifecycle.RequestExpired:
+		e.refuse(c, errdefs.New(errdefs.Expired, "the answer for this key has expired; the request was not run again",
+			"use a new key for a new request"), false)
+	default:
+		p := problemOf(errdefs.New(errdefs.Conflict, "the request with this key is in progress or its outcome is unknown",
+			"ask GET "+askPath(cl.key)+"; it never runs again"))
+		p.Outcome, p.Ask = "unknown", askPath(cl.key)
+		httpserver.JSON(c, 409, p)
+	}
+}
+
+func askPath(key string) string { return "/v1/requests/" + key }
+
+// writeUnknown tells a caller that the request may have run.
+func (e *Entry) writeUnknown(c *app.RequestContext, cl *call, err error) {
+	p := problemOf(err)
+	p.Outcome = "unknown"
+	if cl.key != "" {
+		p.Ask = askPath(cl.key)
+	}
+	httpserver.JSON(c, 502, p)
+}
+
+// getRequest tells the outcome of a claimed request.
+func (e *Entry) getRequest(_ context.Context, c *app.RequestContext) {
+	customer, err := e.customerOf(c)
+	if err != nil {
+		e.refuse(c, err, false)
+		return
+	}
+	e.writeRequest(c, customer, c.Param("key"))
+}
+
+// requestAccount is the account of a claimed request.
+type requestAccount struct {
+	claims.Claim
+	// Account says in words where the request stands.
+	Account string `json:"account"`
+}
+
+func (e *Entry) writeRequest(c *app.RequestContext, customer, key string) {
+	known, ok := e.lookupClaim(&call{customer: customer, key: key})
+	if !ok {
+		e.refuse(c, errdefs.New(errdefs.NotFound, "no request with this key is on record",
+			"if it was sent within the last seconds, ask again; otherwise it was not run"), false)
+		return
+	}
+	httpserver.JSON(c, 200, requestAccount{known, e.requestWords(known)})
+}
+
+func (e *Entry) requestWords(k claims.Claim) string {
+	switch k.State {
+	case lifecycle.RequestAnswered:
+		return "ran once and was answered"
+	case lifecycle.RequestNotRun:
+		return "was not run and never will be"
+	case lifecycle.RequestUnknown:
+		return "may have run once; the answer was lost; it never runs again"
+	case lifecycle.RequestExpired:
+		return "ran at most once; its answer has expired; it never runs again"
+	}
+	if e.entryLive(k.Writer, k.Incarnation) {
+		return "is in progress at entry " + k.Writer
+	}
+	return "may have run once; entry " + k.Writer + " was lost before it recorded the answer; it never runs again"
+}
+
+func (e *Entry) entryLive(id string, incarnation uint64) bool {
+	if id == e.set.ID {
+		return incarnation == e.incarnation
+	}
+	for _, p := range e.peers.live() {
+		if p.id == id {
+			return p.incarnation == incarnation
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/operator.go
@@ -0,0 +1,295 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
+
+	"github.com/verbenakeel/verbenakeel/control"
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/core/members"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// holdFor is how long a zone is held while its removal from service is recorded.
+const holdFor = 30 * time.Second
+
+func (e *Entry) routeOperator() {
+	h := e.operator
+	h.GET("/-/health", e.health)
+	h.POST("/v1/config", e.guard(e.postConfig))
+	h.GET("/v1/config/changes/:id", e.guard(e.getChange))
+	h.GET("/v1/contracts", e.guard(e.getContracts))
+	h.GET("/v1/zones", e.guard(e.getZones))
+	h.GET("/v1/endpoints", e.guard(e.getEndpoints))
+	h.GET("/v1/workers", e.guard(e.getWorkers))
+	h.GET("/v1/status", e.guard(e.getStatus))
+	h.GET("/v1/audit", e.guard(e.getAudit))
+	h.GET("/v1/inforce", e.guard(e.getInForce))
+	h.GET("/v1/jobs", e.guard(func(_ context.Context, c *app.RequestContext) {
+		httpserver.JSON(c, 200, e.jobSummaries(c.Query("customer")))
+	}))
+	h.GET("/v1/jobs/*id", e.guard(func(_ context.Context, c *app.RequestContext) {
+		e.writeAccount(c, 200, strings.TrimPrefix(c.Param("id"), "/"))
+	}))
+	h.DELETE("/v1/jobs/*id", e.guard(func(ctx context.Context, c *app.RequestContext) {
+		e.cancel(ctx, c, strings.TrimPrefix(c.Param("id"), "/"), "operator "+operatorName(c))
+	}))
+	h.GET("/v1/requests/:customer/:key", e.guard(func(_ context.Context, c *app.RequestContext) {
+		e.writeRequest(c, c.Param("customer"), c.Param("key"))
+	}))
+	h.GET("/v1/explain/task/*id", e.guard(func(_ context.Context, c *app.RequestContext) {
+		var lines []string
+		e.read(func(s *core.State) { lines = s.Decider.ExplainPlacement(strings.TrimPrefix(c.Param("id"), "/")) })
+		httpserver.JSON(c, 200, lines)
+	}))
+}
+
+// guard checks the operators' token.
+func (e *Entry) guard(next app.HandlerFunc) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		if err := e.operatorAllowed(c); err != nil {
+			e.refuse(c, err, true)
+			return
+		}
+		next(ctx, c)
+	}
+}
+
+func operatorName(c *app.RequestContext) string {
+	if name := string(c.GetHeader("X-Operator")); name != "" {
+		return name
+	}
+	return "unnamed"
+}
+
+// postConfig records a change and answers once log order has decided it.
+func (e *Entry) postConfig(ctx context.Context, c *app.RequestContext) {
+	var change record.ConfigChange
+	dec := json.NewDecoder(strings.NewReader(string(c.Request.Body())))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&change); err != nil {
+		e.refuse(c, errdefs.Field("body", err.Error(), "send one change as JSON"), true)
+		return
+	}
+	if change.ID == "" {
+		change.ID = uuid.NewString()
+	}
+	change.Operator, change.AtMs = operatorName(c), wallMs()
+	var err error
+	e.read(func(s *core.State) { err = config.Check(change, s.Config) })
+	if err != nil {
+		e.refuse(c, err, true)
+		return
+	}
+	if change.Zone != nil && change.Zone.Out {
+		e.holdEverywhere(change.Zone.Zone, change.Operator)
+	}
+	e.recordChange(ctx, c, change)
+}
+
+func (e *Entry) recordChange(ctx context.Context, c *app.RequestContext, change record.ConfigChange) {
+	ctx, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	offset, err := e.configWriter.Write(ctx, record.Record{Config: []record.ConfigChange{change}})
+	if err == nil {
+		err = e.waitFor(ctx, func(s *core.State) bool { return s.Config.Next > offset })
+	}
+	if err != nil {
+		e.writeNotRecorded(c, err, "change", "/v1/config/changes/"+change.ID)
+		return
+	}
+	e.writeChange(c, change.ID)
+}
+
+func (e *Entry) writeChange(c *app.RequestContext, id string) {
+	var out config.Outcome
+	ok := false
+	e.read(func(s *core.State) { out, ok = s.Config.Outcome(id) })
+	switch {
+	case !ok:
+		e.refuse(c, errdefs.New(errdefs.NotFound, "no change "+id+" is on record", "if it was just sent, ask again; otherwise send it again"), false)
+	case out.Status == config.Accepted:
+		httpserver.JSON(c, 200, out)
+	case out.Status == config.Conflict:
+		httpserver.JSON(c, 409, out)
+	default:
+		httpserver.JSON(c, 400, out)
+	}
+}
+
+func (e *Entry) getChange(_ context.Context, c *app.RequestContext) {
+	e.writeChange(c, c.Param("id"))
+}
+
+// holdEverywhere stops starts in the zone at all entries before the record is in force. It only ever stops starts.
+func (e *Entry) holdEverywhere(zone, operator string) {
+	e.hold(zone, holdFor)
+	for _, p := range e.peers.live() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+			defer cancel()
+			_, _ = e.client(p.address).Hold(ctx, &control.HoldRequest{
+				Zone: zone, DurationMs: uint32(holdFor.Milliseconds()), Operator: operator,
+			})
+		}()
+	}
+}
+
+func (e *Entry) getContracts(_ context.Context, c *app.RequestContext) {
+	list := []config.ContractVersion{}
+	e.read(func(s *core.State) {
+		for _, name := range s.Config.Customers() {
+			list = append(list, *s.Config.Contracts[name])
+		}
+	})
+	httpserver.JSON(c, 200, list)
+}
+
+func (e *Entry) getZones(_ context.Context, c *app.RequestContext) {
+	list := []config.ZoneVersion{}
+	e.read(func(s *core.State) {
+		for _, name := range s.Config.ZoneNames() {
+			list = append(list, *s.Config.Zones[name])
+		}
+	})
+	httpserver.JSON(c, 200, list)
+}
+
+// EndpointView is an endpoint as this entry knows it.
+type EndpointView struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Zone     string `json:"zone"`
+	State    string `json:"state"`
+	Up       bool   `json:"up"`
+	Drained  bool   `json:"drained"`
+	Address  string `json:"address"`
+	Free     int    `json:"slots_free"`
+	Queue    int    `json:"queue"`
+	Revision uint64 `json:"revision"`
+}
+
+func viewOf(ep *members.Endpoint) EndpointView {
+	return EndpointView{
+		ID: ep.ID, Service: ep.Service, Zone: ep.Zone, State: string(ep.State), Up: ep.EndpointUp, Drained: ep.Drained,
+		Address: ep.Address, Free: ep.SlotsFree, Queue: ep.Queue, Revision: ep.Revision,
+	}
+}
+
+func (e *Entry) getEndpoints(_ context.Context, c *app.RequestContext) {
+	list := []EndpointView{}
+	e.read(func(s *core.State) {
+		for _, ep := range s.Members.All() {
+			list = append(list, viewOf(ep))
+		}
+	})
+	httpserver.JSON(c, 200, list)
+}
+
+func (e *Entry) getWorkers(_ context.Context, c *app.RequestContext) {
+	type view struct {
+		ID        string           `json:"id"`
+		Zone      string           `json:"zone"`
+		Rack      string           `json:"rack"`
+		Capacity  record.Resources `json:"capacity"`
+		Committed record.Resources `json:"committed"`
+		Lost      bool             `json:"lost"`
+		Tasks     int              `json:"tasks"`
+	}
+	list := []view{}
+	e.read(func(s *core.State) {
+		for _, id := range s.Region.WorkerIDs() {
+			w := s.Region.Workers[id]
+			list = append(list, view{w.ID, w.Zone, w.Rack, w.Capacity, w.Committed, w.Lost, len(w.Tasks)})
+		}
+	})
+	httpserver.JSON(c, 200, list)
+}
+
+// Status summarizes an entry.
+type Status struct {
+	Entry    string `json:"entry"`
+	Region   string `json:"region"`
+	Zone     string `json:"zone"`
+	Ready    bool   `json:"ready"`
+	Draining bool   `json:"draining"`
+	Revision uint64 `json:"revision"`
+	Epoch    uint64 `json:"epoch"`
+	Decider  string `json:"decider"`
+	Acting   bool   `json:"acting"`
+	Witness  string `json:"witness"`
+	LogFresh bool   `json:"log_fresh"`
+	Entries  int    `json:"entries"`
+	Jobs     int    `json:"jobs"`
+	Workers  int    `json:"workers"`
+}
+
+func (e *Entry) getStatus(_ context.Context, c *app.RequestContext) {
+	st := Status{
+		Entry: e.set.ID, Region: e.set.Region, Zone: e.set.Zone, Ready: e.ready.Load(), Draining: e.draining.Load(),
+		Entries: len(e.peers.live()) + 1,
+	}
+	e.read(func(s *core.State) {
+		now := e.now()
+		st.Revision = s.Config.Revision
+		st.Epoch, st.Decider = s.Authority.Epoch()
+		st.Acting = s.Authority.Valid(now)
+		st.Witness = s.Authority.Claim().Witness
+		st.LogFresh = s.Authority.LogFresh(now, 2*time.Second)
+		st.Jobs, st.Workers = len(s.Region.Jobs), len(s.Region.Workers)
+	})
+	httpserver.JSON(c, 200, st)
+}
+
+func (e *Entry) getAudit(_ context.Context, c *app.RequestContext) {
+	list := []config.Outcome{}
+	e.read(func(s *core.State) { list = append(list, s.Config.Audit...) })
+	httpserver.JSON(c, 200, list)
+}
+
+// InForce tells which processes enforce a revision.
+type InForce struct {
+	Revision uint64   `json:"revision"`
+	Everyone bool     `json:"everyone"`
+	Behind   []string `json:"behind"`
+}
+
+func (e *Entry) revision() uint64 {
+	var r uint64
+	e.read(func(s *core.State) { r = s.Config.Revision })
+	return r
+}
+
+func (e *Entry) getInForce(_ context.Context, c *app.RequestContext) {
+	var want uint64
+	if err := json.Unmarshal([]byte(c.Query("revision")), &want); err != nil {
+		e.refuse(c, errdefs.Field("revision", "is not a number", "pass the revision that the change was accepted with"), false)
+		return
+	}
+	r := InForce{Revision: want, Behind: []string{}}
+	e.read(func(s *core.State) {
+		if s.Config.Revision < want {
+			r.Behind = append(r.Behind, e.set.ID)
+		}
+		for _, ep := range s.Members.All() {
+			if ep.Revision < want {
+				r.Behind = append(r.Behind, ep.ID)
+			}
+		}
+	})
+	for _, p := range e.peers.live() {
+		if p.revision < want {
+			r.Behind = append(r.Behind, p.id)
+		}
+	}
+	r.Everyone = len(r.Behind) == 0
+	httpserver.JSON(c, 200, r)
+}
--- /dev/null
+++ b/entry/public.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// Headers between callers, entries and side processes.
+const (
+	headerDeadline  = "X-Deadline-Ms"
+	headerRequestID = "X-Request-Id"
+	headerNotRun    = "X-Not-Run"
+	headerSlots     = "X-Slots-Free"
+	headerQueue     = "X-Queue"
+	headerCustomer  = "X-Customer"
+	headerKey       = "Idempotency-Key"
+)
+
+// maxDeadline bounds the deadline that a caller may ask for.
+const maxDeadline = 10 * time.Minute
+
+func (e *Entry) routePublic() {
+	h := e.public
+	h.GET("/-/health", e.health)
+	h.POST("/v1/jobs", e.submitJob)
+	h.GET("/v1/jobs", e.listJobs)
+	h.GET("/v1/jobs/:job", e.getJob)
+	h.DELETE("/v1/jobs/:job", e.cancelJob)
+	h.GET("/v1/requests/:key", e.getRequest)
+	h.NoRoute(e.serveCall)
+}
+
+// health answers the balancer. It fails from the start of a graceful shutdown and until all streams were read once.
+func (e *Entry) health(_ context.Context, c *app.RequestContext) {
+	switch {
+	case e.draining.Load():
+		c.String(503, "draining\n")
+	case !e.ready.Load():
+		c.String(503, "starting\n")
+	default:
+		c.String(200, "ok\n")
+	}
+}
+
+// call is one request of a caller.
+type call struct {
+	id       string
+	service  string
+	path     string
+	method   string
+	customer string
+	key      string
+	deadline time.Time
+	contract record.Contract
+	rule     *record.OnceRule
+}
+
+// serveCall serves a request to a service.
+func (e *Entry) serveCall(ctx context.Context, c *app.RequestContext) {
+	start := time.Now()
+	cl, err := e.parseCall(c, start)
+	if err != nil {
+		e.refuse(c, err, true)
+		return
+	}
+	release, err := e.admit(cl)
+	if err != nil {
+		e.refuse(c, err, true)
+		return
+	}
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, cl.deadline)
+	defer cancel()
+	if cl.rule != nil {
+		e.serveOnce(ctx, c, cl)
+		return
+	}
+	e.writeResult(c, cl, e.tryAll(ctx, c, cl, repeatable(cl.method)))
+}
+
+func (e *Entry) parseCall(c *app.RequestContext, start time.Time) (*call, error) {
+	path := string(c.Request.URI().Path())
+	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	cl := &call{service: name, path: "/" + rest, method: string(c.Method()), id: string(c.GetHeader(headerRequestID))}
+	if cl.id == "" {
+		cl.id = uuid.NewString()
+	}
+	if !e.ready.Load() {
+		return nil, errdefs.New(errdefs.Unavailable, "this entry has not read the configuration yet", "try again in a second or use another entry")
+	}
+	var svc record.Service
+	found := false
+	e.read(func(s *core.State) {
+		if contract, sv, ok := s.Config.Service(name); ok {
+			cl.contract, svc, found = *contract, *sv, true
+		}
+	})
+	if !found {
+		return nil, errdefs.New(errdefs.NotFound, fmt.Sprintf("no contract has a service %q", name), "check the first segment of the path")
+	}
+	cl.customer = cl.contract.Customer
+	if !svc.Public && !tokenOf(c).allowed(cl.contract.TokenSHA256) {
+		return nil, errdefs.New(errdefs.Unauthorized, "the token is missing or does not belong to the customer", "send Authorization: Bearer TOKEN")
+	}
+	limit := time.Duration(svc.DeadlineMs) * time.Millisecond
+	if v := string(c.GetHeader(headerDeadline)); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+			return nil, errdefs.Field(headerDeadline, fmt.Sprintf("%q is not a deadline", v), "send 1 to 600000 milliseconds")
+		}
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	cl.deadline = start.Add(limit)
+	cl.rule = onceRule(svc, cl)
+	if cl.rule != nil {
+		cl.key = string(c.GetHeader(headerKey))
+		if cl.key == "" || len(cl.key) > 200 {
+			return nil, errdefs.Field(headerKey, "is missing or longer than 200 bytes",
+				"send a unique key; this request may run at most once")
+		}
+	}
+	return cl, nil
+}
+
+func onceRule(svc record.Service, cl *call) *record.OnceRule {
+	for i := range svc.Once {
+		if svc.Once[i].Method == cl.method && strings.HasPrefix(cl.path, svc.Once[i].Prefix) {
+			return &svc.Once[i]
+		}
+	}
+	return nil
+}
+
+// repeatable reports whether a request that may have run may be sent again. Methods that HTTP defines as idempotent may.
+func repeatable(method string) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "PUT", "DELETE":
+		return true
+	}
+	return false
+}
+
+// refuse answers with a typed error.
+func (e *Entry) refuse(c *app.RequestContext, err error, notRun bool) {
+	p := problemOf(err)
+	p.NotRun = notRun
+	status := statusOf(errdefs.KindOf(err))
+	if status == 429 || status == 503 {
+		c.Response.Header.Set("Retry-After", "1")
+	}
+	httpserver.JSON(c, status, p)
+}
+
+func problemOf(err error) httpserver.Problem {
+	var p httpserver.Problem
+	if te, ok := asTyped(err); ok {
+		p.Error = httpserver.ProblemError{Kind: string(te.Kind), Field: te.Field, Message: te.Message, Remedy: te.Remedy}
+		return p
+	}
+	p.Error = httpserver.ProblemError{Kind: "internal", Message: err.Error(), Remedy: "report this with the request id"}
+	return p
+}
+
+func statusOf(kind errdefs.Kind) int {
+	switch kind {
+	case errdefs.Invalid:
+		return 400
+	case errdefs.Unauthorized:
+		return 401
+	case errdefs.NotFound:
+		return 404
+	case errdefs.Conflict:
+		return 409
+	case errdefs.Expired:
+		return 410
+	case errdefs.Refused:
+		return 429
+	case errdefs.Unavailable:
+		return 503
+	case errdefs.Unknown:
+		return 502
+	}
+	return 500
+}
--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,138 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/core/authority"
+	"github.com/verbenakeel/verbenakeel/core/decider"
+)
+
+// Entry holds the settings of an entry instance.
+type Entry struct {
+	// ID is unique among entries.
+	ID string
+	// Region and Zone say where the instance is.
+	Region string
+	Zone   string
+	// Public is the listener for callers and customers.
+	Public string
+	// Operator is the listener for operators, metrics and health.
+	Operator string
+	// Control is the listener for the system's own processes.
+	Control string
+	// Advertise is the control address that other processes use; Control if empty.
+	Advertise string
+	// LogURL is the base URL of the platform's log service.
+	LogURL string
+	// Peers are control addresses of other entries of the region.
+	Peers []string
+	// OperatorTokenSHA256 is the hex SHA-256 of the operators' token; empty lets everybody operate.
+	OperatorTokenSHA256 string
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// Heartbeat is the wanted interval of announcements.
+	Heartbeat time.Duration
+	// Decider and Authority hold the times of the decider.
+	Decider   decider.Config
+	Authority authority.Config
+	// SnapshotEvery is the number of records between snapshots.
+	SnapshotEvery int
+}
+
+// DefaultEntry returns the defaults.
+func DefaultEntry() Entry {
+	return Entry{
+		Public: "127.0.0.1:0", Operator: "127.0.0.1:0", Control: "127.0.0.1:0", LogLevel: "info",
+		Heartbeat: time.Second, Decider: decider.DefaultConfig(), Authority: authority.DefaultConfig(), SnapshotEvery: 5000,
+	}
+}
+
+func (e *Entry) keys() []key {
+	const addr = "write an IP number and a port, for example 10.0.0.5:8080"
+	const dur = "write a duration, for example 1500ms or 10s"
+	return []key{
+		{"process", "id", true, text(&e.ID), "give the entry a unique id"},
+		{"process", "region", true, text(&e.Region), "name the region, for example midshire"},
+		{"process", "zone", true, text(&e.Zone), "name the availability zone, for example midshire-a"},
+		{"process", "log_level", false, oneOf(&e.LogLevel, "debug", "info", "warn", "error"), "use debug, info, warn or error"},
+		{"listen", "public", false, address(&e.Public), addr},
+		{"listen", "operator", false, address(&e.Operator), addr},
+		{"listen", "control", false, address(&e.Control), addr},
+		{"listen", "advertise", false, address(&e.Advertise), addr},
+		{"platform", "log", true, baseURL(&e.LogURL), "write the log's base URL, for example http://10.0.0.2:7000"},
+		{"peers", "entries", false, addressList(&e.Peers), "list control addresses of other entries, separated by commas"},
+		{"operators", "token_sha256", false, hexSum(&e.OperatorTokenSHA256), "give the 64 hex digits of the token's SHA-256"},
+		{"times", "heartbeat", false, duration(&e.Heartbeat, 50*time.Millisecond, time.Minute), dur},
+		{"times", "task_lease", false, duration(&e.Decider.TaskLease, time.Second, time.Hour), dur},
+		{"times", "service_lease", false, duration(&e.Decider.ServiceLease, time.Second, 24*time.Hour), dur},
+		{"times", "permit_ttl", false, duration(&e.Decider.PermitTTL, 100*time.Millisecond, 2*time.Second), dur},
+		{"times", "config_freshness", false, duration(&e.Decider.ConfigFreshness, 200*time.Millisecond, 2*time.Second), dur},
+		{"times", "poll_every", false, duration(&e.Decider.PollEvery, 50*time.Millisecond, time.Minute), dur},
+		{"times", "silent_after", false, duration(&e.Decider.SilentAfter, 200*time.Millisecond, 10*time.Minute), dur},
+		{"times", "authority_ttl", false, duration(&e.Authority.TTL, 500*time.Millisecond, time.Minute), dur},
+		{"times", "authority_max", false, duration(&e.Authority.Max, time.Second, 24*time.Hour), dur},
+		{"times", "decider_silence", false, duration(&e.Authority.Silence, 300*time.Millisecond, time.Minute), dur},
+		{"snapshots", "every_records", false, number(&e.SnapshotEvery, 10, 1_000_000), "write a number of records"},
+	}
+}
+
+// maxStartAfterOut is the time in which starts in a zone must end after it was taken out.
+const maxStartAfterOut = 3 * time.Second
+
+// CheckEntry parses and checks the settings of an entry.
+func CheckEntry(data []byte) (Entry, []Problem) {
+	e := DefaultEntry()
+	problems := check(data, e.keys())
+	lines := lineNumbers(data)
+	if e.Decider.PermitTTL+e.Decider.ConfigFreshness >= maxStartAfterOut {
+		problems = append(problems, Problem{lines["times.permit_ttl"], "times.permit_ttl",
+			fmt.Sprintf("permit_ttl and config_freshness together must stay below %s", maxStartAfterOut),
+			"lower one of them; a zone taken out could otherwise see starts for longer"})
+	}
+	if e.Decider.PollEvery*3 > e.Decider.TaskLease {
+		problems = append(problems, Problem{lines["times.task_lease"], "times.task_lease",
+			"must be at least three times poll_every", "raise task_lease or lower poll_every; a single lost poll could otherwise end tasks"})
+	}
+	if e.Advertise == "" {
+		e.Advertise = e.Control
+	}
+	return e, problems
+}
+
+// LoadEntry reads the settings of an entry. Its error lists every problem.
+func LoadEntry(path string) (Entry, error) {
+	data, err := read(path)
+	if err != nil {
+		return Entry{}, err
+	}
+	e, problems := CheckEntry(data)
+	return e, asError(path, problems)
+}
+
+func oneOf(into *string, allowed ...string) func(string) error {
+	return func(v string) error {
+		for _, a := range allowed {
+			if v == a {
+				*into = v
+				return nil
+			}
+		}
+		return fmt.Errorf("%q is not allowed", v)
+	}
+}
+
+func hexSum(into *string) func(string) error {
+	return func(v string) error {
+		if len(v) != 64 {
+			return fmt.Errorf("is not a SHA-256 sum")
+		}
+		for _, c := range v {
+			if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+				return fmt.Errorf("is not lower-case hex")
+			}
+		}
+		*into = v
+		return nil
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,206 @@
+// Package settings reads INI settings and checks them as a whole: every problem is listed with its line, key and remedy.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/verbenakeel/verbenakeel/errdefs"
+)
+
+// Problem is one fault in a settings file.
+type Problem struct {
+	// Line is the line in the file, from 1; 0 if the key is missing.
+	Line int
+	// Key is the section and key, joined by a dot.
+	Key string
+	// Message says what is wrong.
+	Message string
+	// Remedy says what to do.
+	Remedy string
+}
+
+// String formats the problem for people.
+func (p Problem) String() string {
+	if p.Line == 0 {
+		return fmt.Sprintf("%s: %s; %s", p.Key, p.Message, p.Remedy)
+	}
+	return fmt.Sprintf("line %d: %s: %s; %s", p.Line, p.Key, p.Message, p.Remedy)
+}
+
+// key describes one key of a file.
+type key struct {
+	section, name string
+	required      bool
+	// set parses the value and stores it; its error says what is wrong.
+	set func(value string) error
+	// remedy says what a valid value looks like.
+	remedy string
+}
+
+// check reads data, stores every value through keys and returns all problems.
+func check(data []byte, keys []key) []Problem {
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, data)
+	if err != nil {
+		return []Problem{{Key: "file", Message: err.Error(), Remedy: "write [section] headers and key = value lines"}}
+	}
+	lines := lineNumbers(data)
+	var problems []Problem
+	known := make(map[string]bool)
+	for _, k := range keys {
+		full := k.section + "." + k.name
+		known[full] = true
+		sec := file.Section(k.section)
+		if !sec.HasKey(k.name) {
+			if k.required {
+				problems = append(problems, Problem{Key: full, Message: "is missing", Remedy: k.remedy})
+			}
+			continue
+		}
+		if values := sec.Key(k.name).ValueWithShadows(); len(values) > 1 {
+			problems = append(problems, Problem{lines[full], full, "is set more than once", "keep one line"})
+			continue
+		}
+		if err := k.set(strings.TrimSpace(sec.Key(k.name).String())); err != nil {
+			problems = append(problems, Problem{lines[full], full, err.Error(), k.remedy})
+		}
+	}
+	return append(problems, unknownKeys(file, known, lines)...)
+}
+
+func unknownKeys(file *ini.File, known map[string]bool, lines map[string]int) []Problem {
+	var problems []Problem
+	for _, sec := range file.Sections() {
+		for _, k := range sec.Keys() {
+			full := sec.Name() + "." + k.Name()
+			if !known[full] {
+				problems = append(problems, Problem{lines[full], full, "is not a setting", "remove the line or correct its name"})
+			}
+		}
+	}
+	return problems
+}
+
+// lineNumbers maps section.key to the last line that sets it, because the INI library keeps no positions.
+func lineNumbers(data []byte) map[string]int {
+	lines := make(map[string]int)
+	section := ini.DefaultSection
+	for i, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
+			section = strings.TrimSpace(line[1 : len(line)-1])
+			continue
+		}
+		if name, _, ok := strings.Cut(line, "="); ok {
+			lines[section+"."+strings.TrimSpace(name)] = i + 1
+		}
+	}
+	return lines
+}
+
+// asError joins problems into one error of kind Invalid.
+func asError(path string, problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	var b strings.Builder
+	for _, p := range problems {
+		fmt.Fprintf(&b, "\n  %s", p)
+	}
+	return errdefs.New(errdefs.Invalid, fmt.Sprintf("%s has %d problems:%s\n", path, len(problems), b.String()),
+		"correct the listed lines and start again")
+}
+
+func read(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", errdefs.New(errdefs.Invalid, err.Error(), "name a readable file with --settings"))
+	}
+	return data, nil
+}
+
+func text(into *string) func(string) error {
+	return func(v string) error {
+		if v == "" {
+			return fmt.Errorf("is empty")
+		}
+		*into = v
+		return nil
+	}
+}
+
+func address(into *string) func(string) error {
+	return func(v string) error {
+		host, port, err := net.SplitHostPort(v)
+		if err != nil {
+			return fmt.Errorf("%q is not ip:port", v)
+		}
+		if net.ParseIP(host) == nil {
+			return fmt.Errorf("%q is not an IP number", host)
+		}
+		if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+			return fmt.Errorf("%q is not a port", port)
+		}
+		*into = v
+		return nil
+	}
+}
+
+func addressList(into *[]string) func(string) error {
+	return func(v string) error {
+		for _, item := range strings.Split(v, ",") {
+			var a string
+			if err := address(&a)(strings.TrimSpace(item)); err != nil {
+				return err
+			}
+			*into = append(*into, a)
+		}
+		return nil
+	}
+}
+
+func baseURL(into *string) func(string) error {
+	return func(v string) error {
+		u, err := url.Parse(v)
+		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+			return fmt.Errorf("%q is not an http URL", v)
+		}
+		*into = strings.TrimSuffix(v, "/")
+		return nil
+	}
+}
+
+func duration(into *time.Duration, low, high time.Duration) func(string) error {
+	return func(v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return fmt.Errorf("%q is not a duration", v)
+		}
+		if d < low || d > high {
+			return fmt.Errorf("%s is outside %s to %s", d, low, high)
+		}
+		*into = d
+		return nil
+	}
+}
+
+func number(into *int, low, high int) func(string) error {
+	return func(v string) error {
+		n, err := strconv.Atoi(v)
+		if err != nil {
+			return fmt.Errorf("%q is not a whole number", v)
+		}
+		if n < low || n > high {
+			return fmt.Errorf("%d is outside %d to %d", n, low, high)
+		}
+		*into = n
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/endpoint.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"context"
+	"hash/crc32"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/verbenakeel/verbenakeel/httpserver"
+)
+
+// EndpointOptions configure an endpoint.
+type EndpointOptions struct {
+	// ID names the endpoint in answers.
+	ID string
+	// ServiceTime is the mean time to serve a request; each takes half to one and a half of it.
+	ServiceTime time.Duration
+	// Seed drives the service times.
+	Seed uint64
+}
+
+// Execution is one request that an endpoint ran.
+type Execution struct {
+	RequestID string `json:"request_id"`
+	Key       string `json:"key"`
+	Endpoint  string `json:"endpoint"`
+	StartNs   int64  `json:"start_ns"`
+	EndNs     int64  `json:"end_ns"`
+}
+
+// Answer is the answer of an endpoint.
+type Answer struct {
+	RequestID string `json:"request_id"`
+	Key       string `json:"key"`
+	Endpoint  string `json:"endpoint"`
+	// BodySum is the CRC-32 of the request's body.
+	BodySum uint32 `json:"body_sum"`
+	// Execution counts the executions at this endpoint.
+	Execution int `json:"execution"`
+}
+
+// Endpoint is a customer's service.
+type Endpoint struct {
+	*httpserver.Server
+	opts EndpointOptions
+
+	mu   sync.Mutex
+	rng  *rand.Rand
+	slow float64
+	runs []Execution
+}
+
+// NewEndpoint binds an endpoint.
+func NewEndpoint(address string, opts EndpointOptions) (*Endpoint, error) {
+	srv, err := httpserver.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	e := &Endpoint{Server: srv, opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), slow: 1}
+	srv.GET("/-/health", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
+	srv.GET("/-/history", func(_ context.Context, c *app.RequestContext) { httpserver.JSON(c, 200, e.Executions()) })
+	srv.PUT("/-/slow", func(_ context.Context, c *app.RequestContext) {
+		if f, err := strconv.ParseFloat(string(c.Request.Body()), 64); err == nil {
+			e.SetSlow(f)
+		}
+		c.String(200, "ok\n")
+	})
+	srv.NoRoute(e.serve)
+	return e, nil
+}
+
+// SetSlow multiplies service times.
+func (e *Endpoint) SetSlow(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slow = factor
+}
+
+// Executions returns what the endpoint ran, in order of start.
+func (e *Endpoint) Executions() []Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Execution{}, e.runs...)
+}
+
+func (e *Endpoint) serve(_ context.Context, c *app.RequestContext) {
+	a := Answer{
+		RequestID: string(c.GetHeader("X-Request-Id")), Key: string(c.GetHeader("Idempotency-Key")), Endpoint: e.opts.ID,
+		BodySum: crc32.ChecksumIEEE(c.Request.Body()),
+	}
+	e.mu.Lock()
+	e.runs = append(e.runs, Execution{RequestID: a.RequestID, Key: a.Key, Endpoint: e.opts.ID, StartNs: time.Now().UnixNano()})
+	a.Execution = len(e.runs)
+	took := time.Duration(float64(e.opts.ServiceTime) * (0.5 + e.rng.Float64()) * e.slow)
+	e.mu.Unlock()
+	if ms, err := strconv.Atoi(c.Query("ms")); err == nil {
+		took = time.Duration(ms) * time.Millisecond
+	}
+	time.Sleep(took)
+	e.mu.Lock()
+	e.runs[a.Execution-1].EndNs = time.Now().UnixNano()
+	e.mu.Unlock()
+	httpserver.JSON(c, 200, a)
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,276 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// WorkerOptions configure a worker.
+type WorkerOptions struct {
+	// ID names the worker in its history.
+	ID string
+	// Capacity is what the worker has.
+	Capacity record.Resources
+	// UsageLag is the age of usage reports.
+	UsageLag time.Duration
+	// FailEverything makes every attempt fail soon after its start.
+	FailEverything bool
+}
+
+// TaskEvent is a start or end of an attempt.
+type TaskEvent struct {
+	Worker  string           `json:"worker"`
+	Task    string           `json:"task"`
+	Attempt uint32           `json:"attempt"`
+	Kind    string           `json:"kind"`
+	Outcome record.Outcome   `json:"outcome,omitempty"`
+	Size    record.Resources `json:"size"`
+	AtNs    int64            `json:"at_ns"`
+	// ProgressMs is the progress at the event.
+	ProgressMs int64 `json:"progress_ms"`
+}
+
+// attempt is one attempt on the worker.
+type attempt struct {
+	platform.TaskStatus
+	startedMs int64
+	movedMs   int64
+	share     int64
+	params    params
+}
+
+// params are read from a task's command: space-separated key=value pairs.
+type params struct {
+	// actualMs is the true run time; 0 means as declared.
+	actualMs int64
+	// noise is how much the task slows others on the worker, in thousandths.
+	noise int64
+	// failAtMs is the progress at which the task fails; 0 for never.
+	failAtMs int64
+}
+
+func parseParams(command string) params {
+	var p params
+	for _, field := range strings.Fields(command) {
+		k, v, _ := strings.Cut(field, "=")
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			continue
+		}
+		switch k {
+		case "actual_ms":
+			p.actualMs = n
+		case "noise":
+			p.noise = n
+		case "fail_at_ms":
+			p.failAtMs = n
+		}
+	}
+	return p
+}
+
+// Worker is the platform's worker on one instance.
+type Worker struct {
+	opts  WorkerOptions
+	start time.Time
+
+	mu      sync.Mutex
+	tasks   map[string]*attempt
+	history []TaskEvent
+}
+
+var _ platform.Worker = (*Worker)(nil)
+
+// NewWorker returns an empty worker.
+func NewWorker(opts WorkerOptions) *Worker {
+	return &Worker{opts: opts, start: time.Now(), tasks: make(map[string]*attempt)}
+}
+
+// failAfterMs is how long a task runs on a worker that fails everything.
+const failAfterMs = 30
+
+// Run advances tasks until ctx ends.
+func (w *Worker) Run(ctx context.Context) {
+	t := time.NewTicker(10 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			w.mu.Lock()
+			w.advance()
+			w.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *Worker) nowMs() int64 { return time.Since(w.start).Milliseconds() }
+
+// advance ends attempts whose lease has ended before any of them makes progress, and moves the others on.
+func (w *Worker) advance() {
+	now := w.nowMs()
+	for _, a := range w.tasks {
+		if a.State == platform.TaskRunning && now >= a.ExpiresMs {
+			w.finish(a, record.Lapsed, "the lease ended")
+		}
+	}
+	for _, a := range w.tasks {
+		if a.State == platform.TaskRunning {
+			w.move(a, now)
+		}
+	}
+}
+
+func (w *Worker) move(a *attempt, now int64) {
+	a.ProgressMs += (now - a.movedMs) * w.speed(a) / 1000
+	a.RanMs += now - a.movedMs
+	a.movedMs = now
+	want := a.RunMs
+	if a.params.actualMs > 0 {
+		want = a.params.actualMs
+	}
+	switch {
+	case w.opts.FailEverything && a.RanMs >= failAfterMs:
+		w.finish(a, record.Failed, "the worker is broken")
+	case a.params.failAtMs > 0 && a.ProgressMs >= a.params.failAtMs:
+		w.finish(a, record.Failed, "the task failed")
+	case want > 0 && a.ProgressMs >= want:
+		w.finish(a, record.Finished, "")
+	}
+}
+
+// speed is the progress of an attempt in thousandths of running alone.
+func (w *Worker) speed(a *attempt) int64 {
+	noise := int64(0)
+	for _, o := range w.tasks {
+		if o != a && o.State == platform.TaskRunning {
+			noise += o.params.noise * o.share / 1000
+		}
+	}
+	return max(100, 1000-noise) * a.share / 1000
+}
+
+func (w *Worker) finish(a *attempt, outcome record.Outcome, reason string) {
+	a.State, a.Outcome, a.Reason = platform.TaskEnded, outcome, reason
+	if outcome == record.Checkpointed || outcome == record.Lapsed {
+		a.SavedMs = a.ProgressMs
+	}
+	w.note(a, "end")
+}
+
+func (w *Worker) note(a *attempt, kind string) {
+	w.history = append(w.history, TaskEvent{
+		Worker: w.opts.ID, Task: a.Task, Attempt: a.Attempt, Kind: kind, Outcome: a.Outcome, Size: a.Size,
+		AtNs: time.Now().UnixNano(), ProgressMs: a.ProgressMs,
+	})
+}
+
+// History returns starts and ends in order.
+func (w *Worker) History() []TaskEvent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]TaskEvent{}, w.history...)
+}
+
+// Status implements platform.Worker.
+func (w *Worker) Status(context.Context) (platform.WorkerStatus, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	s := platform.WorkerStatus{NowMs: w.nowMs(), Capacity: w.opts.Capacity}
+	for _, a := range w.tasks {
+		s.Tasks = append(s.Tasks, a.TaskStatus)
+		if a.State == platform.TaskRunning {
+			s.Usage = append(s.Usage, platform.TaskUsage{
+				Task: a.Task, Attempt: a.Attempt, AgeMs: w.opts.UsageLag.Milliseconds(), Used: a.Size, SpeedMilli: w.speed(a),
+			})
+		}
+	}
+	return s, nil
+}
+
+// Start implements platform.Worker.
+func (w *Worker) Start(_ context.Context, spec platform.TaskSpec) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.nowMs()
+	if old := w.tasks[spec.Task]; old != nil {
+		if old.Attempt == spec.Attempt {
+			return nil
+		}
+		if old.Attempt > spec.Attempt || old.State == platform.TaskRunning {
+			return errdefs.New(errdefs.Refused, fmt.Sprintf("attempt %d is here", old.Attempt), "stop it first")
+		}
+	}
+	if now >= spec.StartByMs {
+		return errdefs.New(errdefs.Refused, "the permit has ended", "ask the decider again")
+	}
+	a := &attempt{TaskStatus: platform.TaskStatus{TaskSpec: spec, State: platform.TaskRunning}, share: 1000, params: parseParams(spec.Command)}
+	a.startedMs, a.movedMs = now, now
+	a.ProgressMs, a.SavedMs = spec.CheckpointMs, spec.CheckpointMs
+	w.tasks[spec.Task] = a
+	w.note(a, "start")
+	return nil
+}
+
+// Renew implements platform.Worker.
+func (w *Worker) Renew(_ context.Context, leases []platform.Lease) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	for _, l := range leases {
+		if a := w.tasks[l.Task]; a != nil && a.Attempt == l.Attempt {
+			a.ExpiresMs = max(a.ExpiresMs, l.ExpiresMs)
+		}
+	}
+	return nil
+}
+
+// Checkpoint implements platform.Worker.
+func (w *Worker) Checkpoint(_ context.Context, task string, n uint32, reason string) error {
+	return w.endNow(task, n, record.Checkpointed, reason)
+}
+
+// Stop implements platform.Worker.
+func (w *Worker) Stop(_ context.Context, task string, n uint32, reason string) error {
+	return w.endNow(task, n, record.Stopped, reason)
+}
+
+func (w *Worker) endNow(task string, n uint32, outcome record.Outcome, reason string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if a := w.tasks[task]; a != nil && a.Attempt == n && a.State == platform.TaskRunning {
+		w.finish(a, outcome, reason)
+	}
+	return nil
+}
+
+// Throttle implements platform.Worker.
+func (w *Worker) Throttle(_ context.Context, task string, n uint32, shareMilli int64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a := w.tasks[task]; a != nil && a.Attempt == n {
+		a.share = min(1000, max(10, shareMilli))
+	}
+	return nil
+}
+
+// Forget implements platform.Worker.
+func (w *Worker) Forget(_ context.Context, task string, n uint32) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a := w.tasks[task]; a != nil && a.Attempt == n && a.State == platform.TaskEnded {
+		delete(w.tasks, task)
+	}
+	return nil
+}
