Add the TCP fault proxy for tests

Cause: integration tests need network faults between real processes. Change: testkit/faultproxy forwards TCP with switchable one-way delay, cut, silence of open or of all connections per direction, and replies lost after their effect.

--- /dev/null
+++ b/testkit/faultproxy/conn.go
@@ -0,0 +1,184 @@
+package faultproxy
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// readSize is the most that one read takes from a connection, in bytes.
+	readSize = 64 << 10
+	// queueLength bounds the chunks held for delay on one direction. When it is full the kernel's socket buffer
+	// fills and the next read returns a larger chunk, so small writes do not limit throughput.
+	queueLength = 512
+	// matchBytes is how much of a request is kept to select the exchanges of DropReplies.
+	matchBytes = 1024
+)
+
+// conn is one client connection and its connection to the target. Proxy.mu guards target, silent and isReset.
+type conn struct {
+	proxy   *Proxy
+	client  *net.TCPConn
+	target  *net.TCPConn
+	silent  Direction
+	isReset bool
+	done    chan struct{}
+
+	exchange struct {
+		sync.Mutex
+		request  []byte // first bytes of the request in progress
+		awaiting bool   // request bytes were passed on since the last reply bytes
+	}
+}
+
+// chunk is what one read returned, and when it may be written.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// reset closes both connections with a TCP reset. The caller holds Proxy.mu.
+func (c *conn) reset() {
+	if c.isReset {
+		return
+	}
+	c.isReset = true
+	close(c.done)
+	resetTCP(c.client)
+	if c.target != nil {
+		resetTCP(c.target)
+	}
+}
+
+func resetTCP(t *net.TCPConn) {
+	_ = t.SetLinger(0)
+	_ = t.Close()
+}
+
+func (c *conn) run() {
+	defer c.proxy.remove(c)
+	roundTrip := c.delay(ToTarget) + c.delay(ToClient)
+	if !c.sleepUntil(time.Now().Add(roundTrip)) || !c.waitWhileSilent(ToTarget) || !c.proxy.dial(c) {
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { c.forward(ToTarget, c.client, c.target) })
+	both.Go(func() { c.forward(ToClient, c.target, c.client) })
+	both.Wait()
+}
+
+func (c *conn) delay(d Direction) time.Duration {
+	return time.Duration(c.proxy.delay[d>>1].Load())
+}
+
+// forward passes bytes one way until the source closes or fails. A close is passed on after the bytes before it.
+func (c *conn) forward(d Direction, from, to *net.TCPConn) {
+	queue := make(chan chunk, queueLength)
+	var writer sync.WaitGroup
+	writer.Go(func() { c.write(d, queue, to) })
+	c.read(d, from, queue)
+	close(queue)
+	writer.Wait()
+}
+
+func (c *conn) read(d Direction, from *net.TCPConn, queue chan<- chunk) {
+	buffer := make([]byte, readSize)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if !c.track(d, buffer[:n]) {
+				c.abort()
+				return
+			}
+			next := chunk{append([]byte(nil), buffer[:n]...), time.Now().Add(c.delay(d))}
+			select {
+			case queue <- next:
+			case <-c.done:
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// write writes chunks when they are due, and passes on the close of the source when the queue is closed.
+func (c *conn) write(d Direction, queue <-chan chunk, to *net.TCPConn) {
+	for next := range queue {
+		if !c.sleepUntil(next.due) || !c.waitWhileSilent(d) {
+			return
+		}
+		if _, err := to.Write(next.data); err != nil {
+			c.abort()
+			return
+		}
+	}
+	if c.sleepUntil(time.Now().Add(c.delay(d))) && c.waitWhileSilent(d) {
+		_ = to.CloseWrite()
+	}
+}
+
+// track follows request and reply and returns false if this reply must be dropped.
+func (c *conn) track(d Direction, data []byte) bool {
+	c.exchange.Lock()
+	defer c.exchange.Unlock()
+	if d == ToTarget {
+		if !c.exchange.awaiting {
+			c.exchange.awaiting, c.exchange.request = true, c.exchange.request[:0]
+		}
+		room := matchBytes - len(c.exchange.request)
+		c.exchange.request = append(c.exchange.request, data[:min(room, len(data))]...)
+		return true
+	}
+	if !c.exchange.awaiting {
+		return true
+	}
+	c.exchange.awaiting = false
+	return !c.proxy.takeDrop(c.exchange.request)
+}
+
+func (c *conn) abort() {
+	c.proxy.mu.Lock()
+	defer c.proxy.mu.Unlock()
+	c.reset()
+}
+
+// sleepUntil returns false if the connection was reset meanwhile. It waits for the last part outside the Go scheduler,
+// whose timers are up to a millisecond late and would distort delays of 1.5 ms.
+func (c *conn) sleepUntil(due time.Time) bool {
+	if wait := time.Until(due) - timerSlack; wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-c.done:
+			return false
+		}
+	}
+	if rest := time.Until(due); rest > 0 {
+		preciseSleep(rest)
+	}
+	select {
+	case <-c.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// waitWhileSilent returns false if the connection was reset meanwhile.
+func (c *conn) waitWhileSilent(d Direction) bool {
+	for {
+		silent, changed := c.proxy.silence(c, d)
+		if !silent {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-c.done:
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/testkit/faultproxy/faultproxy.go
@@ -0,0 +1,245 @@
+// Package faultproxy is a TCP proxy that injects network faults between processes of a test.
+package faultproxy
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Direction names which way bytes flow. Directions can be combined with |.
+type Direction int
+
+// Directions.
+const (
+	// ToTarget is from the client to the target.
+	ToTarget Direction = 1 << iota
+	// ToClient is from the target to the client.
+	ToClient
+	// Both is both directions.
+	Both = ToTarget | ToClient
+)
+
+// dialTimeout bounds the dial to the target, which is on loopback.
+const dialTimeout = 5 * time.Second
+
+// Stats counts what the proxy did since it was started.
+type Stats struct {
+	// Accepted is the number of client connections accepted and passed on.
+	Accepted int
+	// Refused is the number of client connections reset because of Cut or because the target did not accept them.
+	Refused int
+	// RepliesDropped is the number of exchanges that lost their reply.
+	RepliesDropped int
+	// Open is the number of connections open now, silent ones included.
+	Open int
+}
+
+// Proxy forwards TCP connections to a target. All methods are safe for concurrent use.
+type Proxy struct {
+	listener net.Listener
+	delay    [2]atomic.Int64
+	running  sync.WaitGroup
+
+	mu        sync.Mutex
+	target    string
+	conns     map[*conn]struct{}
+	cut       bool
+	closed    bool
+	silentAll Direction
+	changed   chan struct{} // closed and replaced at each change of silentAll
+	drops     int
+	dropMatch []byte
+	stats     Stats
+}
+
+// New starts a proxy to the target on a loopback port that the kernel chooses.
+func New(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen for fault proxy: %w", err)
+	}
+	p := &Proxy{listener: listener, target: target, conns: map[*conn]struct{}{}, changed: make(chan struct{})}
+	p.running.Go(p.accept)
+	return p, nil
+}
+
+// Address returns the IP address and port that clients connect to.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// SetTarget changes the target of new connections. Open connections keep theirs.
+func (p *Proxy) SetTarget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = address
+}
+
+// SetDelay sets the one-way delay of bytes that the proxy receives from now on. A new connection is passed on after one
+// round trip, as a TCP handshake would be. Delay does not limit throughput.
+func (p *Proxy) SetDelay(d Direction, delay time.Duration) {
+	for i := range p.delay {
+		if d&(1<<i) != 0 {
+			p.delay[i].Store(int64(delay))
+		}
+	}
+}
+
+// Cut resets all connections and every new one until Restore. New connections are accepted and reset at once rather
+// than refused: a closed listener could lose its port to another process.
+func (p *Proxy) Cut() {
+	p.mu.Lock()
+	p.cut = true
+	p.mu.Unlock()
+	p.CloseConnections()
+}
+
+// CloseConnections resets all open connections. New ones are passed on.
+func (p *Proxy) CloseConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.reset()
+	}
+}
+
+// SilenceOpen stops the given directions of all connections open now, for as long as they live. They stay open and
+// neither bytes nor closes pass. New connections work. Bytes being written during the call may still pass.
+func (p *Proxy) SilenceOpen(d Direction) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.silent |= d
+	}
+}
+
+// SilenceAll stops the given directions of all connections, new ones included, until it is called with others or
+// Restore is called. Bytes held meanwhile then arrive late, as after a partition. SilenceAll(0) ends the silence.
+func (p *Proxy) SilenceAll(d Direction) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silentAll = d
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// DropReplies makes the next n exchanges lose their reply after it took effect: the request is passed on, and when the
+// reply arrives it is dropped and the connection is reset. Only requests whose first bytes contain match count; an
+// empty match counts all. Exchanges already waiting for their reply count too. It replaces an earlier call.
+func (p *Proxy) DropReplies(n int, match string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drops, p.dropMatch = n, []byte(match)
+}
+
+// Restore ends Cut, SilenceAll, DropReplies and delays. Connections stopped by SilenceOpen stay silent.
+func (p *Proxy) Restore() {
+	p.SetDelay(Both, 0)
+	p.SilenceAll(0)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut, p.drops = false, 0
+}
+
+// Stats returns the counts so far.
+func (p *Proxy) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats
+	s.Open = len(p.conns)
+	return s
+}
+
+// Close stops the proxy, resets all connections and waits for its goroutines.
+func (p *Proxy) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	err := p.listener.Close()
+	p.Cut()
+	p.running.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func (p *Proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // for example too many open files
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		c := &conn{proxy: p, client: client.(*net.TCPConn), done: make(chan struct{})}
+		if p.add(c) {
+			p.running.Go(c.run)
+		}
+	}
+}
+
+// add registers the connection, or resets it if the proxy is cut.
+func (p *Proxy) add(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cut || p.closed {
+		p.stats.Refused++
+		c.reset()
+		return false
+	}
+	p.conns[c] = struct{}{}
+	return true
+}
+
+func (p *Proxy) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.reset()
+	delete(p.conns, c)
+}
+
+// dial connects c to the target. The result is false if the target does not accept or c was reset meanwhile.
+func (p *Proxy) dial(c *conn) bool {
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	up, err := net.DialTimeout("tcp", target, dialTimeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.stats.Refused++
+		return false
+	}
+	c.target = up.(*net.TCPConn)
+	if c.isReset {
+		resetTCP(c.target)
+		return false
+	}
+	p.stats.Accepted++
+	return true
+}
+
+// takeDrop reports whether the reply to the request must be dropped.
+func (p *Proxy) takeDrop(request []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.drops == 0 || !bytes.Contains(request, p.dropMatch) {
+		return false
+	}
+	p.drops--
+	p.stats.RepliesDropped++
+	return true
+}
+
+// silence reports whether the direction of c is silent now, and a channel that is closed when that may change.
+func (p *Proxy) silence(c *conn, d Direction) (bool, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return (p.silentAll|c.silent)&d != 0, p.changed
+}
--- /dev/null
+++ b/testkit/faultproxy/faultproxy_test.go
@@ -0,0 +1,255 @@
+package faultproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// bound is how long a test waits for something that must happen.
+const bound = 20 * time.Second
+
+// quiet is how long a test watches for something that must not happen.
+const quiet = 100 * time.Millisecond
+
+// lineServer answers each line with prefix and the line, and counts lines.
+type lineServer struct {
+	net.Listener
+	lines atomic.Int64
+}
+
+func serveLines(t *testing.T, prefix string) *lineServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &lineServer{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				lines := bufio.NewScanner(c)
+				for lines.Scan() {
+					s.lines.Add(1)
+					if _, err := io.WriteString(c, prefix+lines.Text()+"\n"); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func start(t *testing.T, target string) *Proxy {
+	t.Helper()
+	p, err := New(target)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, p.Close()) })
+	return p
+}
+
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func connect(t *testing.T, p *Proxy) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Address())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &client{c, bufio.NewReader(c)}
+}
+
+func (c *client) ask(line string, wait time.Duration) (string, error) {
+	_ = c.SetDeadline(time.Now().Add(wait))
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return "", err
+	}
+	return c.in.ReadString('\n')
+}
+
+func (c *client) mustAnswer(t *testing.T, line, want string) {
+	t.Helper()
+	got, err := c.ask(line, bound)
+	assert.NilError(t, err)
+	assert.Equal(t, got, want+"\n")
+}
+
+func isTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
+
+// Guards against a change of target that is ignored or that breaks open connections.
+func TestTargetChange(t *testing.T) {
+	a, b := serveLines(t, "a"), serveLines(t, "b")
+	p := start(t, a.Addr().String())
+	first := connect(t, p)
+	first.mustAnswer(t, "1", "a1")
+	p.SetTarget(b.Addr().String())
+	connect(t, p).mustAnswer(t, "2", "b2")
+	first.mustAnswer(t, "3", "a3")
+}
+
+// Guards against a cut that leaves open or new connections working, and against one that Restore does not end.
+func TestCut(t *testing.T) {
+	p := start(t, serveLines(t, "").Addr().String())
+	c := connect(t, p)
+	c.mustAnswer(t, "1", "1")
+	p.Cut()
+	_, err := c.ask("2", bound)
+	assert.Assert(t, err != nil && !isTimeout(err), "got %v", err)
+	if dialed, err := net.Dial("tcp", p.Address()); err == nil {
+		_, err = (&client{dialed, bufio.NewReader(dialed)}).ask("3", bound)
+		assert.Assert(t, err != nil && !isTimeout(err), "got %v", err)
+	}
+	p.Restore()
+	connect(t, p).mustAnswer(t, "4", "4")
+}
+
+// Guards against silence that stops the wrong direction, closes the connection or reaches new connections.
+func TestSilenceOpen(t *testing.T) {
+	for name, tc := range map[string]struct {
+		silence Direction
+		reached int64
+	}{
+		"to target": {ToTarget, 1},
+		"to client": {ToClient, 2},
+		"both":      {Both, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveLines(t, "")
+			p := start(t, s.Addr().String())
+			c := connect(t, p)
+			c.mustAnswer(t, "1", "1")
+			p.SilenceOpen(tc.silence)
+			_, err := c.ask("2", quiet)
+			assert.Assert(t, isTimeout(err), "got %v", err)
+			assert.Equal(t, s.lines.Load(), tc.reached)
+			connect(t, p).mustAnswer(t, "3", "3")
+			p.Restore()
+			_, err = c.ask("4", quiet)
+			assert.Assert(t, isTimeout(err), "silence of open connections must be permanent, got %v", err)
+		})
+	}
+}
+
+// Guards against a partition that new connections evade, and against bytes lost when it ends.
+func TestSilenceAll(t *testing.T) {
+	p := start(t, serveLines(t, "").Addr().String())
+	old := connect(t, p)
+	old.mustAnswer(t, "1", "1")
+	p.SilenceAll(Both)
+	fresh := connect(t, p)
+	for _, c := range []*client{old, fresh} {
+		_, err := c.ask("2", quiet)
+		assert.Assert(t, isTimeout(err), "got %v", err)
+	}
+	p.SilenceAll(0)
+	for _, c := range []*client{old, fresh} {
+		_ = c.SetDeadline(time.Now().Add(bound))
+		late, err := c.in.ReadString('\n')
+		assert.NilError(t, err)
+		assert.Equal(t, late, "2\n")
+	}
+}
+
+// Guards against a lost reply whose request had no effect, and against drops of other exchanges or of more than n.
+func TestDropReplies(t *testing.T) {
+	s := serveLines(t, "")
+	p := start(t, s.Addr().String())
+	p.DropReplies(2, "append")
+	connect(t, p).mustAnswer(t, "read", "read")
+	for range 2 {
+		_, err := connect(t, p).ask("append", bound)
+		assert.Assert(t, err != nil && !isTimeout(err), "got %v", err)
+	}
+	assert.Equal(t, s.lines.Load(), int64(3))
+	connect(t, p).mustAnswer(t, "append", "append")
+	assert.Equal(t, p.Stats().RepliesDropped, 2)
+}
+
+// Guards against delay that is not applied in both directions or that is paid once per chunk: 2,000 lines sent without
+// waiting would then take at least 2,000 x 10 ms.
+func TestDelayPipelines(t *testing.T) {
+	const delay, lines = 10 * time.Millisecond, 2000
+	p := start(t, serveLines(t, "").Addr().String())
+	p.SetDelay(Both, delay)
+	c := connect(t, p)
+	begin := time.Now()
+	c.mustAnswer(t, "1", "1")
+	assert.Assert(t, time.Since(begin) >= 4*delay, "handshake and exchange need two round trips")
+	begin = time.Now()
+	go func() {
+		for range lines {
+			_, _ = io.WriteString(c, "x\n")
+		}
+	}()
+	_ = c.SetDeadline(time.Now().Add(bound))
+	for range lines {
+		_, err := c.in.ReadString('\n')
+		assert.NilError(t, err)
+	}
+	took := time.Since(begin)
+	assert.Assert(t, took >= 2*delay && took < lines*delay/2, "took %v", took)
+}
+
+// BenchmarkThroughput reports bytes passed one way with a delay of 3 ms.
+func BenchmarkThroughput(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer func() { _ = l.Close() }()
+	p, err := New(l.Addr().String())
+	assert.NilError(b, err)
+	defer func() { _ = p.Close() }()
+	p.SetDelay(Both, 3*time.Millisecond)
+	out, err := net.Dial("tcp", p.Address())
+	assert.NilError(b, err)
+	in, err := l.Accept()
+	assert.NilError(b, err)
+	block := make([]byte, 16<<10)
+	b.SetBytes(int64(len(block)))
+	b.ResetTimer()
+	go func() {
+		for range b.N {
+			_, _ = out.Write(block)
+		}
+	}()
+	_, err = io.CopyN(io.Discard, in, int64(b.N)*int64(len(block)))
+	assert.NilError(b, err)
+}
+
+// BenchmarkRoundTrip reports the time of one exchange with a delay of 1.5 ms each way; 3 ms is ideal.
+func BenchmarkRoundTrip(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			_, _ = io.Copy(c, c)
+		}
+	}()
+	p, err := New(l.Addr().String())
+	assert.NilError(b, err)
+	defer func() { _ = p.Close() }()
+	p.SetDelay(Both, 1500*time.Microsecond)
+	c, err := net.Dial("tcp", p.Address())
+	assert.NilError(b, err)
+	one := make([]byte, 1)
+	for b.Loop() {
+		_, _ = c.Write(one)
+		_, err = io.ReadFull(c, one)
+		assert.NilError(b, err)
+	}
+}
