Add the process launcher for tests

Cause: integration tests and the demo run the real binaries. Children die with their group, and on Linux with the process that started them. Conclusion: usable once the daemons print their listener lines.

--- /dev/null
+++ b/testkit/launch/attr_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package launch
+
+import "syscall"
+
+func processAttributes() *syscall.SysProcAttr { return nil }
--- /dev/null
+++ b/testkit/launch/launch.go
@@ -0,0 +1,257 @@
+// Package launch starts real processes for tests and the demo, and controls them.
+//
+// A process prints `listening name=<listener> address=<ip:port>` on stdout for each listener and then `ready`.
+package launch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+)
+
+const (
+	// pollInterval is the time between readiness requests.
+	pollInterval = 20 * time.Millisecond
+	// pollTimeout bounds one readiness request; a paused process accepts connections but never answers.
+	pollTimeout = time.Second
+	// outputWait bounds the wait for output after a process exited, in case another process holds its pipe.
+	outputWait = 2 * time.Second
+)
+
+// ErrExited means that the process ended before it was ready.
+var ErrExited = errors.New("the process exited before it was ready; read its output")
+
+// Spec says what to start.
+type Spec struct {
+	// Name is used in errors.
+	Name string
+	// Path is the binary.
+	Path string
+	// Args are the arguments without the binary's name.
+	Args []string
+	// Env is added to the environment of this process.
+	Env []string
+	// Log receives a copy of stdout and stderr if it is set. One that several processes share must be safe for
+	// concurrent use.
+	Log io.Writer
+	// HealthListener names the listener that WaitReady asks; if empty, only the ready line is awaited.
+	HealthListener string
+	// HealthPath is the path on HealthListener that answers 200 when the process is ready.
+	HealthPath string
+}
+
+// Group holds processes that are killed together.
+type Group struct {
+	mu        sync.Mutex
+	processes []*Process
+	closed    bool
+}
+
+// Cleaner is the part of testing.TB that ForTest needs.
+type Cleaner interface {
+	Cleanup(func())
+	Failed() bool
+	Logf(format string, args ...any)
+}
+
+// ForTest returns a group that is closed at the end of the test. The output of its processes is logged if it failed.
+func ForTest(t Cleaner) *Group {
+	g := new(Group)
+	t.Cleanup(func() {
+		g.Close()
+		if !t.Failed() {
+			return
+		}
+		for _, p := range g.processes {
+			t.Logf("output of %s:\n%s", p.spec.Name, p.Output())
+		}
+	})
+	return g
+}
+
+// Start starts a process and does not wait for it to be ready.
+func (g *Group) Start(spec Spec) (*Process, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return nil, fmt.Errorf("start %s: the group is closed; start processes before Close", spec.Name)
+	}
+	p := &Process{spec: spec, out: newOutput(), done: make(chan struct{})}
+	p.cmd = exec.Command(spec.Path, spec.Args...)
+	p.cmd.Env = append(os.Environ(), spec.Env...)
+	p.cmd.SysProcAttr = processAttributes()
+	p.cmd.WaitDelay = outputWait
+	p.cmd.Stdout = &stream{output: p.out, log: spec.Log, parse: true}
+	p.cmd.Stderr = &stream{output: p.out, log: spec.Log}
+	if err := startOnLastingThread(p.cmd); err != nil {
+		return nil, fmt.Errorf("start %s: %w", spec.Name, err)
+	}
+	go p.reap()
+	g.processes = append(g.processes, p)
+	return p, nil
+}
+
+// Close kills all processes of the group and waits until they ended.
+func (g *Group) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for _, p := range g.processes {
+		_ = p.signal(syscall.SIGKILL)
+	}
+	for _, p := range g.processes {
+		<-p.done
+	}
+}
+
+var (
+	starter      sync.Once
+	startRequest = make(chan func())
+)
+
+// startOnLastingThread starts the command on a thread that lives as long as this process: the kernel sends the parent
+// death signal when the thread that forked the child ends.
+func startOnLastingThread(cmd *exec.Cmd) error {
+	starter.Do(func() {
+		go func() {
+			runtime.LockOSThread()
+			for request := range startRequest {
+				request()
+			}
+		}()
+	})
+	result := make(chan error)
+	startRequest <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+// Process is a process that was started. All methods are safe for concurrent use.
+type Process struct {
+	spec Spec
+	cmd  *exec.Cmd
+	out  *output
+	done chan struct{} // closed after the process ended and its output was read
+}
+
+func (p *Process) reap() {
+	_ = p.cmd.Wait() // the exit code is in ProcessState
+	close(p.done)
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Output returns stdout and stderr so far.
+func (p *Process) Output() string { return p.out.String() }
+
+// Done is closed when the process ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Address waits until the process printed the address of the listener.
+func (p *Process) Address(ctx context.Context, listener string) (string, error) {
+	for {
+		address, _, changed := p.out.state(listener)
+		if address != "" {
+			return address, nil
+		}
+		if err := await(ctx, p, changed); err != nil {
+			return "", fmt.Errorf("wait for listener %s: %w", listener, err)
+		}
+	}
+}
+
+// WaitReady waits for the ready line and, if the Spec names a HealthListener, until HealthPath answers 200.
+func (p *Process) WaitReady(ctx context.Context) error {
+	for {
+		_, ready, changed := p.out.state("")
+		if ready {
+			break
+		}
+		if err := await(ctx, p, changed); err != nil {
+			return fmt.Errorf("wait for ready line: %w", err)
+		}
+	}
+	if p.spec.HealthListener == "" {
+		return nil
+	}
+	address, err := p.Address(ctx, p.spec.HealthListener)
+	if err != nil {
+		return err
+	}
+	return p.waitHealthy(ctx, "http://"+address+p.spec.HealthPath)
+}
+
+func (p *Process) waitHealthy(ctx context.Context, url string) error {
+	c, err := client.NewClient(client.WithDialTimeout(pollTimeout), client.WithKeepAlive(false))
+	if err != nil {
+		return fmt.Errorf("make HTTP client: %w", err)
+	}
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		status, _, err := c.GetTimeout(ctx, nil, url, pollTimeout)
+		if err == nil && status == 200 {
+			return nil
+		}
+		if stop := await(ctx, p, ticker.C); stop != nil {
+			return fmt.Errorf("wait for 200 from %s, last status %d, last error %v: %w", url, status, err, stop)
+		}
+	}
+}
+
+// await returns nil when the event happens, and an error if the process ends or ctx is done first.
+func await[T any](ctx context.Context, p *Process, event <-chan T) error {
+	select {
+	case <-event:
+		return nil
+	case <-p.done:
+		return fmt.Errorf("%s: %w: %s\n%s", p.spec.Name, ErrExited, p.cmd.ProcessState, p.Output())
+	case <-ctx.Done():
+		return fmt.Errorf("%s: %w; its output:\n%s", p.spec.Name, ctx.Err(), p.Output())
+	}
+}
+
+// Kill sends SIGKILL and waits until the process ended.
+func (p *Process) Kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Pause stops the process with SIGSTOP, as a long pause of its instance would.
+func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+
+// Terminate sends SIGTERM and does not wait.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Wait waits until the process ended and returns its exit code, or -1 if a signal ended it.
+func (p *Process) Wait(ctx context.Context) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, fmt.Errorf("wait for the end of %s: %w", p.spec.Name, ctx.Err())
+	}
+}
+
+// signal sends a signal. A process that ended already is no error.
+func (p *Process) signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("send %v to %s: %w", s, p.spec.Name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/testkit/launch/race_off.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package launch
+
+const raceEnabled = false
