--- a/testkit/faultproxy/conn.go
+++ b/testkit/faultproxy/conn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/verbenakeel/verbenakeel/testkit/internal/precise"
 )
 
 const (
@@ -59,7 +61,7 @@
 func (c *conn) run() {
 	defer c.proxy.remove(c)
 	roundTrip := c.delay(ToTarget) + c.delay(ToClient)
-	if !c.sleepUntil(time.Now().Add(roundTrip)) || !c.waitWhileSilent(ToTarget) || !c.proxy.dial(c) {
+	if !precise.SleepUntil(time.Now().Add(roundTrip), c.done) || !c.waitWhileSilent(ToTarget) || !c.proxy.dial(c) {
 		return
 	}
 	var both sync.WaitGroup
@@ -107,7 +109,7 @@
 // write writes chunks when they are due, and passes on the close of the source when the queue is closed.
 func (c *conn) write(d Direction, queue <-chan chunk, to *net.TCPConn) {
 	for next := range queue {
-		if !c.sleepUntil(next.due) || !c.waitWhileSilent(d) {
+		if !precise.SleepUntil(next.due, c.done) || !c.waitWhileSilent(d) {
 			return
 		}
 		if _, err := to.Write(next.data); err != nil {
@@ -115,7 +117,7 @@
 			return
 		}
 	}
-	if c.sleepUntil(time.Now().Add(c.delay(d))) && c.waitWhileSilent(d) {
+	if precise.SleepUntil(time.Now().Add(c.delay(d)), c.done) && c.waitWhileSilent(d) {
 		_ = to.CloseWrite()
 	}
 }
@@ -145,29 +147,6 @@
 	c.reset()
 }
 
-// sleepUntil returns false if the connection was reset meanwhile. It waits for the last part outside the Go scheduler,
-// whose timers are up to a millisecond late and would distort delays of 1.5 ms.
-func (c *conn) sleepUntil(due time.Time) bool {
-	if wait := time.Until(due) - timerSlack; wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-c.done:
-			return false
-		}
-	}
-	if rest := time.Until(due); rest > 0 {
-		preciseSleep(rest)
-	}
-	select {
-	case <-c.done:
-		return false
-	default:
-		return true
-	}
-}
-
 // waitWhileSilent returns false if the connection was reset meanwhile.
 func (c *conn) waitWhileSilent(d Direction) bool {
 	for {
--- a/testkit/faultproxy/wait_linux.go
+++ b/testkit/internal/precise/sleep_linux.go
@@ -1,4 +1,4 @@
-package faultproxy
+package precise
 
 import (
 	"syscall"
@@ -8,8 +8,8 @@
 // timerSlack covers the lateness of Go timers in an idle process: the poller rounds waits to whole milliseconds.
 const timerSlack = 1200 * time.Microsecond
 
-// preciseSleep blocks the thread for at most timerSlack.
-func preciseSleep(d time.Duration) {
+// block blocks the thread for at most timerSlack.
+func block(d time.Duration) {
 	ts := syscall.NsecToTimespec(int64(d))
 	_ = syscall.Nanosleep(&ts, nil)
 }
