--- a/testkit/history/check.go
+++ b/testkit/history/check.go
@@ -28,7 +28,7 @@
 	TaskOverlap Rule = "attempts of one task overlap"
 	// NotResumed means that an evicted attempt was not resumed although its job is not accounted as waiting or ended.
 	NotResumed Rule = "evicted attempt was not resumed"
-	// ResumedTwice means that a task started again after it was finished, or with an attempt number already used.
+	// ResumedTwice means that a task started again after it was finished, or with an attempt number that is not new.
 	ResumedTwice Rule = "task was resumed more than once"
 	// StartInZoneOut means that a task started more than ZoneLimit after its zone was taken out.
 	StartInZoneOut Rule = "start in a zone out of service"
--- a/testkit/history/check_test.go
+++ b/testkit/history/check_test.go
@@ -97,6 +97,14 @@
 		begin(3*s, "h/j#0", 2, "w2"), end(4*s, "h/j#0", 2, "w2", record.Finished), begin(5*s, "h/j#0", 3, "w1"))},
 	{"a repeated start message that runs the attempt again", ResumedTwice, twoWorkers(
 		begin(1*s, "h/j#0", 1, "w1"), end(2*s, "h/j#0", 1, "w1", record.Failed), begin(3*s, "h/j#0", 1, "w1"))},
+	{"a late start message of an earlier attempt", ResumedTwice, twoWorkers(
+		begin(1*s, "h/j#0", 2, "w1"), end(2*s, "h/j#0", 2, "w1", record.Failed), begin(3*s, "h/j#0", 1, "w2"))},
+	{"good: a lapsed service task is replaced under a new id", "", twoWorkers(
+		JobAccepted{0, "h/j", record.ServiceJob}, JobState{9 * s, "h/j", JobRunning},
+		begin(1*s, "h/j#0", 1, "w1"), end(2*s, "h/j#0", 1, "w1", record.Lapsed), begin(2*s, "h/j#1", 1, "w2"))},
+	{"an evicted service task that is not resumed", NotResumed, twoWorkers(
+		JobAccepted{0, "h/j", record.ServiceJob}, JobState{9 * s, "h/j", JobRunning},
+		begin(1*s, "h/j#0", 1, "w1"), end(2*s, "h/j#0", 1, "w1", record.Checkpointed))},
 	{"good: a standing task is restarted when it stops", "", twoWorkers(
 		JobAccepted{0, "h/j", record.StandingJob}, JobState{9 * s, "h/j", JobRunning},
 		begin(1*s, "h/j#0", 1, "w1"), end(2*s, "h/j#0", 1, "w1", record.Finished), begin(3*s, "h/j#0", 2, "w2"))},
--- a/testkit/history/event.go
+++ b/testkit/history/event.go
@@ -166,7 +166,8 @@
 	JobLost JobAccount = "lost"
 )
 
-// RevisionSeen is the configuration revision that a process reported.
+// RevisionSeen is the configuration revision that a process reported. Accepted changes must reach every process that
+// reported once and is not gone, so a test reports each process again at its end.
 type RevisionSeen struct {
 	// At is when the report arrived.
 	At time.Duration
