Add the demo of both deployments, embedded and as processes

Cause: a newcomer had no command that shows the system, and hertz clients repeat idempotent requests by themselves when a pooled connection ends, which would run a PUT or DELETE of a once rule twice and bypass the retry budget. Change: make demo runs both deployments with load, jobs, a zone out and back and a graceful shutdown, prints a report and checks the invariants; the dialer that stops hertz from repeating moved from testkit/load to httpserver and serves entry and side process too. A job whose deadline lies in the future is not refused by its declared run time, so the demo's refused job now has a deadline that has passed.

--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,149 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/entry"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
+	"github.com/verbenakeel/verbenakeel/testkit/load"
+)
+
+// report is what happened in one deployment.
+type report struct {
+	user       user
+	origin     time.Time
+	history    *history.Recorder
+	load       *load.Result
+	accounts   []entry.JobAccount
+	violations []history.Violation
+
+	mu    sync.Mutex
+	lines []string
+}
+
+func (r *report) note(at time.Duration, format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, fmt.Sprintf("  %6.2f s  %s", at.Seconds(), fmt.Sprintf(format, args...)))
+}
+
+// account takes the final account of a job.
+func (r *report) account(at time.Duration, a entry.JobAccount) {
+	r.accounts = append(r.accounts, a)
+	r.history.Add(history.JobState{At: at, Job: a.Job.Spec.ID, State: accounted(a)})
+}
+
+func accounted(a entry.JobAccount) history.JobAccount {
+	switch a.Job.State {
+	case tasks.JobFinished:
+		return history.JobFinished
+	case tasks.JobFailed:
+		return history.JobFailed
+	case tasks.JobCancelled:
+		return history.JobCancelled
+	case tasks.JobRefused:
+		return history.JobRefused
+	}
+	for _, t := range a.Tasks {
+		if t.State == lifecycle.TaskQueued {
+			return history.JobWaiting
+		}
+	}
+	return history.JobRunning
+}
+
+func (r *report) print(out io.Writer) {
+	r.printTimeline(out)
+	r.printRequests(out)
+	r.printJobs(out)
+	r.printZone(out)
+	if len(r.violations) == 0 {
+		fmt.Fprintln(out, " invariants: all hold")
+	}
+	for _, v := range r.violations {
+		fmt.Fprintf(out, " BROKEN: %s\n", v)
+	}
+}
+
+func (r *report) printTimeline(out io.Writer) {
+	fmt.Fprintf(out, "\n%s: region %s, zones %v, service %s\n", r.user.customer, r.user.region, r.user.zones, r.user.service)
+	fmt.Fprintln(out, " timeline")
+	for _, l := range r.lines {
+		fmt.Fprintln(out, l)
+	}
+}
+
+func (r *report) printRequests(out io.Writer) {
+	fmt.Fprint(out, " requests:")
+	var verdicts []string
+	for v, n := range r.load.Outcomes {
+		verdicts = append(verdicts, fmt.Sprintf(" %s %d", v, n))
+	}
+	sort.Strings(verdicts)
+	for _, v := range verdicts {
+		fmt.Fprint(out, v)
+	}
+	h := r.load.Answered
+	fmt.Fprintf(out, "; latency p50 %s, p99 %s, p99.9 %s\n", ms(h, 50), ms(h, 99), ms(h, 99.9))
+}
+
+func ms(h *hdrhistogram.Histogram, q float64) string {
+	return fmt.Sprintf("%.1f ms", float64(h.ValueAtQuantile(q))/1000)
+}
+
+func (r *report) printJobs(out io.Writer) {
+	counts := make(map[tasks.JobState]int)
+	evictions, attempts := 0, 0
+	for _, a := range r.accounts {
+		counts[a.Job.State]++
+		for _, t := range a.Tasks {
+			evictions += t.Evictions
+			attempts += int(t.Attempt)
+		}
+	}
+	fmt.Fprintf(out, " jobs: %d finished, %d refused, %d standing or open, %d failed; %d attempts, %d evictions\n",
+		counts[tasks.JobFinished], counts[tasks.JobRefused], counts[tasks.JobOpen], counts[tasks.JobFailed], attempts, evictions)
+	for _, a := range r.accounts {
+		if a.Job.State == tasks.JobRefused {
+			fmt.Fprintf(out, "   refused %s: %s\n", a.Job.Spec.ID, a.Job.History[len(a.Job.History)-1].Cause)
+		}
+	}
+}
+
+// printZone tells when the last start in the zone was, relative to the order that took it out.
+func (r *report) printZone(out io.Writer) {
+	var taken, back, last time.Duration
+	zones := make(map[string]string)
+	events := r.history.Events()
+	for _, e := range events {
+		switch e := e.(type) {
+		case history.Worker:
+			zones[e.ID] = e.Zone
+		case history.ZoneState:
+			if e.Out {
+				taken = e.At
+			} else {
+				back = e.At
+			}
+		}
+	}
+	for _, e := range events {
+		if st, ok := e.(history.AttemptStart); ok && zones[st.Worker] == r.user.zones[0] && st.At > taken && st.At < back {
+			last = max(last, st.At-taken)
+		}
+	}
+	fmt.Fprintf(out, " zone %s: out at %.2f s, back at %.2f s, ", r.user.zones[0], taken.Seconds(), back.Seconds())
+	if last == 0 {
+		fmt.Fprintln(out, "no start while it was out")
+		return
+	}
+	fmt.Fprintf(out, "last start %.2f s after it was taken out\n", last.Seconds())
+}
--- /dev/null
+++ b/demo/scenario.go
@@ -0,0 +1,363 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/entry"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/standin"
+	"github.com/verbenakeel/verbenakeel/testkit/deploy"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
+	"github.com/verbenakeel/verbenakeel/testkit/load"
+)
+
+// scenario drives one deployment.
+type scenario struct {
+	user   user
+	d      *deploy.Deployment
+	report *report
+	seed   uint64
+	jobs   []string
+}
+
+func (s *scenario) since() time.Duration { return time.Since(s.report.origin) }
+
+func (s *scenario) run(ctx context.Context) error {
+	if err := s.publish(ctx); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	errs := make(chan error, 3)
+	for _, f := range []func(context.Context) error{s.load, s.submitJobs, s.operate} {
+		wg.Go(func() { errs <- f(ctx) })
+	}
+	wg.Wait()
+	for range 3 {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	if err := s.finishJobs(ctx); err != nil {
+		return err
+	}
+	return s.collect(ctx)
+}
+
+// change sends a change of configuration and returns its outcome.
+func (s *scenario) change(ctx context.Context, c record.ConfigChange) (config.Outcome, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return config.Outcome{}, err
+	}
+	status, reply, err := deploy.Call(ctx, http.MethodPost, s.d.Entries[1].URL("operator")+"/v1/config",
+		map[string]string{"X-Operator": "demo"}, body)
+	if err != nil {
+		return config.Outcome{}, err
+	}
+	var out config.Outcome
+	if err := json.Unmarshal(reply, &out); err != nil || status != 200 {
+		return out, fmt.Errorf("change of configuration: status %d: %s", status, reply)
+	}
+	s.report.history.Add(history.ChangeAccepted{At: s.since(), Revision: out.Revision})
+	s.report.note(s.since(), "operator: %s accepted as revision %d", describe(c), out.Revision)
+	return out, nil
+}
+
+func describe(c record.ConfigChange) string {
+	switch {
+	case c.Contract != nil:
+		return "contract of " + c.Contract.Customer
+	case c.Zone != nil && c.Zone.Out:
+		return "zone " + c.Zone.Zone + " out of service"
+	case c.Zone != nil:
+		return "zone " + c.Zone.Zone + " back in service"
+	case c.Shutdown.Drain:
+		return "graceful shutdown of " + c.Shutdown.Endpoint
+	default:
+		return "shutdown of " + c.Shutdown.Endpoint + " cancelled"
+	}
+}
+
+func (s *scenario) publish(ctx context.Context) error {
+	contract := s.user.contract()
+	if _, err := s.change(ctx, record.ConfigChange{Contract: &contract}); err != nil {
+		return err
+	}
+	for _, e := range s.d.Entries {
+		err := deploy.WaitFor(ctx, "all endpoints at "+e.Name, func() bool {
+			var list []entry.EndpointView
+			if s.read(ctx, e, "/v1/endpoints", &list) != nil || len(list) < instances {
+				return false
+			}
+			for _, ep := range list {
+				if !ep.Up {
+					return false
+				}
+			}
+			return true
+		})
+		if err != nil {
+			return err
+		}
+	}
+	s.report.note(s.since(), "%d endpoints of %s announced to %d entries", instances, s.user.service, entries)
+	return deploy.WaitFor(ctx, "the contract at all entries", func() bool {
+		for _, e := range s.d.Entries {
+			status, _, err := deploy.Call(ctx, http.MethodGet, e.URL("public")+"/"+s.user.service+s.user.call, nil, nil)
+			if err != nil || status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// read fetches JSON from an entry's operator listener.
+func (s *scenario) read(ctx context.Context, e *deploy.Node, path string, into any) error {
+	status, body, err := deploy.Call(ctx, http.MethodGet, e.URL("operator")+path, nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != 200 {
+		return fmt.Errorf("GET %s: status %d: %s", path, status, body)
+	}
+	return json.Unmarshal(body, into)
+}
+
+// load sends requests at a constant rate; every tenth may run at most once.
+func (s *scenario) load(ctx context.Context) error {
+	var targets []string
+	for _, e := range s.d.Entries {
+		targets = append(targets, e.Address("public"))
+	}
+	result, err := load.Run(ctx, load.Config{
+		Targets: targets, Arrivals: load.Arrivals(perSecond, perSecond*int(loadTime/time.Second), true, s.seed),
+		MaxOutstanding: 1000, Timeout: 5 * time.Second, Deadline: 500 * time.Millisecond, HealthPath: "/-/health",
+		HealthInterval: time.Second, History: s.report.history, Origin: s.report.origin,
+		Next: func(i int) load.Request {
+			r := load.Request{ID: fmt.Sprintf("%s-%d", s.user.customer, i), Method: http.MethodGet, Path: "/" + s.user.service + s.user.call}
+			if i%10 == 0 {
+				r.Method, r.Path = http.MethodPost, "/"+s.user.service+s.user.once
+				r.Customer, r.Key, r.Body = s.user.customer, fmt.Sprintf("key-%d", i), []byte("findings")
+			}
+			return r
+		},
+	})
+	s.report.load = result
+	return err
+}
+
+// jobSpecs returns the jobs of a run: plans that must finish, an urgent one, standing watchers, and two that can never
+// run.
+func (s *scenario) jobSpecs() []record.Job {
+	size := record.Resources{CPUMilli: 4000, MemoryMB: 8000}
+	deadline := time.Now().Add(time.Minute).UnixMilli()
+	var jobs []record.Job
+	for i := range 12 {
+		jobs = append(jobs, record.Job{
+			ID: fmt.Sprintf("plan-%02d", i), Kind: record.BatchJob, Class: "plan", Tasks: 3, Size: size, RunMs: 4000,
+			DeadlineMs: deadline, Checkpoint: true,
+		})
+	}
+	return append(jobs,
+		record.Job{ID: "urgent", Kind: record.BatchJob, Class: "urgent", Tasks: 1, Size: size, RunMs: 1000, Urgent: true, DeadlineMs: deadline},
+		record.Job{ID: "watchers", Kind: record.StandingJob, Class: "watch", Tasks: 3, Size: record.Resources{CPUMilli: 200, MemoryMB: 200}, Checkpoint: true},
+		record.Job{ID: "late", Kind: record.BatchJob, Class: "plan", Tasks: 1, Size: size, RunMs: 4000, DeadlineMs: time.Now().UnixMilli() - 1000},
+		record.Job{ID: "oversized", Kind: record.BatchJob, Class: "plan", Tasks: 1, Size: record.Resources{CPUMilli: 64_000, MemoryMB: 8000}, RunMs: 4000},
+	)
+}
+
+// Part of the jobs is submitted later.
+const (
+	secondWave      = 6
+	secondWaveAfter = 3500 * time.Millisecond
+)
+
+func (s *scenario) submitJobs(ctx context.Context) error {
+	for i, job := range s.jobSpecs() {
+		if i == secondWave {
+			// These plans still run when the zone is taken out.
+			time.Sleep(secondWaveAfter)
+		}
+		body, err := json.Marshal(job)
+		if err != nil {
+			return err
+		}
+		status, reply, err := deploy.Call(ctx, http.MethodPost, s.d.Entries[0].URL("public")+"/v1/jobs",
+			map[string]string{"Authorization": "Bearer " + s.user.token}, body)
+		if err != nil {
+			return err
+		}
+		if status != 202 {
+			return fmt.Errorf("submit %s: status %d: %s", job.ID, status, reply)
+		}
+		s.jobs = append(s.jobs, s.user.customer+"/"+job.ID)
+		s.report.history.Add(history.JobAccepted{At: s.since(), Job: s.user.customer + "/" + job.ID, Kind: job.Kind})
+	}
+	return nil
+}
+
+// operate takes a zone out and brings it back, and shuts an endpoint down and cancels that.
+func (s *scenario) operate(ctx context.Context) error {
+	begin := time.Now()
+	until := func(at time.Duration) { time.Sleep(time.Until(begin.Add(at))) }
+	zone := s.user.zones[0]
+	until(zoneOutAt)
+	out, err := s.change(ctx, record.ConfigChange{Zone: &record.ZoneChange{Zone: zone, Out: true, Reason: "demo"}})
+	if err != nil {
+		return err
+	}
+	s.report.history.Add(history.ZoneState{At: s.since(), Zone: zone, Out: true})
+	until(zoneBackAt)
+	s.report.history.Add(history.ZoneState{At: s.since(), Zone: zone, Out: false})
+	if _, err = s.change(ctx, record.ConfigChange{Base: out.Revision, Zone: &record.ZoneChange{Zone: zone, Reason: "demo"}}); err != nil {
+		return err
+	}
+	until(shutdownAt)
+	endpoint := s.d.Instances[1].Side.Name
+	order, err := s.change(ctx, record.ConfigChange{Shutdown: &record.ShutdownChange{Endpoint: endpoint, Drain: true}})
+	if err != nil {
+		return err
+	}
+	err = deploy.WaitFor(ctx, "endpoint to drain", func() bool {
+		var list []entry.EndpointView
+		if s.read(ctx, s.d.Entries[0], "/v1/endpoints", &list) != nil {
+			return false
+		}
+		for _, ep := range list {
+			if ep.ID == endpoint && ep.Drained {
+				return true
+			}
+		}
+		return false
+	})
+	if err != nil {
+		return err
+	}
+	s.report.note(s.since(), "endpoint %s is drained", endpoint)
+	_, err = s.change(ctx, record.ConfigChange{Base: order.Revision, Shutdown: &record.ShutdownChange{Endpoint: endpoint}})
+	return err
+}
+
+// finishJobs waits until all jobs but standing ones have ended.
+func (s *scenario) finishJobs(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, jobsDone)
+	defer cancel()
+	var list []entry.JobSummary
+	err := deploy.WaitFor(ctx, "jobs of "+s.user.customer+" to end", func() bool {
+		if s.read(ctx, s.d.Entries[2], "/v1/jobs", &list) != nil || len(list) < len(s.jobs) {
+			return false
+		}
+		for _, j := range list {
+			if j.State == "open" && j.Kind == record.BatchJob {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return fmt.Errorf("%w; %s", err, s.open(list))
+	}
+	return nil
+}
+
+// open says where the batch jobs are that have not ended.
+func (s *scenario) open(list []entry.JobSummary) string {
+	var b strings.Builder
+	for _, j := range list {
+		if j.State != "open" || j.Kind != record.BatchJob {
+			continue
+		}
+		var a entry.JobAccount
+		if s.read(context.Background(), s.d.Entries[0], "/v1/jobs/"+j.ID, &a) != nil {
+			continue
+		}
+		fmt.Fprintf(&b, "\n  %s, waiting: %q", j.ID, a.Waiting)
+		for _, t := range a.Tasks {
+			last := t.History[len(t.History)-1]
+			fmt.Fprintf(&b, "\n    %s %s attempt %d on %s: %s", t.ID, t.State, t.Attempt, t.Worker, last.Cause)
+		}
+	}
+	return b.String()
+}
+
+// collect gathers what entries, endpoints and workers saw.
+func (s *scenario) collect(ctx context.Context) error {
+	for _, id := range s.jobs {
+		var a entry.JobAccount
+		if err := s.read(ctx, s.d.Entries[0], "/v1/jobs/"+id, &a); err != nil {
+			return err
+		}
+		s.report.account(s.since(), a)
+	}
+	for _, in := range s.d.Instances {
+		if err := s.collectInstance(ctx, in); err != nil {
+			return err
+		}
+	}
+	return s.collectRevisions(ctx)
+}
+
+func (s *scenario) collectInstance(ctx context.Context, in *deploy.Instance) error {
+	var runs []standin.Execution
+	if err := fetch(ctx, in.Endpoint.URL("http")+"/-/history", &runs); err != nil {
+		return err
+	}
+	for _, e := range runs {
+		key := e.Key
+		if key != "" {
+			key = s.user.customer + "/" + key
+		}
+		s.report.history.Add(history.Execution{At: s.at(e.StartNs), ID: e.RequestID, Key: key, Endpoint: e.Endpoint})
+	}
+	var status platform.WorkerStatus
+	if err := fetch(ctx, in.Worker.URL("http")+"/status", &status); err != nil {
+		return err
+	}
+	s.report.history.Add(history.Worker{ID: in.Side.Name, Zone: in.Side.Zone, Capacity: status.Capacity})
+	var events []standin.TaskEvent
+	if err := fetch(ctx, in.Worker.URL("http")+"/history", &events); err != nil {
+		return err
+	}
+	for _, e := range events {
+		if e.Kind == "start" {
+			s.report.history.Add(history.AttemptStart{At: s.at(e.AtNs), Task: e.Task, Attempt: e.Attempt, Worker: e.Worker, Size: e.Size})
+			continue
+		}
+		s.report.history.Add(history.AttemptEnd{At: s.at(e.AtNs), Task: e.Task, Attempt: e.Attempt, Worker: e.Worker, Outcome: e.Outcome})
+	}
+	return nil
+}
+
+func (s *scenario) collectRevisions(ctx context.Context) error {
+	for _, e := range s.d.Entries {
+		var st entry.Status
+		if err := s.read(ctx, e, "/v1/status", &st); err != nil {
+			return err
+		}
+		s.report.history.Add(history.RevisionSeen{At: s.since(), Process: e.Name, Revision: st.Revision})
+	}
+	return nil
+}
+
+// at converts a wall clock of this machine to the history's time.
+func (s *scenario) at(unixNs int64) time.Duration { return time.Unix(0, unixNs).Sub(s.report.origin) }
+
+func fetch(ctx context.Context, url string, into any) error {
+	status, body, err := deploy.Call(ctx, http.MethodGet, url, nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != 200 {
+		return fmt.Errorf("GET %s: status %d", url, status)
+	}
+	return json.Unmarshal(body, into)
+}
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -75,7 +75,7 @@
 // NewClient returns a hertz client that never retries by itself.
 func NewClient(dialTimeout time.Duration, conns int) (*client.Client, error) {
 	c, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()), client.WithDialTimeout(dialTimeout), client.WithMaxConnsPerHost(conns),
+		client.WithDialer(OnceDialer{standard.NewDialer()}), client.WithDialTimeout(dialTimeout), client.WithMaxConnsPerHost(conns),
 		client.WithMaxIdleConnDuration(30*time.Second), client.WithNoDefaultUserAgentHeader(true),
 	)
 	if err != nil {
--- a/testkit/deploy/deploy.go
+++ b/testkit/deploy/deploy.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/platform/memlog"
@@ -236,10 +237,14 @@
 
 // Close stops everything that this program runs and closes all proxies. Separate processes end with their group.
 func (d *Deployment) Close() {
+	var stopped sync.WaitGroup
 	for _, n := range d.nodes() {
 		if n.run != nil && n.run.process() == nil {
-			_ = n.run.stop()
+			stopped.Go(func() { _ = n.run.stop() })
 		}
+	}
+	stopped.Wait()
+	for _, n := range d.nodes() {
 		for _, p := range n.Proxies {
 			_ = p.Close()
 		}
--- a/testkit/load/load.go
+++ b/testkit/load/load.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/network/dialer"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/testkit/history"
 	"github.com/verbenakeel/verbenakeel/testkit/internal/precise"
 )
@@ -102,7 +103,7 @@
 			"HealthPath, HealthInterval")
 	}
 	c, err := client.NewClient(client.WithDialTimeout(cfg.Timeout), client.WithMaxConnsPerHost(cfg.MaxOutstanding+1),
-		client.WithDialer(onceDialer{dialer.DefaultDialer()}))
+		client.WithDialer(httpserver.OnceDialer{Dialer: dialer.DefaultDialer()}))
 	if err != nil {
 		return nil, fmt.Errorf("make HTTP client: %w", err)
 	}
