baseline: list a task once

Cause: a task that failed within one tick stood in the queue twice and was started twice. Change: a flag per task.

--- a/scheduler/baseline/leastloaded.go
+++ b/scheduler/baseline/leastloaded.go
@@ -45,6 +45,7 @@
 	size    record.Resources
 	node    *node
 	queued  bool
+	listed  bool
 	seq     int
 	evicted bool
 }
@@ -111,7 +112,10 @@
 	}
 	l.seq++
 	t.job, t.next, t.queued, t.seq = e.Job, e.NextAttempt, true, l.seq
-	l.queue = append(l.queue, t)
+	if !t.listed {
+		t.listed = true
+		l.queue = append(l.queue, t)
+	}
 }
 
 func (l *LeastLoaded) start(st record.Start) {
@@ -210,6 +214,7 @@
 	full := map[record.Resources]bool{}
 	for _, t := range l.queue {
 		if !t.queued {
+			t.listed = false
 			continue
 		}
 		kept = append(kept, t)
