scheduler: learn sizes, run times and interference; health, reclaim, evacuation, supervision

Change: size and run time quantiles per class; slowdown per pair of classes by a normalized least mean squares filter over reports matched to what ran when they were measured; throttle, then move within budgets; probation; room lent comes back by evictions; evacuation by deadline risk; standing tasks restarted with backoff; deadline alerts. Tried and taken out: fitting level and harm without bounds (the level drifted to zero), a peak term per pair (no better at equal throughput).

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -70,6 +70,7 @@
 	pending []delayed
 	out     map[string]bool
 	load    float64
+	loadNow float64
 	replica [2]int
 	m       *measured
 }
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -18,8 +18,10 @@
 	done, inTime          int64
 	evictions, refused    int64
 	// lost is progress in milliseconds that has to be repeated; lostAway is the part lost while a zone was away.
-	lost       float64
-	awayWork   float64
+	lost     float64
+	awayWork float64
+	// doneWork is the work of finished tasks in core seconds.
+	doneWork   float64
 	violations int64
 }
 
@@ -55,6 +57,7 @@
 		return
 	}
 	m.done++
+	m.doneWork += float64(r.class.size.CPUMilli) * float64(r.class.runMs) * r.factor / 1e6
 	if r.job.DeadlineMs > 0 && f.now+settledMs <= r.job.DeadlineMs {
 		m.inTime++
 	}
@@ -101,6 +104,7 @@
 	{"service_p99", "ms", false, "", func(m *measured) float64 { return float64(m.latencies.ValueAtQuantile(99)) / 1000 }},
 	{"service_p99.9", "ms", false, "", func(m *measured) float64 { return float64(m.latencies.ValueAtQuantile(99.9)) / 1000 }},
 	{"batch_finished", "tasks", true, "", func(m *measured) float64 { return float64(m.done) }},
+	{"batch_work", "core_s", true, "", func(m *measured) float64 { return m.doneWork }},
 	{"deadlines_met", "tasks", true, "", func(m *measured) float64 { return float64(m.inTime) }},
 	{"evictions", "tasks", false, "", func(m *measured) float64 { return float64(m.evictions) }},
 	{"urgent_start_max", "ms", false, "", func(m *measured) float64 { return float64(m.urgentMaxMs) }},
--- a/bench/physics.go
+++ b/bench/physics.go
@@ -17,6 +17,7 @@
 	if f.tr.loadFrom > 0 && f.now >= f.tr.loadFrom {
 		load *= 1.4
 	}
+	f.loadNow = load
 	f.replica = [2]int{}
 	for _, h := range f.hosts {
 		for _, r := range h.tasks {
@@ -165,7 +166,7 @@
 		rep := scheduler.UsageReported{Worker: h.id, MeasuredMs: f.now + settledMs}
 		for _, r := range h.tasks {
 			s := scheduler.Sample{Task: r.id, Attempt: r.attempt, Used: r.class.size}
-			s.Used.CPUMilli = int64(f.demand(r, f.load))
+			s.Used.CPUMilli = int64(f.demand(r, f.loadNow))
 			if r.job.Kind == record.ServiceJob {
 				s.LatencyP99Us, s.SpeedMilli = int64(r.latencyUs), 1000
 			} else {
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -38,7 +38,8 @@
 			s.admissions = append(s.admissions, j)
 		default:
 			j.admitted, j.pending = true, false
-			s.offer(j)
+			s.offer(nowMs, j)
+			s.watchDeadline(j)
 		}
 	}
 	return out
@@ -67,6 +68,9 @@
 		return "one task is larger than the contract's burst share", ""
 	case j.rec.DeadlineMs > 0 && j.rec.DeadlineMs <= nowMs:
 		return "the deadline has passed", ""
+	case j.rec.DeadlineMs > 0 && nowMs+j.shortestRunMs() > j.rec.DeadlineMs:
+		return fmt.Sprintf("the deadline is in %d s and tasks of this class never ran shorter than %d s",
+			(j.rec.DeadlineMs-nowMs)/1000, j.shortestRunMs()/1000), ""
 	}
 	if !s.fitsFleet(nowMs, j.rec.Size) {
 		if s.firstWorkerMs == 0 || nowMs-s.firstWorkerMs < s.cfg.SettleMs {
--- a/scheduler/customer.go
+++ b/scheduler/customer.go
@@ -57,24 +57,27 @@
 	return c.contract != nil && c.used.Add(size).Fits(c.contract.Guaranteed)
 }
 
-// dominantShare is the customer's largest use in any dimension relative to its guaranteed share, in thousandths.
-// Weighting dominant resource fairness by the guarantee makes lent room go to customers in proportion to what they pay for.
+// dominantShare is the customer's largest use in any dimension as a share of the fleet, in millionths, weighted by
+// priority. Room beyond guarantees is lent in the order of this share (dominant resource fairness).
 func (c *customer) dominantShare(fleet record.Resources) int64 {
-	var g record.Resources
-	if c.contract != nil {
-		g = c.contract.Guaranteed
+	share := func(used, total int64) int64 { return used * 1_000_000 / max(total, 1) }
+	return c.weight() * max(share(c.used.CPUMilli, fleet.CPUMilli), share(c.used.MemoryMB, fleet.MemoryMB),
+		share(c.used.Accelerators, fleet.Accelerators))
+}
+
+// weight makes a lower priority class count its use more.
+func (c *customer) weight() int64 {
+	if c.contract == nil {
+		return 4
 	}
-	share := func(used, guaranteed, total int64) int64 {
-		if used <= 0 {
-			return 0
-		}
-		// A customer without a guarantee weighs as if it had a thousandth of the fleet.
-		base := max(guaranteed, total/1000, 1)
-		return used * 1000 / base
+	switch c.contract.Priority {
+	case record.Critical:
+		return 1
+	case record.BestEffort:
+		return 4
+	default:
+		return 2
 	}
-	return max(share(c.used.CPUMilli, g.CPUMilli, fleet.CPUMilli),
-		share(c.used.MemoryMB, g.MemoryMB, fleet.MemoryMB),
-		share(c.used.Accelerators, g.Accelerators, fleet.Accelerators))
 }
 
 // overQuota returns why the customer's contract lets no further task of j start; empty if it does.
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -12,7 +12,12 @@
 
 // Decide returns the decisions that are due. The caller calls it again only after each of them was applied or dropped.
 func (s *State) Decide(nowMs int64) []Decision {
-	s.takeBack()
+	s.takeBack(nowMs)
+	s.reclaims = 0
+	s.wakeDelayed(nowMs)
+	s.watchStanding(nowMs)
+	s.checkRisks(nowMs)
+	s.evacuate(nowMs)
 	if nowMs-s.lastGenMs >= genEveryMs {
 		s.lastGenMs = nowMs
 		s.freeGen++
@@ -20,15 +25,18 @@
 	out := s.alerts
 	s.alerts = nil
 	out = s.admit(nowMs, out)
-	return s.startTasks(nowMs, out)
+	out = s.repeatEvictions(nowMs, out)
+	out = s.startTasks(nowMs, out)
+	// Room may have been taken back while tasks were placed.
+	return s.takePending(out)
 }
 
 // takeBack queues tasks again whose start was decided by the last call and not confirmed.
-func (s *State) takeBack() {
+func (s *State) takeBack(nowMs int64) {
 	for _, t := range s.proposed {
 		if t.phase == phaseProposed {
-			s.release(t)
-			s.enqueue(t)
+			s.release(nowMs, t)
+			s.enqueue(nowMs, t)
 		}
 	}
 	s.proposed = s.proposed[:0]
@@ -83,7 +91,7 @@
 		job:    j,
 		urgent: j.rec.Urgent,
 		owed:   c.withinGuarantee(s.sizeOf(j)),
-		atRisk: j.latestStartMs-s.cfg.RiskMarginMs < nowMs,
+		atRisk: j.rec.DeadlineMs > 0 && j.latestStartMs-s.cfg.RiskMarginMs < nowMs,
 		share:  c.dominantShare(fleet),
 	}, true
 }
@@ -121,7 +129,7 @@
 	starts := 0
 	for tries := 0; tries < s.cfg.MaxTries && starts < s.cfg.MaxStarts && len(turns) > 0; tries++ {
 		tn := turns[0]
-		if d, ok := s.startOne(nowMs, tn.job); ok {
+		if d, ok := s.startOne(nowMs, tn); ok {
 			starts++
 			out = append(out, d)
 		}
@@ -136,35 +144,69 @@
 }
 
 // startOne places the first queued task of a job, or parks the job.
-func (s *State) startOne(nowMs int64, j *job) (Decision, bool) {
+func (s *State) startOne(nowMs int64, tn turn) (Decision, bool) {
+	j := tn.job
 	t := j.next()
 	size := s.sizeOf(j)
 	reason := j.cust.overQuota(j, size)
+	if reason == "" {
+		reason = s.cautious(j)
+	}
 	if t != nil && reason == "" {
-		p := &placing{s: s, nowMs: nowMs, task: t, job: j, size: size}
+		p := &placing{s: s, nowMs: nowMs, task: t, job: j, size: size, pressing: tn.urgent || tn.atRisk}
 		w, why := s.place(p)
 		if w != nil {
-			t.job.waitingTasks--
-			s.commit(t, w, size, phaseProposed)
-			s.uncount(j)
-			s.proposed = append(s.proposed, t)
-			cause := fmt.Sprintf("waited %d ms; best of the workers with room", nowMs-t.queuedMs)
-			t.because("attempt %d placed on %s: %s", t.nextAttempt, w.id, cause)
-			return StartTask{record.Start{Task: t.id, Attempt: t.nextAttempt, Worker: w.id, Size: size, Cause: cause}}, true
+			return s.propose(nowMs, t, w, size, tn), true
 		}
 		reason = "no worker has room: " + why
+		if size.Accelerators > 0 {
+			s.accelMs = nowMs
+		}
+		if tn.urgent || tn.owed {
+			s.reclaim(nowMs, j, size, tn.owed)
+		}
+	}
+	s.park(nowMs, j, t, reason)
+	return nil, false
+}
+
+// propose decides a start.
+func (s *State) propose(nowMs int64, t *task, w *worker, size record.Resources, tn turn) Decision {
+	j := t.job
+	j.waitingTasks--
+	s.commit(nowMs, t, w, size, phaseProposed)
+	s.uncount(j)
+	s.proposed = append(s.proposed, t)
+	if w.probation {
+		t.trial, w.trial = true, true
 	}
+	why := "fair share"
+	switch {
+	case tn.urgent:
+		why = "urgent"
+	case tn.atRisk:
+		why = "deadline risk"
+	case tn.owed:
+		why = "within its guaranteed share"
+	}
+	cause := fmt.Sprintf("%s; waited %d ms; best of the workers with room", why, nowMs-t.queuedMs)
+	t.because("attempt %d placed on %s with %d millicores and %d MB: %s", t.nextAttempt, w.id, size.CPUMilli, size.MemoryMB, cause)
+	return StartTask{record.Start{Task: t.id, Attempt: t.nextAttempt, Worker: w.id, Size: size, Cause: cause}}
+}
+
+// park puts a job aside until room may have appeared.
+func (s *State) park(nowMs int64, j *job, t *task, reason string) {
 	j.reason = reason
 	if j.in == &j.cust.fresh {
 		heap.Pop(&j.cust.fresh)
 		j.cust.parked.add(j)
 	}
-	return nil, false
+	if t != nil && j.rec.Urgent && !j.urgentAlert && nowMs-t.queuedMs >= s.cfg.UrgentAlertMs {
+		j.urgentAlert = true
+		s.alert(Alert{Code: AlertUrgentLate, Job: j.rec.ID, Task: t.id, Message: reason})
+	}
 }
 
-// sizeOf is what is committed for a task of the job.
-func (s *State) sizeOf(j *job) record.Resources { return j.rec.Size }
-
 // fleet is the capacity of all known workers.
 func (s *State) fleet() record.Resources {
 	var sum record.Resources
--- /dev/null
+++ b/scheduler/learn.go
@@ -0,0 +1,237 @@
+package scheduler
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+const (
+	// sketchAccuracy is the relative accuracy of learned quantiles.
+	sketchAccuracy = 0.02
+	// sketchBins bounds the memory of a sketch; with 2% accuracy 512 bins span nine orders of magnitude.
+	sketchBins = 512
+	// sketchMax is the count at which older values are halved in weight, so that a class that changes is learned again.
+	sketchMax = 2000
+	// refreshEvery is how many values are added before quantiles are computed again.
+	refreshEvery = 16
+	// minSizeTasks is how many attempts of a class must be measured before their sizes replace declared ones.
+	minSizeTasks = 3
+	// minRuns is how many run times must be known before they replace declared ones.
+	minRuns = 5
+	// minImpossibleRuns is how many run times must be known before a deadline is called impossible.
+	minImpossibleRuns = 20
+	// maxClasses bounds the classes remembered; the least recently used eighth without tasks is dropped beyond it.
+	maxClasses = 4096
+)
+
+// classKey names a class of tasks that behave alike.
+type classKey struct {
+	customer, class string
+	kind            record.JobKind
+}
+
+// class holds what was learned of a class. Ratios are of true to declared values, in thousandths.
+type class struct {
+	key classKey
+	id  int32
+	// cpu, memory and run hold ratios; nil until a value is known.
+	cpu, memory, run *ddsketch.DDSketch
+	// cpuMilli, memoryMilli, runLowMilli and runHighMilli are quantiles computed from the sketches.
+	cpuMilli, memoryMilli, runLowMilli, runHighMilli int64
+	sizeAdds, runAdds                                int
+	// measured counts attempts with a usage sample, runs counts finished runs.
+	measured, runs int
+	// running counts tasks that run or are proposed.
+	running int
+	usedMs  int64
+	// levels holds what is known of a service's undisturbed latency by load; nil for other classes.
+	levels *[loadBuckets]loadLevel
+	// harmedBy is the slowdown that one core of another class adds to a task of this class, by class id.
+	harmedBy map[int32]float64
+	// mean is its mean harm to services, computed at meanMs.
+	mean   float64
+	meanMs int64
+}
+
+// classOf returns the class of a job.
+func (s *State) classOf(nowMs int64, j *record.Job) *class {
+	key := classKey{j.Customer, j.Class, j.Kind}
+	c := s.classes[key]
+	if c == nil {
+		if len(s.classes) >= maxClasses {
+			s.dropClasses()
+		}
+		s.lastClass++
+		c = &class{key: key, id: s.lastClass}
+		s.classes[key] = c
+		if key.kind == record.ServiceJob {
+			s.services = append(s.services, c)
+		}
+	}
+	c.usedMs = max(c.usedMs, nowMs)
+	return c
+}
+
+// dropClasses forgets the least recently used eighth of the classes that have no tasks.
+func (s *State) dropClasses() {
+	idle := make([]*class, 0, len(s.classes))
+	busy := make(map[*class]bool)
+	for _, j := range s.jobs {
+		busy[j.class] = true
+	}
+	for _, c := range s.classes {
+		if !busy[c] {
+			idle = append(idle, c)
+		}
+	}
+	sort.Slice(idle, func(a, b int) bool {
+		if idle[a].usedMs != idle[b].usedMs {
+			return idle[a].usedMs < idle[b].usedMs
+		}
+		return idle[a].id < idle[b].id
+	})
+	for _, c := range idle[:min(len(idle), maxClasses/8)] {
+		delete(s.classes, c.key)
+		s.services = slices.DeleteFunc(s.services, func(v *class) bool { return v == c })
+		for _, v := range s.classes {
+			delete(v.harmedBy, c.id)
+		}
+	}
+}
+
+// add puts a ratio in a sketch, which is created if needed.
+func add(sk **ddsketch.DDSketch, ratioMilli float64) {
+	if *sk == nil {
+		n, err := ddsketch.LogCollapsingLowestDenseDDSketch(sketchAccuracy, sketchBins)
+		if err != nil {
+			return
+		}
+		*sk = n
+	}
+	if (*sk).GetCount() >= sketchMax {
+		if err := (*sk).Reweight(0.5); err != nil {
+			return
+		}
+	}
+	// The only possible error is a value out of range, which is not learned from.
+	_ = (*sk).Add(ratioMilli)
+}
+
+// quantile returns a quantile of a sketch in thousandths, or fallback if there is none.
+func quantile(sk *ddsketch.DDSketch, q float64, fallback int64) int64 {
+	if sk == nil {
+		return fallback
+	}
+	v, err := sk.GetValueAtQuantile(q)
+	if err != nil || v < 1 {
+		return fallback
+	}
+	return int64(v)
+}
+
+// learnSize folds a usage sample of an attempt. A throttled attempt tells nothing of the processors it wants.
+func (c *class) learnSize(t *task, used record.Resources) {
+	if !t.measured {
+		t.measured = true
+		c.measured++
+	}
+	declared := t.job.rec.Size
+	// A value is added once per attempt and when it changes by a quarter, so that long runs do not count more.
+	changed := used.CPUMilli*4 > t.addedCPU*5 || used.CPUMilli*5 < t.addedCPU*4
+	if declared.CPUMilli > 0 && used.CPUMilli > 0 && t.shareMilli >= fullShare && changed {
+		t.addedCPU = used.CPUMilli
+		add(&c.cpu, 1000*float64(used.CPUMilli)/float64(declared.CPUMilli))
+	}
+	if declared.MemoryMB > 0 && used.MemoryMB > 0 {
+		add(&c.memory, 1000*float64(used.MemoryMB)/float64(declared.MemoryMB))
+	}
+	if c.sizeAdds++; c.sizeAdds%refreshEvery == 0 || c.measured <= minSizeTasks {
+		// Processors are shared out by a middle quantile, since a short peak only slows tasks and peaks of different
+		// tasks rarely meet. Memory has a high one and a tenth in hand, since a task fails when it runs out.
+		q := 0.6
+		if c.key.kind == record.ServiceJob {
+			q = 0.99
+		}
+		c.cpuMilli = nearDeclared(quantile(c.cpu, q, 1000))
+		c.memoryMilli = nearDeclared(quantile(c.memory, 0.99, 1000) * 11 / 10)
+	}
+}
+
+// nearDeclared keeps the declared size when the learned one is within a sixth of it. Sizes a little above the declared
+// ones broke packing: a fourth task of a quarter of a worker no longer fitted.
+func nearDeclared(ratioMilli int64) int64 {
+	if ratioMilli > 833 && ratioMilli < 1167 {
+		return 1000
+	}
+	return ratioMilli
+}
+
+// learnRun folds the undisturbed run time of a finished task.
+func (c *class) learnRun(declaredMs, ranMs int64) {
+	if declaredMs <= 0 || ranMs <= 0 {
+		return
+	}
+	add(&c.run, 1000*float64(ranMs)/float64(declaredMs))
+	c.runs++
+	if c.runAdds++; c.runAdds%refreshEvery == 0 || c.runs <= minRuns || c.runs == minImpossibleRuns {
+		c.runLowMilli = quantile(c.run, 0.01, 1000)
+		c.runHighMilli = quantile(c.run, 0.9, 1000)
+	}
+}
+
+// expectedRunMs is the run time that nine of ten tasks of the job stay within.
+func (j *job) expectedRunMs() int64 {
+	if j.class.runs < minRuns {
+		return j.rec.RunMs
+	}
+	return j.rec.RunMs * j.class.runHighMilli / 1000
+}
+
+// shortestRunMs is a run time that practically all tasks of the job exceed; 0 if too little is known.
+func (j *job) shortestRunMs() int64 {
+	if j.class.runs < minImpossibleRuns {
+		return 0
+	}
+	return j.rec.RunMs * j.class.runLowMilli / 1000
+}
+
+// sizeOf is what is committed for a task of the job: what the class was seen to use, or what was declared.
+func (s *State) sizeOf(j *job) record.Resources {
+	size := j.rec.Size
+	if j.class.measured < minSizeTasks {
+		return size
+	}
+	learned := record.Resources{
+		CPUMilli:     max(size.CPUMilli*j.class.cpuMilli/1000, min(size.CPUMilli, 50)),
+		MemoryMB:     max(size.MemoryMB*j.class.memoryMilli/1000, min(size.MemoryMB, 32)),
+		Accelerators: size.Accelerators,
+	}
+	// A learned size is never beyond the largest worker or the burst share, or the job would wait forever.
+	var limit record.Resources
+	for _, sh := range s.shapes {
+		if sh.count > 0 && size.Fits(sh.capacity) {
+			limit.CPUMilli = max(limit.CPUMilli, sh.capacity.CPUMilli)
+			limit.MemoryMB = max(limit.MemoryMB, sh.capacity.MemoryMB)
+		}
+	}
+	if limit != (record.Resources{}) {
+		learned.CPUMilli, learned.MemoryMB = min(learned.CPUMilli, limit.CPUMilli), min(learned.MemoryMB, limit.MemoryMB)
+	}
+	if j.cust.contract != nil {
+		b := j.cust.burst()
+		learned.CPUMilli, learned.MemoryMB = min(learned.CPUMilli, max(b.CPUMilli, size.CPUMilli)), min(learned.MemoryMB, max(b.MemoryMB, size.MemoryMB))
+	}
+	return learned
+}
+
+// cautious returns why no further task of a class that was not measured yet may start; empty if one may.
+func (s *State) cautious(j *job) string {
+	if j.class.measured >= minSizeTasks || j.rec.Kind == record.ServiceJob || j.rec.Urgent || j.class.running < s.cfg.FirstRuns {
+		return ""
+	}
+	return "the first tasks of this class run and are not measured yet"
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/verbenakeel/verbenakeel/record"
+import (
+	"fmt"
+
+	"github.com/verbenakeel/verbenakeel/record"
+)
 
 // Filter excludes workers for a task. It returns why, or an empty string if the worker may be used.
 type Filter interface {
@@ -19,6 +23,8 @@
 	task  *task
 	job   *job
 	size  record.Resources
+	// pressing is true for urgent tasks and tasks at risk of missing their deadline.
+	pressing bool
 }
 
 // filterFunc makes a Filter of a function.
@@ -37,12 +43,22 @@
 	filterFunc(excludeDown),
 	filterFunc(excludeZoneOut),
 	filterFunc(excludeFull),
+	filterFunc(excludeUnproven),
+	filterFunc(excludeAvoided),
+	filterFunc(excludeNominated),
+	filterFunc(excludeFilling),
+	filterFunc(excludeAccelerators),
+	filterFunc(excludeHarmful),
 }
 
 var scores = []Score{
 	scoreFunc(rateRoom),
 	scoreFunc(rateSpread),
 	scoreFunc(rateAccelerators),
+	scoreFunc(rateConsolidation),
+	scoreFunc(rateGentle),
+	scoreFunc(rateHarm),
+	scoreFunc(rateReports),
 }
 
 func excludeDown(_ *placing, w *worker) string {
@@ -53,7 +69,7 @@
 }
 
 func excludeZoneOut(p *placing, w *worker) string {
-	if p.s.zones[w.zone].out {
+	if w.zoneRef.out {
 		return "its zone is out of service"
 	}
 	return ""
@@ -66,12 +82,39 @@
 	return ""
 }
 
-// rateRoom prefers workers with free processors.
+// rateRoom prefers workers with free processors, by what is committed or what is in use, whichever is more.
 func rateRoom(p *placing, w *worker) int64 {
 	if w.capacity.CPUMilli == 0 {
 		return 0
 	}
-	return 1000 * (w.free().CPUMilli - p.size.CPUMilli) / w.capacity.CPUMilli
+	use := max(w.committed.CPUMilli, w.usedCPU+w.sinceReport)
+	return 1000 * (w.capacity.CPUMilli - use - p.size.CPUMilli) / w.capacity.CPUMilli
+}
+
+// excludeHarmful keeps a batch task from a worker where a service would be slowed too much.
+func excludeHarmful(p *placing, w *worker) string {
+	if p.job.rec.Kind == record.ServiceJob || p.pressing {
+		return ""
+	}
+	if worst, _ := p.addedHarm(w); worst*1000 > float64(p.s.cfg.HarmLimitMilli) {
+		return "a service there would be slowed too much"
+	}
+	return ""
+}
+
+// rateHarm prefers workers where the task slows services least.
+func rateHarm(p *placing, w *worker) int64 {
+	_, cost := p.addedHarm(w)
+	return -int64(min(cost, 100) * 20_000)
+}
+
+// rateReports counts silence against a worker: without reports its load is not known to be low.
+func rateReports(p *placing, w *worker) int64 {
+	if w.reportMs == 0 {
+		return 0
+	}
+	late := p.nowMs - w.reportMs - p.s.cfg.ReportStaleMs
+	return -min(max(late, 0)/10, 3000)
 }
 
 // rateSpread keeps service replicas of one job on different workers, racks and zones.
@@ -96,24 +139,71 @@
 	return score
 }
 
+// rateConsolidation puts replicas of different services on the same workers, up to half of each, so that other workers
+// have no service that batch work could slow. Replicas of one service stay apart.
+func rateConsolidation(p *placing, w *worker) int64 {
+	if p.job.rec.Kind != record.ServiceJob {
+		return 0
+	}
+	var cpu int64
+	for _, t := range w.tasks {
+		if t.job != nil && t.job.rec.Kind == record.ServiceJob {
+			cpu += t.size.CPUMilli
+		}
+	}
+	if cpu == 0 || 2*(cpu+p.size.CPUMilli) > w.capacity.CPUMilli {
+		return 0
+	}
+	return 1500
+}
+
+// rateGentle puts batch tasks that harm services little beside services, so that workers without a service stay free
+// for tasks that would harm one.
+func rateGentle(p *placing, w *worker) int64 {
+	if p.job.rec.Kind == record.ServiceJob {
+		return 0
+	}
+	w.refreshSlow()
+	if len(w.services) == 0 {
+		return 0
+	}
+	// A task of a class without any learned harm gains 2000, one with the harm assumed of unknown classes nothing.
+	return int64(max(1-p.s.meanHarm(p.nowMs, p.job.class)/unknownHarm, 0) * 2000)
+}
+
+// accelWaitMs is how long after a task found no room with accelerators other batch work stays away from them.
+const accelWaitMs = 5_000
+
+// excludeAccelerators keeps other batch work off workers with free accelerators while some task waits for them.
+func excludeAccelerators(p *placing, w *worker) string {
+	if p.size.Accelerators == 0 && w.free().Accelerators > 0 && p.job.rec.Kind != record.ServiceJob && !p.pressing &&
+		p.s.accelMs != 0 && p.nowMs-p.s.accelMs < accelWaitMs {
+		return "its accelerators are kept for tasks that wait for them"
+	}
+	return ""
+}
+
 // rateAccelerators keeps workers with free accelerators for tasks that need them.
 func rateAccelerators(p *placing, w *worker) int64 {
 	if p.size.Accelerators == 0 && w.free().Accelerators > 0 {
-		return -2000
+		return -8000
 	}
 	return 0
 }
 
-// place returns the best worker for a task, or why there is none.
+// place returns the best worker for a task, or the most common reason why workers are excluded.
 func (s *State) place(p *placing) (*worker, string) {
 	var best *worker
 	var bestScore int64
-	reason, scored := "no worker is known", 0
+	var counts [16]int
+	var reasons [16]string
+	scored := 0
 	n := len(s.order)
 	for i := 0; i < n && scored < s.cfg.MaxCandidates; i++ {
 		w := s.order[(s.cursor+i)%n]
-		if r := excluded(p, w); r != "" {
-			reason = r
+		if f, r := excluded(p, w); r != "" {
+			counts[f]++
+			reasons[f] = r
 			continue
 		}
 		scored++
@@ -128,14 +218,27 @@
 	if n > 0 {
 		s.cursor = (s.cursor + 1) % n
 	}
-	return best, reason
+	if best != nil {
+		return best, ""
+	}
+	most := 0
+	for f := range counts {
+		if counts[f] > counts[most] {
+			most = f
+		}
+	}
+	if counts[most] == 0 {
+		return nil, "no worker is known"
+	}
+	return nil, fmt.Sprintf("%d of %d workers: %s", counts[most], n, reasons[most])
 }
 
-func excluded(p *placing, w *worker) string {
-	for _, f := range filters {
+// excluded returns the first filter that excludes the worker, and why.
+func excluded(p *placing, w *worker) (int, string) {
+	for i, f := range filters {
 		if r := f.Exclude(p, w); r != "" {
-			return r
+			return i, r
 		}
 	}
-	return ""
+	return 0, ""
 }
--- /dev/null
+++ b/scheduler/standing.go
@@ -0,0 +1,141 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// standingEnded restarts a standing task once for this incident. A task that keeps ending waits longer each time.
+func (s *State) standingEnded(nowMs int64, t *task, e record.End, ranMs int64) {
+	j := t.job
+	if j == nil || j.cancelled || j.rec.Kind == record.BatchJob || t.phase != phaseIdle {
+		return
+	}
+	moved := t.evictMs != 0 && !t.hung && (e.Outcome == record.Checkpointed || e.Outcome == record.Stopped)
+	if j.rec.Kind == record.ServiceJob {
+		// A replica is replaced by the caller: by the same task, or by a new one when its worker is silent.
+		if !moved {
+			s.alert(Alert{Code: AlertStandingStopped, Job: j.rec.ID, Task: t.id, Message: fmt.Sprintf(
+				"service replica ended in attempt %d as %s: %s", e.Attempt, e.Outcome, e.Reason)})
+		}
+		return
+	}
+	wait := int64(0)
+	if !moved {
+		if ranMs >= s.cfg.StandingStableMs {
+			t.backoff = nil
+		}
+		if t.backoff == nil {
+			t.backoff = backoff.NewExponentialBackOff()
+			t.backoff.InitialInterval = time.Duration(s.cfg.BackoffMs) * time.Millisecond
+			t.backoff.MaxInterval = time.Duration(s.cfg.BackoffMaxMs) * time.Millisecond
+			t.backoff.Multiplier = 2
+			// Without randomization, since the policy is deterministic.
+			t.backoff.RandomizationFactor = 0
+		}
+		wait = t.backoff.NextBackOff().Milliseconds()
+		t.because("attempt %d ended as %s: restarted in %d ms", e.Attempt, e.Outcome, wait)
+		s.alert(Alert{Code: AlertStandingStopped, Job: j.rec.ID, Task: t.id, Message: fmt.Sprintf(
+			"attempt %d ended as %s: %s; restarted in %d ms", e.Attempt, e.Outcome, e.Reason, wait)})
+	}
+	t.nextAttempt, t.queuedMs, t.notBeforeMs = max(t.nextAttempt, e.Attempt+1), nowMs, nowMs+wait
+	if wait == 0 {
+		s.enqueue(nowMs, t)
+		return
+	}
+	t.phase = phaseDelayed
+	heap.Push(&s.delayed, delayedTask{t, t.notBeforeMs})
+}
+
+// wakeDelayed queues the tasks whose backoff has passed.
+func (s *State) wakeDelayed(nowMs int64) {
+	for len(s.delayed) > 0 && s.delayed[0].atMs <= nowMs {
+		d := heap.Pop(&s.delayed).(delayedTask)
+		if d.task.phase == phaseDelayed && d.task.notBeforeMs == d.atMs {
+			s.enqueue(nowMs, d.task)
+		}
+	}
+}
+
+type delayedTask struct {
+	task *task
+	atMs int64
+}
+
+type delayHeap []delayedTask
+
+func (h delayHeap) Len() int      { return len(h) }
+func (h delayHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h delayHeap) Less(a, b int) bool {
+	if h[a].atMs != h[b].atMs {
+		return h[a].atMs < h[b].atMs
+	}
+	return h[a].task.id < h[b].task.id
+}
+func (h *delayHeap) Push(x any) { *h = append(*h, x.(delayedTask)) }
+func (h *delayHeap) Pop() any {
+	old := *h
+	d := old[len(old)-1]
+	old[len(old)-1] = delayedTask{}
+	*h = old[:len(old)-1]
+	return d
+}
+
+// watchStanding looks at a bounded number of running standing tasks and restarts those without progress. It is only
+// judged where the worker itself reports, since a silent worker is handled by the end of its leases.
+func (s *State) watchStanding(nowMs int64) {
+	for n := min(s.cfg.WatchPerCall, len(s.standing)); n > 0; n-- {
+		if s.watchNext >= len(s.standing) {
+			s.watchNext = 0
+		}
+		t := s.standing[s.watchNext]
+		if t.phase != phaseRunning || t.job == nil || t.job.cancelled {
+			last := len(s.standing) - 1
+			s.standing[s.watchNext] = s.standing[last]
+			s.standing[last] = nil
+			s.standing = s.standing[:last]
+			t.watched = false
+			if last == 0 {
+				return
+			}
+			continue
+		}
+		s.watchNext++
+		s.watchOne(nowMs, t)
+	}
+}
+
+func (s *State) watchOne(nowMs int64, t *task) {
+	w := t.worker
+	alive := max(t.startMs, t.progressMs)
+	if t.evictMs != 0 || w.reportMs-alive < s.cfg.HangMs {
+		// A worker without any report for the bound is told once per incident.
+		if w.up && t.evictMs == 0 && nowMs-max(w.reportMs, t.startMs) >= 2*s.cfg.HangMs && !t.silent {
+			t.silent = true
+			s.alert(Alert{Code: AlertStandingLost, Job: t.job.rec.ID, Task: t.id, Worker: w.id,
+				Message: fmt.Sprintf("its worker sent no usage report for %d s", (nowMs-max(w.reportMs, t.startMs))/1000)})
+		}
+		return
+	}
+	t.hung = true
+	s.alert(Alert{Code: AlertStandingHung, Job: t.job.rec.ID, Task: t.id, Worker: w.id,
+		Message: fmt.Sprintf("no progress for %d s; restarting it elsewhere", (w.reportMs-alive)/1000)})
+	t.avoidWorker(w.id)
+	s.evict(nowMs, t, "no progress")
+}
+
+// standingLost tells of the standing tasks on a worker that is out of contact.
+func (s *State) standingLost(w *worker) {
+	for _, t := range w.tasks {
+		if t.phase == phaseRunning && t.job != nil && t.job.rec.Kind != record.BatchJob && !t.silent {
+			t.silent = true
+			s.alert(Alert{Code: AlertStandingLost, Job: t.job.rec.ID, Task: t.id, Worker: w.id,
+				Message: "its worker is out of contact; it is restarted elsewhere when its lease has ended"})
+		}
+	}
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -43,12 +43,30 @@
 	// tombstones holds jobs that are over, so that late events do not bring them back; tombOrder is their order.
 	tombstones map[string]struct{}
 	tombOrder  []string
-	alerts     []Decision
-}
-
-// zone is an availability zone.
-type zone struct {
-	out bool
+	// zoneOrder holds the zones sorted by name.
+	zoneOrder []*zone
+	classes   map[classKey]*class
+	// services holds the classes of services in the order in which they were first seen.
+	services []*class
+	// lastClass is the id given last to a class.
+	lastClass int32
+	// neighbours is reused between reports.
+	neighbours []neighbour
+	// alerts and pending hold decisions made while events were applied.
+	alerts, pending []Decision
+	// evicting holds tasks whose eviction was decided and has not taken effect.
+	evicting []*task
+	// standing holds running standing tasks; watchNext rotates through it.
+	standing  []*task
+	watchNext int
+	delayed   delayHeap
+	risks     riskHeap
+	// reclaims counts the jobs for which room was taken back in this call.
+	reclaims int
+	// accelMs is when a task that needs accelerators last found no room.
+	accelMs int64
+	// up counts workers in contact.
+	up int
 }
 
 // shape is a capacity that workers have or recently had.
@@ -68,6 +86,7 @@
 		workers:    make(map[string]*worker),
 		zones:      make(map[string]*zone),
 		tombstones: make(map[string]struct{}),
+		classes:    make(map[classKey]*class),
 	}
 }
 
@@ -81,7 +100,7 @@
 	case WorkerUp:
 		s.workerUp(nowMs, e)
 	case WorkerDown:
-		s.workerDown(nowMs, e.ID)
+		s.workerDown(e.ID)
 	case WorkerGone:
 		s.workerGone(nowMs, e.ID)
 	case TaskQueued:
@@ -91,36 +110,16 @@
 	case TaskEnded:
 		s.taskEnded(nowMs, e.End)
 	case JobCancelled:
-		s.jobCancelled(e.Job)
+		s.jobCancelled(nowMs, e.Job)
 	case JobDone:
-		s.jobDone(e.Job)
+		s.jobDone(nowMs, e.Job)
 	case UsageReported:
 		s.usageReported(nowMs, e)
 	}
 }
 
-func (s *State) zoneChanged(_ int64, e ZoneChanged) {
-	if e.Zone == "" {
-		return
-	}
-	z := s.zoneOf(e.Zone)
-	if z.out == e.Out {
-		return
-	}
-	z.out = e.Out
-	s.freeGen++
-}
-
-func (s *State) zoneOf(name string) *zone {
-	z := s.zones[name]
-	if z == nil {
-		z = &zone{}
-		s.zones[name] = z
-	}
-	return z
-}
-
-func (s *State) usageReported(_ int64, _ UsageReported) {}
+// alert records an alert for the next Decide.
+func (s *State) alert(a Alert) { s.alerts = append(s.alerts, a) }
 
 // maxTombstones bounds the memory of jobs that are over. At 8,600 jobs a day it covers more than a day.
 const maxTombstones = 16_384
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -16,6 +18,8 @@
 	phaseQueued
 	// phaseProposed tasks were placed by the last Decide; the start is not confirmed.
 	phaseProposed
+	// phaseDelayed tasks wait for their backoff to pass.
+	phaseDelayed
 	// phaseRunning tasks run, or may run on a worker out of contact.
 	phaseRunning
 )
@@ -47,6 +51,16 @@
 	cancelled bool
 	// reason is why the job's first queued task waits.
 	reason string
+	class  *class
+	health *jobHealth
+	// evictions counts evictions of its tasks.
+	evictions int
+	// blockedMs is since when the job finds no room although it is owed some; 0 if it is not blocked.
+	blockedMs int64
+	// nominated is the worker on which room was freed for the job.
+	nominated *worker
+	// riskWatched is true once the deadline is watched; the others once the alert was given.
+	riskWatched, riskAlert, urgentAlert, failAlert bool
 }
 
 // waiting reports whether the job has queued tasks that may start.
@@ -84,6 +98,32 @@
 	startMs  int64
 	// causes holds the newest causes of decisions on the task, oldest first.
 	causes []string
+	// shareMilli is the share it is throttled to, decided at throttledMs and to be repeated throttleRepeats times.
+	shareMilli      int64
+	throttledMs     int64
+	throttleRepeats int
+	// evictMs is when the eviction of the running attempt was decided; 0 if it was not.
+	evictMs   int64
+	evictions int
+	// reportedCPU is the processor use in the worker's report measured at reportedMs.
+	reportedCPU, reportedMs int64
+	// addedCPU is the processor use of the attempt that its class learned from last.
+	addedCPU int64
+	// speedSum and speedCount give the mean speed of the running attempt.
+	speedSum, speedCount int64
+	// sampleMs is when the attempt was last measured, progressMs when it was last seen to progress.
+	sampleMs, progressMs int64
+	// slow is the slowdown reported last, expectedSlow the one expected by what was learned.
+	slow, expectedSlow float64
+	// unproven is true until the attempt is seen to run; measured is true once its size was learned from.
+	unproven, measured bool
+	// hung, silent and watched belong to the supervision of standing tasks.
+	hung, silent, watched bool
+	// trial is true when the attempt is a trial of a worker on probation.
+	trial       bool
+	avoid       []string
+	backoff     *backoff.ExponentialBackOff
+	notBeforeMs int64
 }
 
 // maxCauses bounds the causes kept per task.
@@ -113,7 +153,7 @@
 	}
 	j := s.jobs[e.Job.ID]
 	if j == nil {
-		j = s.newJob(e.Job)
+		j = s.newJob(nowMs, e.Job)
 	}
 	t := s.tasks[e.Task]
 	if t == nil {
@@ -122,60 +162,62 @@
 		j.tasks = append(j.tasks, t)
 	}
 	if t.job == nil {
-		s.adopt(t, j)
+		s.adopt(nowMs, t, j)
 	}
 	if t.job != j || j.cancelled || e.NextAttempt <= t.attempt || e.NextAttempt <= t.ended {
 		return
 	}
 	switch t.phase {
-	case phaseQueued, phaseProposed:
+	case phaseQueued, phaseProposed, phaseDelayed:
 		if e.NextAttempt <= t.nextAttempt {
 			return
 		}
-		s.withdraw(t)
+		s.withdraw(nowMs, t)
 	case phaseRunning:
 		// The caller queues a task again only after its last attempt ended; the end itself may arrive later.
 		t.ended = t.attempt
-		s.release(t)
+		s.release(nowMs, t)
 	}
 	t.nextAttempt, t.checkpointMs, t.queuedMs = e.NextAttempt, max(e.CheckpointMs, 0), nowMs
-	s.enqueue(t)
+	s.enqueue(nowMs, t)
 }
 
-func (s *State) newJob(rec record.Job) *job {
-	j := &job{rec: rec, cust: s.customerOf(rec.Customer), pending: true}
+func (s *State) newJob(nowMs int64, rec record.Job) *job {
+	j := &job{rec: rec, cust: s.customerOf(rec.Customer), pending: true,
+		class: s.classOf(nowMs, &rec), health: &jobHealth{job: rec.ID}}
 	s.jobs[rec.ID] = j
 	s.admissions = append(s.admissions, j)
 	return j
 }
 
 // adopt gives a task that was started before its job was known to its job.
-func (s *State) adopt(t *task, j *job) {
+func (s *State) adopt(nowMs int64, t *task, j *job) {
 	w := t.worker
 	running := t.phase == phaseRunning
 	if running {
-		s.release(t)
+		s.release(nowMs, t)
 	}
 	t.job = j
 	j.tasks = append(j.tasks, t)
 	if running {
-		s.commit(t, w, t.size, phaseRunning)
+		s.commit(nowMs, t, w, t.size, phaseRunning)
+		s.watch(t)
 	}
 }
 
 // enqueue puts a task in its job's queue.
-func (s *State) enqueue(t *task) {
+func (s *State) enqueue(nowMs int64, t *task) {
 	j := t.job
 	t.phase = phaseQueued
 	j.waitingTasks++
 	j.queued = append(j.queued, t)
 	if j.admitted {
-		s.offer(j)
+		s.offer(nowMs, j)
 	}
 }
 
 // offer puts an admitted job with queued tasks in its customer's queue.
-func (s *State) offer(j *job) {
+func (s *State) offer(nowMs int64, j *job) {
 	if !j.waiting() || j.in != nil {
 		return
 	}
@@ -191,20 +233,21 @@
 // estimate sets the job's latest start.
 func (s *State) estimate(j *job) {
 	if j.rec.DeadlineMs > 0 {
-		j.latestStartMs = j.rec.DeadlineMs - j.rec.RunMs
+		j.latestStartMs = j.rec.DeadlineMs - j.expectedRunMs()
 		return
 	}
-	j.latestStartMs = j.rec.SubmittedMs + s.cfg.NoDeadlineMs
+	// Short jobs go before long ones that were submitted a little earlier: the wait is bounded in proportion to the run.
+	j.latestStartMs = j.rec.SubmittedMs + min(s.cfg.NoDeadlineFactor*j.expectedRunMs(), s.cfg.NoDeadlineMs)
 }
 
 // withdraw takes a task out of its queue, or back from the placement decided last.
-func (s *State) withdraw(t *task) {
+func (s *State) withdraw(nowMs int64, t *task) {
 	switch t.phase {
 	case phaseQueued:
 		t.job.waitingTasks--
 		s.uncount(t.job)
 	case phaseProposed:
-		s.release(t)
+		s.release(nowMs, t)
 	}
 	t.phase = phaseIdle
 }
@@ -236,27 +279,54 @@
 		return
 	}
 	if t.phase == phaseRunning {
-		s.release(t)
+		s.release(nowMs, t)
 	}
-	s.withdraw(t)
+	s.withdraw(nowMs, t)
 	w := s.workers[st.Worker]
 	if w == nil {
-		w = &worker{id: st.Worker}
+		w = newWorker(st.Worker)
 		s.workers[st.Worker] = w
 		s.insertWorker(w)
 	}
 	t.attempt, t.startMs = st.Attempt, nowMs
+	t.speedSum, t.speedCount, t.sampleMs, t.progressMs, t.slow = 0, 0, 0, 0, 0
+	t.addedCPU, t.reportedCPU, t.reportedMs = 0, 0, -1
+	t.evictMs, t.shareMilli, t.throttleRepeats = 0, fullShare, 0
+	t.hung, t.silent, t.trial, t.measured = false, false, w.probation, false
+	if w.probation {
+		w.trial = true
+	}
 	t.nextAttempt = max(t.nextAttempt, st.Attempt)
-	s.commit(t, w, st.Size, phaseRunning)
+	s.commit(nowMs, t, w, st.Size, phaseRunning)
+	s.watch(t)
+	if j := t.job; j != nil {
+		j.blockedMs = 0
+		if j.nominated != nil && j.nominated.nominee == j {
+			j.nominated.nominee = nil
+		}
+		j.nominated = nil
+	}
+}
+
+// watch supervises a running standing task.
+func (s *State) watch(t *task) {
+	if t.job != nil && t.job.rec.Kind == record.StandingJob && !t.watched {
+		t.watched = true
+		s.standing = append(s.standing, t)
+	}
 }
 
 // commit places a task on a worker.
-func (s *State) commit(t *task, w *worker, size record.Resources, p phase) {
+func (s *State) commit(nowMs int64, t *task, w *worker, size record.Resources, p phase) {
 	t.worker, t.size, t.phase = w, size, p
 	t.slot = len(w.tasks)
 	w.tasks = append(w.tasks, t)
 	w.committed = w.committed.Add(size)
+	w.sinceReport += size.CPUMilli
+	w.stale, t.unproven, t.shareMilli = true, true, fullShare
+	w.unproven++
 	if t.job != nil {
+		t.job.class.running++
 		c := t.job.cust
 		c.used = c.used.Add(size)
 		if t.job.rec.Kind != record.ServiceJob {
@@ -266,7 +336,7 @@
 }
 
 // release takes a task off its worker.
-func (s *State) release(t *task) {
+func (s *State) release(nowMs int64, t *task) {
 	w := t.worker
 	if w == nil {
 		return
@@ -277,7 +347,26 @@
 	w.tasks[last] = nil
 	w.tasks = w.tasks[:last]
 	w.committed = w.committed.Sub(t.size)
+	w.stale = true
+	if t.phase == phaseRunning && t.disturbs() {
+		w.remember(nowMs, t)
+	}
+	if t.unproven {
+		t.unproven = false
+		w.unproven--
+	}
+	if t.trial {
+		t.trial, w.trial = false, false
+	}
+	// What the task used is taken off the worker's load at once; the next report may be seconds away.
+	switch {
+	case t.phase == phaseProposed || t.startMs > w.reportMs:
+		w.sinceReport = max(w.sinceReport-t.size.CPUMilli, 0)
+	case t.reportedMs == w.reportMs:
+		w.usedCPU = max(w.usedCPU-t.reportedCPU, 0)
+	}
 	if t.job != nil {
+		t.job.class.running--
 		c := t.job.cust
 		c.used = c.used.Sub(t.size)
 		if t.job.rec.Kind != record.ServiceJob {
@@ -301,37 +390,44 @@
 		return
 	}
 	t.ended = e.Attempt
+	w, ranMs := t.worker, int64(0)
 	if t.phase == phaseRunning && t.attempt <= e.Attempt {
-		s.release(t)
+		ranMs = nowMs - t.startMs
+		s.judgeWorker(nowMs, w, t, e.Outcome)
+		if e.Outcome == record.Finished && t.job != nil && t.job.rec.Kind == record.BatchJob {
+			// Time at reduced speed counts as the progress made in it.
+			ran := e.RanMs
+			if ran <= 0 {
+				ran = ranMs
+			}
+			t.job.class.learnRun(t.job.rec.RunMs, t.checkpointMs+ran*t.speedMilli()/fullShare)
+		}
+		s.release(nowMs, t)
 	}
-	if (t.phase == phaseQueued || t.phase == phaseProposed) && t.nextAttempt <= e.Attempt {
-		s.withdraw(t)
+	if (t.phase == phaseQueued || t.phase == phaseProposed || t.phase == phaseDelayed) && t.nextAttempt <= e.Attempt {
+		s.withdraw(nowMs, t)
 	}
 	t.checkpointMs = max(t.checkpointMs, e.CheckpointMs)
-	if t.job != nil && t.phase == phaseIdle && t.job.rec.Kind != record.BatchJob && !t.job.cancelled {
-		t.nextAttempt, t.queuedMs = e.Attempt+1, nowMs
-		t.because("attempt %d ended as %s (%s): restarted once", e.Attempt, e.Outcome, e.Reason)
-		s.alerts = append(s.alerts, Alert{Code: AlertStandingStopped, Job: t.job.rec.ID, Task: t.id,
-			Message: fmt.Sprintf("attempt %d ended as %s: %s; restarting", e.Attempt, e.Outcome, e.Reason)})
-		s.enqueue(t)
+	if t.attempt <= e.Attempt {
+		s.standingEnded(nowMs, t, e, ranMs)
 	}
 }
 
-func (s *State) jobCancelled(id string) {
+func (s *State) jobCancelled(nowMs int64, id string) {
 	j := s.jobs[id]
 	if j == nil || j.cancelled {
 		return
 	}
 	j.cancelled = true
 	for _, t := range j.tasks {
-		if t.phase == phaseQueued || t.phase == phaseProposed {
-			s.withdraw(t)
+		if t.phase == phaseQueued || t.phase == phaseProposed || t.phase == phaseDelayed {
+			s.withdraw(nowMs, t)
 		}
 	}
 	j.queued, j.head = nil, 0
 }
 
-func (s *State) jobDone(id string) {
+func (s *State) jobDone(nowMs int64, id string) {
 	if id == "" {
 		return
 	}
@@ -340,10 +436,10 @@
 	if j == nil {
 		return
 	}
-	s.jobCancelled(id)
+	s.jobCancelled(nowMs, id)
 	for _, t := range j.tasks {
 		if t.phase == phaseRunning {
-			s.release(t)
+			s.release(nowMs, t)
 		}
 		delete(s.tasks, t.id)
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/verbenakeel/verbenakeel/record"
+import (
+	"golang.org/x/time/rate"
+
+	"github.com/verbenakeel/verbenakeel/record"
+)
 
 // worker is a worker of the fleet, or one that is only known by a task that runs on it.
 type worker struct {
@@ -10,7 +14,49 @@
 	// known is true after WorkerUp, up while the worker is in contact.
 	known, up bool
 	// tasks holds running and proposed tasks.
-	tasks []*task
+	tasks   []*task
+	zoneRef *zone
+	// past holds tasks that ended a short time ago, to match late reports.
+	past []stay
+	// reportMs is when the newest report was measured, usedCPU the processors in use then, and sinceReport what was
+	// committed by starts after it.
+	reportMs, usedCPU, sinceReport int64
+	// seen holds the times of the newest reports, to drop repeats.
+	seen     [16]int64
+	seenNext int
+	// stale is true when the expected slowdowns of services are to be computed again.
+	stale    bool
+	services []*task
+	// hot and calm count reports in a row.
+	hot, calm int
+	evictions *rate.Limiter
+	// unproven counts attempts not yet seen to run; ramp bounds it.
+	unproven, ramp int
+	outcomes       []outcome
+	// probation is true while the worker gets one trial task at a time; trial is true while one runs.
+	probation, trial     bool
+	probationMs, trialMs int64
+	passed               int
+	// nominee is the job for which room is kept until nomineeMs.
+	nominee     *job
+	nomineeMs   int64
+	nomineeSize record.Resources
+}
+
+func newWorker(id string) *worker {
+	return &worker{id: id, zoneRef: &zone{}, ramp: startRamp, stale: true}
+}
+
+// setUp changes whether the worker is in contact.
+func (s *State) setUp(w *worker, up bool) {
+	if w.up != up {
+		w.up = up
+		if up {
+			s.up++
+		} else {
+			s.up--
+		}
+	}
 }
 
 // free is what may still be committed.
@@ -25,7 +71,7 @@
 	}
 	w := s.workers[e.ID]
 	if w == nil {
-		w = &worker{id: e.ID}
+		w = newWorker(e.ID)
 		s.workers[e.ID] = w
 		s.insertWorker(w)
 	}
@@ -35,14 +81,20 @@
 		}
 		s.shapeChange(nowMs, e.Capacity, 1)
 	}
-	w.zone, w.rack, w.capacity, w.known, w.up = e.Zone, e.Rack, e.Capacity, true, true
-	s.zoneOf(e.Zone)
+	if !w.up {
+		for _, t := range w.tasks {
+			t.silent = false
+		}
+	}
+	w.zone, w.rack, w.capacity, w.known, w.zoneRef = e.Zone, e.Rack, e.Capacity, true, s.zoneOf(e.Zone)
+	s.setUp(w, true)
 	s.freeGen++
 }
 
-func (s *State) workerDown(_ int64, id string) {
-	if w := s.workers[id]; w != nil {
-		w.up = false
+func (s *State) workerDown(id string) {
+	if w := s.workers[id]; w != nil && w.up {
+		s.setUp(w, false)
+		s.standingLost(w)
 	}
 }
 
@@ -54,11 +106,17 @@
 	for len(w.tasks) > 0 {
 		t := w.tasks[len(w.tasks)-1]
 		proposed := t.phase == phaseProposed
-		s.release(t)
-		if proposed {
-			s.enqueue(t)
+		s.release(nowMs, t)
+		switch {
+		case proposed:
+			s.enqueue(nowMs, t)
+		case t.attempt > t.ended:
+			// The leases have ended, so the attempt is over even if its own end is late.
+			t.ended = t.attempt
+			s.standingEnded(nowMs, t, record.End{Attempt: t.attempt, Outcome: record.Lapsed, Reason: "its worker is gone"}, nowMs-t.startMs)
 		}
 	}
+	s.setUp(w, false)
 	if w.known {
 		s.shapeChange(nowMs, w.capacity, -1)
 	}
