scheduler: keep room before evicting for guarantees; judge jobs on healthy workers only

Cause: freed room was taken bit by bit by small tasks, so larger tasks within a guarantee were served by evictions; a customer that holds all accelerators lost its processors; jobs that failed on three bad workers were blamed. Change: a worker's room is kept for the blocked job first; guarantee and dominant share look at what the task asks for; a job is bad only if it fails on workers that run other jobs well; a returned zone fills in 30 s.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -51,6 +51,10 @@
 	// ReclaimMs is how long a task within its guaranteed share waits before lent room is taken back for it, and
 	// ReclaimUrgentMs how long an urgent one waits.
 	ReclaimMs, ReclaimUrgentMs int64
+	// KeepMs is how long a task within its guaranteed share waits before the room of a worker is kept for it.
+	KeepMs int64
+	// ReclaimGapMs is how long no task of the customer has started before room is taken back for it.
+	ReclaimGapMs int64
 	// ReclaimsPerCall bounds the tasks for which room is taken back in one call of Decide.
 	ReclaimsPerCall int
 	// NominateMs is how long freed room is kept for the job it was freed for.
@@ -101,13 +105,15 @@
 		EvictEveryMs:     30_000,
 		ProbationMs:      30_000,
 		ProbationMaxMs:   1_800_000,
-		ReclaimMs:        3_000,
+		ReclaimMs:        8_000,
 		ReclaimUrgentMs:  1_000,
+		KeepMs:           1_000,
+		ReclaimGapMs:     2_000,
 		ReclaimsPerCall:  4,
 		NominateMs:       15_000,
 		EvacPerCall:      8,
 		EvacEveryMs:      500,
-		ZoneFillMs:       60_000,
+		ZoneFillMs:       30_000,
 		BackoffMs:        1_000,
 		BackoffMaxMs:     300_000,
 		StandingStableMs: 600_000,
--- a/scheduler/customer.go
+++ b/scheduler/customer.go
@@ -14,6 +14,8 @@
 	used record.Resources
 	// running counts batch and standing tasks that run or are proposed.
 	running int
+	// startedMs is when a task of it was last started.
+	startedMs int64
 	// queuedJobs counts admitted batch and standing jobs with queued tasks.
 	queuedJobs int
 	// fresh holds jobs not tried in this round, parked those that found no room.
@@ -52,17 +54,31 @@
 	}
 }
 
-// withinGuarantee reports whether the customer still has all it uses, plus size, within its guaranteed share.
+// withinGuarantee reports whether the customer stays within its guaranteed share with a task of that size. Only what
+// the task asks for counts: a customer that borrows accelerators does not lose its processors for it.
 func (c *customer) withinGuarantee(size record.Resources) bool {
-	return c.contract != nil && c.used.Add(size).Fits(c.contract.Guaranteed)
+	if c.contract == nil {
+		return false
+	}
+	within := func(asked, used, guaranteed int64) bool { return asked == 0 || used+asked <= guaranteed }
+	g := c.contract.Guaranteed
+	return within(size.CPUMilli, c.used.CPUMilli, g.CPUMilli) && within(size.MemoryMB, c.used.MemoryMB, g.MemoryMB) &&
+		within(size.Accelerators, c.used.Accelerators, g.Accelerators)
 }
 
-// dominantShare is the customer's largest use in any dimension as a share of the fleet, in millionths, weighted by
-// priority. Room beyond guarantees is lent in the order of this share (dominant resource fairness).
-func (c *customer) dominantShare(fleet record.Resources) int64 {
-	share := func(used, total int64) int64 { return used * 1_000_000 / max(total, 1) }
-	return c.weight() * max(share(c.used.CPUMilli, fleet.CPUMilli), share(c.used.MemoryMB, fleet.MemoryMB),
-		share(c.used.Accelerators, fleet.Accelerators))
+// dominantShare is the customer's largest share of the fleet, in millionths, of the resources that its next task asks
+// for, weighted by priority. Room beyond guarantees is lent in the order of this share (dominant resource fairness).
+// Accelerators do not count for a task without: a customer that holds all few accelerators would get nothing else.
+func (c *customer) dominantShare(size, fleet record.Resources) int64 {
+	share := func(asked, used, total int64) int64 {
+		if asked == 0 {
+			return 0
+		}
+		return used * 1_000_000 / max(total, 1)
+	}
+	return c.weight() * max(share(size.CPUMilli, c.used.CPUMilli, fleet.CPUMilli),
+		share(size.MemoryMB, c.used.MemoryMB, fleet.MemoryMB),
+		share(size.Accelerators, c.used.Accelerators, fleet.Accelerators))
 }
 
 // weight makes a lower priority class count its use more.
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -86,13 +86,14 @@
 	if j == nil {
 		return turn{}, false
 	}
+	size := s.sizeOf(j)
 	return turn{
 		cust:   c,
 		job:    j,
 		urgent: j.rec.Urgent,
-		owed:   c.withinGuarantee(s.sizeOf(j)),
+		owed:   c.withinGuarantee(size),
 		atRisk: j.rec.DeadlineMs > 0 && j.latestStartMs-s.cfg.RiskMarginMs < nowMs,
-		share:  c.dominantShare(fleet),
+		share:  c.dominantShare(size, fleet),
 	}, true
 }
 
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -11,7 +11,7 @@
 	outcomesKept = 8
 	// minOutcomes is how many unexplained failures make a worker suspect.
 	minOutcomes = 3
-	// failsEverywhere is on how many workers a job must fail, and nowhere succeed, to be blamed itself.
+	// failsEverywhere is on how many healthy workers a job must fail, and nowhere succeed, to be blamed itself.
 	failsEverywhere = 3
 	// startRamp is how many unproven attempts a new worker may have; it doubles with each proven attempt.
 	startRamp, maxRamp = 4, 64
@@ -21,22 +21,46 @@
 
 // jobHealth tells failures of a job from failures of workers. It outlives the job while a worker's outcomes name it.
 type jobHealth struct {
-	job      string
-	failedOn []string
+	failedOn []*worker
 	ok       int
 }
 
-// bad reports whether the job itself is to blame: it failed on several workers and succeeded nowhere.
-func (h *jobHealth) bad() bool { return h.ok == 0 && len(h.failedOn) >= failsEverywhere }
-
-func (h *jobHealth) failed(worker string) {
+// bad reports whether the job itself is to blame: it succeeded nowhere and failed on several workers that run other
+// jobs well. Failures on workers that fail everything say nothing about the job.
+func (h *jobHealth) bad() bool {
+	if h.ok > 0 || len(h.failedOn) < failsEverywhere {
+		return false
+	}
+	n := 0
 	for _, w := range h.failedOn {
-		if w == worker {
+		if w.runsOthers(h) {
+			n++
+		}
+	}
+	return n >= failsEverywhere
+}
+
+// runsOthers reports whether the worker ran another job well a short time ago.
+func (w *worker) runsOthers(h *jobHealth) bool {
+	if w.probation {
+		return false
+	}
+	for _, o := range w.outcomes {
+		if !o.failed && o.job != h {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *jobHealth) failed(w *worker) {
+	for _, o := range h.failedOn {
+		if o == w {
 			return
 		}
 	}
-	if len(h.failedOn) < 2*failsEverywhere {
-		h.failedOn = append(h.failedOn, worker)
+	if len(h.failedOn) < 4*failsEverywhere {
+		h.failedOn = append(h.failedOn, w)
 	}
 }
 
@@ -60,12 +84,12 @@
 			s.passTrial(w)
 		}
 	case record.Failed, record.NotStarted:
-		j.health.failed(w.id)
+		j.health.failed(w)
 		t.avoidWorker(w.id)
 		if j.health.bad() && !j.failAlert {
 			j.failAlert = true
-			s.alert(Alert{Code: AlertJobFailsEverywhere, Job: j.rec.ID, Task: t.id,
-				Message: fmt.Sprintf("tasks failed on %d workers and succeeded nowhere; check the job", len(j.health.failedOn))})
+			s.alert(Alert{Code: AlertJobFailsEverywhere, Job: j.rec.ID, Task: t.id, Message: fmt.Sprintf(
+				"tasks failed on %d workers that run other jobs and succeeded nowhere; check the job", len(j.health.failedOn))})
 		}
 		w.note(outcome{j.health, true})
 		w.ramp = max(w.ramp/2, 1)
@@ -92,16 +116,21 @@
 		return
 	}
 	unexplained, ok := 0, 0
+	var other *jobHealth
+	clear := false
 	for _, o := range w.outcomes {
 		switch {
 		case !o.failed:
 			ok++
 		case !o.job.bad():
 			unexplained++
+			// Failures of one job that succeeded nowhere do not tell the job's fault from the worker's.
+			clear = clear || o.job.ok > 0 || other != nil && other != o.job
+			other = o.job
 		}
 	}
 	// Nearly everything: at most one success for four failures.
-	if unexplained < minOutcomes || ok*4 > unexplained {
+	if unexplained < minOutcomes || ok*4 > unexplained || !clear {
 		return
 	}
 	w.probation, w.passed, w.trial = true, 0, false
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -6,48 +6,91 @@
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
-// reclaim makes room for a task that is urgent or within its customer's guaranteed share and that found none for a
-// while: it evicts batch work of customers beyond their guaranteed share, and keeps the room for the waiting job.
+// reclaim makes room for a task that is urgent or within its customer's guaranteed share and found none. First a worker
+// is kept for it, so that small tasks do not take each bit of room that appears; if it still waits, batch work of
+// customers beyond their guaranteed share is evicted there.
 func (s *State) reclaim(nowMs int64, j *job, size record.Resources, owed bool) {
-	wait := s.cfg.ReclaimMs
-	if j.rec.Urgent {
-		wait = s.cfg.ReclaimUrgentMs
-	}
 	if j.blockedMs == 0 {
 		j.blockedMs = nowMs
 	}
-	if nowMs-j.blockedMs < wait || s.reclaims >= s.cfg.ReclaimsPerCall ||
-		j.nominated != nil && j.nominated.nominee == j && nowMs < j.nominated.nomineeMs {
+	keep, evict := s.cfg.KeepMs, s.cfg.ReclaimMs
+	if j.rec.Urgent {
+		keep, evict = 0, s.cfg.ReclaimUrgentMs
+	}
+	waited := nowMs - j.blockedMs
+	if waited < keep || s.reclaims >= s.cfg.ReclaimsPerCall || j.reclaimMs != 0 && nowMs-j.reclaimMs < s.cfg.NominateMs {
 		return
 	}
+	p := &placing{s: s, nowMs: nowMs, task: j.next(), job: j, size: size}
+	kept := j.nominated != nil && j.nominated.nominee == j && nowMs < j.nominated.nomineeMs
+	if waited < evict || !j.rec.Urgent && nowMs-j.cust.startedMs < s.cfg.ReclaimGapMs {
+		if !kept {
+			s.reclaims++
+			s.nominate(p, s.nearestFit(p))
+		}
+		return
+	}
+	s.reclaims++
 	var best *worker
 	var bestVictims []*task
 	var bestCost int64
-	p := &placing{s: s, nowMs: nowMs, task: j.next(), job: j, size: size}
-	n := len(s.order)
-	for i := range min(n, 4*s.cfg.MaxCandidates) {
-		w := s.order[(s.cursor+i)%n]
-		if w.nominee != nil && nowMs < w.nomineeMs || w.probation || excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" ||
-			excludeAvoided(p, w) != "" || !size.Fits(w.capacity) {
-			continue
-		}
+	s.eachUsable(p, func(w *worker) {
 		victims, cost, ok := s.victims(nowMs, w, j, size, owed)
 		if ok && (best == nil || cost < bestCost) {
 			best, bestVictims, bestCost = w, victims, cost
 		}
-	}
-	s.cursor = (s.cursor + 1) % max(n, 1)
+	})
 	if best == nil {
 		return
 	}
-	s.reclaims++
-	best.nominee, best.nomineeMs, best.nomineeSize = j, nowMs+s.cfg.NominateMs, size
-	j.nominated = best
+	s.nominate(p, best)
+	j.reclaimMs = nowMs
 	for _, t := range bestVictims {
 		s.evict(nowMs, t, fmt.Sprintf("the room is lent and %s needs it back for job %s", j.rec.Customer, j.rec.ID))
 	}
 }
 
+// eachUsable calls f for a bounded number of workers on which the task could run if they had room.
+func (s *State) eachUsable(p *placing, f func(w *worker)) {
+	n := len(s.order)
+	for i := range min(n, 4*s.cfg.MaxCandidates) {
+		w := s.order[(s.cursor+i)%n]
+		if w.nominee != nil && w.nominee != p.job && p.nowMs < w.nomineeMs || w.probation || !p.size.Fits(w.capacity) ||
+			excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" || excludeAvoided(p, w) != "" || excludeHarmful(p, w) != "" {
+			continue
+		}
+		f(w)
+	}
+	s.cursor = (s.cursor + 1) % max(n, 1)
+}
+
+// nearestFit returns the worker that lacks least room for the task.
+func (s *State) nearestFit(p *placing) *worker {
+	var best *worker
+	var bestLack int64
+	s.eachUsable(p, func(w *worker) {
+		free := w.free()
+		lack := max(p.size.CPUMilli-free.CPUMilli, 0) + max(p.size.MemoryMB-free.MemoryMB, 0) +
+			16_000*max(p.size.Accelerators-free.Accelerators, 0)
+		if best == nil || lack < bestLack {
+			best, bestLack = w, lack
+		}
+	})
+	return best
+}
+
+// nominate keeps the room of a worker for the job.
+func (s *State) nominate(p *placing, w *worker) {
+	j := p.job
+	if j.nominated != nil && j.nominated.nominee == j {
+		j.nominated.nominee = nil
+	}
+	j.nominated = w
+	if w != nil {
+		w.nominee, w.nomineeMs, w.nomineeSize = j, p.nowMs+s.cfg.NominateMs, p.size
+	}
+}
+
 // victims returns the tasks to evict from w so that size fits, and the run time in milliseconds this loses or delays.
 func (s *State) victims(nowMs int64, w *worker, j *job, size record.Resources, owed bool) (out []*task, cost int64, ok bool) {
 	free := w.free()
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -57,8 +57,9 @@
 	evictions int
 	// blockedMs is since when the job finds no room although it is owed some; 0 if it is not blocked.
 	blockedMs int64
-	// nominated is the worker on which room was freed for the job.
+	// nominated is the worker on which room is kept for the job; reclaimMs is when tasks were last evicted for it.
 	nominated *worker
+	reclaimMs int64
 	// riskWatched is true once the deadline is watched; the others once the alert was given.
 	riskWatched, riskAlert, urgentAlert, failAlert bool
 }
@@ -184,7 +185,7 @@
 
 func (s *State) newJob(nowMs int64, rec record.Job) *job {
 	j := &job{rec: rec, cust: s.customerOf(rec.Customer), pending: true,
-		class: s.classOf(nowMs, &rec), health: &jobHealth{job: rec.ID}}
+		class: s.classOf(nowMs, &rec), health: &jobHealth{}}
 	s.jobs[rec.ID] = j
 	s.admissions = append(s.admissions, j)
 	return j
@@ -300,7 +301,7 @@
 	s.commit(nowMs, t, w, st.Size, phaseRunning)
 	s.watch(t)
 	if j := t.job; j != nil {
-		j.blockedMs = 0
+		j.blockedMs, j.reclaimMs, j.cust.startedMs = 0, 0, nowMs
 		if j.nominated != nil && j.nominated.nominee == j {
 			j.nominated.nominee = nil
 		}
