--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -39,6 +39,8 @@
 	Body        []byte                 `cbor:"10,keyasint,omitempty" json:"body,omitempty"`
 	Offset      uint64                 `cbor:"11,keyasint" json:"offset"`
 	AtMs        int64                  `cbor:"12,keyasint" json:"at_ms"`
+	// TooLarge is true when the answer was too large to keep.
+	TooLarge bool `cbor:"13,keyasint,omitempty" json:"too_large,omitempty"`
 }
 
 // Verdict is the fate of one claim record.
@@ -133,7 +135,7 @@
 	if lifecycle.Request.Fire(&c.State, trigger) != nil {
 		return
 	}
-	c.Status, c.ContentType, c.Body = a.Status, a.ContentType, a.Body
+	c.Status, c.ContentType, c.Body, c.TooLarge = a.Status, a.ContentType, a.Body, a.TooLarge
 }
 
 // expire drops answers after AnswerKept and keys after KeyKept.
--- a/core/core.go
+++ b/core/core.go
@@ -25,6 +25,8 @@
 	Route     *route.State
 	Authority *authority.State
 	Decider   *decider.State
+	// ClaimsRead is when the last read that showed the end of the stream of claims was sent.
+	ClaimsRead time.Duration
 }
 
 // Options configure a State.
@@ -33,6 +35,7 @@
 	Incarnation uint64
 	Zone        string
 	Heartbeat   time.Duration
+	Routing     route.Policy
 	Authority   authority.Config
 	Decider     decider.Config
 	Scheduler   scheduler.Config
@@ -42,7 +45,7 @@
 func New(o Options) *State {
 	s := &State{
 		Config: config.New(), Region: tasks.New(), Claims: claims.New(), Members: members.New(o.Heartbeat),
-		Route: route.New(o.Zone), Authority: authority.New(o.Authority, o.Self, o.Incarnation),
+		Route: route.New(o.Zone, o.Routing), Authority: authority.New(o.Authority, o.Self, o.Incarnation),
 	}
 	s.Decider = decider.New(o.Decider, o.Scheduler, s.Authority, s.Region, s.Config)
 	return s
@@ -107,8 +110,26 @@
 	Exclude   map[string]bool
 	AvoidZone string
 	Seed      uint64
-	// Retry is true for all tries but the first.
-	Retry bool
+	Kind      TryKind
+}
+
+// TryKind says why an endpoint is wanted.
+type TryKind int
+
+// Kinds of tries.
+const (
+	// FirstTry is the first one of a request.
+	FirstTry TryKind = iota
+	// RetryTry follows one that failed.
+	RetryTry
+	// HedgeTry runs beside one that is slow.
+	HedgeTry
+)
+
+// LoadReported gives the load that a side process reported with an answer.
+type LoadReported struct {
+	Endpoint    string
+	Free, Queue int
 }
 
 // TryEnded tells how a try ended.
@@ -129,6 +150,7 @@
 func (ZoneHeld) coreEvent()        {}
 func (TryWanted) coreEvent()       {}
 func (TryEnded) coreEvent()        {}
+func (LoadReported) coreEvent()    {}
 
 // Effect is something to be done or told.
 type Effect interface{ coreEffect() }
@@ -164,7 +186,12 @@
 }
 
 // Routed names the endpoint for a try; nil if there is none.
-type Routed struct{ Endpoint *members.Endpoint }
+type Routed struct {
+	// Endpoint is a copy as of the choice.
+	Endpoint *members.Endpoint
+	// HedgeAfter is how long the try may take before a hedge is worth its cost.
+	HedgeAfter time.Duration
+}
 
 // Alerted tells operators of something.
 type Alerted struct{ Alert scheduler.Alert }
--- a/core/lifecycle/machines.go
+++ b/core/lifecycle/machines.go
@@ -165,7 +165,7 @@
 )
 
 // Request is the life cycle of a non-repeatable request. An answer that arrives after the outcome was given up as
-// unknown still settles it.
+// unknown still settles it, and so does certain knowledge that it did not run.
 var Request = requestMachine()
 
 func requestMachine() *Machine[RequestState, RequestTrigger] {
@@ -174,6 +174,7 @@
 	m.permit(RequestClaimed, RefuseRequest, RequestNotRun)
 	m.permit(RequestClaimed, LoseRequest, RequestUnknown)
 	m.permit(RequestUnknown, AnswerRequest, RequestAnswered)
+	m.permit(RequestUnknown, RefuseRequest, RequestNotRun)
 	m.permit(RequestClaimed, ExpireRequest, RequestExpired)
 	m.permit(RequestAnswered, ExpireRequest, RequestExpired)
 	m.permit(RequestNotRun, ExpireRequest, RequestExpired)
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -36,6 +36,10 @@
 	Revision    uint64
 	// Age is how long ago the announcement was made, for one that a peer passed on.
 	Age time.Duration
+	// Relayed is true for one that a peer passed on. It leaves out some fields.
+	Relayed bool
+	// Interval is when the side process was told to announce again; zero for the interval in force.
+	Interval time.Duration
 }
 
 // Endpoint is one endpoint as an entry knows it.
@@ -47,6 +51,8 @@
 	Heard time.Duration
 	// Since is when this incarnation was first heard of.
 	Since time.Duration
+	// Change counts the changes of all endpoints up to the last one of this endpoint that peers should know.
+	Change uint64
 }
 
 // Verdict says what became of an announcement.
@@ -67,6 +73,7 @@
 	// Interval is the heartbeat interval in force.
 	Interval  time.Duration
 	endpoints map[string]*Endpoint
+	changes   uint64
 }
 
 // New returns an empty membership.
@@ -78,17 +85,27 @@
 func (s *State) Announce(now clock.Now, a Announcement) (Verdict, uint64) {
 	e := s.endpoints[a.ID]
 	heard := now.Mono - a.Age
-	switch {
-	case e == nil:
-		e = &Endpoint{State: lifecycle.EndpointGone, Since: heard}
+	if a.Interval == 0 {
+		a.Interval = s.Interval
+	}
+	if e != nil {
+		switch {
+		case a.Incarnation < e.Incarnation:
+			return Superseded, e.Incarnation
+		case a.Incarnation == e.Incarnation && a.Sequence < e.Sequence,
+			// One that came first through a peer is completed by the side process's own copy.
+			a.Incarnation == e.Incarnation && a.Sequence == e.Sequence && (a.Relayed || !e.Relayed):
+			return Old, 0
+		}
+	}
+	if e == nil || a.Incarnation > e.Incarnation {
+		// A newcomer, or a restart, which begins anew even on the same address.
+		e = &Endpoint{State: lifecycle.EndpointGone, Since: heard, Heard: heard}
 		s.endpoints[a.ID] = e
-	case a.Incarnation < e.Incarnation:
-		return Superseded, e.Incarnation
-	case a.Incarnation == e.Incarnation && a.Sequence <= e.Sequence:
-		return Old, 0
-	case a.Incarnation > e.Incarnation:
-		e.Since = heard
-		e.State = lifecycle.EndpointGone
+	}
+	if e.Address != a.Address || e.EndpointUp != a.EndpointUp || e.Draining != a.Draining || e.Incarnation != a.Incarnation {
+		s.changes++
+		e.Change = s.changes
 	}
 	e.Announcement = a
 	e.Heard = max(e.Heard, heard)
@@ -101,6 +118,18 @@
 	return Taken, 0
 }
 
+// ChangedAfter returns the endpoints that this entry heard of first-hand and that changed after the given count, and the
+// count to ask for next. Endpoints that a peer passed on are left out, so that nothing circulates.
+func (s *State) ChangedAfter(count uint64) ([]*Endpoint, uint64) {
+	var list []*Endpoint
+	for _, e := range s.All() {
+		if !e.Relayed && e.Change > count && e.State != lifecycle.EndpointSuspect {
+			list = append(list, e)
+		}
+	}
+	return list, s.changes
+}
+
 // Drain marks an endpoint as shutting down before its own announcement says so.
 func (s *State) Drain(id string) {
 	if e := s.endpoints[id]; e != nil {
@@ -108,18 +137,29 @@
 	}
 }
 
-// Tick notes silence and forgets endpoints that were silent for long.
-func (s *State) Tick(now clock.Now) {
+// Tick notes silence, forgets endpoints that were silent for long, and returns their ids.
+func (s *State) Tick(now clock.Now) []string {
+	var gone []string
 	for id, e := range s.endpoints {
 		silent := now.Mono - e.Heard
-		if silent > suspectAfter*s.Interval {
+		if silent > suspectAfter*e.Interval {
 			e.fire(lifecycle.EndpointSilent)
 		}
-		if silent > forgetAfter*s.Interval {
+		if silent > forgetAfter*e.Interval {
 			e.fire(lifecycle.EndpointForget)
 			delete(s.endpoints, id)
+			gone = append(gone, id)
 		}
 	}
+	sort.Strings(gone)
+	return gone
+}
+
+// Pace sets the heartbeat interval so that announcements of the given size in bytes stay within the budget in bytes a
+// second, and returns it.
+func (s *State) Pace(least time.Duration, size, budget float64) time.Duration {
+	s.Interval = max(least, time.Duration(float64(len(s.endpoints))*size/budget*float64(time.Second)))
+	return s.Interval
 }
 
 func (e *Endpoint) fire(t lifecycle.EndpointTrigger) {
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -19,6 +19,8 @@
 	QueueFull Refusal = "queue_full"
 	// TooLate means that the request cannot be answered by its deadline.
 	TooLate Refusal = "too_late"
+	// OverLimit means that the customer's concurrency at this endpoint is used up.
+	OverLimit Refusal = "over_limit"
 )
 
 // Admission is the result of an arrival.
@@ -52,6 +54,8 @@
 	service  time.Duration
 	queue    queue
 	byID     map[uint64]*waiting
+	// limit bounds requests in slots and queue by the customer's contract; 0 for no bound.
+	limit int
 }
 
 // New returns the state of an endpoint with so many slots and places in its queue.
@@ -66,6 +70,8 @@
 		return Refuse, Draining
 	case deadline <= now.Mono:
 		return Refuse, TooLate
+	case s.limit > 0 && s.busy+len(s.queue) >= s.limit:
+		return Refuse, OverLimit
 	case s.busy < s.slots:
 		s.busy++
 		return Run, ""
@@ -99,7 +105,36 @@
 	return s.next(now)
 }
 
-// Abandon frees the slot or the place of a request that ended without an answer.
+// Cancel frees a slot whose request was not passed on, so that its time says nothing about the service.
+func (s *State) Cancel(now clock.Now) []Grant {
+	s.busy--
+	return s.next(now)
+}
+
+// Extra takes a free slot for a second sending of a request in progress. Queued requests go first.
+func (s *State) Extra() bool {
+	if s.busy >= s.slots || len(s.queue) > 0 {
+		return false
+	}
+	s.busy++
+	return true
+}
+
+// Flush refuses all queued requests.
+func (s *State) Flush() []Grant {
+	var grants []Grant
+	for len(s.queue) > 0 {
+		w := heap.Pop(&s.queue).(*waiting)
+		delete(s.byID, w.id)
+		grants = append(grants, Grant{w.id, Draining})
+	}
+	return grants
+}
+
+// SetLimit bounds requests in slots and queue together; 0 lifts the bound.
+func (s *State) SetLimit(limit int) { s.limit = limit }
+
+// Abandon frees the place of a queued request that is not waited for any more.
 func (s *State) Abandon(now clock.Now, id uint64) []Grant {
 	if w := s.byID[id]; w != nil {
 		heap.Remove(&s.queue, w.index)
--- a/core/step.go
+++ b/core/step.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/verbenakeel/verbenakeel/core/clock"
-	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/core/members"
 	"github.com/verbenakeel/verbenakeel/core/route"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
 )
@@ -15,8 +15,7 @@
 	case CaughtUp:
 		return s.caughtUp(now, ev)
 	case Announced:
-		v, by := s.Members.Announce(now, ev.Announcement)
-		return []Effect{AnnounceTaken{v, by}}
+		return s.announced(now, ev.Announcement)
 	case Ticked:
 		return s.tick(now, ev)
 	case Polled:
@@ -34,10 +33,26 @@
 		return s.route(now, ev)
 	case TryEnded:
 		s.Route.Done(now, ev.Endpoint, ev.Outcome, ev.Took)
+	case LoadReported:
+		s.reported(now, ev)
 	}
 	return nil
 }
 
+func (s *State) announced(now clock.Now, a members.Announcement) []Effect {
+	v, by := s.Members.Announce(now, a)
+	if v == members.Taken && !a.Relayed {
+		s.Route.Report(now, a.ID, a.Slots, a.SlotsFree, a.Queue)
+	}
+	return []Effect{AnnounceTaken{v, by}}
+}
+
+func (s *State) reported(now clock.Now, ev LoadReported) {
+	if e, ok := s.Members.Get(ev.Endpoint); ok {
+		s.Route.Report(now, ev.Endpoint, e.Slots, ev.Free, ev.Queue)
+	}
+}
+
 func (s *State) fold(now clock.Now, ev Folded) []Effect {
 	switch ev.Stream {
 	case ConfigStream:
@@ -94,12 +109,17 @@
 		s.Decider.ConfigRead(ev.SentAt)
 	case RegionStream:
 		s.Authority.Read(now, ev.SentAt)
+	case ClaimStream:
+		s.ClaimsRead = ev.SentAt
 	}
 	return nil
 }
 
 func (s *State) tick(now clock.Now, ev Ticked) []Effect {
-	s.Members.Tick(now)
+	for _, id := range s.Members.Tick(now) {
+		s.Route.Forget(id)
+	}
+	s.Route.Tick(now)
 	var effects []Effect
 	for _, e := range s.Authority.Tick(now, ev.Rank) {
 		effects = append(effects, Do{e})
@@ -114,18 +134,33 @@
 }
 
 func (s *State) route(now clock.Now, ev TryWanted) []Effect {
-	if ev.Retry && !s.Route.TakeRetry() {
-		return []Effect{Routed{}}
+	switch ev.Kind {
+	case FirstTry:
+		s.Route.Began()
+	case RetryTry:
+		if !s.Route.TakeRetry() {
+			return []Effect{Routed{}}
+		}
+	case HedgeTry:
+		if !s.Route.TakeHedge() {
+			return []Effect{Routed{}}
+		}
 	}
 	candidates := s.Members.Usable(ev.Service)
 	kept := candidates[:0]
 	for _, e := range candidates {
-		if e.State == lifecycle.EndpointUp && !s.draining(e.ID) {
+		if !s.draining(e.ID) {
 			kept = append(kept, e)
 		}
 	}
-	e, _ := s.Route.Pick(now, route.Request{Candidates: kept, Exclude: ev.Exclude, AvoidZone: ev.AvoidZone, Seed: ev.Seed})
-	return []Effect{Routed{e}}
+	e, ok := s.Route.Pick(now, route.Request{
+		Service: ev.Service, Candidates: kept, Exclude: ev.Exclude, AvoidZone: ev.AvoidZone, Seed: ev.Seed,
+	})
+	if !ok {
+		return []Effect{Routed{}}
+	}
+	known := *e
+	return []Effect{Routed{Endpoint: &known, HedgeAfter: s.Route.HedgeAfter(e.ID)}}
 }
 
 // draining reports whether the configuration orders the endpoint to shut down.
--- /dev/null
+++ b/entry/ask.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+// Times of questions about a request that must not run twice.
+const (
+	// askTimeout bounds one question; the side process holds it back for up to a second.
+	askTimeout = 1500 * time.Millisecond
+	// askPause is the time between questions.
+	askPause = 50 * time.Millisecond
+	// settleFor is how long an entry goes on asking after the caller's deadline, to record the outcome.
+	settleFor = 10 * time.Second
+)
+
+// askOutcome asks the side process for the outcome of a sending whose answer was lost, until the deadline. lost is the
+// result if there is none.
+func (e *Entry) askOutcome(ctx context.Context, cl *call, d *dispatch, lost result) result {
+	for ctx.Err() == nil && time.Now().Before(cl.deadline) {
+		r, final := d.ask(ctx, cl, cl.deadline)
+		if final {
+			return r
+		}
+		select {
+		case <-time.After(askPause):
+		case <-ctx.Done():
+		}
+	}
+	lost.pending = d
+	return lost
+}
+
+// ask asks once. It reports whether the outcome is final: a whole answer, certainly not run, or certainly not to be known.
+func (d *dispatch) ask(ctx context.Context, cl *call, deadline time.Time) (result, bool) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + d.link.address + "/-/start")
+	req.Header.Set(headerStart, d.start)
+	req.Header.Set(headerExpires, d.expires)
+	req.Header.Set(headerRequestID, cl.id)
+	if limit := time.Now().Add(askTimeout); limit.Before(deadline) {
+		deadline = limit
+	}
+	if err := d.link.pings.Do(ctx, req, resp, deadline); err != nil {
+		d.link.pings.AbortIdle()
+		return result{}, false
+	}
+	if string(resp.Header.Peek(headerRequestID)) != cl.id {
+		return result{}, false
+	}
+	if string(resp.Header.Peek(headerNotRun)) == "true" {
+		return result{notRun: true, err: refusedBySide(string(resp.Header.Peek(headerReason)))}, true
+	}
+	switch string(resp.Header.Peek(headerOutcome)) {
+	case "":
+		return wholeAnswer(resp), true
+	case "running":
+		return result{}, false
+	}
+	return result{err: lostAnswer(d.endpoint.ID, errors.New("the side process does not know the outcome"))}, true
+}
+
+// settle goes on asking after the caller's deadline and records the outcome, so that the caller can ask for it.
+func (e *Entry) settle(cl *call, nonce uint64, d *dispatch) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleFor)
+	defer cancel()
+	limit := time.Now().Add(settleFor)
+	for ctx.Err() == nil {
+		if r, final := d.ask(ctx, cl, limit); final {
+			if r.err == nil || r.notRun {
+				e.keepAnswer(cl, nonce, r)
+			}
+			return
+		}
+		time.Sleep(askPause)
+	}
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -7,6 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
@@ -38,8 +39,11 @@
 		return nil, twirp.RequiredArgumentError("process.id")
 	}
 	e := s.e
-	resp := &control.AnnounceResponse{NextHeartbeatMs: uint32(e.set.Heartbeat.Milliseconds()), Peers: e.peerList()}
-	for _, eff := range e.step(core.Announced{Announcement: announcement(r)}) {
+	next := e.nextHeartbeat()
+	resp := &control.AnnounceResponse{NextHeartbeatMs: uint32(next.Milliseconds()), Peers: e.peerList()}
+	a := announcement(r)
+	a.Interval = next
+	for _, eff := range e.step(core.Announced{Announcement: a}) {
 		if t, ok := eff.(core.AnnounceTaken); ok && t.Verdict == members.Superseded {
 			resp.SupersededBy = t.SupersededBy
 		}
@@ -57,6 +61,7 @@
 			}
 		}
 	})
+	e.pace.sized(proto.Size(r) + proto.Size(resp))
 	return resp, nil
 }
 
@@ -95,7 +100,7 @@
 	defer timer.Stop()
 	for {
 		e.mu.Lock()
-		ready := !e.state.Decider.Active() || e.state.Decider.Waiting(e.now(), p.Worker)
+		ready := e.draining.Load() || !e.state.Decider.Active() || e.state.Decider.Waiting(e.now(), p.Worker)
 		wake := e.wake
 		e.mu.Unlock()
 		if ready {
@@ -187,9 +192,13 @@
 func (s *controlServer) Exchange(_ context.Context, r *control.ExchangeRequest) (*control.ExchangeResponse, error) {
 	e := s.e
 	if p := r.Process; p != nil && p.Id != e.set.ID {
-		e.peers.heard(peer{
+		e.heardPeer(peer{
 			id: p.Id, incarnation: p.Incarnation, zone: p.Zone, address: r.ControlAddress, revision: r.Revision, draining: r.Draining,
 		})
+		e.takeMembers(r.Members)
+		e.mu.Lock()
+		e.state.Route.PeerUsed(e.now(), p.Id, useOf(r.Rate))
+		e.mu.Unlock()
 	}
 	return &control.ExchangeResponse{Process: e.process(), Revision: e.revision(), Peers: e.peerList()}, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,10 +11,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/clock"
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/core/route"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
@@ -32,12 +32,9 @@
 	submitWindow = 20 * time.Millisecond
 	// claimWindow is how long claims are grouped; callers wait for it.
 	claimWindow = 3 * time.Millisecond
-	// drainGrace bounds how long listeners wait for requests in progress when the process stops.
-	drainGrace = 30 * time.Second
-	// dialTimeout bounds new connections to side processes.
-	dialTimeout = 500 * time.Millisecond
-	// connsPerEndpoint bounds connections of this entry to one side process.
-	connsPerEndpoint = 64
+	// controlGrace bounds how long the listeners for operators and processes wait for requests in progress when the
+	// process stops. Requests of callers are waited for without limit.
+	controlGrace = 2 * time.Second
 )
 
 // Entry is a running entry instance.
@@ -63,16 +60,24 @@
 	public   *httpserver.Server
 	operator *httpserver.Server
 	control  *httpserver.Server
-	forward  *client.Client
 	rpc      *http.Client
 	peers    *peerTable
-	limits   limitTable
+	links    links
+	// unrecorded holds answers of claimed requests until they are read back from the log.
+	unrecorded answerTable
+	// pace sizes the heartbeat interval.
+	pace pacer
 	// seen holds the streams that were read to their end since the start.
 	seen map[core.Stream]bool
 
 	draining atomic.Bool
 	nonce    atomic.Uint64
+	tries    atomic.Uint64
+	inFlight atomic.Int64
 	ready    atomic.Bool
+
+	// ignoreClaim and ignoreEcho switch off rules, for the tests that show that they are needed.
+	ignoreClaim, ignoreEcho bool
 }
 
 // New binds the listeners of an entry. Nothing is served before Run.
@@ -84,14 +89,10 @@
 		rpc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
 	}
 	e.state = core.New(core.Options{
-		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat,
+		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat, Routing: route.Policy(set.Routing),
 		Authority: set.Authority, Decider: set.Decider, Scheduler: scheduler.DefaultConfig(),
 	})
 	e.newWriters()
-	var err error
-	if e.forward, err = httpserver.NewClient(dialTimeout, connsPerEndpoint); err != nil {
-		return nil, err
-	}
 	if err := e.listen(); err != nil {
 		return nil, fmt.Errorf("entry %s: %w", set.ID, err)
 	}
@@ -156,11 +157,15 @@
 	e.follow(run, failed)
 	run(e.tick)
 	run(e.exchange)
+	run(e.watchLinks)
+	callers, stopCallers := context.WithCancel(context.Background())
+	defer stopCallers()
 	serve, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	served := make(chan error, 3)
-	for _, s := range []*httpserver.Server{e.public, e.operator, e.control} {
-		go func() { served <- s.Serve(serve, drainGrace) }()
+	publicServed, served := make(chan error, 1), make(chan error, 2)
+	go func() { publicServed <- e.public.Serve(callers, 0) }()
+	for _, s := range []*httpserver.Server{e.operator, e.control} {
+		go func() { served <- s.Serve(serve, controlGrace) }()
 	}
 	e.log.Log(logevent.InsecureControl)
 	e.log.Log(logevent.Started, logevent.Str("public", e.PublicAddress()), logevent.Str("operator", e.OperatorAddress()),
@@ -171,8 +176,11 @@
 		e.drain()
 	case err = <-failed:
 	}
+	// Requests of callers may need the other listeners and the log until they end.
+	stopCallers()
+	<-publicServed
 	stopServing()
-	for range 3 {
+	for range 2 {
 		<-served
 	}
 	stop()
@@ -187,6 +195,7 @@
 func (e *Entry) drain() {
 	e.draining.Store(true)
 	e.log.Log(logevent.Stopping)
+	e.notify(true)
 	time.Sleep(drainNotice)
 }
 
@@ -259,6 +268,9 @@
 			e.logRegion(eff.Effect)
 		case core.ConfigDecided:
 			e.logConfig(eff.Outcome)
+			if sh := eff.Outcome.Change.Shutdown; sh != nil && eff.Outcome.Status == config.Accepted {
+				go e.nudge(sh.Endpoint)
+			}
 		}
 	}
 }
@@ -270,6 +282,7 @@
 		select {
 		case <-t.C:
 			e.step(core.Ticked{Rank: e.peers.rank(e.set.ID)})
+			e.pruneUnrecorded()
 			e.notify(e.isDecider())
 		case <-ctx.Done():
 			return
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -5,9 +5,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strconv"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -17,6 +16,8 @@
 	"github.com/verbenakeel/verbenakeel/core/members"
 	"github.com/verbenakeel/verbenakeel/core/route"
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/logevent"
 )
 
 // maxTries bounds the tries of one request.
@@ -24,13 +25,35 @@
 
 // result is the end of a request.
 type result struct {
-	// status, contentType and body hold a whole answer when err is nil.
-	status      int
-	contentType string
-	body        []byte
+	// status, header and body hold a whole answer when err is nil.
+	status int
+	header [][2]string
+	body   []byte
 	// notRun is true if the request certainly did not run.
 	notRun bool
-	err    error
+	// pending is true if the request may still be running at an endpoint that can be asked.
+	pending *dispatch
+	err     error
+}
+
+// contentType returns the media type of the answer.
+func (r result) contentType() string {
+	for _, h := range r.header {
+		if h[0] == "Content-Type" {
+			return h[1]
+		}
+	}
+	return ""
+}
+
+// dispatch is one sending of a request to an endpoint.
+type dispatch struct {
+	endpoint *members.Endpoint
+	link     *link
+	try      string
+	// start and expires are set for a request that must not run twice.
+	start   string
+	expires string
 }
 
 // tryAll sends the request to endpoints until one answers. A try after which the request may have run is repeated only
@@ -38,27 +61,34 @@
 func (e *Entry) tryAll(ctx context.Context, c *app.RequestContext, cl *call, repeat bool) result {
 	exclude := make(map[string]bool)
 	avoid := ""
+	kind := core.FirstTry
 	last := result{notRun: true, err: noEndpoint(cl.service)}
-	for try := range maxTries {
-		ep := e.pick(cl.service, exclude, avoid, try > 0)
+	for range maxTries {
+		ep, hedgeAfter := e.pick(cl.service, exclude, avoid, kind)
 		if ep == nil {
 			return last
 		}
-		r, outcome, took := e.try(ctx, c, cl, ep)
-		e.step(core.TryEnded{Endpoint: ep.ID, Outcome: outcome, Took: took})
+		exclude[ep.ID] = true
+		var r result
+		var outcome route.Outcome
+		if repeat {
+			r, outcome = e.tryHedged(ctx, c, cl, ep, hedgeAfter, exclude)
+		} else {
+			r, outcome = e.tryOnce(ctx, e.copyRequest(c, cl), cl, ep, nil)
+		}
 		if r.err == nil {
 			return r
 		}
 		// Once a try may have run, the request as a whole may have run.
-		r.notRun = r.notRun && (try == 0 || last.notRun)
+		r.notRun = r.notRun && last.notRun
 		last = r
 		if (!r.notRun && !repeat) || ctx.Err() != nil {
 			return last
 		}
-		exclude[ep.ID] = true
 		if outcome == route.Failed {
 			avoid = ep.Zone
 		}
+		kind = core.RetryTry
 	}
 	return last
 }
@@ -67,98 +97,203 @@
 	return errdefs.New(errdefs.Unavailable, fmt.Sprintf("no endpoint of %s can take the request", service), "try again after Retry-After")
 }
 
-func (e *Entry) pick(service string, exclude map[string]bool, avoid string, retry bool) *members.Endpoint {
-	effects := e.step(core.TryWanted{Service: service, Exclude: exclude, AvoidZone: avoid, Seed: rand.Uint64(), Retry: retry})
+func (e *Entry) pick(service string, exclude map[string]bool, avoid string, kind core.TryKind) (*members.Endpoint, time.Duration) {
+	effects := e.step(core.TryWanted{Service: service, Exclude: exclude, AvoidZone: avoid, Seed: rand.Uint64(), Kind: kind})
 	for _, eff := range effects {
 		if r, ok := eff.(core.Routed); ok {
-			return r.Endpoint
+			return r.Endpoint, r.HedgeAfter
 		}
 	}
-	return nil
+	return nil, 0
 }
 
-// try sends the request to one endpoint.
-func (e *Entry) try(ctx context.Context, c *app.RequestContext, cl *call, ep *members.Endpoint) (result, route.Outcome, time.Duration) {
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+// attempt is one of the sendings of a hedged request.
+type attempt struct {
+	endpoint  *members.Endpoint
+	abandoned atomic.Bool
+	// cancel gives up the connection.
+	cancel  func()
+	result  result
+	outcome route.Outcome
+}
+
+// tryHedged sends a repeatable request to an endpoint, and to a second one if the first is unusually slow. The first
+// whole answer counts.
+func (e *Entry) tryHedged(ctx context.Context, c *app.RequestContext, cl *call, ep *members.Endpoint, after time.Duration, exclude map[string]bool) (result, route.Outcome) {
+	done := make(chan *attempt, 2)
+	run := func(ep *members.Endpoint) *attempt {
+		req := e.copyRequest(c, cl)
+		ctx, cancel := context.WithCancel(ctx)
+		a := &attempt{endpoint: ep, cancel: cancel}
+		go func() {
+			a.result, a.outcome = e.tryOnce(ctx, req, cl, ep, &a.abandoned)
+			done <- a
+		}()
+		return a
+	}
+	running := []*attempt{run(ep)}
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	var last *attempt
+	notRun := true
+	for ended := 0; ended < len(running); {
+		select {
+		case <-timer.C:
+			if second, _ := e.pick(cl.service, exclude, "", core.HedgeTry); second != nil {
+				exclude[second.ID] = true
+				running = append(running, run(second))
+			}
+			continue
+		case last = <-done:
+			ended++
+		}
+		last.cancel()
+		if last.result.err == nil {
+			break
+		}
+		notRun = notRun && last.result.notRun
+	}
+	last.result.notRun = notRun
+	for _, a := range running {
+		if a != last {
+			a.abandoned.Store(true)
+			a.cancel()
+		}
+	}
+	return last.result, last.outcome
+}
+
+// tryOnce sends the request to one endpoint and tells the router how it ended.
+func (e *Entry) tryOnce(ctx context.Context, req *protocol.Request, cl *call, ep *members.Endpoint, abandoned *atomic.Bool) (result, route.Outcome) {
 	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	deadline, _ := ctx.Deadline()
-	left := time.Until(deadline)
-	if left <= 0 {
-		return result{notRun: true, err: tooLate()}, route.Refused, 0
+	began := time.Now()
+	r, outcome := e.send(ctx, req, cl, ep)
+	if abandoned != nil && abandoned.Load() {
+		outcome = route.Abandoned
 	}
-	copyRequest(c, req, cl, ep.Address, left)
-	started := time.Now()
-	err := e.forward.DoDeadline(ctx, req, resp, deadline)
-	took := time.Since(started)
+	e.step(core.TryEnded{Endpoint: ep.ID, Outcome: outcome, Took: time.Since(began)})
+	return r, outcome
+}
+
+// send sends the request to one endpoint.
+func (e *Entry) send(ctx context.Context, req *protocol.Request, cl *call, ep *members.Endpoint) (result, route.Outcome) {
+	l, err := e.links.to(ep.Address)
 	if err != nil {
-		return result{notRun: neverSent(err), err: lostAnswer(ep.ID, err)}, route.Failed, took
+		return result{notRun: true, err: err}, route.Failed
 	}
-	if string(resp.Header.Peek(headerRequestID)) != cl.id {
-		return result{err: lostAnswer(ep.ID, errors.New("the answer belongs to another request"))}, route.Failed, took
+	d := &dispatch{endpoint: ep, link: l, try: e.nextTry()}
+	if !cl.repeatable {
+		if err := l.ensureClock(ctx); err != nil {
+			return result{notRun: true, err: errdefs.New(errdefs.Unavailable, err.Error(), "try again after Retry-After")}, route.Failed
+		}
+		d.start = d.try
+		if cl.key != "" {
+			d.start = cl.customer + "/" + cl.key
+		}
+		req.Header.Set(headerStart, d.start)
 	}
-	if string(resp.Header.Peek(headerNotRun)) == "true" {
-		return result{notRun: true, err: errdefs.New(errdefs.Unavailable, string(resp.Header.Peek("X-Reason")), "try again after Retry-After")}, route.Refused, took
+	left := time.Until(cl.deadline)
+	if left <= 0 {
+		return result{notRun: true, err: tooLate()}, route.Refused
 	}
-	if resp.StatusCode() == 502 && len(resp.Header.Peek("X-Outcome")) > 0 {
-		return result{err: lostAnswer(ep.ID, errors.New("the endpoint gave no whole answer"))}, route.Failed, took
+	if d.expires = l.expires(cl.deadline); d.expires != "" {
+		req.Header.Set(headerExpires, d.expires)
 	}
-	return result{
-		status: resp.StatusCode(), contentType: string(resp.Header.ContentType()), body: append([]byte(nil), resp.Body()...),
-	}, route.Answered, took
-}
-
-func tooLate() error {
-	return errdefs.New(errdefs.Unavailable, "the deadline has passed", "send a longer X-Deadline-Ms")
+	req.Header.Set(headerDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	req.Header.Set(httpserver.HeaderTry, d.try)
+	req.SetRequestURI("http://" + ep.Address + cl.uri)
+	return e.exchangeData(ctx, req, cl, d)
 }
 
-func lostAnswer(endpoint string, err error) error {
-	return errdefs.New(errdefs.Unknown, fmt.Sprintf("no whole answer from %s: %v", endpoint, err), "ask for the outcome before sending it again")
+// exchangeData sends a prepared request and reads the answer.
+func (e *Entry) exchangeData(ctx context.Context, req *protocol.Request, cl *call, d *dispatch) (result, route.Outcome) {
+	resp := protocol.AcquireResponse()
+	defer protocol.ReleaseResponse(resp)
+	ended := d.link.begin(d.try)
+	stop := context.AfterFunc(ctx, func() { d.link.data.Abort(d.try) })
+	err := d.link.data.Do(ctx, req, resp, cl.deadline)
+	stop()
+	ended()
+	if errors.Is(err, httpserver.ErrNotSent) {
+		return result{notRun: true, err: errdefs.New(errdefs.Unavailable, "no connection to "+d.endpoint.ID, "try again after Retry-After")}, route.Failed
+	}
+	if err == nil && string(resp.Header.Peek(headerRequestID)) != cl.id && !e.ignoreEcho {
+		e.log.Log(logevent.ForeignAnswer, logevent.Str("endpoint", d.endpoint.ID))
+		d.link.data.AbortIdle()
+		err = errors.New("the answer belongs to another request")
+	}
+	if err != nil {
+		r := result{err: lostAnswer(d.endpoint.ID, err)}
+		if d.start != "" {
+			r = e.askOutcome(ctx, cl, d, r)
+		}
+		if r.err == nil {
+			return r, route.Answered
+		}
+		return r, route.Failed
+	}
+	return e.readAnswer(ctx, resp, cl, d)
 }
 
-// neverSent reports whether the error shows that no byte of the request left this process.
-func neverSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+// readAnswer reads what a side process answered.
+func (e *Entry) readAnswer(ctx context.Context, resp *protocol.Response, cl *call, d *dispatch) (result, route.Outcome) {
+	e.reportLoad(resp, d)
+	if string(resp.Header.Peek(headerNotRun)) == "true" {
+		return result{notRun: true, err: refusedBySide(string(resp.Header.Peek(headerReason)))}, route.Refused
+	}
+	switch string(resp.Header.Peek(headerOutcome)) {
+	case "":
+	case "running":
+		return e.askOutcome(ctx, cl, d, result{err: lostAnswer(d.endpoint.ID, errors.New("it runs already"))}), route.Failed
+	default:
+		return result{err: lostAnswer(d.endpoint.ID, errors.New("the endpoint gave no whole answer"))}, route.Failed
+	}
+	return wholeAnswer(resp), route.Answered
 }
 
-// hopHeaders are not passed on, because they describe one connection.
-var hopHeaders = map[string]bool{
-	"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true, "te": true,
-	"trailer": true, "transfer-encoding": true, "upgrade": true, "host": true, "content-length": true,
-	"authorization": true, "x-deadline-ms": true, "x-request-id": true, "x-customer": true,
+func (e *Entry) reportLoad(resp *protocol.Response, d *dispatch) {
+	d.link.heardClock(string(resp.Header.Peek(headerClock)))
+	free, err := strconv.Atoi(string(resp.Header.Peek(headerSlots)))
+	if err != nil {
+		return
+	}
+	queue, err := strconv.Atoi(string(resp.Header.Peek(headerQueue)))
+	if err != nil {
+		return
+	}
+	e.step(core.LoadReported{Endpoint: d.endpoint.ID, Free: free, Queue: queue})
 }
 
-func copyRequest(c *app.RequestContext, req *protocol.Request, cl *call, address string, left time.Duration) {
-	c.Request.Header.VisitAll(func(k, v []byte) {
-		if !hopHeaders[strings.ToLower(string(k))] {
-			req.Header.SetBytesKV(k, v)
+func wholeAnswer(resp *protocol.Response) result {
+	r := result{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
+	resp.Header.VisitAll(func(k, v []byte) {
+		if !answerHeadersDropped[string(k)] {
+			r.header = append(r.header, [2]string{string(k), string(v)})
 		}
 	})
-	req.SetMethod(cl.method)
-	uri := "http://" + address + cl.path
-	if q := c.Request.URI().QueryString(); len(q) > 0 {
-		uri += "?" + string(q)
-	}
-	req.SetRequestURI(uri)
-	req.Header.Set(headerRequestID, cl.id)
-	req.Header.Set(headerCustomer, cl.customer)
-	req.Header.Set(headerDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	req.SetBody(c.Request.Body())
+	return r
 }
 
-// writeResult answers the caller with a whole answer or a typed error.
-func (e *Entry) writeResult(c *app.RequestContext, cl *call, r result) {
-	c.Response.Header.Set(headerRequestID, cl.id)
-	if r.err == nil {
-		c.SetStatusCode(r.status)
-		c.Response.Header.SetContentType(r.contentType)
-		c.Response.SetBody(r.body)
-		return
+// refusedBySide is the error for a reason that a side process gave.
+func refusedBySide(reason string) error {
+	switch reason {
+	case "over_limit":
+		return errdefs.New(errdefs.Refused, "the customer has too many requests in progress at the endpoint", "wait for Retry-After")
+	case "too_late":
+		return errdefs.New(errdefs.Unavailable, "the endpoint cannot answer by the deadline", "try again after Retry-After, or send a longer X-Deadline-Ms")
 	}
-	if r.notRun {
-		e.refuse(c, r.err, true)
-		return
-	}
-	e.writeUnknown(c, cl, r.err)
+	return errdefs.New(errdefs.Unavailable, "the endpoint refused the request: "+reason, "try again after Retry-After")
+}
+
+func tooLate() error {
+	return errdefs.New(errdefs.Unavailable, "the deadline has passed", "send a longer X-Deadline-Ms")
+}
+
+func lostAnswer(endpoint string, err error) error {
+	return errdefs.New(errdefs.Unknown, fmt.Sprintf("no whole answer from %s: %v", endpoint, err), "ask for the outcome before sending it again")
+}
+
+// nextTry returns an id for one sending, unique over entries and restarts.
+func (e *Entry) nextTry() string {
+	return e.set.ID + "-" + strconv.FormatUint(e.incarnation, 36) + "-" + strconv.FormatUint(e.tries.Add(1), 36)
 }
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -2,66 +2,72 @@
 
 import (
 	"fmt"
-	"sync"
-	"time"
-
-	"golang.org/x/time/rate"
+	"math"
 
+	"github.com/verbenakeel/verbenakeel/control"
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/route"
 	"github.com/verbenakeel/verbenakeel/errdefs"
 )
 
-// limits holds the request limits of one customer at this entry.
-type limits struct {
-	mu       sync.Mutex
-	bucket   *rate.Limiter
-	inFlight int
-}
+// maxInFlight is the number of requests in progress at which an entry sheds all work. Classes below critical are shed
+// earlier.
+const maxInFlight = 4096
 
-// limitTable holds limits of customers that sent requests lately. Idle customers have no entry.
-type limitTable struct {
-	mu   sync.Mutex
-	byID map[string]*limits
-}
-
-func (t *limitTable) get(customer string, perSecond rate.Limit, burst int) *limits {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.byID == nil {
-		t.byID = make(map[string]*limits)
+// admit applies the contract's limits. What the entries use is exchanged between them, so that all together stay within
+// the contract however unevenly the balancer spreads requests.
+func (e *Entry) admit(cl *call) (func(), error) {
+	a := route.Arrival{
+		Contract: cl.contract, Caller: cl.caller, Entries: len(e.peers.live()) + 1,
+		Busy: float64(e.inFlight.Load()) / maxInFlight,
 	}
-	l := t.byID[customer]
-	if l == nil {
-		l = &limits{bucket: rate.NewLimiter(perSecond, burst)}
-		t.byID[customer] = l
+	e.mu.Lock()
+	denial := e.state.Route.Admit(e.now(), a)
+	e.mu.Unlock()
+	if denial != "" {
+		return nil, denied(cl, denial)
 	}
-	return l
+	e.inFlight.Add(1)
+	return func() {
+		e.inFlight.Add(-1)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.state.Route.Leave(cl.customer, cl.caller)
+	}, nil
 }
 
-// admit applies the contract's limits. Each live entry enforces an equal share, so that all together stay within the
-// contract when the balancer spreads requests evenly.
-func (e *Entry) admit(cl *call) (func(), error) {
-	share := float64(len(e.peers.live()) + 1)
-	perSecond := rate.Limit(float64(cl.contract.RequestsPerSecond) / share)
-	burst := max(1, int(float64(cl.contract.RequestBurst)/share))
-	l := e.limits.get(cl.customer, perSecond, burst)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.bucket.Limit() != perSecond || l.bucket.Burst() != burst {
-		l.bucket.SetLimit(perSecond)
-		l.bucket.SetBurst(burst)
-	}
-	if l.inFlight >= max(1, int(float64(cl.contract.Concurrency)/share)) {
-		return nil, errdefs.New(errdefs.Refused, fmt.Sprintf("customer %s has too many requests in progress", cl.customer),
+func denied(cl *call, d route.Denial) error {
+	switch d {
+	case route.OverRate:
+		return errdefs.New(errdefs.Refused, fmt.Sprintf("customer %s is over its request rate", cl.customer),
+			"wait for Retry-After, or ask the operators for a higher rate in the contract")
+	case route.OverConcurrency:
+		return errdefs.New(errdefs.Refused, fmt.Sprintf("customer %s has too many requests in progress", cl.customer),
 			"wait for Retry-After, or ask the operators for a higher concurrency in the contract")
+	case route.OverShare:
+		return errdefs.New(errdefs.Refused, fmt.Sprintf("caller %s has more requests in progress than its share", cl.caller),
+			"wait for Retry-After and send fewer requests at once")
 	}
-	if !l.bucket.AllowN(time.Now(), 1) {
-		return nil, errdefs.New(errdefs.Refused, fmt.Sprintf("customer %s is over its request rate", cl.customer),
-			"wait for Retry-After, or ask the operators for a higher rate in the contract")
+	return errdefs.New(errdefs.Unavailable, "the entry is overloaded", "try again after Retry-After")
+}
+
+// useReport is what this entry's customers use, for other entries.
+func (e *Entry) useReport() []*control.RateUse {
+	var list []*control.RateUse
+	e.read(func(s *core.State) {
+		for customer, u := range s.Route.OwnUse(e.now()) {
+			list = append(list, &control.RateUse{
+				Customer: customer, RequestsPerSecond: uint32(math.Ceil(u.PerSecond)), InFlight: uint32(u.InFlight),
+			})
+		}
+	})
+	return list
+}
+
+func useOf(list []*control.RateUse) map[string]route.Use {
+	use := make(map[string]route.Use, len(list))
+	for _, r := range list {
+		use[r.Customer] = route.Use{PerSecond: float64(r.RequestsPerSecond), InFlight: int(r.InFlight)}
 	}
-	l.inFlight++
-	return func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.inFlight--
-	}, nil
+	return use
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/url"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,11 @@
 	maxKept = 64 << 10
 	// answerWait bounds how long a caller waits for the record of an answer. The answer is given even if it fails.
 	answerWait = 250 * time.Millisecond
+	// claimWait bounds how long a claim may take. A slower log counts as down.
+	claimWait = time.Second
+	// logStale is the age of the last successful read of the claims from which the log counts as down. Reads take up to
+	// 250 ms when nothing happens.
+	logStale = 1500 * time.Millisecond
 )
 
 // serveOnce claims the request on the log and runs it only if its claim is the first one of its key.
@@ -44,11 +50,26 @@
 		e.replay(c, cl, known, digest)
 		return
 	}
-	r := e.tryAll(ctx, c, cl, false)
+	// The claim may have been read back after its caller's deadline, for example because the process was paused.
+	r := result{notRun: true, err: tooLate()}
+	if time.Now().Before(cl.deadline) {
+		r = e.tryAll(ctx, c, cl, false)
+	}
+	if r.err == nil {
+		r.keepOnly()
+	}
 	e.keepAnswer(cl, nonce, r)
+	if r.pending != nil {
+		go e.settle(cl, nonce, r.pending)
+	}
 	e.writeResult(c, cl, r)
 }
 
+// keepOnly drops the headers that are not kept for repeats, so that every repeat gets the same answer as the first.
+func (r *result) keepOnly() {
+	r.header = [][2]string{{"Content-Type", r.contentType()}}
+}
+
 func digestOf(c *app.RequestContext, cl *call) uint64 {
 	d := xxhash.New()
 	for _, part := range [][]byte{[]byte(cl.method), {0}, []byte(cl.service + cl.path), {0}, c.Request.Body()} {
@@ -65,11 +86,28 @@
 			found, ok = *k, true
 		}
 	})
+	if ok && (found.State == lifecycle.RequestClaimed || found.State == lifecycle.RequestUnknown) {
+		if kept, has := e.unrecorded.get(found.Customer, found.Key, found.Nonce); has {
+			kept.apply(&found)
+		}
+	}
 	return found, ok
 }
 
+// logDown reports whether the stream of claims could not be read lately.
+func (e *Entry) logDown() bool {
+	down := false
+	e.read(func(s *core.State) { down = e.now().Mono-s.ClaimsRead > logStale })
+	return down
+}
+
 // claim appends a claim and reads it back. An error means that the request certainly does not run.
 func (e *Entry) claim(ctx context.Context, cl *call, nonce, digest uint64) (bool, error) {
+	if e.logDown() {
+		return false, notClaimed("the log is down, so the request was not run")
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
 	rc := record.RequestClaim{Customer: cl.customer, Key: cl.key, Nonce: nonce, Digest: digest}
 	offset, err := e.claimWriter.Write(ctx, record.Record{RequestClaims: []record.RequestClaim{rc}})
 	if err == nil {
@@ -80,14 +118,22 @@
 			// The claim may still reach the log. This entry never runs it, and says so on the log.
 			go e.keepAnswer(cl, nonce, result{notRun: true, err: err})
 		}
-		return false, errdefs.New(errdefs.Unavailable, "the log cannot record the request, so it was not run",
-			"send it again with the same key after Retry-After; if the answer then says not run, use a new key")
+		return false, notClaimed("the log did not record the request in time, so it was not run")
+	}
+	if e.ignoreClaim {
+		return true, nil
 	}
 	known, _ := e.lookupClaim(cl)
 	return known.Nonce == nonce && known.Writer == e.set.ID && known.Incarnation == e.incarnation, nil
 }
 
-// keepAnswer records how a claimed request ended.
+func notClaimed(message string) error {
+	return errdefs.New(errdefs.Unavailable, message,
+		"send it again with the same key after Retry-After; if the answer then says that it was not run, use a new key")
+}
+
+// keepAnswer records how a claimed request ended. Until the record is read back, repeats at this entry are answered from
+// memory.
 func (e *Entry) keepAnswer(cl *call, nonce uint64, r result) {
 	a := record.RequestAnswer{Customer: cl.customer, Key: cl.key, Nonce: nonce}
 	switch {
@@ -96,11 +142,14 @@
 	case r.err != nil:
 		a.Unknown = true
 	default:
-		a.Status, a.ContentType = r.status, r.contentType
+		a.Status, a.ContentType = r.status, r.contentType()
 		if len(r.body) <= maxKept {
 			a.Body = r.body
+		} else {
+			a.TooLarge = true
 		}
 	}
+	e.unrecorded.put(a)
 	ctx, cancel := context.WithTimeout(context.Background(), answerWait)
 	defer cancel()
 	if _, err := e.claimWriter.Write(ctx, record.Record{RequestAnswers: []record.RequestAnswer{a}}); err != nil {
@@ -117,6 +166,11 @@
 	}
 	switch known.State {
 	case lifecycle.RequestAnswered:
+		if known.TooLarge {
+			e.refuse(c, errdefs.New(errdefs.Expired, "the request with this key ran once and was answered; the answer was too large to keep",
+				"look the result up at the service; the request is not run again"), false)
+			return
+		}
 		c.Response.Header.Set("X-Replayed", "true")
 		c.SetStatusCode(known.Status)
 		c.Response.Header.SetContentType(known.ContentType)
@@ -130,11 +184,12 @@
 		p := problemOf(errdefs.New(errdefs.Conflict, "the request with this key is in progress or its outcome is unknown",
 			"ask GET "+askPath(cl.key)+"; it never runs again"))
 		p.Outcome, p.Ask = "unknown", askPath(cl.key)
+		retryAfter(c)
 		httpserver.JSON(c, 409, p)
 	}
 }
 
-func askPath(key string) string { return "/v1/requests/" + key }
+func askPath(key string) string { return "/v1/requests/" + url.PathEscape(key) }
 
 // writeUnknown tells a caller that the request may have run.
 func (e *Entry) writeUnknown(c *app.RequestContext, cl *call, err error) {
@@ -143,7 +198,11 @@
 	if cl.key != "" {
 		p.Ask = askPath(cl.key)
 	}
-	httpserver.JSON(c, 502, p)
+	status := 502
+	if !time.Now().Before(cl.deadline) {
+		status = 504
+	}
+	httpserver.JSON(c, status, p)
 }
 
 // getRequest tells the outcome of a claimed request.
@@ -176,6 +235,9 @@
 func (e *Entry) requestWords(k claims.Claim) string {
 	switch k.State {
 	case lifecycle.RequestAnswered:
+		if k.TooLarge {
+			return "ran once and was answered; the answer was too large to keep"
+		}
 		return "ran once and was answered"
 	case lifecycle.RequestNotRun:
 		return "was not run and never will be"
--- a/entry/public.go
+++ b/entry/public.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -16,20 +17,12 @@
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
-// Headers between callers, entries and side processes.
-const (
-	headerDeadline  = "X-Deadline-Ms"
-	headerRequestID = "X-Request-Id"
-	headerNotRun    = "X-Not-Run"
-	headerSlots     = "X-Slots-Free"
-	headerQueue     = "X-Queue"
-	headerCustomer  = "X-Customer"
-	headerKey       = "Idempotency-Key"
-)
-
 // maxDeadline bounds the deadline that a caller may ask for.
 const maxDeadline = 10 * time.Minute
 
+// maxRequestID bounds the request id of a caller, in bytes. Longer ones are replaced.
+const maxRequestID = 200
+
 func (e *Entry) routePublic() {
 	h := e.public
 	h.GET("/-/health", e.health)
@@ -55,15 +48,21 @@
 
 // call is one request of a caller.
 type call struct {
-	id       string
-	service  string
-	path     string
+	id      string
+	service string
+	path    string
+	// uri is the path and query sent to the endpoint.
+	uri      string
 	method   string
 	customer string
+	// caller tells callers of one customer apart; empty if unknown.
+	caller   string
 	key      string
 	deadline time.Time
 	contract record.Contract
 	rule     *record.OnceRule
+	// repeatable is true if the request may run more than once.
+	repeatable bool
 }
 
 // serveCall serves a request to a service.
@@ -86,16 +85,21 @@
 		e.serveOnce(ctx, c, cl)
 		return
 	}
-	e.writeResult(c, cl, e.tryAll(ctx, c, cl, repeatable(cl.method)))
+	e.writeResult(c, cl, e.tryAll(ctx, c, cl, cl.repeatable))
 }
 
 func (e *Entry) parseCall(c *app.RequestContext, start time.Time) (*call, error) {
-	path := string(c.Request.URI().Path())
+	path := string(c.Request.URI().PathOriginal())
 	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	cl := &call{service: name, path: "/" + rest, method: string(c.Method()), id: string(c.GetHeader(headerRequestID))}
-	if cl.id == "" {
+	if cl.id == "" || len(cl.id) > maxRequestID {
 		cl.id = uuid.NewString()
 	}
+	cl.caller = string(c.GetHeader(headerCaller))
+	cl.uri = cl.path
+	if q := c.Request.URI().QueryString(); len(q) > 0 {
+		cl.uri += "?" + string(q)
+	}
 	if !e.ready.Load() {
 		return nil, errdefs.New(errdefs.Unavailable, "this entry has not read the configuration yet", "try again in a second or use another entry")
 	}
@@ -130,6 +134,7 @@
 				"send a unique key; this request may run at most once")
 		}
 	}
+	cl.repeatable = cl.rule == nil && repeatable(cl.method)
 	return cl, nil
 }
 
@@ -157,11 +162,19 @@
 	p.NotRun = notRun
 	status := statusOf(errdefs.KindOf(err))
 	if status == 429 || status == 503 {
-		c.Response.Header.Set("Retry-After", "1")
+		retryAfter(c)
 	}
 	httpserver.JSON(c, status, p)
 }
 
+// retryAfterMax bounds the time after which refused callers come back, in seconds.
+const retryAfterMax = 3
+
+// retryAfter asks callers to come back at different times, so that those refused together do not return together.
+func retryAfter(c *app.RequestContext) {
+	c.Response.Header.Set("Retry-After", strconv.Itoa(1+rand.IntN(retryAfterMax)))
+}
+
 func problemOf(err error) httpserver.Problem {
 	var p httpserver.Problem
 	if te, ok := asTyped(err); ok {
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -4,15 +4,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/common/tracer/stats"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
@@ -35,7 +36,8 @@
 // Server is a hertz server on a bound listener.
 type Server struct {
 	*server.Hertz
-	ln net.Listener
+	ln       net.Listener
+	progress progress
 }
 
 // Listen binds the address and returns a server that does not accept yet.
@@ -44,18 +46,40 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", errdefs.New(errdefs.Unavailable, err.Error(), "choose a free address in the settings"))
 	}
+	return newServer(ln, opts...), nil
+}
+
+// ListenLimited is Listen with a bound on open connections. Connections beyond it are closed at once.
+func ListenLimited(address string, conns int, opts ...hconfig.Option) (*Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", errdefs.New(errdefs.Unavailable, err.Error(), "choose a free address in the settings"))
+	}
+	return newServer(&limitedListener{Listener: ln, max: int64(conns)}, opts...), nil
+}
+
+func newServer(ln net.Listener, opts ...hconfig.Option) *Server {
+	s := &Server{ln: ln}
 	base := []hconfig.Option{
 		server.WithListener(ln), server.WithTransport(standard.NewTransporter), server.WithMaxRequestBodySize(MaxBody),
 		server.WithMaxHeaderBytes(maxHeader), server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout),
-		server.WithDisablePrintRoute(true), server.WithExitWaitTime(time.Second), server.WithSenseClientDisconnection(false),
+		server.WithDisablePrintRoute(true), server.WithExitWaitTime(closeWait), server.WithSenseClientDisconnection(false),
+		server.WithTracer(&s.progress), server.WithTraceLevel(stats.LevelDisabled),
 	}
-	return &Server{server.New(append(base, opts...)...), ln}, nil
+	s.Hertz = server.New(append(base, opts...)...)
+	s.Use(s.progress.begin)
+	return s
 }
 
 // Address returns the bound address.
 func (s *Server) Address() string { return s.ln.Addr().String() }
 
-// Serve accepts connections until ctx ends, then waits for requests in progress for at most the grace time.
+// closeWait is how long hertz waits for idle connections after it closed the listener. Requests in progress are waited
+// for separately, because hertz gives up on them after this time.
+const closeWait = 20 * time.Millisecond
+
+// Serve accepts connections until ctx ends. It then closes the listener and waits until the answers of all requests in
+// progress were written, for at most the grace time; zero waits without limit.
 func (s *Server) Serve(ctx context.Context, grace time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- s.Engine.Run() }()
@@ -64,25 +88,21 @@
 		return fmt.Errorf("serve %s: %w", s.Address(), err)
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.Background(), grace)
+	stop, cancel := context.WithTimeout(context.Background(), closeWait)
 	defer cancel()
-	if err := s.Engine.Shutdown(stop); err != nil {
+	err := s.Engine.Shutdown(stop)
+	if !s.progress.wait(grace) {
+		return fmt.Errorf("stop serving %s: %w", s.Address(), errdefs.New(errdefs.Unavailable,
+			"requests were still in progress when the grace time ended", "raise the grace time, or let requests end before the stop"))
+	}
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("stop serving %s: %w", s.Address(), err)
 	}
 	return nil
 }
 
-// NewClient returns a hertz client that never retries by itself.
-func NewClient(dialTimeout time.Duration, conns int) (*client.Client, error) {
-	c, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()), client.WithDialTimeout(dialTimeout), client.WithMaxConnsPerHost(conns),
-		client.WithMaxIdleConnDuration(30*time.Second), client.WithNoDefaultUserAgentHeader(true),
-	)
-	if err != nil {
-		return nil, fmt.Errorf("set up HTTP client: %w", err)
-	}
-	return c, nil
-}
+// InProgress returns the number of requests whose answer was not written whole yet.
+func (s *Server) InProgress() int { return s.progress.count() }
 
 // Problem is the body of every refusal and error.
 type Problem struct {
--- /dev/null
+++ b/httpserver/pool.go
@@ -0,0 +1,275 @@
+package httpserver
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	herrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1"
+
+	"github.com/verbenakeel/verbenakeel/errdefs"
+)
+
+// HeaderTry names one sending of a request. It is unique per sending, so that a lost one can be told apart.
+const HeaderTry = "X-Try"
+
+// Errors of Pool.Do.
+var (
+	// ErrNotSent means that no byte of the request left this process.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrNotWhole means that the answer ended with its connection, so that nothing shows that it is whole.
+	ErrNotWhole = errors.New("the answer has neither a length nor chunks, so it may have been cut short")
+	// errAborted ends an exchange whose connection was given up.
+	errAborted = errors.New("the connection was given up")
+)
+
+// maxIdle is how long a connection stays in the pool unused. Servers commonly close idle connections after 20 s or more;
+// a request sent while its server closes the connection would have an unknown outcome.
+const maxIdle = 10 * time.Second
+
+// Pool is an HTTP client of one peer. It sends each request once, gives up connections on demand, and never takes an
+// answer that was cut short for a whole one.
+type Pool struct {
+	client *client.Client
+
+	mu sync.Mutex
+	// conns holds the open connections, and tries the connection of each sending in progress.
+	conns map[*pooledConn]struct{}
+	tries map[string]*pooledConn
+}
+
+// NewPool returns a pool of at most conns connections. Without keepAlive every request uses a fresh connection.
+func NewPool(dialTimeout time.Duration, conns int, keepAlive bool) (*Pool, error) {
+	p := &Pool{conns: make(map[*pooledConn]struct{}), tries: make(map[string]*pooledConn)}
+	c, err := client.NewClient(
+		client.WithDialer(pooledDialer{standard.NewDialer(), p}), client.WithDialTimeout(dialTimeout),
+		client.WithMaxConnsPerHost(conns), client.WithMaxIdleConnDuration(maxIdle), client.WithNoDefaultUserAgentHeader(true),
+		client.WithKeepAlive(keepAlive), client.WithDisablePathNormalizing(true),
+		client.WithHostClientConfigHook(func(hc any) error {
+			if h, ok := hc.(*http1.HostClient); ok {
+				h.MaxResponseBodySize = MaxBody
+			}
+			return nil
+		}),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("set up HTTP client: %w", errdefs.New(errdefs.Invalid, err.Error(), "report this"))
+	}
+	p.client = c
+	return p, nil
+}
+
+// Do sends the request once and reads the whole answer. Its error wraps ErrNotSent if the request certainly was not sent.
+func (p *Pool) Do(ctx context.Context, req *protocol.Request, resp *protocol.Response, deadline time.Time) error {
+	if !time.Now().Before(deadline) {
+		return fmt.Errorf("%w: the deadline has passed", ErrNotSent)
+	}
+	for {
+		err := p.client.DoDeadline(ctx, req, resp, deadline)
+		// A connection that was given up while idle is replaced by the next one; nothing was sent on it.
+		if errors.Is(err, errAborted) && errors.Is(err, ErrNotSent) && time.Now().Before(deadline) {
+			continue
+		}
+		if errors.Is(err, herrors.ErrNoFreeConns) {
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		if err != nil {
+			return err
+		}
+		if a, ok := resp.LocalAddr().(*pooledAddr); ok && a.conn.failed() {
+			return ErrNotWhole
+		}
+		return nil
+	}
+}
+
+// Abort gives up the connection that carries the sending, so that its Do returns at once.
+func (p *Pool) Abort(try string) {
+	p.mu.Lock()
+	c := p.tries[try]
+	p.mu.Unlock()
+	if c != nil {
+		c.abort()
+	}
+}
+
+// AbortIdle gives up the connections that carry no request, so that the next requests use fresh ones.
+func (p *Pool) AbortIdle() { p.abort(func(c *pooledConn) bool { return c.try == "" }) }
+
+// AbortAll gives up all connections.
+func (p *Pool) AbortAll() { p.abort(func(*pooledConn) bool { return true }) }
+
+func (p *Pool) abort(which func(*pooledConn) bool) {
+	p.mu.Lock()
+	var list []*pooledConn
+	for c := range p.conns {
+		if which(c) {
+			list = append(list, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range list {
+		c.abort()
+	}
+}
+
+// Close gives up everything.
+func (p *Pool) Close() {
+	p.AbortAll()
+	p.client.CloseIdleConnections()
+}
+
+// assign notes that c carries the sending; an empty one means that c carries none.
+func (p *Pool) assign(c *pooledConn, try string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.try != "" && p.tries[c.try] == c {
+		delete(p.tries, c.try)
+	}
+	c.try = try
+	if try != "" {
+		p.tries[try] = c
+	}
+}
+
+func (p *Pool) remove(c *pooledConn) {
+	p.assign(c, "")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+// pooledDialer opens the connections of a pool.
+type pooledDialer struct {
+	network.Dialer
+	pool *Pool
+}
+
+// DialConnection implements network.Dialer.
+func (d pooledDialer) DialConnection(n, address string, timeout time.Duration, config *tls.Config) (network.Conn, error) {
+	inner, err := d.Dialer.DialConnection(n, address, timeout, config)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	c := &pooledConn{Conn: inner, pool: d.pool}
+	c.addr = &pooledAddr{inner.LocalAddr(), c}
+	d.pool.mu.Lock()
+	d.pool.conns[c] = struct{}{}
+	d.pool.mu.Unlock()
+	return c, nil
+}
+
+// pooledAddr lets a response lead to its connection.
+type pooledAddr struct {
+	net.Addr
+	conn *pooledConn
+}
+
+// pooledConn is one connection of a pool. Its errors are wrapped, because hertz repeats GET, HEAD, PUT, DELETE, OPTIONS
+// and TRACE by itself when a pooled connection ends with a bare io.EOF, and no client option turns this off.
+type pooledConn struct {
+	network.Conn
+	pool *Pool
+	addr *pooledAddr
+	// try is the sending that the connection carries. It is guarded by Pool.mu.
+	try string
+
+	mu       sync.Mutex
+	aborted  bool
+	readFail bool
+}
+
+var tryHeader = []byte("\r\n" + HeaderTry + ": ")
+
+// LocalAddr implements net.Conn.
+func (c *pooledConn) LocalAddr() net.Addr { return c.addr }
+
+// abort makes reads and writes fail from now on.
+func (c *pooledConn) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
+func (c *pooledConn) failed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readFail
+}
+
+// SetWriteTimeout implements network.Conn. Every exchange begins with it. Bytes that wait here belong to no request, so
+// the connection is given up rather than have them taken for the next answer.
+func (c *pooledConn) SetWriteTimeout(t time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborted || c.Len() > 0 {
+		return fmt.Errorf("%w: %w", ErrNotSent, errAborted)
+	}
+	return c.Conn.SetWriteTimeout(t)
+}
+
+// SetReadTimeout implements network.Conn. An answer is read after it.
+func (c *pooledConn) SetReadTimeout(t time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborted {
+		return errAborted
+	}
+	return c.Conn.SetReadTimeout(t)
+}
+
+// WriteBinary implements network.Writer. The headers of a request come in one call.
+func (c *pooledConn) WriteBinary(b []byte) (int, error) {
+	if _, rest, ok := bytes.Cut(b, tryHeader); ok {
+		try, _, _ := bytes.Cut(rest, []byte("\r\n"))
+		c.pool.assign(c, string(try))
+	}
+	return c.Conn.WriteBinary(b)
+}
+
+// Flush implements network.Writer.
+func (c *pooledConn) Flush() error {
+	if err := c.Conn.Flush(); err != nil {
+		return fmt.Errorf("send request: %w", err)
+	}
+	return nil
+}
+
+// Peek implements network.Reader.
+func (c *pooledConn) Peek(n int) ([]byte, error) {
+	data, err := c.Conn.Peek(n)
+	if err != nil {
+		c.mu.Lock()
+		c.readFail = true
+		aborted := c.aborted
+		c.mu.Unlock()
+		if aborted {
+			return data, errAborted
+		}
+		return data, fmt.Errorf("read answer: %w", err)
+	}
+	return data, nil
+}
+
+// Release implements network.Reader. An exchange ends with it.
+func (c *pooledConn) Release() error {
+	c.pool.assign(c, "")
+	return c.Conn.Release()
+}
+
+// Close implements net.Conn.
+func (c *pooledConn) Close() error {
+	c.pool.remove(c)
+	return c.Conn.Close()
+}
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -48,7 +48,12 @@
 	Drained           = Event{604, zerolog.InfoLevel, "graceful shutdown of the endpoint finished"}
 	Superseded        = Event{605, zerolog.WarnLevel, "a higher incarnation of this process is known"}
 	AnnounceFailed    = Event{606, zerolog.WarnLevel, "an entry did not take the announcement"}
+	DrainCut          = Event{607, zerolog.WarnLevel, "requests in progress were cut off by the limit of the shutdown order"}
+	AnnounceRestored  = Event{608, zerolog.InfoLevel, "an entry takes announcements again"}
 	RequestNotWritten = Event{700, zerolog.WarnLevel, "the answer of a request could not be recorded"}
+	ConnectionSilent  = Event{701, zerolog.WarnLevel, "an open connection to a side process went silent"}
+	SideSilent        = Event{702, zerolog.WarnLevel, "a side process does not answer pings"}
+	ForeignAnswer     = Event{703, zerolog.ErrorLevel, "an answer of another request was dropped"}
 )
 
 // Logger writes numbered events.
--- a/record/record.go
+++ b/record/record.go
@@ -275,6 +275,8 @@
 	ContentType string `cbor:"7,keyasint,omitempty"`
 	// Body is the whole answer.
 	Body []byte `cbor:"8,keyasint,omitempty"`
+	// TooLarge is true when the answer was too large to keep.
+	TooLarge bool `cbor:"9,keyasint,omitempty"`
 }
 
 // SnapshotPiece is one piece of a snapshot of the stream it stands on.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -33,6 +33,8 @@
 	LogLevel string
 	// Heartbeat is the wanted interval of announcements.
 	Heartbeat time.Duration
+	// Routing is least_loaded; random and round_robin are baselines for measurements.
+	Routing string
 	// Decider and Authority hold the times of the decider.
 	Decider   decider.Config
 	Authority authority.Config
@@ -44,7 +46,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		Public: "127.0.0.1:0", Operator: "127.0.0.1:0", Control: "127.0.0.1:0", LogLevel: "info",
-		Heartbeat: time.Second, Decider: decider.DefaultConfig(), Authority: authority.DefaultConfig(), SnapshotEvery: 5000,
+		Heartbeat: time.Second, Routing: "least_loaded", Decider: decider.DefaultConfig(), Authority: authority.DefaultConfig(), SnapshotEvery: 5000,
 	}
 }
 
@@ -63,6 +65,7 @@
 		{"platform", "log", true, baseURL(&e.LogURL), "write the log's base URL, for example http://10.0.0.2:7000"},
 		{"peers", "entries", false, addressList(&e.Peers), "list control addresses of other entries, separated by commas"},
 		{"operators", "token_sha256", false, hexSum(&e.OperatorTokenSHA256), "give the 64 hex digits of the token's SHA-256"},
+		{"routing", "policy", false, oneOf(&e.Routing, "least_loaded", "random", "round_robin"), "use least_loaded, random or round_robin"},
 		{"times", "heartbeat", false, duration(&e.Heartbeat, 50*time.Millisecond, time.Minute), dur},
 		{"times", "task_lease", false, duration(&e.Decider.TaskLease, time.Second, time.Hour), dur},
 		{"times", "service_lease", false, duration(&e.Decider.ServiceLease, time.Second, 24*time.Hour), dur},
--- a/side/data.go
+++ b/side/data.go
@@ -2,55 +2,158 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/core/slots"
-)
-
-// Headers between entries and side processes.
-const (
-	headerDeadline  = "X-Deadline-Ms"
-	headerRequestID = "X-Request-Id"
-	headerNotRun    = "X-Not-Run"
-	headerReason    = "X-Reason"
-	headerOutcome   = "X-Outcome"
-	headerSlots     = "X-Slots-Free"
-	headerQueue     = "X-Queue"
+	"github.com/verbenakeel/verbenakeel/httpserver"
 )
 
 // defaultDeadline applies to a request that names none.
 const defaultDeadline = 10 * time.Second
 
+// Reasons of refusals beside those of package slots.
+const (
+	refusedDown      slots.Refusal = "endpoint_down"
+	refusedRestarted slots.Refusal = "side_restarted"
+	refusedBarred    slots.Refusal = "asked_before_it_arrived"
+	refusedMemory    slots.Refusal = "too_many_remembered"
+)
+
 func (s *Side) routeData() {
-	s.data.GET("/-/ping", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
+	s.data.GET("/-/ping", s.ping)
+	s.data.GET("/-/start", s.askStart)
 	s.data.NoRoute(s.serve)
 }
 
-// serve passes a request to the endpoint once it has a slot, and returns the whole answer or none.
-func (s *Side) serve(ctx context.Context, c *app.RequestContext) {
-	arrived := time.Now()
-	deadline := arrived.Add(defaultDeadline)
+// arrival is one sending of a request as it reached this side process.
+type arrival struct {
+	try        string
+	start      string
+	repeatable bool
+	deadline   time.Time
+	// keepUntil is how long its start is remembered, on this process's clock.
+	keepUntil time.Duration
+	// otherRun is true if the sending was meant for another run of this side process.
+	otherRun bool
+}
+
+// readArrival reads the headers of a sending. The relative deadline counts from the arrival; the expiry is a time on
+// this process's own clock, so that a sending which was held back on its way is recognized.
+func (s *Side) readArrival(c *app.RequestContext) arrival {
+	now := time.Now()
+	a := arrival{
+		try: string(c.GetHeader(httpserver.HeaderTry)), start: string(c.GetHeader(headerStart)),
+		repeatable: string(c.GetHeader(headerRepeatable)) == "true", deadline: now.Add(defaultDeadline),
+	}
 	if ms, err := strconv.ParseInt(string(c.GetHeader(headerDeadline)), 10, 64); err == nil && ms > 0 {
-		deadline = arrived.Add(time.Duration(ms) * time.Millisecond)
+		a.deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	run, ms, ok := strings.Cut(string(c.GetHeader(headerExpires)), ":")
+	if at, err := strconv.ParseInt(ms, 10, 64); ok && err == nil {
+		a.otherRun = run != s.run
+		if expires := s.start.Add(time.Duration(at) * time.Millisecond); !a.otherRun && expires.Before(a.deadline) {
+			a.deadline = expires
+		}
 	}
+	a.keepUntil = max(a.deadline.Sub(s.start), 0) + startMemory
+	return a
+}
+
+// serve passes a request to the endpoint once it has a slot, and returns the whole answer or none.
+func (s *Side) serve(ctx context.Context, c *app.RequestContext) {
+	a := s.readArrival(c)
 	c.Response.Header.Set(headerRequestID, string(c.GetHeader(headerRequestID)))
-	if refusal := s.enter(ctx, deadline); refusal != "" {
+	if a.start != "" && !s.mayStart(c, a) {
+		return
+	}
+	httpserver.AfterWrite(c, s.working(a.try))
+	if refusal := s.enter(ctx, a); refusal != "" {
+		s.endStart(a, nil, true)
 		s.notRun(c, refusal)
 		return
 	}
-	started := time.Now()
-	err := s.pass(ctx, c, deadline)
-	s.leave(time.Since(started))
+	began := time.Now()
+	ans, err := s.pass(ctx, c, a)
+	s.endStart(a, ans, neverSent(err))
+	s.leave(time.Since(began), err)
 	s.load(c)
-	if err != nil {
+	switch {
+	case neverSent(err):
+		s.notRun(c, refusedDown)
+	case err != nil:
 		c.Response.Header.Set(headerOutcome, "unknown")
 		c.SetStatusCode(502)
 		c.SetBodyString(err.Error())
+	default:
+		ans.write(c)
+	}
+}
+
+// mayStart reports whether a sending that must not start twice may start. If not, it has answered.
+func (s *Side) mayStart(c *app.RequestContext, a arrival) bool {
+	if a.otherRun {
+		// What an earlier run started is not known here.
+		s.notRun(c, refusedRestarted)
+		return false
+	}
+	if s.ignoreStarts {
+		return true
+	}
+	s.mu.Lock()
+	state, ans := s.starts.Begin(s.now(), a.start, a.keepUntil)
+	s.mu.Unlock()
+	if state == claims.StartNew {
+		return true
+	}
+	s.writeStart(c, state, ans)
+	return false
+}
+
+// writeStart answers with what is known about a sending that must not start twice.
+func (s *Side) writeStart(c *app.RequestContext, state claims.StartState, ans *answer) {
+	switch state {
+	case claims.StartAnswered:
+		s.load(c)
+		ans.write(c)
+	case claims.StartBarred:
+		s.notRun(c, refusedBarred)
+	case claims.StartTooMany:
+		s.notRun(c, refusedMemory)
+	case claims.StartRunning:
+		s.load(c)
+		c.Response.Header.Set(headerOutcome, "running")
+		c.SetStatusCode(502)
+	default:
+		s.load(c)
+		c.Response.Header.Set(headerOutcome, "unknown")
+		c.SetStatusCode(502)
+		c.SetBodyString("the endpoint gave no whole answer")
+	}
+}
+
+// endStart notes the outcome of a sending that must not start twice.
+func (s *Side) endStart(a arrival, ans *answer, refused bool) {
+	if a.start == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case refused:
+		s.starts.Refused(a.start)
+	case ans == nil:
+		s.starts.Lost(a.start)
+	default:
+		s.starts.Answered(a.start, ans, ans.size())
 	}
+	close(s.startEnded)
+	s.startEnded = make(chan struct{})
 }
 
 func (s *Side) notRun(c *app.RequestContext, refusal slots.Refusal) {
@@ -61,15 +164,15 @@
 }
 
 // enter waits for a slot. It returns why the request was refused, or nothing.
-func (s *Side) enter(ctx context.Context, deadline time.Time) slots.Refusal {
+func (s *Side) enter(ctx context.Context, a arrival) slots.Refusal {
 	s.mu.Lock()
 	if !s.endpointUp {
 		s.mu.Unlock()
-		return "endpoint_down"
+		return refusedDown
 	}
 	s.nextID++
 	id := s.nextID
-	admission, refusal := s.slots.Arrive(s.now(), id, deadline.Sub(s.start))
+	admission, refusal := s.slots.Arrive(s.now(), id, a.deadline.Sub(s.start))
 	if admission == slots.Run {
 		s.mu.Unlock()
 		return ""
@@ -81,10 +184,15 @@
 	granted := make(chan slots.Refusal, 1)
 	s.waiters[id] = granted
 	s.mu.Unlock()
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(time.Until(a.deadline))
 	defer timer.Stop()
 	select {
 	case r := <-granted:
+		if r == "" && !time.Now().Before(a.deadline) {
+			// The process was paused between the grant and now.
+			s.cancel()
+			return slots.TooLate
+		}
 		return r
 	case <-timer.C:
 	case <-ctx.Done():
@@ -99,7 +207,7 @@
 	select {
 	case r := <-granted:
 		if r == "" {
-			s.grant(s.slots.Finish(s.now(), s.slots.ServiceTime()))
+			s.grant(s.slots.Cancel(s.now()))
 		}
 	default:
 		delete(s.waiters, id)
@@ -108,10 +216,21 @@
 	return slots.TooLate
 }
 
-// leave frees a slot.
-func (s *Side) leave(took time.Duration) {
+// cancel frees a slot whose request was not passed on.
+func (s *Side) cancel() {
 	s.mu.Lock()
-	s.grant(s.slots.Finish(s.now(), took))
+	defer s.mu.Unlock()
+	s.grant(s.slots.Cancel(s.now()))
+}
+
+// leave frees a slot. Only answers say how long the endpoint takes.
+func (s *Side) leave(took time.Duration, err error) {
+	s.mu.Lock()
+	if err == nil {
+		s.grant(s.slots.Finish(s.now(), took))
+	} else {
+		s.grant(s.slots.Cancel(s.now()))
+	}
 	drained := s.slots.Drained()
 	s.mu.Unlock()
 	if drained {
@@ -129,33 +248,12 @@
 	}
 }
 
-// load tells the entry what the endpoint can take.
+// load tells the entry what the endpoint can take, and the time on this process's clock.
 func (s *Side) load(c *app.RequestContext) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.Response.Header.Set(headerSlots, strconv.Itoa(s.slots.Free()))
-	c.Response.Header.Set(headerQueue, strconv.Itoa(s.slots.Queued()))
-}
-
-// pass sends the request to the endpoint and copies the whole answer.
-func (s *Side) pass(ctx context.Context, c *app.RequestContext, deadline time.Time) error {
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	c.Request.CopyTo(req)
-	uri := s.set.EndpointURL + string(c.Request.URI().Path())
-	if q := c.Request.URI().QueryString(); len(q) > 0 {
-		uri += "?" + string(q)
-	}
-	req.SetRequestURI(uri)
-	req.Header.SetHost("")
-	req.Header.Del(headerDeadline)
-	req.SetBody(c.Request.Body())
-	if err := s.endpoint.DoDeadline(ctx, req, resp, deadline); err != nil {
-		return err
-	}
-	c.SetStatusCode(resp.StatusCode())
-	c.Response.Header.SetContentType(string(resp.Header.ContentType()))
-	c.Response.SetBody(append([]byte(nil), resp.Body()...))
-	return nil
+	free, queued := s.slots.Free(), s.slots.Queued()
+	s.mu.Unlock()
+	c.Response.Header.Set(headerSlots, strconv.Itoa(free))
+	c.Response.Header.Set(headerQueue, strconv.Itoa(queued))
+	c.Response.Header.Set(headerClock, fmt.Sprintf("%s:%d", s.run, time.Since(s.start).Milliseconds()))
 }
--- /dev/null
+++ b/side/endpoint.go
@@ -0,0 +1,180 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/verbenakeel/verbenakeel/httpserver"
+)
+
+// Times of the connections to the endpoint.
+const (
+	// endpointDial bounds a new connection to the endpoint, which is on this instance.
+	endpointDial = time.Second
+	// resendFloor is the shortest time after which a repeatable request is sent again on a fresh connection, because the
+	// first one may have gone silent. Recovery has to end within 2 s.
+	resendFloor = 500 * time.Millisecond
+	// resendTimes is how many mean service times count as unusual.
+	resendTimes = 10
+	// outcomeGrace is how long the answer of a request that must not run twice is awaited beyond its deadline, so that
+	// its outcome can be told later.
+	outcomeGrace = 5 * time.Second
+	// resendShare and resendReserve are the budget of second sendings: a share of requests, and how many may be saved up.
+	resendShare   = 0.02
+	resendReserve = 16
+)
+
+var (
+	errCut     = errors.New("the request was cut off by the limit of the shutdown order")
+	errForeign = errors.New("the answer names another request")
+)
+
+// answer is a whole answer of the endpoint.
+type answer struct {
+	status int
+	header [][2]string
+	body   []byte
+}
+
+func (a *answer) size() int { return len(a.body) + 512 }
+
+func (a *answer) write(c *app.RequestContext) {
+	c.SetStatusCode(a.status)
+	c.Response.Header.SetNoDefaultContentType(true)
+	for _, h := range a.header {
+		c.Response.Header.Add(h[0], h[1])
+	}
+	c.Response.SetBody(a.body)
+}
+
+// neverSent reports whether the error shows that no byte of the request reached the endpoint.
+func neverSent(err error) bool { return errors.Is(err, httpserver.ErrNotSent) }
+
+// sent is the end of one sending to the endpoint.
+type sent struct {
+	ans *answer
+	err error
+}
+
+// pass sends the request to the endpoint and returns the whole answer.
+func (s *Side) pass(ctx context.Context, c *app.RequestContext, a arrival) (*answer, error) {
+	if !a.repeatable {
+		// A pooled connection may end just as the request is sent, which would leave the outcome unknown.
+		return s.send(ctx, s.request(c, s.nextTry()), s.once, a.deadline.Add(outcomeGrace))
+	}
+	results := make(chan sent, 2)
+	first, second := s.nextTry(), s.nextTry()
+	run := func(try string) {
+		req := s.request(c, try)
+		go func() {
+			ans, err := s.send(ctx, req, s.endpoint, a.deadline)
+			results <- sent{ans, err}
+		}()
+	}
+	s.earnResend()
+	run(first)
+	timer := time.NewTimer(s.resendAfter())
+	defer timer.Stop()
+	select {
+	case r := <-results:
+		return r.ans, r.err
+	case <-timer.C:
+	}
+	extra, ok := s.takeResend()
+	if !ok {
+		r := <-results
+		return r.ans, r.err
+	}
+	// Idle connections may have gone silent with this one.
+	s.endpoint.AbortIdle()
+	if !extra {
+		s.endpoint.Abort(first)
+		<-results
+	} else {
+		defer s.cancel()
+	}
+	run(second)
+	r := <-results
+	if r.err != nil && extra {
+		r = <-results
+	}
+	s.endpoint.Abort(first)
+	s.endpoint.Abort(second)
+	return r.ans, r.err
+}
+
+// earnResend counts a request towards the budget of second sendings.
+func (s *Side) earnResend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resends = min(resendReserve, s.resends+resendShare)
+}
+
+// takeResend uses the budget of second sendings if it allows one. extra is true if it got a slot of its own; otherwise it
+// takes the slot of the first.
+func (s *Side) takeResend() (extra, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.resends < 1 {
+		return false, false
+	}
+	s.resends--
+	return s.slots.Extra(), true
+}
+
+func (s *Side) resendAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(resendFloor, resendTimes*s.slots.ServiceTime())
+}
+
+func (s *Side) nextTry() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	return strconv.FormatUint(s.nextID, 36)
+}
+
+// request copies the caller's request for one sending to the endpoint.
+func (s *Side) request(c *app.RequestContext, try string) *protocol.Request {
+	req := protocol.AcquireRequest()
+	c.Request.Header.VisitAll(func(k, v []byte) {
+		if !internalHeaders[string(k)] {
+			req.Header.Add(string(k), string(v))
+		}
+	})
+	req.SetMethod(string(c.Method()))
+	req.SetRequestURI(s.set.EndpointURL + string(c.Request.URI().RequestURI()))
+	req.Header.Set(httpserver.HeaderTry, try)
+	req.SetBody(c.Request.Body())
+	return req
+}
+
+// send sends the request to the endpoint once.
+func (s *Side) send(ctx context.Context, req *protocol.Request, pool *httpserver.Pool, deadline time.Time) (*answer, error) {
+	resp := protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	if err := pool.Do(ctx, req, resp, deadline); err != nil {
+		if s.isCut() {
+			err = fmt.Errorf("%w: %w", errCut, err)
+		}
+		return nil, err
+	}
+	if echo := resp.Header.Peek(headerRequestID); len(echo) > 0 && string(echo) != string(req.Header.Peek(headerRequestID)) {
+		return nil, errForeign
+	}
+	a := &answer{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
+	resp.Header.VisitAll(func(k, v []byte) {
+		if !internalHeaders[string(k)] && string(k) != headerRequestID {
+			a.header = append(a.header, [2]string{string(k), string(v)})
+		}
+	})
+	return a, nil
+}
--- a/side/side.go
+++ b/side/side.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-
+	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/slots"
 	"github.com/verbenakeel/verbenakeel/httpserver"
@@ -20,17 +20,27 @@
 	"github.com/verbenakeel/verbenakeel/settings"
 )
 
-// stopGrace bounds how long the listener waits for requests in progress once the endpoint is drained.
-const stopGrace = 2 * time.Second
+// Times of a graceful shutdown.
+const (
+	// noticeMax bounds the wait for entries to acknowledge that the endpoint is leaving; entries that do not answer by
+	// then are refused as not run for as long as requests are in progress.
+	noticeMax = 3 * time.Second
+	// drainPoll is the time between looks at what is in progress.
+	drainPoll = 10 * time.Millisecond
+)
 
 // Side is a running side process.
 type Side struct {
 	set   settings.Side
 	log   logevent.Logger
 	start time.Time
+	// run tells runs of this side process apart in headers.
+	run string
 
-	data     *httpserver.Server
-	endpoint *client.Client
+	data *httpserver.Server
+	// endpoint carries repeatable requests on kept connections; once opens one for each of the others.
+	endpoint *httpserver.Pool
+	once     *httpserver.Pool
 	rpc      *http.Client
 	worker   platform.Worker
 
@@ -41,17 +51,30 @@
 	waiters     map[uint64]chan slots.Refusal
 	nextID      uint64
 	revision    uint64
-	heartbeat   time.Duration
-	entries     []string
-	endpointUp  bool
+	// entries holds the control addresses of the entries known.
+	entries    []string
+	announcers map[string]*announcer
+	endpointUp bool
+	// starts remembers sendings that must not start twice; startEnded is closed and replaced when one ends.
+	starts     *claims.Started[*answer]
+	startEnded chan struct{}
+	// tries holds the sendings of entries whose answers are being made.
+	tries map[string]struct{}
+	// resends is the budget of second sendings to the endpoint.
+	resends float64
 	// stopping is true once this process shuts down by its own signal.
 	stopping bool
 	// ordered is true while the configuration orders a shutdown.
 	ordered bool
 	// cutAt is when requests in progress are cut off by the order's limit; zero for never.
 	cutAt time.Time
+	// orderRevision is the revision of the order that cutAt counts from.
+	orderRevision uint64
+	// cut is true once requests in progress were cut off.
+	cut bool
 
-	announceNow chan struct{}
+	// ignoreStarts switches off the refusal of second starts, for the test that shows that it is needed.
+	ignoreStarts bool
 }
 
 // New binds the listener of a side process. worker may be nil if the instance has none.
@@ -59,16 +82,20 @@
 	start := time.Now()
 	s := &Side{
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), start: start, worker: worker,
-		incarnation: uint64(start.UnixMilli()), slots: slots.New(set.Slots, set.Queue),
-		waiters: make(map[uint64]chan slots.Refusal), heartbeat: set.Heartbeat, entries: set.Entries,
-		announceNow: make(chan struct{}, 1),
-		rpc:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		run: strconv.FormatInt(start.UnixNano(), 36), incarnation: uint64(start.UnixMilli()), slots: slots.New(set.Slots, set.Queue),
+		waiters: make(map[uint64]chan slots.Refusal), entries: set.Entries, announcers: make(map[string]*announcer),
+		starts: claims.NewStarted[*answer](maxStarts, maxStartBytes), startEnded: make(chan struct{}),
+		tries: make(map[string]struct{}), resends: resendReserve,
+		rpc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
 	}
 	var err error
-	if s.endpoint, err = httpserver.NewClient(time.Second, set.Slots+1); err != nil {
+	if s.endpoint, err = httpserver.NewPool(endpointDial, set.Slots+resendReserve, true); err != nil {
+		return nil, err
+	}
+	if s.once, err = httpserver.NewPool(endpointDial, set.Slots+resendReserve, false); err != nil {
 		return nil, err
 	}
-	if s.data, err = httpserver.Listen(set.Data); err != nil {
+	if s.data, err = httpserver.ListenLimited(set.Data, set.Connections); err != nil {
 		return nil, fmt.Errorf("side process %s: %w", set.ID, err)
 	}
 	s.routeData()
@@ -90,10 +117,11 @@
 	serve, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	served := make(chan error, 1)
-	go func() { served <- s.data.Serve(serve, stopGrace) }()
+	go func() { served <- s.data.Serve(serve, 0) }()
 	if s.set.Service != "" {
-		run(s.announceLoop)
+		run(s.announceAll)
 		run(s.watchEndpoint)
+		run(s.watchCut)
 	}
 	if s.worker != nil {
 		run(s.syncLoop)
@@ -104,16 +132,20 @@
 	select {
 	case <-ctx.Done():
 		s.drainSelf()
+		stopServing()
+		err = <-served
 	case err = <-served:
 	}
-	stopServing()
 	stop()
 	background.Wait()
+	s.endpoint.Close()
+	s.once.Close()
 	s.log.Log(logevent.Stopped)
 	return err
 }
 
-// drainSelf refuses new work, tells the entries and waits until nothing is in progress.
+// drainSelf refuses new work, tells the entries, and waits until all answers were written and every entry that answers
+// has been told. Until then the listener stays open, so that late requests are refused as not run.
 func (s *Side) drainSelf() {
 	s.log.Log(logevent.Stopping)
 	s.mu.Lock()
@@ -121,18 +153,48 @@
 	s.applyDrain()
 	s.mu.Unlock()
 	s.kickAnnounce()
+	limit := time.Now().Add(noticeMax)
+	for s.inProgress() || (!s.allTold() && time.Now().Before(limit)) {
+		time.Sleep(drainPoll)
+	}
+	s.log.Log(logevent.Drained)
+}
+
+func (s *Side) inProgress() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.slots.Drained()
+}
+
+// watchCut cuts off requests in progress once the limit of the shutdown order has passed.
+func (s *Side) watchCut(ctx context.Context) {
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
 	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
 		s.mu.Lock()
-		done := s.slots.Drained()
+		due := !s.cut && s.slots.Draining() && !s.cutAt.IsZero() && !time.Now().Before(s.cutAt)
+		if due {
+			s.cut = true
+			s.grant(s.slots.Flush())
+		}
 		s.mu.Unlock()
-		if done {
-			break
+		if due {
+			s.log.Log(logevent.DrainCut)
+			s.endpoint.AbortAll()
+			s.once.AbortAll()
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
-	// Entries that learn of the drain late must still be refused rather than find a closed port.
-	s.kickAnnounce()
-	time.Sleep(s.interval())
+}
+
+func (s *Side) isCut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut
 }
 
 // applyDrain sets the slots to what signal and configuration ask for. The lock is held.
@@ -149,19 +211,6 @@
 	}
 }
 
-func (s *Side) kickAnnounce() {
-	select {
-	case s.announceNow <- struct{}{}:
-	default:
-	}
-}
-
-func (s *Side) interval() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.heartbeat
-}
-
 func (s *Side) now() clock.Now {
 	return clock.Now{Mono: time.Since(s.start), WallMs: time.Now().UnixMilli()}
 }
