scheduler: index of free processors and bounds on work per call

Cause: Decide looked at all workers for each task. Change: workers stand in buckets by free processors; sizes that found no room are not searched again in the same call; the workers visited, tries and reclaims per call are bounded; learned harm is a slice by class id.

--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// loaded is a state at a multiple of the target size with the means to keep it busy.
+type loaded struct {
+	s       *State
+	now     int64
+	running []record.Start
+	next    int
+	class   map[string]record.Job
+}
+
+// newLoaded returns 710 workers, 12,000 running tasks and 8,600 queued jobs, times scale.
+func newLoaded(scale int) *loaded {
+	l := &loaded{s: New(DefaultConfig()), now: 1, class: map[string]record.Job{}}
+	workers := 710 * scale
+	for i := range workers {
+		c := record.Resources{CPUMilli: 16_000, MemoryMB: 60_000}
+		if i%4 == 0 {
+			c.Accelerators = 5
+		}
+		l.s.Apply(l.now, WorkerUp{ID: fmt.Sprintf("w%05d", i), Zone: fmt.Sprintf("z%d", i%9), Rack: fmt.Sprintf("r%d", i/3), Capacity: c})
+	}
+	huge := record.Resources{CPUMilli: 1 << 38, MemoryMB: 1 << 38, Accelerators: 1 << 20}
+	customers := 190 * scale
+	for i := range customers {
+		l.s.Apply(l.now, ContractChanged{record.Contract{Customer: fmt.Sprintf("c%04d", i), MaxTasks: 1 << 20, MaxQueued: 1 << 20,
+			Guaranteed: record.Resources{CPUMilli: 30_000, MemoryMB: 100_000}, Burst: huge}})
+	}
+	w := 0
+	for i := range 12_000 * scale {
+		j := record.Job{ID: fmt.Sprintf("c%04d/run%d", i%customers, i), Customer: fmt.Sprintf("c%04d", i%customers), Class: fmt.Sprint(i % 5),
+			Kind: record.BatchJob, Tasks: 1, Size: record.Resources{CPUMilli: 900, MemoryMB: 3000}, RunMs: 60_000, SubmittedMs: 1}
+		if i%3 == 0 {
+			j.Kind, j.RunMs = record.ServiceJob, 0
+		}
+		st := record.Start{Task: j.ID + "#0", Attempt: 1, Worker: fmt.Sprintf("w%05d", w%workers), Size: j.Size}
+		w++
+		l.s.Apply(l.now, TaskQueued{Job: j, Task: st.Task, NextAttempt: 1})
+		l.s.Apply(l.now, TaskStarted{st})
+		if j.Kind == record.BatchJob {
+			l.running = append(l.running, st)
+		}
+	}
+	for i := range 8_600 * scale {
+		l.queue(i, customers)
+	}
+	l.now += 60_000
+	for _, wk := range l.s.order {
+		l.report(wk)
+	}
+	for l.s.Decide(l.now); len(l.s.admissions) > 0; l.s.Decide(l.now) {
+	}
+	return l
+}
+
+func (l *loaded) queue(i, customers int) {
+	j := record.Job{ID: fmt.Sprintf("c%04d/wait%d", i%customers, i), Customer: fmt.Sprintf("c%04d", i%customers), Class: fmt.Sprint(i % 5),
+		Kind: record.BatchJob, Tasks: 1 + i%7, Size: record.Resources{CPUMilli: 500 + int64(i%9)*500, MemoryMB: 2000}, RunMs: 60_000,
+		SubmittedMs: l.now, Urgent: i%50 == 0}
+	if i%2 == 0 {
+		j.DeadlineMs = l.now + int64(i%1000)*1000 + 300_000
+	}
+	for t := range j.Tasks {
+		l.s.Apply(l.now, TaskQueued{Job: j, Task: fmt.Sprintf("%s#%d", j.ID, t), NextAttempt: 1})
+	}
+}
+
+func (l *loaded) report(w *worker) {
+	rep := UsageReported{Worker: w.id, MeasuredMs: l.now - 2000}
+	for _, t := range w.tasks {
+		sm := Sample{Task: t.id, Attempt: t.attempt, Used: t.size, SpeedMilli: 1000}
+		if t.job.rec.Kind == record.ServiceJob {
+			sm.LatencyP99Us = 9000
+		}
+		rep.Samples = append(rep.Samples, sm)
+	}
+	l.s.Apply(l.now, rep)
+}
+
+// step ends 12 tasks, as 240 starts a second in calls 50 ms apart need, applies reports of a fortieth of the workers and
+// returns how long Decide took. Decisions are applied.
+func (l *loaded) step() time.Duration {
+	l.now += 50
+	n := len(l.running)
+	for range 12 * n / 8000 {
+		st := l.running[l.next%len(l.running)]
+		l.running[l.next%len(l.running)] = l.running[len(l.running)-1]
+		l.running = l.running[:len(l.running)-1]
+		l.next += 7
+		l.s.Apply(l.now, TaskEnded{record.End{Task: st.Task, Attempt: st.Attempt, Outcome: record.Finished, RanMs: 50_000}})
+	}
+	for i := range l.s.order {
+		if i%40 == int(l.now/50)%40 {
+			l.report(l.s.order[i])
+		}
+	}
+	start := time.Now()
+	ds := l.s.Decide(l.now)
+	took := time.Since(start)
+	for _, d := range ds {
+		if st, ok := d.(StartTask); ok {
+			l.s.Apply(l.now, TaskStarted{st.Start})
+			l.running = append(l.running, st.Start)
+		}
+	}
+	return took
+}
+
+// BenchmarkDecide measures one call of Decide at 1, 2 and 4 times the target size, with about 12 starts in each.
+func BenchmarkDecide(b *testing.B) {
+	for _, scale := range []int{1, 2, 4} {
+		b.Run(fmt.Sprintf("x%d", scale), func(b *testing.B) {
+			l := newLoaded(scale)
+			var took []time.Duration
+			for b.Loop() {
+				took = append(took, l.step())
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+			b.ReportMetric(float64(took[len(took)-1].Microseconds()), "max-µs")
+		})
+	}
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -9,6 +9,8 @@
 	MaxStarts int
 	// MaxTries bounds the placements tried in one call of Decide.
 	MaxTries int
+	// MaxVisits bounds the workers looked at in one call of Decide; the placement that reaches it is the last.
+	MaxVisits int
 	// MaxAdmissions bounds the jobs checked for admission in one call of Decide.
 	MaxAdmissions int
 	// MaxCandidates bounds the workers scored for one placement.
@@ -80,7 +82,8 @@
 	return Config{
 		SettleMs:      30_000,
 		MaxStarts:     48,
-		MaxTries:      96,
+		MaxTries:      64,
+		MaxVisits:     3_000,
 		MaxAdmissions: 256,
 		MaxCandidates: 48,
 		RepeatMs:      5_000,
@@ -109,7 +112,7 @@
 		ReclaimUrgentMs:  1_000,
 		KeepMs:           1_000,
 		ReclaimGapMs:     2_000,
-		ReclaimsPerCall:  4,
+		ReclaimsPerCall:  2,
 		NominateMs:       15_000,
 		EvacPerCall:      8,
 		EvacEveryMs:      500,
--- a/scheduler/customer.go
+++ b/scheduler/customer.go
@@ -19,7 +19,7 @@
 	// queuedJobs counts admitted batch and standing jobs with queued tasks.
 	queuedJobs int
 	// fresh holds jobs not tried in this round, parked those that found no room.
-	fresh, parked jobHeap
+	fresh, parked *jobHeap
 	// roundGen is the state's freeGen when the round began.
 	roundGen uint64
 	// active is true while the customer is in State.active.
@@ -29,7 +29,7 @@
 func (s *State) customerOf(name string) *customer {
 	c := s.customers[name]
 	if c == nil {
-		c = &customer{name: name}
+		c = &customer{name: name, fresh: &jobHeap{}, parked: &jobHeap{}}
 		s.customers[name] = c
 	}
 	return c
@@ -128,7 +128,7 @@
 			continue
 		}
 		c.active = false
-		c.fresh, c.parked = jobHeap{}, jobHeap{}
+		c.fresh.jobs, c.parked.jobs, c.fresh.dead, c.parked.dead = nil, nil, 0, 0
 	}
 	for i := len(kept); i < len(s.active); i++ {
 		s.active[i] = nil
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -105,9 +105,6 @@
 	if c.fresh.top() == nil {
 		c.roundGen = s.freeGen
 		c.fresh, c.parked = c.parked, c.fresh
-		for _, j := range c.fresh.jobs {
-			j.in = &c.fresh
-		}
 		return
 	}
 	// The parked job nearest its deadline gets a try in every call, so that the rest of a long round does not delay it.
@@ -128,7 +125,8 @@
 	}
 	heap.Init(&turns)
 	starts := 0
-	for tries := 0; tries < s.cfg.MaxTries && starts < s.cfg.MaxStarts && len(turns) > 0; tries++ {
+	s.visits, s.full = 0, s.full[:0]
+	for tries := 0; tries < s.cfg.MaxTries && starts < s.cfg.MaxStarts && s.visits < s.cfg.MaxVisits && len(turns) > 0; tries++ {
 		tn := turns[0]
 		if d, ok := s.startOne(nowMs, tn); ok {
 			starts++
@@ -198,8 +196,8 @@
 // park puts a job aside until room may have appeared.
 func (s *State) park(nowMs int64, j *job, t *task, reason string) {
 	j.reason = reason
-	if j.in == &j.cust.fresh {
-		heap.Pop(&j.cust.fresh)
+	if j.in == j.cust.fresh {
+		heap.Pop(j.cust.fresh)
 		j.cust.parked.add(j)
 	}
 	if t != nil && j.rec.Urgent && !j.urgentAlert && nowMs-t.queuedMs >= s.cfg.UrgentAlertMs {
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -43,14 +43,24 @@
 	return float64(t.size.CPUMilli) / 1000 * float64(t.shareMilli) / fullShare
 }
 
-// harm is the learned slowdown that one core of class a adds to a task of class v.
+// harm is the learned slowdown that one core of class a adds to a task of service class v.
 func harm(v, a *class) float64 {
-	if h, ok := v.harmedBy[a.id]; ok {
-		return h
+	if int(a.id) < len(v.harmedBy) {
+		if h := v.harmedBy[a.id]; h >= 0 {
+			return float64(h)
+		}
 	}
 	return unknownHarm
 }
 
+// setHarm notes the harm of a to v; a negative value forgets it.
+func (c *class) setHarm(a *class, h float64) {
+	for len(c.harmedBy) <= int(a.id) {
+		c.harmedBy = append(c.harmedBy, -1)
+	}
+	c.harmedBy[a.id] = float32(h)
+}
+
 // harmEveryMs is how long the mean harm of a class is kept before it is computed again.
 const harmEveryMs = 2_000
 
@@ -231,8 +241,11 @@
 }
 
 // learnSlow corrects the learned harm of the task's neighbours by how far it was from what was expected, and returns
-// the slowdown observed. It is a normalized least mean squares filter with harm kept at or above zero.
+// the slowdown observed of a service. It is a normalized least mean squares filter with harm kept at or above zero.
 func (s *State) learnSlow(t *task, sm *Sample, weight float64) float64 {
+	if t.job.rec.Kind != record.ServiceJob || sm.LatencyP99Us == 0 {
+		return 0
+	}
 	v := t.job.class
 	expected, norm := 0.0, 0.0
 	for _, n := range s.neighbours {
@@ -241,31 +254,16 @@
 			norm += n.pressure * n.pressure
 		}
 	}
-	var slow float64
-	if t.job.rec.Kind == record.ServiceJob {
-		if sm.LatencyP99Us == 0 {
-			return 0
-		}
-		latency := float64(sm.LatencyP99Us)
-		slow = latency/v.follow(latency, expected, weight, sm.Used.CPUMilli, t.job.rec.Size.CPUMilli) - 1
-	} else {
-		if sm.SpeedMilli == 0 {
-			return 0
-		}
-		slow = float64(t.shareMilli)/float64(sm.SpeedMilli) - 1
-	}
-	slow = max(slow, 0)
+	latency := float64(sm.LatencyP99Us)
+	slow := max(latency/v.follow(latency, expected, weight, sm.Used.CPUMilli, t.job.rec.Size.CPUMilli)-1, 0)
 	if norm == 0 {
 		return slow
 	}
 	err := min(slow, maxSlow) - expected
-	if v.harmedBy == nil {
-		v.harmedBy = make(map[int32]float64)
-	}
 	for _, n := range s.neighbours {
 		if n.task != t {
 			h := harm(v, n.class) + weight*learnStep*err*n.pressure/(1+norm)
-			v.harmedBy[n.class.id] = min(max(h, 0), maxSlow)
+			v.setHarm(n.class, min(max(h, 0), maxSlow))
 		}
 	}
 	return slow
@@ -295,6 +293,14 @@
 // addedHarm is the largest slowdown that a service on w would have with the task, and the increase of the sum of
 // slowdowns and their squares. Squares make it better to spread harm than to pile it up.
 func (p *placing) addedHarm(w *worker) (worst, cost float64) {
+	if p.harmOn != w {
+		p.harmOn = w
+		p.worst, p.cost = p.computeHarm(w)
+	}
+	return p.worst, p.cost
+}
+
+func (p *placing) computeHarm(w *worker) (worst, cost float64) {
 	w.refreshSlow()
 	cores := float64(p.size.CPUMilli) / 1000
 	if p.job.rec.Kind == record.ServiceJob {
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -50,8 +50,9 @@
 	usedMs  int64
 	// levels holds what is known of a service's undisturbed latency by load; nil for other classes.
 	levels *[loadBuckets]loadLevel
-	// harmedBy is the slowdown that one core of another class adds to a task of this class, by class id.
-	harmedBy map[int32]float64
+	// harmedBy is the slowdown that one core of another class adds to a task of this service, by class id; negative if
+	// unknown.
+	harmedBy []float32
 	// mean is its mean harm to services, computed at meanMs.
 	mean   float64
 	meanMs int64
@@ -65,8 +66,7 @@
 		if len(s.classes) >= maxClasses {
 			s.dropClasses()
 		}
-		s.lastClass++
-		c = &class{key: key, id: s.lastClass}
+		c = &class{key: key, id: s.newClassID()}
 		s.classes[key] = c
 		if key.kind == record.ServiceJob {
 			s.services = append(s.services, c)
@@ -97,12 +97,26 @@
 	for _, c := range idle[:min(len(idle), maxClasses/8)] {
 		delete(s.classes, c.key)
 		s.services = slices.DeleteFunc(s.services, func(v *class) bool { return v == c })
-		for _, v := range s.classes {
-			delete(v.harmedBy, c.id)
+		s.freeIDs = append(s.freeIDs, c.id)
+		for _, v := range s.services {
+			if int(c.id) < len(v.harmedBy) {
+				v.harmedBy[c.id] = -1
+			}
 		}
 	}
 }
 
+// newClassID returns an id that no class has. Ids are used again, so that they stay small.
+func (s *State) newClassID() int32 {
+	if n := len(s.freeIDs); n > 0 {
+		id := s.freeIDs[n-1]
+		s.freeIDs = s.freeIDs[:n-1]
+		return id
+	}
+	s.lastClass++
+	return s.lastClass
+}
+
 // add puts a ratio in a sketch, which is created if needed.
 func add(sk **ddsketch.DDSketch, ratioMilli float64) {
 	if *sk == nil {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -25,6 +25,9 @@
 	size  record.Resources
 	// pressing is true for urgent tasks and tasks at risk of missing their deadline.
 	pressing bool
+	// harmOn is the worker that worst and cost were computed for.
+	harmOn      *worker
+	worst, cost float64
 }
 
 // filterFunc makes a Filter of a function.
@@ -48,9 +51,13 @@
 	filterFunc(excludeNominated),
 	filterFunc(excludeFilling),
 	filterFunc(excludeAccelerators),
+	// The costly filter is last.
 	filterFunc(excludeHarmful),
 }
 
+// fullFilter is the place of excludeFull in filters.
+const fullFilter = 2
+
 var scores = []Score{
 	scoreFunc(rateRoom),
 	scoreFunc(rateSpread),
@@ -193,18 +200,22 @@
 
 // place returns the best worker for a task, or the most common reason why workers are excluded.
 func (s *State) place(p *placing) (*worker, string) {
+	for _, size := range s.full {
+		if size.Fits(p.size) {
+			return nil, "all workers are full"
+		}
+	}
 	var best *worker
 	var bestScore int64
 	var counts [16]int
 	var reasons [16]string
-	scored := 0
-	n := len(s.order)
-	for i := 0; i < n && scored < s.cfg.MaxCandidates; i++ {
-		w := s.order[(s.cursor+i)%n]
+	scored, visited := 0, 0
+	s.free.search(p.size.CPUMilli, 4*s.cfg.MaxCandidates, func(w *worker) bool {
+		visited++
 		if f, r := excluded(p, w); r != "" {
 			counts[f]++
 			reasons[f] = r
-			continue
+			return true
 		}
 		scored++
 		var score int64
@@ -214,23 +225,28 @@
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
-	}
-	if n > 0 {
-		s.cursor = (s.cursor + 1) % n
-	}
+		return scored < s.cfg.MaxCandidates
+	})
+	s.visits += visited + 1
 	if best != nil {
 		return best, ""
 	}
+	if counts[fullFilter] == visited && visited < 4*s.cfg.MaxCandidates {
+		s.full = append(s.full, p.size)
+	}
+	if s.free.n == 0 {
+		return nil, "no worker is in contact in a zone that is in service"
+	}
 	most := 0
 	for f := range counts {
 		if counts[f] > counts[most] {
 			most = f
 		}
 	}
-	if counts[most] == 0 {
-		return nil, "no worker is known"
+	if counts[most] <= s.free.n-visited {
+		return nil, fmt.Sprintf("%d of %d workers: too few free processors", s.free.n-visited, s.free.n)
 	}
-	return nil, fmt.Sprintf("%d of %d workers: %s", counts[most], n, reasons[most])
+	return nil, fmt.Sprintf("%d of %d workers: %s", counts[most], s.free.n, reasons[most])
 }
 
 // excluded returns the first filter that excludes the worker, and why.
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -6,6 +6,12 @@
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
+// reclaimEveryMs is the least time between two tries to take back room for one job.
+const reclaimEveryMs = 250
+
+// maxReclaimed bounds the workers looked at in one try.
+const maxReclaimed = 32
+
 // reclaim makes room for a task that is urgent or within its customer's guaranteed share and found none. First a worker
 // is kept for it, so that small tasks do not take each bit of room that appears; if it still waits, batch work of
 // customers beyond their guaranteed share is evicted there.
@@ -18,10 +24,14 @@
 		keep, evict = 0, s.cfg.ReclaimUrgentMs
 	}
 	waited := nowMs - j.blockedMs
+	if nowMs-j.triedMs < reclaimEveryMs {
+		return
+	}
 	if waited < keep || s.reclaims >= s.cfg.ReclaimsPerCall || j.reclaimMs != 0 && nowMs-j.reclaimMs < s.cfg.NominateMs {
 		return
 	}
 	p := &placing{s: s, nowMs: nowMs, task: j.next(), job: j, size: size}
+	j.triedMs = nowMs
 	kept := j.nominated != nil && j.nominated.nominee == j && nowMs < j.nominated.nomineeMs
 	if waited < evict || !j.rec.Urgent && nowMs-j.cust.startedMs < s.cfg.ReclaimGapMs {
 		if !kept {
@@ -36,7 +46,7 @@
 	var bestCost int64
 	s.eachUsable(p, func(w *worker) {
 		victims, cost, ok := s.victims(nowMs, w, j, size, owed)
-		if ok && (best == nil || cost < bestCost) {
+		if ok && (best == nil || cost < bestCost) && excludeHarmful(p, w) == "" {
 			best, bestVictims, bestCost = w, victims, cost
 		}
 	})
@@ -53,15 +63,15 @@
 // eachUsable calls f for a bounded number of workers on which the task could run if they had room.
 func (s *State) eachUsable(p *placing, f func(w *worker)) {
 	n := len(s.order)
-	for i := range min(n, 4*s.cfg.MaxCandidates) {
+	for i := range min(n, maxReclaimed) {
 		w := s.order[(s.cursor+i)%n]
 		if w.nominee != nil && w.nominee != p.job && p.nowMs < w.nomineeMs || w.probation || !p.size.Fits(w.capacity) ||
-			excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" || excludeAvoided(p, w) != "" || excludeHarmful(p, w) != "" {
+			excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" || excludeAvoided(p, w) != "" {
 			continue
 		}
 		f(w)
 	}
-	s.cursor = (s.cursor + 1) % max(n, 1)
+	s.cursor = (s.cursor + maxReclaimed) % max(n, 1)
 }
 
 // nearestFit returns the worker that lacks least room for the task.
@@ -72,7 +82,7 @@
 		free := w.free()
 		lack := max(p.size.CPUMilli-free.CPUMilli, 0) + max(p.size.MemoryMB-free.MemoryMB, 0) +
 			16_000*max(p.size.Accelerators-free.Accelerators, 0)
-		if best == nil || lack < bestLack {
+		if (best == nil || lack < bestLack) && excludeHarmful(p, w) == "" {
 			best, bestLack = w, lack
 		}
 	})
@@ -94,7 +104,7 @@
 // victims returns the tasks to evict from w so that size fits, and the run time in milliseconds this loses or delays.
 func (s *State) victims(nowMs int64, w *worker, j *job, size record.Resources, owed bool) (out []*task, cost int64, ok bool) {
 	free := w.free()
-	lent := make(map[*customer]record.Resources)
+	var lent map[*customer]record.Resources
 	for !size.Fits(free) {
 		var best *task
 		var bestCost int64
@@ -115,6 +125,9 @@
 		cost += bestCost
 		free = free.Add(best.size)
 		c := best.job.cust
+		if lent == nil {
+			lent = make(map[*customer]record.Resources)
+		}
 		lent[c] = lent[c].Add(best.size)
 	}
 	return out, cost, len(out) > 0
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -48,8 +48,9 @@
 	classes   map[classKey]*class
 	// services holds the classes of services in the order in which they were first seen.
 	services []*class
-	// lastClass is the id given last to a class.
+	// lastClass is the highest id given to a class; freeIDs holds those of dropped classes.
 	lastClass int32
+	freeIDs   []int32
 	// neighbours is reused between reports.
 	neighbours []neighbour
 	// alerts and pending hold decisions made while events were applied.
@@ -61,10 +62,15 @@
 	watchNext int
 	delayed   delayHeap
 	risks     riskHeap
+	// visits counts the workers looked at in this call, and full holds sizes for which no worker had room in it.
+	visits int
+	full   []record.Resources
 	// reclaims counts the jobs for which room was taken back in this call.
 	reclaims int
 	// accelMs is when a task that needs accelerators last found no room.
 	accelMs int64
+	// free indexes workers by free processors.
+	free freeIndex
 	// up counts workers in contact.
 	up int
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -58,8 +58,8 @@
 	// blockedMs is since when the job finds no room although it is owed some; 0 if it is not blocked.
 	blockedMs int64
 	// nominated is the worker on which room is kept for the job; reclaimMs is when tasks were last evicted for it.
-	nominated *worker
-	reclaimMs int64
+	nominated          *worker
+	reclaimMs, triedMs int64
 	// riskWatched is true once the deadline is watched; the others once the alert was given.
 	riskWatched, riskAlert, urgentAlert, failAlert bool
 }
@@ -323,6 +323,7 @@
 	t.slot = len(w.tasks)
 	w.tasks = append(w.tasks, t)
 	w.committed = w.committed.Add(size)
+	s.free.update(w)
 	w.sinceReport += size.CPUMilli
 	w.stale, t.unproven, t.shareMilli = true, true, fullShare
 	w.unproven++
@@ -348,6 +349,7 @@
 	w.tasks[last] = nil
 	w.tasks = w.tasks[:last]
 	w.committed = w.committed.Sub(t.size)
+	s.free.update(w)
 	w.stale = true
 	if t.phase == phaseRunning && t.disturbs() {
 		w.remember(nowMs, t)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -16,6 +16,8 @@
 	// tasks holds running and proposed tasks.
 	tasks   []*task
 	zoneRef *zone
+	// bucket and place say where the worker is in the index; bucket is -1 if it is not.
+	bucket, place int
 	// past holds tasks that ended a short time ago, to match late reports.
 	past []stay
 	// reportMs is when the newest report was measured, usedCPU the processors in use then, and sinceReport what was
@@ -44,7 +46,7 @@
 }
 
 func newWorker(id string) *worker {
-	return &worker{id: id, zoneRef: &zone{}, ramp: startRamp, stale: true}
+	return &worker{id: id, zoneRef: &zone{}, ramp: startRamp, stale: true, bucket: -1}
 }
 
 // setUp changes whether the worker is in contact.
@@ -57,6 +59,7 @@
 			s.up--
 		}
 	}
+	s.free.update(w)
 }
 
 // free is what may still be committed.
--- a/scheduler/zone.go
+++ b/scheduler/zone.go
@@ -48,6 +48,7 @@
 			continue
 		}
 		w.ramp = min(w.ramp, startRamp)
+		s.free.update(w)
 		if !z.out {
 			continue
 		}
