scheduler: reasons are formatted when asked for; lower bounds per call

Cause: Decide spent time on formatting reasons and on tries beyond what a call can start. Change: the reason of a wait is kept as numbers; 48 tries and 1,000 visited workers per call; 16 workers per reclaim.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -34,7 +34,7 @@
 			s.refused = append(s.refused, j)
 			out = append(out, RefuseJob{record.Refusal{Job: j.rec.ID, Reason: reason}})
 		case wait != "":
-			j.reason = wait
+			j.why = why{text: wait}
 			s.admissions = append(s.admissions, j)
 		default:
 			j.admitted, j.pending = true, false
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -82,8 +82,8 @@
 	return Config{
 		SettleMs:      30_000,
 		MaxStarts:     48,
-		MaxTries:      64,
-		MaxVisits:     3_000,
+		MaxTries:      48,
+		MaxVisits:     1_000,
 		MaxAdmissions: 256,
 		MaxCandidates: 48,
 		RepeatMs:      5_000,
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -147,17 +147,18 @@
 	j := tn.job
 	t := j.next()
 	size := s.sizeOf(j)
-	reason := j.cust.overQuota(j, size)
-	if reason == "" {
-		reason = s.cautious(j)
-	}
-	if t != nil && reason == "" {
-		p := &placing{s: s, nowMs: nowMs, task: t, job: j, size: size, pressing: tn.urgent || tn.atRisk}
-		w, why := s.place(p)
+	reason := why{text: j.cust.overQuota(j, size)}
+	if reason.text == "" {
+		reason.text = s.cautious(j)
+	}
+	if t != nil && reason.text == "" {
+		p := &s.placing
+		*p = placing{s: s, nowMs: nowMs, task: t, job: j, size: size, pressing: tn.urgent || tn.atRisk}
+		w, y := s.place(p)
 		if w != nil {
 			return s.propose(nowMs, t, w, size, tn), true
 		}
-		reason = "no worker has room: " + why
+		reason = y
 		if size.Accelerators > 0 {
 			s.accelMs = nowMs
 		}
@@ -194,15 +195,15 @@
 }
 
 // park puts a job aside until room may have appeared.
-func (s *State) park(nowMs int64, j *job, t *task, reason string) {
-	j.reason = reason
+func (s *State) park(nowMs int64, j *job, t *task, reason why) {
+	j.why = reason
 	if j.in == j.cust.fresh {
 		heap.Pop(j.cust.fresh)
 		j.cust.parked.add(j)
 	}
 	if t != nil && j.rec.Urgent && !j.urgentAlert && nowMs-t.queuedMs >= s.cfg.UrgentAlertMs {
 		j.urgentAlert = true
-		s.alert(Alert{Code: AlertUrgentLate, Job: j.rec.ID, Task: t.id, Message: reason})
+		s.alert(Alert{Code: AlertUrgentLate, Job: j.rec.ID, Task: t.id, Message: reason.String()})
 	}
 }
 
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -10,14 +10,14 @@
 		return ""
 	case j.refusal != "":
 		return "refused: " + j.refusal
-	case j.pending && j.reason == "":
+	case j.pending && j.why.text == "":
 		return "not checked for admission yet"
 	case j.waitingTasks == 0:
 		return ""
-	case j.reason == "":
+	case j.why.text == "":
 		return fmt.Sprintf("%d tasks wait for their turn", j.waitingTasks)
 	}
-	return j.reason
+	return j.why.String()
 }
 
 // ExplainPlacement returns the causes of the newest decisions on a task, oldest first.
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -198,11 +198,26 @@
 	return 0
 }
 
+// why is why a task was not placed. It is formatted only when it is asked for.
+type why struct {
+	// count of n workers were excluded for the reason in text; n is 0 if the reason is not about single workers.
+	count, n int
+	text     string
+}
+
+// String implements fmt.Stringer.
+func (y why) String() string {
+	if y.n == 0 {
+		return y.text
+	}
+	return fmt.Sprintf("no worker has room: %d of %d workers: %s", y.count, y.n, y.text)
+}
+
 // place returns the best worker for a task, or the most common reason why workers are excluded.
-func (s *State) place(p *placing) (*worker, string) {
+func (s *State) place(p *placing) (*worker, why) {
 	for _, size := range s.full {
 		if size.Fits(p.size) {
-			return nil, "all workers are full"
+			return nil, why{text: "all workers are full"}
 		}
 	}
 	var best *worker
@@ -229,13 +244,13 @@
 	})
 	s.visits += visited + 1
 	if best != nil {
-		return best, ""
+		return best, why{}
 	}
 	if counts[fullFilter] == visited && visited < 4*s.cfg.MaxCandidates {
 		s.full = append(s.full, p.size)
 	}
 	if s.free.n == 0 {
-		return nil, "no worker is in contact in a zone that is in service"
+		return nil, why{text: "no worker is in contact in a zone that is in service"}
 	}
 	most := 0
 	for f := range counts {
@@ -244,9 +259,9 @@
 		}
 	}
 	if counts[most] <= s.free.n-visited {
-		return nil, fmt.Sprintf("%d of %d workers: too few free processors", s.free.n-visited, s.free.n)
+		return nil, why{s.free.n - visited, s.free.n, "too few free processors"}
 	}
-	return nil, fmt.Sprintf("%d of %d workers: %s", counts[most], s.free.n, reasons[most])
+	return nil, why{counts[most], s.free.n, reasons[most]}
 }
 
 // excluded returns the first filter that excludes the worker, and why.
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -10,7 +10,7 @@
 const reclaimEveryMs = 250
 
 // maxReclaimed bounds the workers looked at in one try.
-const maxReclaimed = 32
+const maxReclaimed = 16
 
 // reclaim makes room for a task that is urgent or within its customer's guaranteed share and found none. First a worker
 // is kept for it, so that small tasks do not take each bit of room that appears; if it still waits, batch work of
--- a/scheduler/risk.go
+++ b/scheduler/risk.go
@@ -74,7 +74,7 @@
 		case t.phase == phaseQueued || t.phase == phaseDelayed:
 			need := max(run-t.checkpointMs, 0)
 			if nowMs+need > j.rec.DeadlineMs {
-				return fmt.Sprintf("%s waits (%s) and needs %d s, the deadline is in %d s", t.id, j.reason, need/1000,
+				return fmt.Sprintf("%s waits (%s) and needs %d s, the deadline is in %d s", t.id, j.why, need/1000,
 					(j.rec.DeadlineMs-nowMs)/1000)
 			}
 		case t.phase == phaseRunning:
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -62,6 +62,8 @@
 	watchNext int
 	delayed   delayHeap
 	risks     riskHeap
+	// placing is the placement in progress.
+	placing placing
 	// visits counts the workers looked at in this call, and full holds sizes for which no worker had room in it.
 	visits int
 	full   []record.Resources
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -49,8 +49,8 @@
 	refusedMs int64
 	// cancelled is true after JobCancelled.
 	cancelled bool
-	// reason is why the job's first queued task waits.
-	reason string
+	// why is why the job's first queued task waits.
+	why    why
 	class  *class
 	health *jobHealth
 	// evictions counts evictions of its tasks.
