--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -25,6 +25,9 @@
 	size  record.Resources
 	// pressing is true for urgent tasks and tasks at risk of missing their deadline.
 	pressing bool
+	// harmOn is the worker that worst and cost were computed for.
+	harmOn      *worker
+	worst, cost float64
 }
 
 // filterFunc makes a Filter of a function.
@@ -48,9 +51,13 @@
 	filterFunc(excludeNominated),
 	filterFunc(excludeFilling),
 	filterFunc(excludeAccelerators),
+	// The costly filter is last.
 	filterFunc(excludeHarmful),
 }
 
+// fullFilter is the place of excludeFull in filters.
+const fullFilter = 2
+
 var scores = []Score{
 	scoreFunc(rateRoom),
 	scoreFunc(rateSpread),
@@ -191,20 +198,39 @@
 	return 0
 }
 
+// why is why a task was not placed. It is formatted only when it is asked for.
+type why struct {
+	// count of n workers were excluded for the reason in text; n is 0 if the reason is not about single workers.
+	count, n int
+	text     string
+}
+
+// String implements fmt.Stringer.
+func (y why) String() string {
+	if y.n == 0 {
+		return y.text
+	}
+	return fmt.Sprintf("no worker has room: %d of %d workers: %s", y.count, y.n, y.text)
+}
+
 // place returns the best worker for a task, or the most common reason why workers are excluded.
-func (s *State) place(p *placing) (*worker, string) {
+func (s *State) place(p *placing) (*worker, why) {
+	for _, size := range s.full {
+		if size.Fits(p.size) {
+			return nil, why{text: "all workers are full"}
+		}
+	}
 	var best *worker
 	var bestScore int64
 	var counts [16]int
 	var reasons [16]string
-	scored := 0
-	n := len(s.order)
-	for i := 0; i < n && scored < s.cfg.MaxCandidates; i++ {
-		w := s.order[(s.cursor+i)%n]
+	scored, visited := 0, 0
+	s.free.search(p.size.CPUMilli, 4*s.cfg.MaxCandidates, func(w *worker) bool {
+		visited++
 		if f, r := excluded(p, w); r != "" {
 			counts[f]++
 			reasons[f] = r
-			continue
+			return true
 		}
 		scored++
 		var score int64
@@ -214,12 +240,17 @@
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
+		return scored < s.cfg.MaxCandidates
+	})
+	s.visits += visited + 1
+	if best != nil {
+		return best, why{}
 	}
-	if n > 0 {
-		s.cursor = (s.cursor + 1) % n
+	if counts[fullFilter] == visited && visited < 4*s.cfg.MaxCandidates {
+		s.full = append(s.full, p.size)
 	}
-	if best != nil {
-		return best, ""
+	if s.free.n == 0 {
+		return nil, why{text: "no worker is in contact in a zone that is in service"}
 	}
 	most := 0
 	for f := range counts {
@@ -227,10 +258,10 @@
 			most = f
 		}
 	}
-	if counts[most] == 0 {
-		return nil, "no worker is known"
+	if counts[most] <= s.free.n-visited {
+		return nil, why{s.free.n - visited, s.free.n, "too few free processors"}
 	}
-	return nil, fmt.Sprintf("%d of %d workers: %s", counts[most], n, reasons[most])
+	return nil, why{counts[most], s.free.n, reasons[most]}
 }
 
 // excluded returns the first filter that excludes the worker, and why.
