authority, leases: close gaps in the witness protocol

Cause: review of the protocol found ways to run a task twice. A new decider asked only the witness of the epoch directly before its own, so that with two claims in a row the first decider could go on. Nothing ended a decider's authority by promises after authority_max. A decider that proposed another witness kept relying on the old one, which no reader of the proposal asks to release. After a restart of a side process and its worker, an attempt could start a second time under the same number.

Change: the folded state keeps all older epochs until a decider records that they are settled. Promises count until authority_max after the newest read of the log, and not while a change of witness is proposed. Witnesses that are gone are replaced on the log. The worker keeps the highest epoch and refuses older ones; a worker seen on the new epoch needs no wait. An attempt belongs to the run of the side process it was placed for. Deciders resign on graceful shutdown. Polls with ends that are already known wait, so that they do not spin while the log is down. holder.newest holds only attempts whose end is not acknowledged. A repeated change of configuration is no longer passed to the policy again.

The history checker has rules for lost updates and records applied twice. Package internal/rule lets tests switch single rules off.

--- a/core/config/state.go
+++ b/core/config/state.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"sort"
 
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -112,7 +113,8 @@
 	}
 }
 
-// Fold applies the record at offset and returns the outcomes of its changes.
+// Fold applies the record at offset and returns the outcomes of its changes. A change that is on record already keeps its
+// first outcome and is not returned again.
 func (s *State) Fold(offset uint64, rec *record.Record) []Outcome {
 	if offset < s.Next {
 		return nil
@@ -123,22 +125,21 @@
 	}
 	var outcomes []Outcome
 	for _, change := range rec.Config {
-		outcomes = append(outcomes, s.apply(offset, change))
+		if _, known := s.byID[change.ID]; !known {
+			outcomes = append(outcomes, s.apply(offset, change))
+		}
 	}
 	return outcomes
 }
 
 func (s *State) apply(offset uint64, change record.ConfigChange) Outcome {
-	if _, known := s.byID[change.ID]; known {
-		return s.Audit[s.byID[change.ID]]
-	}
 	out := Outcome{Change: change, Status: Accepted, Revision: offset}
 	current, wonBy := s.objectRevision(change)
 	err := Check(change, s)
 	switch {
 	case err != nil:
 		out.Status, out.Reason = Rejected, err.Error()
-	case current != change.Base:
+	case current != change.Base && rule.On(rule.Version):
 		out.Status, out.Won, out.WonBy = Conflict, current, wonBy
 	default:
 		s.put(offset, change)
--- a/core/core.go
+++ b/core/core.go
@@ -77,21 +77,29 @@
 // Announced gives an announcement of an endpoint.
 type Announced struct{ Announcement members.Announcement }
 
-// Ticked tells that time has passed. Rank orders the entries of the region.
-type Ticked struct{ Rank int }
+// Ticked tells that time has passed. Rank orders the entries of the region; Candidate is the one to name as witness.
+type Ticked struct {
+	Rank      int
+	Candidate *record.DeciderClaim
+}
 
 // Polled gives a worker's poll.
 type Polled struct{ Poll decider.Poll }
 
-// BatchSettled tells that the batch in flight was folded or was certainly not appended.
-type BatchSettled struct{}
+// BatchSettled tells that the batch in flight was folded or, if Dropped, that it certainly never takes effect.
+type BatchSettled struct{ Dropped bool }
 
 // PromiseReceived tells that the witness promised an epoch.
 type PromiseReceived struct {
-	Epoch  uint64
-	SentAt time.Duration
+	Epoch       uint64
+	Witness     string
+	Incarnation uint64
+	SentAt      time.Duration
 }
 
+// Leaving tells that this entry shuts down and acts as decider no more.
+type Leaving struct{}
+
 // ReleaseReceived tells that the old witness released an epoch.
 type ReleaseReceived struct{ Epoch uint64 }
 
@@ -126,6 +134,7 @@
 func (BatchSettled) coreEvent()    {}
 func (PromiseReceived) coreEvent() {}
 func (ReleaseReceived) coreEvent() {}
+func (Leaving) coreEvent()         {}
 func (ZoneHeld) coreEvent()        {}
 func (TryWanted) coreEvent()       {}
 func (TryEnded) coreEvent()        {}
--- a/core/decider/state.go
+++ b/core/decider/state.go
@@ -8,6 +8,7 @@
 	"github.com/verbenakeel/verbenakeel/core/config"
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
 )
@@ -23,6 +24,8 @@
 	permitEnds time.Duration
 	// held is the newest attempt of each task that the worker was seen to hold.
 	held map[string]uint32
+	// fenced is true once the worker was seen to refuse older deciders; from then on their authority no longer counts.
+	fenced bool
 	// down is true when the policy was told that the worker is silent.
 	down bool
 	// throttles holds throttles to pass on.
@@ -56,10 +59,14 @@
 	}
 }
 
-// Rebind replaces the folded states after a snapshot was restored.
-func (s *State) Rebind(region *tasks.State, conf *config.State) {
+// Rebind replaces the folded states after a snapshot was restored. A decider that still holds the newest epoch starts
+// anew from them.
+func (s *State) Rebind(now clock.Now, region *tasks.State, conf *config.State) {
 	s.region, s.conf = region, conf
 	s.deactivate()
+	if s.auth.Holds() {
+		s.activate(now)
+	}
 }
 
 // Active reports whether the entry decides, apart from the freshness of its evidence.
@@ -76,6 +83,9 @@
 
 // mayStart reports whether a permit may be given for the zone.
 func (s *State) mayStart(now clock.Now, zone string) bool {
+	if !rule.On(rule.Permit) {
+		return true
+	}
 	fresh := s.confRead > 0 && now.Mono < s.confRead+s.cfg.ConfigFreshness
 	return fresh && !s.conf.ZoneOut(zone) && now.Mono >= s.holds[zone]
 }
@@ -230,10 +240,7 @@
 	if c != nil {
 		return c
 	}
-	from, known := s.auth.PresumeFrom()
-	if !known || from < now.Mono {
-		from = now.Mono
-	}
+	from := max(now.Mono, s.auth.PresumeFrom())
 	c = &contact{
 		heard: now.Mono, leaseEnds: from + clock.WithMargin(s.cfg.TaskLease),
 		serviceEnds: from + clock.WithMargin(s.cfg.ServiceLease), permitEnds: from + clock.WithMargin(s.cfg.PermitTTL),
--- a/core/decider/sync.go
+++ b/core/decider/sync.go
@@ -8,6 +8,7 @@
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
@@ -38,7 +39,7 @@
 // Sync answers a worker's poll. The error is of kind Unavailable when this entry may not act as the decider.
 func (s *State) Sync(now clock.Now, p Poll) (Answer, error) {
 	epoch, _ := s.auth.Epoch()
-	if s.policy == nil || !s.auth.Valid(now) || p.Epoch > epoch {
+	if s.policy == nil || !s.auth.Valid(now) || (p.Epoch > epoch && rule.On(rule.Epoch)) {
 		return Answer{}, errdefs.New(errdefs.Unavailable, "this entry is not the decider of the region",
 			"ask the decider that the reply names, or try again")
 	}
@@ -47,6 +48,7 @@
 		ServiceLeaseMs: s.cfg.ServiceLease.Milliseconds(), PermitMs: s.cfg.PermitTTL.Milliseconds(),
 	}}
 	c := s.contact(now, p.Worker)
+	s.fence(now, epoch, c, p)
 	s.join(now, c, p)
 	seen := make(map[string]bool)
 	for _, e := range p.Ended {
@@ -65,11 +67,24 @@
 	return a, nil
 }
 
+// fence notes that a worker is on this epoch. From then on it takes no renewal of an older decider, and its side process
+// no start, so that its leases and permits end as this decider counts them. A later run of the side process may not know
+// the epoch, but takes no start of an attempt that was placed for an earlier run.
+func (s *State) fence(now clock.Now, epoch uint64, c *contact, p Poll) {
+	if c.fenced || p.Epoch != epoch {
+		return
+	}
+	c.fenced = true
+	c.leaseEnds = now.Mono + clock.WithMargin(s.cfg.TaskLease)
+	c.serviceEnds = now.Mono + clock.WithMargin(s.cfg.ServiceLease)
+	c.permitEnds = now.Mono + clock.WithMargin(s.cfg.PermitTTL)
+}
+
 // join notes contact and proposes the worker's record when it is new or differs.
 func (s *State) join(now clock.Now, c *contact, p Poll) {
 	c.heard = now.Mono
 	w := s.region.Workers[p.Worker]
-	if w == nil || w.Lost || w.Incarnation != p.Incarnation || w.Capacity != p.Capacity || w.Zone != p.Zone || w.Rack != p.Rack {
+	if s.differs(p) {
 		s.joins[p.Worker] = record.WorkerChange{
 			ID: p.Worker, Zone: p.Zone, Rack: p.Rack, Capacity: p.Capacity, Incarnation: p.Incarnation,
 		}
@@ -80,6 +95,12 @@
 	}
 }
 
+// differs reports whether the worker's record is missing or differs from the poll.
+func (s *State) differs(p Poll) bool {
+	w := s.region.Workers[p.Worker]
+	return w == nil || w.Lost || w.Incarnation != p.Incarnation || w.Capacity != p.Capacity || w.Zone != p.Zone || w.Rack != p.Rack
+}
+
 // takeEnd proposes the end of a current attempt and acknowledges ends that are on record.
 func (s *State) takeEnd(a *Answer, p Poll, e record.End, seen map[string]bool) {
 	t := s.region.Tasks[e.Task]
@@ -146,12 +167,19 @@
 		t := s.region.Tasks[id]
 		switch {
 		case c.held[id] == t.Attempt:
-			s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, Reason: "the worker no longer holds the attempt"}
+			s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
+				Reason: "the worker no longer holds the attempt"}
 		case leaving(t):
 			// A start ordered before may still be under way until its permit has ended.
 			if now.Mono >= c.permitEnds {
 				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.NotStarted, Reason: "left before it started"}
 			}
+		case t.Incarnation != p.Incarnation:
+			// The run of the side process that the attempt was placed for may have started it until its permit ended.
+			if now.Mono >= c.permitEnds {
+				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
+					Reason: "the side process was replaced and the worker does not have the attempt"}
+			}
 		case !s.mayStart(now, w.Zone):
 		case !p.WantStarts:
 			a.StartsWaiting = true
--- a/core/decider/tick.go
+++ b/core/decider/tick.go
@@ -6,6 +6,7 @@
 
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
 )
@@ -21,6 +22,10 @@
 	s.takeJoins(b)
 	s.decide(now, b)
 	s.takeEnds(b)
+	b.Settled = s.auth.Settled(now)
+	if !s.inFlight {
+		b.Witness = s.auth.WitnessProposal(now)
+	}
 	if empty(b) && now.Mono < s.lastBatch+s.cfg.Heartbeat {
 		return nil
 	}
@@ -28,11 +33,16 @@
 	return b
 }
 
-// BatchDone tells that the batch was folded or certainly not appended.
-func (s *State) BatchDone() { s.inFlight = false }
+// BatchDone tells that the batch was folded or, if dropped, that it certainly never takes effect.
+func (s *State) BatchDone(dropped bool) {
+	s.inFlight = false
+	if dropped {
+		s.auth.ProposalDropped()
+	}
+}
 
 func empty(b *record.Batch) bool {
-	return len(b.Workers)+len(b.Starts)+len(b.Ends)+len(b.Evictions)+len(b.Refusals)+len(b.Replicas) == 0
+	return !b.Settled && b.Witness == nil && len(b.Workers)+len(b.Starts)+len(b.Ends)+len(b.Evictions)+len(b.Refusals)+len(b.Replicas) == 0
 }
 
 // closeSilent ends what silent workers held once their leases have ended.
@@ -66,7 +76,7 @@
 		if isService(s.region.Jobs[t.Job]) {
 			ends = c.serviceEnds
 		}
-		if now.Mono < ends {
+		if now.Mono < ends && rule.On(rule.Lease) {
 			remain++
 			continue
 		}
@@ -139,7 +149,9 @@
 	for _, d := range s.policy.Decide(now.WallMs) {
 		switch d := d.(type) {
 		case scheduler.StartTask:
-			if w := s.region.Workers[d.Worker]; w != nil && s.mayStart(now, w.Zone) {
+			// A worker whose record is about to change may have a new run of its side process.
+			_, joining := s.joins[d.Worker]
+			if w := s.region.Workers[d.Worker]; w != nil && !joining && s.mayStart(now, w.Zone) {
 				b.Starts = append(b.Starts, d.Start)
 			}
 		case scheduler.EvictTask:
@@ -167,23 +179,49 @@
 	}
 }
 
-// Waiting reports whether a poll of the worker has something to answer beyond renewals.
-func (s *State) Waiting(now clock.Now, worker string) bool {
-	w, c := s.region.Workers[worker], s.contacts[worker]
-	if s.policy == nil || w == nil || c == nil {
+// Waiting reports whether a poll has something to answer beyond renewals.
+func (s *State) Waiting(now clock.Now, p Poll) bool {
+	if s.policy == nil {
+		return false
+	}
+	for _, e := range p.Ended {
+		if known, ok := s.ends[e.Task]; !ok || known.Attempt != e.Attempt {
+			return true
+		}
+	}
+	if _, joining := s.joins[p.Worker]; !joining && s.differs(p) {
+		return true
+	}
+	w, c := s.region.Workers[p.Worker], s.contacts[p.Worker]
+	if w == nil {
 		return false
 	}
+	if c == nil || !c.fenced {
+		return true
+	}
 	if len(c.throttles) > 0 {
 		return true
 	}
 	for id := range w.Tasks {
-		t := s.region.Tasks[id]
-		if leaving(t) || (c.held[id] != t.Attempt && s.mayStart(now, w.Zone)) {
+		if s.taskWaits(now, s.region.Tasks[id], w, c) {
 			return true
 		}
 	}
 	return false
 }
 
+// taskWaits reports whether there is an order for a placed task. An attempt whose end waits for the log needs none, so
+// that polls do not spin while the log is down.
+func (s *State) taskWaits(now clock.Now, t *tasks.Task, w *tasks.Worker, c *contact) bool {
+	if _, ending := s.ends[t.ID]; ending {
+		return false
+	}
+	held := c.held[t.ID] == t.Attempt
+	if leaving(t) {
+		return held || now.Mono >= c.permitEnds
+	}
+	return !held && s.mayStart(now, w.Zone)
+}
+
 // PollEvery returns how long a worker's poll may wait.
 func (s *State) PollEvery() time.Duration { return s.cfg.PollEvery }
--- a/core/holder/holder.go
+++ b/core/holder/holder.go
@@ -5,6 +5,7 @@
 package holder
 
 import (
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 )
@@ -58,6 +59,8 @@
 
 // Effects are what the side process asks of its worker, in order.
 type Effects struct {
+	// Epoch is passed with Renew, also if no lease is renewed, so that the worker refuses older deciders.
+	Epoch  uint64
 	Renew  []platform.Lease
 	Forget []Renewal
 	Orders []Order
@@ -89,6 +92,7 @@
 func (s *State) Begin(status platform.WorkerStatus) Poll {
 	s.sequence++
 	s.outstanding = s.sequence
+	s.epoch = max(s.epoch, status.Epoch)
 	for _, t := range status.Tasks {
 		s.see(t.TaskSpec)
 	}
@@ -106,11 +110,11 @@
 	switch {
 	case r.Sequence != p.Sequence || p.Sequence != s.outstanding:
 		return Effects{Refused: "reply to an earlier poll"}
-	case r.Epoch < s.epoch:
+	case r.Epoch < s.epoch && rule.On(rule.Epoch):
 		return Effects{Refused: "reply of an older epoch"}
 	}
 	s.epoch, s.outstanding = r.Epoch, 0
-	e := Effects{Orders: r.Orders, Forget: r.Acknowledged}
+	e := Effects{Epoch: r.Epoch, Orders: r.Orders, Forget: r.Acknowledged}
 	for _, l := range r.Renewed {
 		e.Renew = append(e.Renew, platform.Lease{Task: l.Task, Attempt: l.Attempt, ExpiresMs: s.expiry(p, r, l.Task)})
 	}
@@ -137,9 +141,14 @@
 	return p.Status.NowMs + r.LeaseMs
 }
 
+// forget drops what is known of attempts whose end is on record. Their decider never orders them again, and a reply of
+// an earlier decider or to an earlier poll is refused, so the state stays as small as what the worker holds.
 func (s *State) forget(ended []Renewal) {
 	for _, t := range ended {
-		delete(s.services, t.Task)
+		if s.newest[t.Task] <= t.Attempt {
+			delete(s.newest, t.Task)
+			delete(s.services, t.Task)
+		}
 	}
 }
 
--- a/core/step.go
+++ b/core/step.go
@@ -23,9 +23,11 @@
 		a, err := s.Decider.Sync(now, ev.Poll)
 		return []Effect{Answered{a, err}}
 	case BatchSettled:
-		s.Decider.BatchDone()
+		s.Decider.BatchDone(ev.Dropped)
 	case PromiseReceived:
-		s.Authority.Promised(ev.Epoch, ev.SentAt)
+		s.Authority.Promised(ev.Epoch, ev.Witness, ev.Incarnation, ev.SentAt)
+	case Leaving:
+		s.Authority.Leave()
 	case ReleaseReceived:
 		s.Authority.Released(now, ev.Epoch)
 	case ZoneHeld:
@@ -69,15 +71,20 @@
 func (s *State) foldRegion(now clock.Now, ev Folded) []Effect {
 	s.Authority.Heard(now, ev.Record.Writer, ev.Record.Incarnation)
 	changes := s.Region.Fold(ev.Offset, ev.Record)
+	if len(s.Region.Older) == 0 {
+		s.Authority.SettledFolded()
+	}
 	var effects []Effect
 	for _, c := range changes {
 		switch c := c.(type) {
 		case tasks.EpochChanged:
-			for _, e := range s.Authority.Claimed(now, c.Epoch, c.Writer, c.Incarnation, c.Claim) {
+			for _, e := range s.Authority.Claimed(now, c.Epoch, c.Writer, c.Incarnation, c.Claim, c.Older) {
 				effects = append(effects, Do{e})
 			}
+		case tasks.EpochResigned:
+			s.Authority.EpochResigned(now)
 		case tasks.WitnessChanged:
-			s.Authority.WitnessChanged(c.Claim)
+			s.Authority.WitnessChanged(now, c.Claim)
 		}
 		effects = append(effects, RegionChanged{c})
 	}
@@ -101,7 +108,7 @@
 func (s *State) tick(now clock.Now, ev Ticked) []Effect {
 	s.Members.Tick(now)
 	var effects []Effect
-	for _, e := range s.Authority.Tick(now, ev.Rank) {
+	for _, e := range s.Authority.Tick(now, ev.Rank, ev.Candidate) {
 		effects = append(effects, Do{e})
 	}
 	if b := s.Decider.Tick(now); b != nil {
--- a/core/tasks/effects.go
+++ b/core/tasks/effects.go
@@ -11,8 +11,13 @@
 	Writer      string
 	Incarnation uint64
 	Claim       record.DeciderClaim
+	// Older holds the epochs before it whose deciders may still act.
+	Older []record.OlderEpoch
 }
 
+// EpochResigned tells that the decider of the epoch stopped acting.
+type EpochResigned struct{ Epoch uint64 }
+
 // WitnessChanged tells of a new witness of the current epoch.
 type WitnessChanged struct{ Claim record.DeciderClaim }
 
@@ -57,6 +62,7 @@
 }
 
 func (EpochChanged) tasksEffect()   {}
+func (EpochResigned) tasksEffect()  {}
 func (WitnessChanged) tasksEffect() {}
 func (WorkerChanged) tasksEffect()  {}
 func (TaskQueued) tasksEffect()     {}
--- a/core/tasks/ends.go
+++ b/core/tasks/ends.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/record"
 )
@@ -101,6 +103,17 @@
 			delete(s.Tasks, task)
 		}
 		delete(s.Jobs, id)
+		s.expire(id)
+	}
+}
+
+func (s *State) expire(id string) {
+	h := xxhash.Sum64String(id)
+	s.expired[h] = struct{}{}
+	s.Expired = append(s.Expired, h)
+	if len(s.Expired) > maxExpired {
+		delete(s.expired, s.Expired[0])
+		s.Expired = s.Expired[1:]
 	}
 }
 
--- a/core/tasks/fold.go
+++ b/core/tasks/fold.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -44,14 +45,32 @@
 func (f *folder) emit(e Effect) { f.effects = append(f.effects, e) }
 
 func (f *folder) claim(rec *record.Record) {
+	if f.Epoch > 0 && f.Resigned != f.Epoch {
+		f.keepOlder(record.OlderEpoch{
+			Epoch: f.Epoch, Witness: f.Decider.Witness, WitnessIncarnation: f.Decider.WitnessIncarnation,
+			WitnessAddress: f.Decider.WitnessAddress,
+		})
+	}
 	f.Epoch = f.offset
 	f.Decider = *rec.DeciderClaim
 	f.DeciderID, f.DeciderIncarnation = rec.Writer, rec.Incarnation
-	f.emit(EpochChanged{f.offset, rec.Writer, rec.Incarnation, *rec.DeciderClaim})
+	f.emit(EpochChanged{
+		Epoch: f.offset, Writer: rec.Writer, Incarnation: rec.Incarnation, Claim: *rec.DeciderClaim,
+		Older: append([]record.OlderEpoch(nil), f.Older...),
+	})
+}
+
+// keepOlder notes an epoch whose decider may still act. Beyond the limit the two oldest are merged into one that is not
+// asked, so that a new decider waits for the longest authority.
+func (f *folder) keepOlder(o record.OlderEpoch) {
+	f.Older = append(f.Older, o)
+	if len(f.Older) > maxOlder {
+		f.Older = append([]record.OlderEpoch{{Epoch: f.Older[1].Epoch, Unasked: true}}, f.Older[2:]...)
+	}
 }
 
 func (f *folder) submit(spec record.Job) {
-	if f.Jobs[spec.ID] != nil {
+	if f.Jobs[spec.ID] != nil || f.JobExpired(spec.ID) {
 		return
 	}
 	job := &Job{Spec: spec, State: JobOpen}
@@ -99,10 +118,17 @@
 }
 
 func (f *folder) batch(b *record.Batch) {
-	if b.Epoch != f.Epoch {
+	if b.Epoch != f.Epoch && rule.On(rule.Epoch) {
 		f.emit(Voided{Reason: fmt.Sprintf("batch of epoch %d in epoch %d", b.Epoch, f.Epoch)})
 		return
 	}
+	if b.Settled {
+		f.Older = nil
+	}
+	if b.Resigned {
+		f.Resigned = f.Epoch
+		f.emit(EpochResigned{f.Epoch})
+	}
 	if b.Witness != nil {
 		f.Decider = *b.Witness
 		f.emit(WitnessChanged{*b.Witness})
@@ -152,6 +178,7 @@
 		return
 	}
 	task.Attempt, task.Worker, task.Size, task.Epoch = st.Attempt, st.Worker, st.Size, f.Epoch
+	task.Incarnation = w.Incarnation
 	w.Committed = w.Committed.Add(st.Size)
 	w.Tasks[task.ID] = struct{}{}
 	f.noteTask(task, st.Cause)
--- a/core/tasks/state.go
+++ b/core/tasks/state.go
@@ -9,6 +9,8 @@
 	"sort"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/record"
 )
@@ -17,6 +19,11 @@
 const (
 	// maxEndedJobs bounds ended jobs kept for their accounts: about two days at 8,600 jobs a day.
 	maxEndedJobs = 20_000
+	// maxExpired bounds the ids kept of trimmed jobs: about three weeks at 8,600 jobs a day, 1.6 MB in a snapshot.
+	maxExpired = 200_000
+	// maxOlder bounds the older epochs kept apart. More of them only arise when deciders change faster than their
+	// authority ends; the oldest are then merged and waited for.
+	maxOlder = 16
 	// maxHistory bounds the changes kept per task; the first one and the newest ones stay.
 	maxHistory = 24
 	// maxFailures is how many attempts of a task may fail before the task fails.
@@ -73,6 +80,9 @@
 	Evictions int `cbor:"10,keyasint,omitempty" json:"evictions"`
 	// History is the account of the task.
 	History []Change `cbor:"11,keyasint,omitempty" json:"history"`
+	// Incarnation is the incarnation of the worker's side process for which the attempt was placed. No other run of
+	// the side process may start the attempt, because it cannot know whether the earlier one did.
+	Incarnation uint64 `cbor:"12,keyasint,omitempty" json:"-"`
 }
 
 // JobState is the state of a job.
@@ -129,13 +139,22 @@
 	Writers record.Sequences `cbor:"10,keyasint"`
 	// Learned is the scheduler's digest at the newest snapshot.
 	Learned []byte `cbor:"11,keyasint,omitempty"`
+	// Older holds epochs before Epoch whose deciders may still act.
+	Older []record.OlderEpoch `cbor:"12,keyasint,omitempty"`
+	// Resigned is the newest epoch whose decider resigned.
+	Resigned uint64 `cbor:"13,keyasint,omitempty"`
+	// Expired holds hashes of the ids of jobs that were trimmed, oldest first, so that their ids are not used again
+	// and an account can say "expired".
+	Expired []uint64 `cbor:"14,keyasint,omitempty"`
+
+	expired map[uint64]struct{}
 }
 
 // New returns an empty state.
 func New() *State {
 	return &State{
 		Next: 1, Workers: make(map[string]*Worker), Jobs: make(map[string]*Job), Tasks: make(map[string]*Task),
-		Writers: make(record.Sequences),
+		Writers: make(record.Sequences), expired: make(map[uint64]struct{}),
 	}
 }
 
@@ -146,6 +165,16 @@
 			w.Tasks = make(map[string]struct{})
 		}
 	}
+	s.expired = make(map[uint64]struct{}, len(s.Expired))
+	for _, h := range s.Expired {
+		s.expired[h] = struct{}{}
+	}
+}
+
+// JobExpired reports whether a job with the id ended and its account was trimmed.
+func (s *State) JobExpired(id string) bool {
+	_, ok := s.expired[xxhash.Sum64String(id)]
+	return ok
 }
 
 // TaskID returns the id of a job's task.
--- a/entry/authority.go
+++ b/entry/authority.go
@@ -14,6 +14,9 @@
 // witnessTimeout bounds one question to a witness.
 const witnessTimeout = time.Second
 
+// resignTimeout bounds the record of a resignation. Without it another entry takes over after the decider's silence.
+const resignTimeout = 2 * time.Second
+
 func (e *Entry) client(address string) control.Entry {
 	return control.NewEntryProtobufClient("http://"+address, e.rpc)
 }
@@ -29,14 +32,48 @@
 	}
 }
 
+// witnessCandidate returns a claim of this entry that names a live entry as witness, or nil if there is none.
+func (e *Entry) witnessCandidate() *record.DeciderClaim {
+	w, ok := e.peers.witness(e.set.Zone)
+	if !ok || w.draining {
+		return nil
+	}
+	return &record.DeciderClaim{
+		Address: e.advertised(), Zone: e.set.Zone, Witness: w.id, WitnessIncarnation: w.incarnation, WitnessAddress: w.address,
+	}
+}
+
+// appendClaim appends one claim at a time, so that claims do not pile up while the log is slow.
 func (e *Entry) appendClaim() {
-	claim := &record.DeciderClaim{Address: e.advertised(), Zone: e.set.Zone}
-	if w, ok := e.peers.witness(e.set.Zone); ok {
-		claim.Witness, claim.WitnessIncarnation, claim.WitnessAddress = w.id, w.incarnation, w.address
+	if !e.claiming.CompareAndSwap(false, true) {
+		return
+	}
+	defer e.claiming.Store(false)
+	claim := e.witnessCandidate()
+	if claim == nil {
+		claim = &record.DeciderClaim{Address: e.advertised(), Zone: e.set.Zone}
 	}
 	_, _ = e.regionWriter.Write(context.Background(), record.Record{DeciderClaim: claim})
 }
 
+// resign ends this entry's epoch when it shuts down, so that another entry takes over at once.
+func (e *Entry) resign() {
+	epoch, acting := uint64(0), false
+	e.read(func(s *core.State) {
+		acting = s.Authority.Valid(e.now())
+		epoch, _ = s.Authority.Epoch()
+	})
+	e.step(core.Leaving{})
+	if !acting {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	if _, err := e.regionWriter.Write(ctx, record.Record{Batch: &record.Batch{Epoch: epoch, Resigned: true}}); err == nil {
+		e.log.Log(logevent.DeciderResigned, logevent.Int("epoch", epoch))
+	}
+}
+
 func (e *Entry) askPromise(eff authority.AskPromise) {
 	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
 	defer cancel()
@@ -45,7 +82,7 @@
 		Region: e.set.Region, Epoch: eff.Epoch, WitnessIncarnation: eff.Incarnation,
 	})
 	if err == nil && r.Promised {
-		e.step(core.PromiseReceived{Epoch: eff.Epoch, SentAt: sentAt})
+		e.step(core.PromiseReceived{Epoch: eff.Epoch, Witness: eff.Witness, Incarnation: eff.Incarnation, SentAt: sentAt})
 	}
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -88,14 +88,14 @@
 
 // waitForNews returns when a worker that only renews may have something to do.
 func (e *Entry) waitForNews(ctx context.Context, p decider.Poll, wait time.Duration) {
-	if p.WantStarts || len(p.Ended) > 0 || wait <= 0 {
+	if p.WantStarts || wait <= 0 {
 		return
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		e.mu.Lock()
-		ready := !e.state.Decider.Active() || e.state.Decider.Waiting(e.now(), p.Worker)
+		ready := !e.state.Decider.Active() || e.state.Decider.Waiting(e.now(), p)
 		wake := e.wake
 		e.mu.Unlock()
 		if ready {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -71,6 +72,8 @@
 	seen map[core.Stream]bool
 
 	draining atomic.Bool
+	// claiming is true while a claim of the region is being appended.
+	claiming atomic.Bool
 	nonce    atomic.Uint64
 	ready    atomic.Bool
 }
@@ -187,6 +190,7 @@
 func (e *Entry) drain() {
 	e.draining.Store(true)
 	e.log.Log(logevent.Stopping)
+	e.resign()
 	time.Sleep(drainNotice)
 }
 
@@ -269,7 +273,7 @@
 	for {
 		select {
 		case <-t.C:
-			e.step(core.Ticked{Rank: e.peers.rank(e.set.ID)})
+			e.step(core.Ticked{Rank: e.peers.rank(e.set.ID), Candidate: e.witnessCandidate()})
 			e.notify(e.isDecider())
 		case <-ctx.Done():
 			return
@@ -290,5 +294,5 @@
 	if err == nil {
 		_ = e.waitFor(ctx, func(s *core.State) bool { return s.Region.Next > offset })
 	}
-	e.step(core.BatchSettled{})
+	e.step(core.BatchSettled{Dropped: errors.Is(err, platform.ErrNotAppended)})
 }
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -79,9 +79,9 @@
 	}
 	if f.kind == core.RegionStream {
 		r := e.state.Region
-		e.state.Authority.Restored(e.now(), r.Epoch, r.DeciderID, r.DeciderIncarnation, r.Decider)
+		e.state.Authority.Restored(e.now(), r.Epoch, r.DeciderID, r.DeciderIncarnation, r.Decider, r.Older, r.Resigned == r.Epoch)
 	}
-	e.state.Decider.Rebind(e.state.Region, e.state.Config)
+	e.state.Decider.Rebind(e.now(), e.state.Region, e.state.Config)
 	e.log.Log(logevent.SnapshotRestored, logevent.Str("stream", f.name), logevent.Int("offset", offset))
 	return nil
 }
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -37,6 +37,7 @@
 	WitnessReleased   = Event{402, zerolog.InfoLevel, "the old witness released its epoch"}
 	DecisionVoid      = Event{403, zerolog.WarnLevel, "a recorded decision is void"}
 	Alert             = Event{404, zerolog.WarnLevel, "alert for operators"}
+	DeciderResigned   = Event{405, zerolog.InfoLevel, "this entry shuts down and ended its epoch as decider"}
 	TaskStartFailed   = Event{500, zerolog.WarnLevel, "the worker refused a start"}
 	WorkerFailed      = Event{501, zerolog.WarnLevel, "the worker does not answer"}
 	ReplyIgnored      = Event{502, zerolog.WarnLevel, "a reply of a decider was ignored"}
--- a/record/record.go
+++ b/record/record.go
@@ -152,6 +152,22 @@
 	Replicas []Replica `cbor:"7,keyasint,omitempty"`
 	// Witness changes the witness of this epoch; nil for no change.
 	Witness *DeciderClaim `cbor:"8,keyasint,omitempty"`
+	// Settled tells that the deciders of all older epochs have certainly lost their authority.
+	Settled bool `cbor:"9,keyasint,omitempty"`
+	// Resigned ends the epoch: its decider stopped acting before it wrote this batch.
+	Resigned bool `cbor:"10,keyasint,omitempty"`
+}
+
+// OlderEpoch is an epoch that ended on the log and whose decider may still act by promises of its witness.
+type OlderEpoch struct {
+	// Epoch is the offset of its claim.
+	Epoch uint64 `cbor:"1,keyasint"`
+	// Witness, WitnessIncarnation and WitnessAddress name the witness; Witness is empty for none.
+	Witness            string `cbor:"2,keyasint,omitempty"`
+	WitnessIncarnation uint64 `cbor:"3,keyasint,omitempty"`
+	WitnessAddress     string `cbor:"4,keyasint,omitempty"`
+	// Unasked is true for an entry that stands for several epochs, whose witnesses are not asked.
+	Unasked bool `cbor:"5,keyasint,omitempty"`
 }
 
 // WorkerChange introduces, changes or removes a worker.
--- a/record/sequence.go
+++ b/record/sequence.go
@@ -1,5 +1,7 @@
 package record
 
+import "github.com/verbenakeel/verbenakeel/internal/rule"
+
 // WriterSeq is the newest record of one writer on one stream.
 type WriterSeq struct {
 	// Incarnation is the newest incarnation seen.
@@ -18,7 +20,7 @@
 	if rec.Incarnation < last.Incarnation {
 		return false
 	}
-	if rec.Incarnation == last.Incarnation && rec.Seq <= last.Seq {
+	if rec.Incarnation == last.Incarnation && rec.Seq <= last.Seq && rule.On(rule.Dedup) {
 		return false
 	}
 	s[rec.Writer] = WriterSeq{rec.Incarnation, rec.Seq}
--- a/side/sync.go
+++ b/side/sync.go
@@ -34,6 +34,8 @@
 	wait     time.Duration
 	starts   bool
 	vanished []holder.Renewal
+	// workerEpoch is the highest epoch that the worker has confirmed.
+	workerEpoch uint64
 }
 
 func (s *Side) syncLoop(ctx context.Context) {
@@ -57,6 +59,7 @@
 		y.s.log.Log(logevent.WorkerFailed, logevent.Err(err))
 		return false
 	}
+	y.workerEpoch = status.Epoch
 	p := y.state.Begin(status)
 	resp, ok := y.ask(ctx, p)
 	if !ok {
@@ -110,7 +113,7 @@
 	y.s.mu.Unlock()
 	r := &control.SyncRequest{
 		Process:  &control.Process{Id: y.s.set.ID, Incarnation: inc, Zone: y.s.set.Zone, Rack: y.s.set.Rack},
-		Capacity: resources(p.Status.Capacity), Epoch: y.state.Epoch(), Revision: rev,
+		Capacity: resources(p.Status.Capacity), Epoch: y.workerEpoch, Revision: rev,
 		WaitMs: uint32(y.wait.Milliseconds()), Sequence: p.Sequence, WantStarts: y.starts,
 	}
 	for _, t := range p.Status.Tasks {
@@ -184,8 +187,8 @@
 			y.s.log.Log(logevent.WorkerFailed, logevent.Err(err))
 		}
 	}
-	if len(e.Renew) > 0 {
-		note(w.Renew(ctx, e.Renew))
+	if len(e.Renew) > 0 || e.Epoch > y.workerEpoch {
+		note(w.Renew(ctx, e.Epoch, e.Renew))
 	}
 	for _, o := range e.Orders {
 		note(y.order(ctx, o))
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 )
@@ -84,6 +85,7 @@
 
 	mu      sync.Mutex
 	tasks   map[string]*attempt
+	epoch   uint64
 	history []TaskEvent
 }
 
@@ -164,13 +166,18 @@
 	if outcome == record.Checkpointed || outcome == record.Lapsed {
 		a.SavedMs = a.ProgressMs
 	}
-	w.note(a, "end")
+	at := time.Now()
+	if outcome == record.Lapsed {
+		// A worker that was paused past the lease ran nothing after it.
+		at = w.start.Add(time.Duration(a.ExpiresMs) * time.Millisecond)
+	}
+	w.note(a, "end", at)
 }
 
-func (w *Worker) note(a *attempt, kind string) {
+func (w *Worker) note(a *attempt, kind string, at time.Time) {
 	w.history = append(w.history, TaskEvent{
 		Worker: w.opts.ID, Task: a.Task, Attempt: a.Attempt, Kind: kind, Outcome: a.Outcome, Size: a.Size,
-		AtNs: time.Now().UnixNano(), ProgressMs: a.ProgressMs,
+		AtNs: at.UnixNano(), ProgressMs: a.ProgressMs,
 	})
 }
 
@@ -186,7 +193,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	s := platform.WorkerStatus{NowMs: w.nowMs(), Capacity: w.opts.Capacity}
+	s := platform.WorkerStatus{NowMs: w.nowMs(), Capacity: w.opts.Capacity, Epoch: w.epoch}
 	for _, a := range w.tasks {
 		s.Tasks = append(s.Tasks, a.TaskStatus)
 		if a.State == platform.TaskRunning {
@@ -202,6 +209,10 @@
 func (w *Worker) Start(_ context.Context, spec platform.TaskSpec) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.advance()
+	if err := w.fence(spec.Epoch); err != nil {
+		return err
+	}
 	now := w.nowMs()
 	if old := w.tasks[spec.Task]; old != nil {
 		if old.Attempt == spec.Attempt {
@@ -218,15 +229,18 @@
 	a.startedMs, a.movedMs = now, now
 	a.ProgressMs, a.SavedMs = spec.CheckpointMs, spec.CheckpointMs
 	w.tasks[spec.Task] = a
-	w.note(a, "start")
+	w.note(a, "start", time.Now())
 	return nil
 }
 
 // Renew implements platform.Worker.
-func (w *Worker) Renew(_ context.Context, leases []platform.Lease) error {
+func (w *Worker) Renew(_ context.Context, epoch uint64, leases []platform.Lease) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
+	if err := w.fence(epoch); err != nil {
+		return err
+	}
 	for _, l := range leases {
 		if a := w.tasks[l.Task]; a != nil && a.Attempt == l.Attempt {
 			a.ExpiresMs = max(a.ExpiresMs, l.ExpiresMs)
@@ -235,6 +249,15 @@
 	return nil
 }
 
+// fence refuses orders of deciders older than the newest one seen.
+func (w *Worker) fence(epoch uint64) error {
+	if epoch < w.epoch && rule.On(rule.Epoch) {
+		return errdefs.New(errdefs.Refused, fmt.Sprintf("epoch %d is older than %d", epoch, w.epoch), "ask the newest decider")
+	}
+	w.epoch = epoch
+	return nil
+}
+
 // Checkpoint implements platform.Worker.
 func (w *Worker) Checkpoint(_ context.Context, task string, n uint32, reason string) error {
 	return w.endNow(task, n, record.Checkpointed, reason)
--- a/standin/workerserver.go
+++ b/standin/workerserver.go
@@ -34,7 +34,7 @@
 		httpserver.JSON(c, 200, st)
 	})
 	serve(srv, "/start", w.Start)
-	serve(srv, "/renew", w.Renew)
+	serve(srv, "/renew", func(ctx context.Context, r workerclient.Renewal) error { return w.Renew(ctx, r.Epoch, r.Leases) })
 	serve(srv, "/checkpoint", func(ctx context.Context, a workerclient.Attempt) error {
 		return w.Checkpoint(ctx, a.Task, a.Attempt, a.Reason)
 	})
--- a/testkit/history/check.go
+++ b/testkit/history/check.go
@@ -40,6 +40,10 @@
 	JobAccountChanged Rule = "job left its final state"
 	// RevisionDecreased means that the configuration of a process reverted.
 	RevisionDecreased Rule = "configuration reverted"
+	// UpdateLost means that a change was accepted that was not made from the newest version of its object.
+	UpdateLost Rule = "accepted change overwrote one it was not made from"
+	// RecordTwice means that a reader took one record of a writer twice.
+	RecordTwice Rule = "record took effect twice"
 	// ChangeNotSeen means that an accepted change did not reach a process.
 	ChangeNotSeen Rule = "accepted change was not seen"
 )
@@ -101,11 +105,12 @@
 	requests   requests
 	tasks      tasks
 	config     configuration
+	records    records
 	violations []Violation
 }
 
 func newChecker() *checker {
-	return &checker{requests: newRequests(), tasks: newTasks(), config: newConfiguration()}
+	return &checker{requests: newRequests(), tasks: newTasks(), config: newConfiguration(), records: newRecords()}
 }
 
 func (c *checker) apply(event Event) {
@@ -135,6 +140,10 @@
 	case ChangeAccepted:
 		c.config.accepted = max(c.config.accepted, e.Revision)
 		c.config.acceptedAt = e.At
+	case ChangeDecided:
+		c.changeDecided(e)
+	case RecordApplied:
+		c.recordApplied(e)
 	case ProcessGone:
 		c.config.gone[e.Process] = true
 	}
--- a/testkit/history/check_test.go
+++ b/testkit/history/check_test.go
@@ -132,6 +132,16 @@
 	{"a process that never learns of a change", ChangeNotSeen, []Event{
 		ChangeAccepted{1 * s, 7}, RevisionSeen{2 * s, "e1/1", 7}, RevisionSeen{2 * s, "e2/1", 6}}},
 	{"changes accepted while nothing was observed", Malformed, []Event{ChangeAccepted{1 * s, 7}}},
+	{"two operators whose changes from one version are both accepted", UpdateLost, []Event{
+		ChangeDecided{1 * s, "e1/1", "zone a", 0, 5}, ChangeDecided{2 * s, "e1/1", "zone a", 0, 6}}},
+	{"good: changes made one from the other, and another object", "", []Event{
+		ChangeDecided{1 * s, "e1/1", "zone a", 0, 5}, ChangeDecided{2 * s, "e1/1", "zone a", 5, 6},
+		ChangeDecided{2 * s, "e1/1", "zone b", 0, 7}, ChangeDecided{3 * s, "e2/1", "zone a", 0, 5}}},
+	{"a record repeated after a lost reply that counts again", RecordTwice, []Event{
+		RecordApplied{1 * s, "e1/1", "config", "e2", 3, 9}, RecordApplied{2 * s, "e1/1", "config", "e2", 3, 9}}},
+	{"good: one record at two readers, and two records", "", []Event{
+		RecordApplied{1 * s, "e1/1", "config", "e2", 3, 9}, RecordApplied{2 * s, "e3/1", "config", "e2", 3, 9},
+		RecordApplied{2 * s, "e1/1", "config", "e2", 3, 10}}},
 	{"good: a restarted process begins below, and a dead one needs no change", "", []Event{
 		RevisionSeen{1 * s, "e1/1", 6}, ProcessGone{2 * s, "e1/1"}, ChangeAccepted{3 * s, 7},
 		RevisionSeen{4 * s, "e1/2", 0}, RevisionSeen{5 * s, "e1/2", 8}}},
--- a/testkit/history/event.go
+++ b/testkit/history/event.go
@@ -184,6 +184,28 @@
 	Revision uint64
 }
 
+// ChangeDecided is an accepted configuration change as one reader folded it.
+type ChangeDecided struct {
+	// At is when the reader folded it.
+	At time.Duration
+	// Process names the reader.
+	Process string
+	// Object is what was changed, Base the revision it was changed from and Revision the one that the change made.
+	Object         string
+	Base, Revision uint64
+}
+
+// RecordApplied says that a record had an effect on the state of a reader.
+type RecordApplied struct {
+	// At is when the reader folded it.
+	At time.Duration
+	// Process names one incarnation of the reader, Stream the stream.
+	Process, Stream string
+	// Writer, Incarnation and Seq identify the record.
+	Writer           string
+	Incarnation, Seq uint64
+}
+
 // ProcessGone says that an incarnation of a process ended or is cut off for the rest of the history.
 type ProcessGone struct {
 	// At is when it ended.
@@ -204,6 +226,8 @@
 func (e JobState) at() time.Duration       { return e.At }
 func (e RevisionSeen) at() time.Duration   { return e.At }
 func (e ChangeAccepted) at() time.Duration { return e.At }
+func (e ChangeDecided) at() time.Duration  { return e.At }
+func (e RecordApplied) at() time.Duration  { return e.At }
 func (e ProcessGone) at() time.Duration    { return e.At }
 
 // Recorder collects events from many goroutines. The zero value is ready for use.
