modelcheck: random model check of leases, authority and configuration

Deciders, witnesses, workers, side processes and a log run under a virtual clock with pauses, crashes, partitions, and lost, late and repeated messages. The history checker gives the verdict.

--- a/core/holder/holder.go
+++ b/core/holder/holder.go
@@ -88,6 +88,9 @@
 // Epoch returns the highest epoch seen.
 func (s *State) Epoch() uint64 { return s.epoch }
 
+// Sequence returns the sequence number of the newest poll.
+func (s *State) Sequence() uint64 { return s.sequence }
+
 // Begin opens a poll.
 func (s *State) Begin(status platform.WorkerStatus) Poll {
 	s.sequence++
--- /dev/null
+++ b/core/modelcheck/worker_test.go
@@ -0,0 +1,274 @@
+package modelcheck
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/decider"
+	"github.com/verbenakeel/verbenakeel/core/holder"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
+)
+
+var capacity = record.Resources{CPUMilli: 4000, MemoryMB: 4000}
+
+// workerNode is the platform's worker: it ends attempts when their lease ends, before anything else.
+type workerNode struct {
+	*node
+	w     *world
+	tasks map[string]*platform.TaskStatus
+	from  map[string]time.Duration
+	epoch uint64
+}
+
+func (k *workerNode) nowMs() int64 { return k.local(k.w.now).Milliseconds() }
+
+func (k *workerNode) ids() []string {
+	ids := make([]string, 0, len(k.tasks))
+	for id := range k.tasks {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// advance ends attempts that are done or whose lease has ended, at the time when that was.
+func (k *workerNode) advance() {
+	for _, id := range k.ids() {
+		t := k.tasks[id]
+		if t.State != platform.TaskRunning {
+			continue
+		}
+		done := k.from[id] + time.Duration(t.RunMs-t.CheckpointMs)*time.Millisecond
+		expires := time.Duration(t.ExpiresMs) * time.Millisecond
+		now := k.local(k.w.now)
+		switch {
+		case t.RunMs > 0 && done < expires && now >= done:
+			k.end(t, record.Finished, done)
+		case now >= expires:
+			k.end(t, record.Lapsed, expires)
+		}
+	}
+}
+
+func (k *workerNode) end(t *platform.TaskStatus, outcome record.Outcome, local time.Duration) {
+	t.State, t.Outcome = platform.TaskEnded, outcome
+	t.SavedMs = t.CheckpointMs + (local - k.from[t.Task]).Milliseconds()
+	at := min(k.w.now, k.trueTime(local))
+	k.w.note(history.AttemptEnd{At: at, Task: t.Task, Attempt: t.Attempt, Worker: k.id, Outcome: outcome})
+}
+
+func (k *workerNode) endNow(task string, attempt uint32, outcome record.Outcome) {
+	if t := k.tasks[task]; t != nil && t.Attempt == attempt && t.State == platform.TaskRunning {
+		k.end(t, outcome, k.local(k.w.now))
+	}
+}
+
+// fence reports whether an order of the epoch is taken.
+func (k *workerNode) fence(epoch uint64) bool {
+	if epoch < k.epoch && rule.On(rule.Epoch) {
+		return false
+	}
+	k.epoch = max(k.epoch, epoch)
+	return true
+}
+
+func (k *workerNode) startTask(spec platform.TaskSpec) bool {
+	old := k.tasks[spec.Task]
+	switch {
+	case !k.fence(spec.Epoch):
+		return false
+	case old != nil && old.Attempt == spec.Attempt:
+		return true
+	case old != nil && (old.Attempt > spec.Attempt || old.State == platform.TaskRunning):
+		return false
+	case k.nowMs() >= spec.StartByMs:
+		return false
+	}
+	k.tasks[spec.Task] = &platform.TaskStatus{TaskSpec: spec, State: platform.TaskRunning}
+	k.from[spec.Task] = k.local(k.w.now)
+	k.w.note(history.AttemptStart{At: k.w.now, Task: spec.Task, Attempt: spec.Attempt, Worker: k.id, Size: spec.Size})
+	return true
+}
+
+func (k *workerNode) status() platform.WorkerStatus {
+	k.advance()
+	s := platform.WorkerStatus{NowMs: k.nowMs(), Capacity: capacity, Epoch: k.epoch}
+	for _, id := range k.ids() {
+		s.Tasks = append(s.Tasks, *k.tasks[id])
+	}
+	return s
+}
+
+// crash restarts the worker: nothing of what ran goes on.
+func (k *workerNode) crash() {
+	k.advance()
+	for _, id := range k.ids() {
+		k.endNow(id, k.tasks[id].Attempt, record.Lapsed)
+	}
+	k.run++
+	k.start, k.pausedUntil, k.epoch = k.w.now, 0, 0
+	k.tasks, k.from = map[string]*platform.TaskStatus{}, map[string]time.Duration{}
+}
+
+// sideNode is the side process beside a worker.
+type sideNode struct {
+	*node
+	w        *world
+	worker   *workerNode
+	zone     string
+	state    *holder.State
+	inc      uint64
+	decider  string
+	next     int
+	starts   bool
+	vanished []holder.Renewal
+}
+
+func (w *world) addWorker(i int, zone string) {
+	k := &workerNode{node: &node{id: fmt.Sprintf("w%d", i), rate: w.rate()}, w: w, tasks: map[string]*platform.TaskStatus{}, from: map[string]time.Duration{}}
+	s := &sideNode{node: &node{id: fmt.Sprintf("s%d", i), rate: 1}, w: w, worker: k, zone: zone}
+	w.sides = append(w.sides, s)
+	w.note(history.Worker{At: 0, ID: k.id, Zone: zone, Capacity: capacity})
+	s.boot()
+}
+
+func (s *sideNode) boot() {
+	s.run++
+	s.pausedUntil = 0
+	s.inc = uint64(s.w.now/time.Millisecond) + uint64(s.run)
+	s.state, s.decider, s.starts, s.vanished = holder.New(), "", false, nil
+	s.poll()
+}
+
+func (s *sideNode) again(d time.Duration) { s.w.on(s.node, d, s.poll) }
+
+// poll asks for the worker's status and sends it to the decider, as side.syncer does.
+func (s *sideNode) poll() {
+	if s.w.now < s.worker.pausedUntil {
+		s.again(200 * time.Millisecond)
+		return
+	}
+	p := s.state.Begin(s.worker.status())
+	target := s.w.entries[s.next%len(s.w.entries)]
+	if s.decider != "" {
+		target = s.w.entry(s.decider)
+	} else {
+		s.next++
+	}
+	poll, done := s.request(p), false
+	s.w.ask(s.node, target.node, func() func() {
+		var answer core.Answered
+		for _, eff := range target.step(core.Polled{Poll: poll}) {
+			if a, ok := eff.(core.Answered); ok {
+				answer = a
+			}
+		}
+		_, address := target.state.Authority.Epoch()
+		return func() {
+			if !done {
+				done = true
+				s.take(p, answer, target.id, address)
+			}
+		}
+	})
+	s.w.on(s.node, 1500*time.Millisecond, func() {
+		if !done {
+			done, s.decider = true, ""
+			s.poll()
+		}
+	})
+}
+
+func (s *sideNode) request(p holder.Poll) decider.Poll {
+	poll := decider.Poll{
+		Worker: s.worker.id, Incarnation: s.inc, Zone: s.zone, Rack: "r", Capacity: p.Status.Capacity, Epoch: p.Status.Epoch,
+		Sequence: p.Sequence, WantStarts: s.starts,
+	}
+	for _, t := range p.Status.Tasks {
+		if t.State == platform.TaskRunning {
+			poll.Held = append(poll.Held, holder.Renewal{Task: t.Task, Attempt: t.Attempt})
+			continue
+		}
+		poll.Ended = append(poll.Ended, record.End{Task: t.Task, Attempt: t.Attempt, Outcome: t.Outcome, CheckpointMs: t.SavedMs})
+	}
+	for _, v := range s.vanished {
+		poll.Ended = append(poll.Ended, record.End{Task: v.Task, Attempt: v.Attempt, Outcome: record.Lapsed})
+	}
+	return poll
+}
+
+func (s *sideNode) take(p holder.Poll, a core.Answered, from, address string) {
+	if a.Err != nil {
+		s.decider = address
+		if address == from {
+			s.decider = ""
+		}
+		s.again(200 * time.Millisecond)
+		return
+	}
+	s.decider, s.starts = from, a.Answer.StartsWaiting
+	e := s.state.Receive(p, a.Answer.Reply)
+	if e.Refused != "" {
+		s.again(200 * time.Millisecond)
+		return
+	}
+	s.vanished = e.Vanished
+	s.w.on(s.worker.node, s.w.between(0, 20*time.Millisecond), func() {
+		failed := s.carryOut(e)
+		s.w.on(s.node, s.w.between(0, 20*time.Millisecond), func() {
+			for _, t := range failed {
+				s.state.StartFailed(t.Task, t.Attempt)
+			}
+			s.again(s.w.between(50*time.Millisecond, 400*time.Millisecond))
+		})
+	})
+	// A worker that restarts loses the calls that were on their way.
+	s.w.on(s.node, 4*time.Second, s.watchdog(p.Sequence))
+}
+
+// watchdog polls again if a call to the worker got lost.
+func (s *sideNode) watchdog(sequence uint64) func() {
+	return func() {
+		if s.state.Sequence() == sequence {
+			s.poll()
+		}
+	}
+}
+
+// carryOut applies effects at the worker and returns the starts that it refused.
+func (s *sideNode) carryOut(e holder.Effects) []platform.TaskSpec {
+	k := s.worker
+	k.advance()
+	if k.fence(e.Epoch) {
+		for _, l := range e.Renew {
+			if t := k.tasks[l.Task]; t != nil && t.Attempt == l.Attempt && t.State == platform.TaskRunning {
+				t.ExpiresMs = max(t.ExpiresMs, l.ExpiresMs)
+			}
+		}
+	}
+	for _, o := range e.Orders {
+		switch o.Action {
+		case holder.Stop:
+			k.endNow(o.Task, o.Attempt, record.Stopped)
+		case holder.Checkpoint:
+			k.endNow(o.Task, o.Attempt, record.Checkpointed)
+		}
+	}
+	var failed []platform.TaskSpec
+	for _, t := range e.Start {
+		if !k.startTask(t) {
+			failed = append(failed, t)
+		}
+	}
+	for _, f := range e.Forget {
+		if t := k.tasks[f.Task]; t != nil && t.Attempt == f.Attempt && t.State == platform.TaskEnded {
+			delete(k.tasks, f.Task)
+		}
+	}
+	return failed
+}
--- a/testkit/history/check_test.go
+++ b/testkit/history/check_test.go
@@ -86,6 +86,12 @@
 	{"good: two tasks of a job at once", "", twoWorkers(begin(1*s, "h/j#0", 1, "w1"), begin(1*s, "h/j#1", 1, "w2"))},
 	{"an evicted task that nobody resumes", NotResumed, twoWorkers(
 		begin(1*s, "h/j#0", 1, "w1"), end(2*s, "h/j#0", 1, "w1", record.Checkpointed), JobState{9 * s, "h/j", JobRunning})},
+	{"good: a surplus replica is closed while another one runs", "", twoWorkers(
+		JobAccepted{0, "h/j", record.ServiceJob}, JobState{9 * s, "h/j", JobRunning}, begin(1*s, "h/j#0", 1, "w1"),
+		begin(2*s, "h/j#1", 1, "w2"), end(3*s, "h/j#1", 1, "w2", record.Checkpointed))},
+	{"a service left without any replica", NotResumed, twoWorkers(
+		JobAccepted{0, "h/j", record.ServiceJob}, JobState{9 * s, "h/j", JobRunning}, begin(1*s, "h/j#0", 1, "w1"),
+		end(3*s, "h/j#0", 1, "w1", record.Lapsed))},
 	{"a task lost with its worker and accounted as finished", NotResumed, twoWorkers(
 		begin(1*s, "h/j#0", 1, "w1"), end(2*s, "h/j#0", 1, "w1", record.Lapsed), JobState{9 * s, "h/j", JobFinished})},
 	{"good: an evicted task that waits", "", twoWorkers(
--- a/testkit/history/tasks.go
+++ b/testkit/history/tasks.go
@@ -145,12 +145,26 @@
 	}
 }
 
+// replicaRuns reports whether any task of the job runs at the end. A service replica whose worker was silent is replaced
+// by a task with a new id, and a surplus replica is closed.
+func (c *checker) replicaRuns(job string) bool {
+	for task, attempts := range c.tasks.running {
+		if jobOf(task) == job && len(attempts) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // checkResumed reports a task whose last attempt was evicted, unless its job still waits or ended without it.
 func (c *checker) checkResumed(task string, end AttemptEnd) {
 	evicted := end.Outcome == record.Checkpointed || end.Outcome == record.Stopped || end.Outcome == record.Lapsed
 	if !evicted || len(c.tasks.running[task]) > 0 {
 		return
 	}
+	if c.tasks.accepted[jobOf(task)].Kind == record.ServiceJob && c.replicaRuns(jobOf(task)) {
+		return
+	}
 	switch state := c.tasks.states[jobOf(task)].State; state {
 	case JobWaiting, JobCancelled, JobFailed, JobLost:
 	default:
