--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -24,6 +24,9 @@
 	NoDeadlineFactor, NoDeadlineMs int64
 	// UrgentAlertMs is how long an urgent task may wait before operators are told.
 	UrgentAlertMs int64
+	// UrgentBeyond bounds the urgent tasks of a customer that go before all others although it uses more than its
+	// guaranteed share.
+	UrgentBeyond int
 	// FirstRuns bounds the tasks of a class that run before their sizes were measured.
 	FirstRuns int
 	// ReportMaxAgeMs is the age beyond which a usage report is ignored.
@@ -93,6 +96,7 @@
 		NoDeadlineFactor: 20,
 		UrgentAlertMs:    6_000,
 
+		UrgentBeyond:     8,
 		FirstRuns:        4,
 		ReportMaxAgeMs:   60_000,
 		ReportHalfMs:     10_000,
--- a/scheduler/customer.go
+++ b/scheduler/customer.go
@@ -14,6 +14,8 @@
 	used record.Resources
 	// running counts batch and standing tasks that run or are proposed.
 	running int
+	// urgent counts its urgent tasks that run or are proposed.
+	urgent int
 	// startedMs is when a task of it was last started.
 	startedMs int64
 	// queuedJobs counts admitted batch and standing jobs with queued tasks.
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -87,11 +87,14 @@
 		return turn{}, false
 	}
 	size := s.sizeOf(j)
+	owed := c.withinGuarantee(size)
 	return turn{
-		cust:   c,
-		job:    j,
-		urgent: j.rec.Urgent,
-		owed:   c.withinGuarantee(size),
+		cust: c,
+		job:  j,
+		// Beyond its guarantee a customer has a few urgent tasks only, or it could mark all its work urgent and take
+		// the guarantees of others.
+		urgent: j.rec.Urgent && (owed || c.urgent < s.cfg.UrgentBeyond),
+		owed:   owed,
 		atRisk: j.rec.DeadlineMs > 0 && j.latestStartMs-s.cfg.RiskMarginMs < nowMs,
 		share:  c.dominantShare(size, fleet),
 	}, true
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -13,7 +13,7 @@
 	case j.pending && j.why.text == "":
 		return "not checked for admission yet"
 	case j.waitingTasks == 0:
-		return ""
+		return j.delayReason()
 	case j.why.text == "":
 		return fmt.Sprintf("%d tasks wait for their turn", j.waitingTasks)
 	}
@@ -28,3 +28,16 @@
 	}
 	return append([]string(nil), t.causes...)
 }
+
+// delayReason returns why tasks of the job wait that are not in its queue.
+func (j *job) delayReason() string {
+	for _, t := range j.tasks {
+		switch t.phase {
+		case phaseDelayed:
+			return fmt.Sprintf("%s keeps ending and waits to be restarted", t.id)
+		case phaseProposed:
+			return fmt.Sprintf("%s is being started on %s", t.id, t.worker.id)
+		}
+	}
+	return ""
+}
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -164,15 +164,20 @@
 		add(&c.memory, 1000*float64(used.MemoryMB)/float64(declared.MemoryMB))
 	}
 	if c.sizeAdds++; c.sizeAdds%refreshEvery == 0 || c.measured <= minSizeTasks {
-		// Processors are shared out by a middle quantile, since a short peak only slows tasks and peaks of different
-		// tasks rarely meet. Memory has a high one and a tenth in hand, since a task fails when it runs out.
-		q := 0.6
-		if c.key.kind == record.ServiceJob {
-			q = 0.99
-		}
-		c.cpuMilli = nearDeclared(quantile(c.cpu, q, 1000))
-		c.memoryMilli = nearDeclared(quantile(c.memory, 0.99, 1000) * 11 / 10)
+		c.refreshSize()
+	}
+}
+
+// refreshSize computes the ratios that sizes are committed by. Processors are shared out by a middle quantile, since a
+// short peak only slows tasks and peaks of different tasks rarely meet. Memory has a high one and a tenth in hand, since
+// a task fails when it runs out.
+func (c *class) refreshSize() {
+	q := 0.6
+	if c.key.kind == record.ServiceJob {
+		q = 0.99
 	}
+	c.cpuMilli = nearDeclared(quantile(c.cpu, q, 1000))
+	c.memoryMilli = nearDeclared(quantile(c.memory, 0.99, 1000) * 11 / 10)
 }
 
 // nearDeclared keeps the declared size when the learned one is within a sixth of it. Sizes a little above the declared
@@ -192,11 +197,16 @@
 	add(&c.run, 1000*float64(ranMs)/float64(declaredMs))
 	c.runs++
 	if c.runAdds++; c.runAdds%refreshEvery == 0 || c.runs <= minRuns || c.runs == minImpossibleRuns {
-		c.runLowMilli = quantile(c.run, 0.01, 1000)
-		c.runHighMilli = quantile(c.run, 0.9, 1000)
+		c.refreshRun()
 	}
 }
 
+// refreshRun computes the run times that are expected.
+func (c *class) refreshRun() {
+	c.runLowMilli = quantile(c.run, 0.01, 1000)
+	c.runHighMilli = quantile(c.run, 0.9, 1000)
+}
+
 // expectedRunMs is the run time that nine of ten tasks of the job stay within.
 func (j *job) expectedRunMs() int64 {
 	if j.class.runs < minRuns {
@@ -219,9 +229,15 @@
 	if j.class.measured < minSizeTasks {
 		return size
 	}
+	ratio := func(milli int64) int64 {
+		if milli <= 0 {
+			return 1000
+		}
+		return milli
+	}
 	learned := record.Resources{
-		CPUMilli:     max(size.CPUMilli*j.class.cpuMilli/1000, min(size.CPUMilli, 50)),
-		MemoryMB:     max(size.MemoryMB*j.class.memoryMilli/1000, min(size.MemoryMB, 32)),
+		CPUMilli:     max(size.CPUMilli*ratio(j.class.cpuMilli)/1000, min(size.CPUMilli, 50)),
+		MemoryMB:     max(size.MemoryMB*ratio(j.class.memoryMilli)/1000, min(size.MemoryMB, 32)),
 		Accelerators: size.Accelerators,
 	}
 	// A learned size is never beyond the largest worker or the burst share, or the job would wait forever.
--- /dev/null
+++ b/scheduler/policy_test.go
@@ -0,0 +1,489 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+func alerts(ds []Decision, code string) []Alert {
+	var out []Alert
+	for _, d := range ds {
+		if a, ok := d.(Alert); ok && a.Code == code {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func evictions(ds []Decision) []record.Eviction {
+	var out []record.Eviction
+	for _, d := range ds {
+		if e, ok := d.(EvictTask); ok {
+			out = append(out, e.Eviction)
+		}
+	}
+	return out
+}
+
+// run decides and confirms starts every 100 ms until the time, and returns all decisions.
+func run(s *State, from, to int64) []Decision {
+	var out []Decision
+	for now := from; now <= to; now += 100 {
+		ds := s.Decide(now)
+		confirm(s, now, ds)
+		out = append(out, ds...)
+	}
+	return out
+}
+
+func end(s *State, now int64, st record.Start, o record.Outcome) {
+	s.Apply(now, TaskEnded{record.End{Task: st.Task, Attempt: st.Attempt, Outcome: o, RanMs: 1000}})
+}
+
+// Guards against a worker that fails everything at once and attracts all work because it looks empty, and against
+// blaming the jobs for it.
+func TestFailingWorkerGoesOnProbation(t *testing.T) {
+	s := fleetState(6, "a")
+	onBad, total, probation := 0, 0, 0
+	for now := int64(60_000); now < 90_000; now += 100 {
+		queue(s, now, batchJob("a", fmt.Sprint(now), 2))
+		ds := s.Decide(now)
+		probation += len(alerts(ds, AlertWorkerProbation))
+		assert.Equal(t, len(alerts(ds, AlertJobFailsEverywhere)), 0)
+		for _, st := range confirm(s, now, ds) {
+			total++
+			if st.Worker == "w00" {
+				onBad++
+				end(s, now, st, record.Failed)
+			} else {
+				end(s, now, st, record.Finished)
+			}
+		}
+	}
+	assert.Equal(t, probation, 1)
+	assert.Assert(t, onBad <= 8, "%d of %d starts went to the failing worker", onBad, total)
+	assert.Assert(t, total >= 500)
+}
+
+// Guards against a worker that stays excluded after it was repaired, and against large or urgent work as a trial.
+func TestProbationEndsAfterTrials(t *testing.T) {
+	s := fleetState(1, "a")
+	w := s.workers["w00"]
+	w.probation, w.probationMs, w.trialMs = true, 30_000, 60_000
+	j := batchJob("a", "large", 1)
+	j.Size.CPUMilli = 8000
+	queue(s, 60_000, j)
+	assert.Equal(t, len(confirm(s, 60_000, s.Decide(60_000))), 0)
+	queue(s, 60_000, batchJob("a", "small", 3))
+	for range 2 {
+		starts := confirm(s, 61_000, s.Decide(61_000))
+		assert.Equal(t, len(starts), 1, "one trial at a time")
+		end(s, 61_000, starts[0], record.Finished)
+	}
+	assert.Assert(t, !w.probation)
+	assert.Equal(t, len(confirm(s, 62_000, s.Decide(62_000))), 2)
+}
+
+// Guards against blaming workers for a job that fails on each of them.
+func TestJobThatFailsEverywhereIsBlamed(t *testing.T) {
+	s := fleetState(6, "a", "b")
+	var out []Decision
+	for now := int64(60_000); now < 70_000; now += 100 {
+		queue(s, now, batchJob("a", fmt.Sprint(now), 6))
+		bad := batchJob("b", "bad", 1)
+		s.Apply(now, TaskQueued{Job: bad, Task: bad.ID + "#0", NextAttempt: uint32(now/100 - 599)})
+		ds := s.Decide(now)
+		out = append(out, ds...)
+		for _, st := range confirm(s, now, ds) {
+			if strings.HasPrefix(st.Task, "b/") {
+				end(s, now, st, record.Failed)
+			} else {
+				end(s, now, st, record.Finished)
+			}
+		}
+	}
+	assert.Equal(t, len(alerts(out, AlertWorkerProbation)), 0)
+	assert.Equal(t, len(alerts(out, AlertJobFailsEverywhere)), 1)
+}
+
+// Guards against a busy customer that keeps what it borrowed, and against an unbounded wait of its owner.
+func TestLentRoomComesBack(t *testing.T) {
+	s := fleetState(2, "busy")
+	s.Apply(1, ContractChanged{record.Contract{Customer: "owner", MaxTasks: 10, MaxQueued: 10,
+		Guaranteed: record.Resources{CPUMilli: 4000, MemoryMB: 8000}}})
+	long := batchJob("busy", "long", 40)
+	long.Checkpoint = true
+	queue(s, 60_000, long)
+	// The first tasks of a class run alone until they are measured.
+	s.classOf(60_000, &long).measured = minSizeTasks
+	s.classOf(60_000, &record.Job{Customer: "owner", Class: "c", Kind: record.BatchJob}).measured = minSizeTasks
+	for _, w := range s.order {
+		w.ramp = maxRamp
+	}
+	run(s, 60_000, 61_000)
+	assert.Equal(t, s.customers["busy"].used.CPUMilli, int64(32_000))
+	queue(s, 80_000, batchJob("owner", "j", 2))
+	started := 0
+	for now := int64(80_000); now < 100_000; now += 100 {
+		ds := s.Decide(now)
+		for _, e := range evictions(ds) {
+			assert.Assert(t, strings.HasPrefix(e.Task, "busy/"))
+			s.Apply(now, TaskEnded{record.End{Task: e.Task, Attempt: e.Attempt, Outcome: record.Checkpointed}})
+			s.Apply(now, TaskQueued{Job: long, Task: e.Task, NextAttempt: e.Attempt + 1})
+		}
+		for _, st := range confirm(s, now, ds) {
+			if strings.HasPrefix(st.Task, "owner/") {
+				started++
+			}
+		}
+	}
+	assert.Equal(t, started, 2)
+}
+
+// Guards against an urgent task that waits behind a full fleet for longer than users accept.
+func TestUrgentStartsWithinLimit(t *testing.T) {
+	s := fleetState(2, "a")
+	long := batchJob("a", "long", 40)
+	long.Checkpoint = true
+	queue(s, 60_000, long)
+	s.classOf(60_000, &long).measured = minSizeTasks
+	for _, w := range s.order {
+		w.ramp = maxRamp
+	}
+	run(s, 60_000, 61_000)
+	u := batchJob("a", "urgent", 1)
+	u.Urgent = true
+	queue(s, 80_000, u)
+	for now := int64(80_000); now < 88_200; now += 100 {
+		ds := s.Decide(now)
+		for _, e := range evictions(ds) {
+			s.Apply(now, TaskEnded{record.End{Task: e.Task, Attempt: e.Attempt, Outcome: record.Checkpointed}})
+		}
+		for _, st := range confirm(s, now, ds) {
+			if st.Task == "a/urgent#0" {
+				return
+			}
+		}
+	}
+	t.Fatal("the urgent task did not start within 8.2 s: ", s.WaitReason("a/urgent"))
+}
+
+// Guards against a wave of cancellations that leaves dead entries in front of urgent work, or that starts cancelled
+// tasks. 5,000 jobs are cancelled between two calls.
+func TestCancellationWaveDelaysNoUrgentStart(t *testing.T) {
+	s := fleetState(2, "a")
+	for i := range 5000 {
+		queue(s, 60_000, batchJob("a", fmt.Sprint(i), 1))
+	}
+	for now := int64(60_000); now < 63_000; now += 100 {
+		s.Decide(now)
+	}
+	for i := range 5000 {
+		s.Apply(63_000, JobCancelled{fmt.Sprintf("a/%d", i)})
+	}
+	u := batchJob("a", "urgent", 1)
+	u.Urgent = true
+	queue(s, 63_000, u)
+	starts := confirm(s, 63_000, s.Decide(63_000))
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Task, "a/urgent#0")
+	c := s.customers["a"]
+	assert.Assert(t, len(c.fresh.jobs)+len(c.parked.jobs) <= 1, "%d dead jobs are kept", len(c.fresh.jobs)+len(c.parked.jobs))
+}
+
+// Guards against a standing task that stops or hangs unnoticed, is restarted twice for one incident, or is restarted
+// without pause while it keeps failing.
+func TestStandingTaskIsRestartedOncePerIncident(t *testing.T) {
+	s := fleetState(3, "a")
+	j := batchJob("a", "watch", 1)
+	j.Kind, j.RunMs = record.StandingJob, 0
+	queue(s, 60_000, j)
+	st := confirm(s, 60_000, s.Decide(60_000))[0]
+	wait := int64(0)
+	now := int64(61_000)
+	for i := range 5 {
+		end(s, now, st, record.Failed)
+		// The caller's own requeue of the same attempt is no second restart.
+		s.Apply(now, TaskQueued{Job: j, Task: st.Task, NextAttempt: st.Attempt + 1})
+		out := s.Decide(now)
+		assert.Equal(t, len(alerts(out, AlertStandingStopped)), 1)
+		stopped := now
+		var starts []record.Start
+		for starts = confirm(s, now, out); len(starts) == 0; starts = confirm(s, now, s.Decide(now)) {
+			now += 50
+			assert.Assert(t, now < stopped+60_000)
+		}
+		assert.Equal(t, len(starts), 1)
+		assert.Assert(t, i == 0 || now-stopped > wait, "restart %d after %d ms, the one before after %d ms", i, now-stopped, wait)
+		st, wait = starts[0], now-stopped
+	}
+	var out []Decision
+	for end := now + 150_000; now < end; now += 2000 {
+		s.Apply(now, UsageReported{Worker: st.Worker, MeasuredMs: now, Samples: []Sample{{Task: st.Task, Attempt: st.Attempt}}})
+		out = append(out, s.Decide(now)...)
+	}
+	assert.Equal(t, len(alerts(out, AlertStandingHung)), 1)
+	assert.Assert(t, len(evictions(out)) >= 1)
+	s.Apply(now, WorkerDown{ID: st.Worker})
+	assert.Equal(t, len(alerts(s.Decide(now), AlertStandingLost)), 1)
+}
+
+// noisyWorker returns a state with a service beside a batch task that slows it, and their starts.
+func noisyWorker(t *testing.T) (*State, record.Start, record.Start) {
+	s := fleetState(1, "a")
+	svc := batchJob("a", "svc", 1)
+	svc.Kind, svc.RunMs, svc.Class = record.ServiceJob, 0, "svc"
+	queue(s, 60_000, svc)
+	noisy := batchJob("a", "noisy", 1)
+	noisy.Checkpoint, noisy.RunMs = true, 600_000
+	queue(s, 60_000, noisy)
+	starts := confirm(s, 60_000, s.Decide(60_000))
+	assert.Equal(t, len(starts), 2)
+	if starts[0].Task != "a/svc#0" {
+		starts[0], starts[1] = starts[1], starts[0]
+	}
+	return s, starts[0], starts[1]
+}
+
+func report(s *State, now, measured int64, us int64, starts ...record.Start) {
+	rep := UsageReported{Worker: starts[0].Worker, MeasuredMs: measured}
+	for _, st := range starts {
+		sm := Sample{Task: st.Task, Attempt: st.Attempt, Used: st.Size, SpeedMilli: 1000}
+		if st.Task == "a/svc#0" {
+			sm.LatencyP99Us = us
+		}
+		rep.Samples = append(rep.Samples, sm)
+	}
+	s.Apply(now, rep)
+}
+
+// Guards against moving a task before throttling it, against a reaction to a single report, and against a storm of
+// evictions while the noise goes on.
+func TestInterferenceIsAnsweredInOrder(t *testing.T) {
+	s, svc, noisy := noisyWorker(t)
+	now := int64(61_000)
+	for ; now < 101_000; now += 2000 {
+		report(s, now, now-1000, 9000, svc, noisy)
+		assert.Equal(t, len(s.Decide(now)), 0)
+	}
+	var shares []int64
+	evicted := 0
+	for ; now < 400_000; now += 2000 {
+		report(s, now, now-1000, 90_000, svc, noisy)
+		for _, d := range s.Decide(now) {
+			switch d := d.(type) {
+			case ThrottleTask:
+				if len(shares) == 0 || shares[len(shares)-1] != d.ShareMilli {
+					shares = append(shares, d.ShareMilli)
+				}
+				assert.Equal(t, evicted, 0)
+			case EvictTask:
+				if evicted == 0 {
+					end(s, now, noisy, record.Checkpointed)
+				}
+				evicted++
+			}
+		}
+	}
+	assert.DeepEqual(t, shares, []int64{500, 250})
+	assert.Equal(t, evicted, 1)
+}
+
+// Guards against a throttle that is never lifted, and against one that flaps with each report.
+func TestThrottleIsLiftedAfterCalm(t *testing.T) {
+	s, svc, noisy := noisyWorker(t)
+	now := int64(61_000)
+	for ; now < 101_000; now += 2000 {
+		report(s, now, now-1000, 9000, svc, noisy)
+	}
+	changes := 0
+	for i := 0; now < 200_000; now += 2000 {
+		us := int64(9000)
+		if i++; i <= 3 {
+			us = 90_000
+		}
+		report(s, now, now-1000, us, svc, noisy)
+		for _, d := range s.Decide(now) {
+			if th, ok := d.(ThrottleTask); ok && th.Reason != "repeated" {
+				changes++
+			}
+		}
+	}
+	assert.Equal(t, s.tasks[noisy.Task].shareMilli, int64(fullShare))
+	assert.Equal(t, changes, 2)
+}
+
+// Guards against blaming a task for what was measured before it started, and against acting on old or repeated reports.
+func TestReportsAreMatchedToTheirTime(t *testing.T) {
+	s, svc, noisy := noisyWorker(t)
+	w := s.workers[svc.Worker]
+	report(s, 70_000, 69_000, 9000, svc)
+	before := len(s.tasks[svc.Task].job.class.harmedBy)
+	report(s, 70_000, 59_000, 90_000, svc, noisy)
+	assert.Equal(t, len(s.tasks[svc.Task].job.class.harmedBy), before, "a report of a time before the start was learned from")
+	report(s, 71_000, 70_500, 90_000, svc, noisy)
+	hot := w.hot
+	report(s, 71_100, 70_500, 90_000, svc, noisy)
+	assert.Equal(t, w.hot, hot, "a repeated report was counted")
+	report(s, 72_000, 70_400, 90_000, svc, noisy)
+	assert.Equal(t, w.hot, hot, "an older report was counted")
+	report(s, 300_000, 72_000, 90_000, svc, noisy)
+	assert.Equal(t, w.reportMs, int64(70_500), "a report beyond its largest age was used")
+}
+
+// Guards against a zone that is emptied faster than the others can take, out of order of risk, or with its services.
+func TestZoneOutIsEvacuatedByRisk(t *testing.T) {
+	s := fleetState(2, "a")
+	place := func(name, worker string, cpu, deadline int64, kind record.JobKind) {
+		j := batchJob("a", name, 1)
+		j.Size.CPUMilli, j.DeadlineMs, j.Kind, j.RunMs = cpu, deadline, kind, 600_000
+		queue(s, 50_000, j)
+		s.Apply(50_000, TaskStarted{record.Start{Task: j.ID + "#0", Attempt: 1, Worker: worker, Size: j.Size}})
+	}
+	place("late", "w00", 4000, 3_000_000, record.BatchJob)
+	place("soon", "w00", 4000, 2_000_000, record.BatchJob)
+	place("svc", "w00", 1000, 0, record.ServiceJob)
+	place("other", "w01", 10_000, 0, record.BatchJob)
+	s.Apply(60_000, ZoneChanged{Zone: "a", Out: true})
+	got := evictions(s.Decide(60_000))
+	assert.Equal(t, len(got), 1, "the other zone has room for one: %v", got)
+	assert.Equal(t, got[0].Task, "a/soon#0")
+}
+
+// Guards against a zone that comes back and is filled at once, and against moving running work there.
+func TestReturnedZoneFillsGradually(t *testing.T) {
+	s := fleetState(3, "a")
+	s.Apply(50_000, ZoneChanged{Zone: "a", Out: true})
+	s.Apply(60_000, ZoneChanged{Zone: "a"})
+	j := batchJob("a", "j", 60)
+	s.classOf(60_000, &j).measured = minSizeTasks
+	queue(s, 60_000, j)
+	for _, w := range s.order {
+		w.ramp = maxRamp
+	}
+	out := run(s, 60_000, 62_000)
+	assert.Equal(t, len(evictions(out)), 0)
+	early := s.workers["w00"].committed.CPUMilli
+	assert.Assert(t, early > 0 && early <= 2000, "%d millicores after 2 s", early)
+	run(s, 62_100, 95_000)
+	assert.Equal(t, s.workers["w00"].committed.CPUMilli, int64(16_000))
+}
+
+// Guards against trusting declared sizes after they were seen to be wrong, and against many first runs of a class.
+func TestSizesAreLearned(t *testing.T) {
+	s := fleetState(6, "a")
+	j := batchJob("a", "first", 20)
+	queue(s, 60_000, j)
+	starts := confirm(s, 60_000, s.Decide(60_000))
+	assert.Equal(t, len(starts), DefaultConfig().FirstRuns)
+	assert.Assert(t, strings.Contains(s.WaitReason("a/first"), "not measured"))
+	for _, st := range starts {
+		used := record.Resources{CPUMilli: 4000, MemoryMB: 250}
+		s.Apply(62_000, UsageReported{Worker: st.Worker, MeasuredMs: 61_000 + int64(len(st.Task)), Samples: []Sample{{Task: st.Task, Attempt: 1, Used: used, SpeedMilli: 1000}}})
+	}
+	for _, st := range confirm(s, 63_000, s.Decide(63_000)) {
+		assert.Assert(t, st.Size.CPUMilli > 3800 && st.Size.CPUMilli < 4300, "%+v", st.Size)
+		assert.Assert(t, st.Size.MemoryMB > 240 && st.Size.MemoryMB < 320, "%+v", st.Size)
+	}
+}
+
+// Guards against accepting a deadline that no run of the class ever met, and against refusing on declared times alone.
+func TestDeadlineIsJudgedByLearnedRunTimes(t *testing.T) {
+	s := fleetState(3, "a")
+	j := batchJob("a", "before", 1)
+	j.DeadlineMs = 65_000
+	queue(s, 60_000, j)
+	assert.Equal(t, len(refusals(s.Decide(60_000))), 0)
+	for range minImpossibleRuns {
+		s.classOf(60_000, &j).learnRun(10_000, 40_000)
+	}
+	late := batchJob("a", "late", 1)
+	late.DeadlineMs = 95_000
+	queue(s, 60_000, late)
+	got := refusals(s.Decide(60_000))
+	assert.Equal(t, len(got), 1)
+	assert.Assert(t, strings.Contains(got[0].Reason, "never ran shorter"))
+}
+
+// Guards against a deadline that is missed without an earlier alert.
+func TestDeadlineRiskGivesOneAlert(t *testing.T) {
+	s := fleetState(1, "a")
+	fill := batchJob("a", "fill", 1)
+	fill.Size = big
+	queue(s, 60_000, fill)
+	confirm(s, 60_000, s.Decide(60_000))
+	j := batchJob("a", "j", 1)
+	j.DeadlineMs = 100_000
+	queue(s, 60_000, j)
+	for now := int64(60_000); now < 120_000; now += 500 {
+		if got := alerts(s.Decide(now), AlertDeadlineRisk); len(got) > 0 {
+			assert.Equal(t, got[0].Job, "a/j")
+			assert.Assert(t, now < 100_000, "alert at %d", now)
+			return
+		}
+	}
+	t.Fatal("no alert")
+}
+
+// Guards against learned state that is lost, changed or not reproducible in a snapshot, and against malformed input.
+func TestLearnedStateRoundTrip(t *testing.T) {
+	s, svc, noisy := noisyWorker(t)
+	for now := int64(61_000); now < 161_000; now += 2000 {
+		report(s, now, now-1000, 9000+now%7000, svc, noisy)
+	}
+	s.classOf(1, &record.Job{Customer: "a", Class: "c", Kind: record.BatchJob}).learnRun(1000, 3000)
+	data, err := s.ExportLearned()
+	assert.NilError(t, err)
+	fresh := New(DefaultConfig())
+	assert.NilError(t, fresh.ImportLearned(data))
+	again, err := fresh.ExportLearned()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, data, again)
+	assert.NilError(t, fresh.ImportLearned(nil))
+	for i := range data {
+		broken := append([]byte(nil), data...)
+		broken[i] ^= 0xff
+		other := New(DefaultConfig())
+		if err := other.ImportLearned(broken); err != nil {
+			assert.Equal(t, len(other.classes), 0, "a failed import changed the state")
+		}
+		_ = other.ImportLearned(data[:i])
+	}
+}
+
+// Guards against decisions that depend on the order of maps.
+func TestDecisionsAreDeterministic(t *testing.T) {
+	trail := func() string {
+		s := fleetState(20, "a", "b", "c", "d")
+		var b strings.Builder
+		for now := int64(60_000); now < 70_000; now += 100 {
+			for _, c := range []string{"a", "b", "c", "d"} {
+				queue(s, now, batchJob(c, fmt.Sprint(now), 3))
+			}
+			for _, st := range confirm(s, now, s.Decide(now)) {
+				fmt.Fprintln(&b, now, st)
+				if len(st.Task)%3 == 0 {
+					end(s, now, st, record.Finished)
+				}
+			}
+		}
+		return b.String()
+	}
+	assert.Equal(t, trail(), trail())
+}
+
+// Guards against an explanation that does not tell where and why a task was placed.
+func TestPlacementIsExplained(t *testing.T) {
+	s := fleetState(3, "a")
+	queue(s, 60_000, batchJob("a", "j", 1))
+	st := confirm(s, 60_000, s.Decide(60_000))[0]
+	got := s.ExplainPlacement(st.Task)
+	assert.Equal(t, len(got), 1)
+	assert.Assert(t, strings.Contains(got[0], st.Worker) && strings.Contains(got[0], "fair share"), got[0])
+	assert.Equal(t, len(s.ExplainPlacement("unknown")), 0)
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -186,6 +186,7 @@
 func (s *State) newJob(nowMs int64, rec record.Job) *job {
 	j := &job{rec: rec, cust: s.customerOf(rec.Customer), pending: true,
 		class: s.classOf(nowMs, &rec), health: &jobHealth{}}
+	s.estimate(j)
 	s.jobs[rec.ID] = j
 	s.admissions = append(s.admissions, j)
 	return j
@@ -331,6 +332,9 @@
 		t.job.class.running++
 		c := t.job.cust
 		c.used = c.used.Add(size)
+		if t.job.rec.Urgent {
+			c.urgent++
+		}
 		if t.job.rec.Kind != record.ServiceJob {
 			c.running++
 		}
@@ -372,6 +376,9 @@
 		t.job.class.running--
 		c := t.job.cust
 		c.used = c.used.Sub(t.size)
+		if t.job.rec.Urgent {
+			c.urgent--
+		}
 		if t.job.rec.Kind != record.ServiceJob {
 			c.running--
 		}
