--- a/testkit/faultproxy/conn.go
+++ b/testkit/faultproxy/conn.go
@@ -89,6 +89,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			c.proxy.bytes.Add(int64(n))
 			if !c.track(d, buffer[:n]) {
 				c.abort()
 				return
--- a/testkit/faultproxy/faultproxy.go
+++ b/testkit/faultproxy/faultproxy.go
@@ -37,12 +37,15 @@
 	RepliesDropped int
 	// Open is the number of connections open now, silent ones included.
 	Open int
+	// Bytes is the number of bytes received from clients and targets.
+	Bytes int64
 }
 
 // Proxy forwards TCP connections to a target. All methods are safe for concurrent use.
 type Proxy struct {
 	listener net.Listener
 	delay    [2]atomic.Int64
+	bytes    atomic.Int64
 	running  sync.WaitGroup
 
 	mu        sync.Mutex
@@ -150,6 +153,7 @@
 	defer p.mu.Unlock()
 	s := p.stats
 	s.Open = len(p.conns)
+	s.Bytes = p.bytes.Load()
 	return s
 }
 
