--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -37,6 +37,7 @@
 	WitnessReleased   = Event{402, zerolog.InfoLevel, "the old witness released its epoch"}
 	DecisionVoid      = Event{403, zerolog.WarnLevel, "a recorded decision is void"}
 	Alert             = Event{404, zerolog.WarnLevel, "alert for operators"}
+	DeciderResigned   = Event{405, zerolog.InfoLevel, "this entry shuts down and ended its epoch as decider"}
 	TaskStartFailed   = Event{500, zerolog.WarnLevel, "the worker refused a start"}
 	WorkerFailed      = Event{501, zerolog.WarnLevel, "the worker does not answer"}
 	ReplyIgnored      = Event{502, zerolog.WarnLevel, "a reply of a decider was ignored"}
@@ -48,7 +49,12 @@
 	Drained           = Event{604, zerolog.InfoLevel, "graceful shutdown of the endpoint finished"}
 	Superseded        = Event{605, zerolog.WarnLevel, "a higher incarnation of this process is known"}
 	AnnounceFailed    = Event{606, zerolog.WarnLevel, "an entry did not take the announcement"}
+	DrainCut          = Event{607, zerolog.WarnLevel, "requests in progress were cut off by the limit of the shutdown order"}
+	AnnounceRestored  = Event{608, zerolog.InfoLevel, "an entry takes announcements again"}
 	RequestNotWritten = Event{700, zerolog.WarnLevel, "the answer of a request could not be recorded"}
+	ConnectionSilent  = Event{701, zerolog.WarnLevel, "an open connection to a side process went silent"}
+	SideSilent        = Event{702, zerolog.WarnLevel, "a side process does not answer pings"}
+	ForeignAnswer     = Event{703, zerolog.ErrorLevel, "an answer of another request was dropped"}
 )
 
 // Logger writes numbered events.
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -105,9 +105,6 @@
 	if c.fresh.top() == nil {
 		c.roundGen = s.freeGen
 		c.fresh, c.parked = c.parked, c.fresh
-		for _, j := range c.fresh.jobs {
-			j.in = &c.fresh
-		}
 		return
 	}
 	// The parked job nearest its deadline gets a try in every call, so that the rest of a long round does not delay it.
@@ -128,7 +125,8 @@
 	}
 	heap.Init(&turns)
 	starts := 0
-	for tries := 0; tries < s.cfg.MaxTries && starts < s.cfg.MaxStarts && len(turns) > 0; tries++ {
+	s.visits, s.full = 0, s.full[:0]
+	for tries := 0; tries < s.cfg.MaxTries && starts < s.cfg.MaxStarts && s.visits < s.cfg.MaxVisits && len(turns) > 0; tries++ {
 		tn := turns[0]
 		if d, ok := s.startOne(nowMs, tn); ok {
 			starts++
@@ -149,17 +147,18 @@
 	j := tn.job
 	t := j.next()
 	size := s.sizeOf(j)
-	reason := j.cust.overQuota(j, size)
-	if reason == "" {
-		reason = s.cautious(j)
-	}
-	if t != nil && reason == "" {
-		p := &placing{s: s, nowMs: nowMs, task: t, job: j, size: size, pressing: tn.urgent || tn.atRisk}
-		w, why := s.place(p)
+	reason := why{text: j.cust.overQuota(j, size)}
+	if reason.text == "" {
+		reason.text = s.cautious(j)
+	}
+	if t != nil && reason.text == "" {
+		p := &s.placing
+		*p = placing{s: s, nowMs: nowMs, task: t, job: j, size: size, pressing: tn.urgent || tn.atRisk}
+		w, y := s.place(p)
 		if w != nil {
 			return s.propose(nowMs, t, w, size, tn), true
 		}
-		reason = "no worker has room: " + why
+		reason = y
 		if size.Accelerators > 0 {
 			s.accelMs = nowMs
 		}
@@ -196,15 +195,15 @@
 }
 
 // park puts a job aside until room may have appeared.
-func (s *State) park(nowMs int64, j *job, t *task, reason string) {
-	j.reason = reason
-	if j.in == &j.cust.fresh {
-		heap.Pop(&j.cust.fresh)
+func (s *State) park(nowMs int64, j *job, t *task, reason why) {
+	j.why = reason
+	if j.in == j.cust.fresh {
+		heap.Pop(j.cust.fresh)
 		j.cust.parked.add(j)
 	}
 	if t != nil && j.rec.Urgent && !j.urgentAlert && nowMs-t.queuedMs >= s.cfg.UrgentAlertMs {
 		j.urgentAlert = true
-		s.alert(Alert{Code: AlertUrgentLate, Job: j.rec.ID, Task: t.id, Message: reason})
+		s.alert(Alert{Code: AlertUrgentLate, Job: j.rec.ID, Task: t.id, Message: reason.String()})
 	}
 }
 
