--- a/slopes/region.go
+++ b/slopes/region.go
@@ -152,7 +152,7 @@
 		f.decide()
 		for i, h := range f.hosts {
 			h.advance(f.now.Mono)
-			if len(h.ended) > 0 || (f.tick+i)%pollTicks == 0 || f.state.Decider.Waiting(f.now, h.poll.Worker) {
+			if len(h.ended) > 0 || (f.tick+i)%pollTicks == 0 || f.state.Decider.Waiting(f.now, h.poll) {
 				f.pollHost(h)
 			}
 		}
