scheduler: keep the benchmark on one thread

Cause: a sub-benchmark has a goroutine of its own, so the processor time was read on different threads (94 ms at p99). Change: each sub-benchmark locks its thread.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -130,10 +130,11 @@
 
 // BenchmarkDecide measures one call of Decide at 1, 2 and 4 times the target size, with about 12 starts in each.
 func BenchmarkDecide(b *testing.B) {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
 	for _, scale := range []int{1, 2, 4} {
 		b.Run(fmt.Sprintf("x%d", scale), func(b *testing.B) {
+			// Each benchmark has a goroutine of its own, which must stay on the thread whose time is read.
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
 			l := newLoaded(scale)
 			runtime.GC()
 			var walls, cpus []time.Duration
