--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -41,6 +41,9 @@
 	s.commit(nowMs, t, w, st.Size, phaseRunning)
 	s.watch(t)
 	if j := t.job; j != nil {
+		if j.class.firstMs == 0 {
+			j.class.firstMs = nowMs
+		}
 		j.blockedMs, j.reclaimMs, j.cust.startedMs = 0, 0, nowMs
 		if j.nominated != nil && j.nominated.nominee == j {
 			j.nominated.nominee = nil
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -29,6 +29,10 @@
 	UrgentBeyond int
 	// FirstRuns bounds the tasks of a class that run before their sizes were measured.
 	FirstRuns int
+	// FirstRunsMs is how long after the first start of a class this bound holds if no usage is reported.
+	FirstRunsMs int64
+	// ProveMs is how long an attempt must run without failure to count as seen to run if no usage is reported.
+	ProveMs int64
 	// ReportMaxAgeMs is the age beyond which a usage report is ignored.
 	ReportMaxAgeMs int64
 	// ReportHalfMs is the age at which a usage report counts half.
@@ -98,6 +102,8 @@
 
 		UrgentBeyond:     8,
 		FirstRuns:        4,
+		FirstRunsMs:      30_000,
+		ProveMs:          20_000,
 		ReportMaxAgeMs:   60_000,
 		ReportHalfMs:     10_000,
 		ReportStaleMs:    10_000,
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -152,7 +152,7 @@
 	size := s.sizeOf(j)
 	reason := why{text: j.cust.overQuota(j, size)}
 	if reason.text == "" {
-		reason.text = s.cautious(j)
+		reason.text = s.cautious(nowMs, j)
 	}
 	if t != nil && reason.text == "" {
 		p := &s.placing
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -161,6 +161,15 @@
 	s.freeGen++
 }
 
+// proveByTime counts attempts that have run for ProveMs as seen to run, for workers that send no usage reports.
+func (s *State) proveByTime(nowMs int64, w *worker) {
+	for _, t := range w.tasks {
+		if t.unproven && t.phase == phaseRunning && nowMs-t.startMs >= s.cfg.ProveMs {
+			s.prove(t)
+		}
+	}
+}
+
 // avoidWorker makes the task prefer other workers.
 func (t *task) avoidWorker(id string) {
 	if len(t.avoid) == maxAvoid {
@@ -184,6 +193,9 @@
 	if w.probation {
 		return p.excludeProbation(w)
 	}
+	if w.unproven >= w.ramp {
+		p.s.proveByTime(p.nowMs, w)
+	}
 	if w.unproven >= w.ramp {
 		return "it has to prove its newest tasks first"
 	}
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -45,8 +45,9 @@
 	sizeAdds, runAdds                                int
 	// measured counts attempts with a usage sample, runs counts finished runs.
 	measured, runs int
-	// running counts tasks that run or are proposed.
+	// running counts tasks that run or are proposed; firstMs is when the first task was started.
 	running int
+	firstMs int64
 	usedMs  int64
 	// levels holds what is known of a service's undisturbed latency by load; nil for other classes.
 	levels *[loadBuckets]loadLevel
@@ -259,7 +260,11 @@
 }
 
 // cautious returns why no further task of a class that was not measured yet may start; empty if one may.
-func (s *State) cautious(j *job) string {
+func (s *State) cautious(nowMs int64, j *job) string {
+	c := j.class
+	if c.firstMs != 0 && nowMs-c.firstMs >= s.cfg.FirstRunsMs {
+		return ""
+	}
 	if j.class.measured >= minSizeTasks || j.rec.Kind == record.ServiceJob || j.rec.Urgent || j.class.running < s.cfg.FirstRuns {
 		return ""
 	}
--- a/scheduler/policy_test.go
+++ b/scheduler/policy_test.go
@@ -251,6 +251,18 @@
 	}
 }
 
+// Guards against work that never gets going on workers that send no usage reports.
+func TestWorkGoesOnWithoutReports(t *testing.T) {
+	s := fleetState(2, "a")
+	j := batchJob("a", "watch", 30)
+	j.Kind, j.RunMs = record.StandingJob, 0
+	queue(s, 60_000, j)
+	run(s, 60_000, 70_000)
+	assert.Equal(t, s.customers["a"].running, DefaultConfig().FirstRuns)
+	run(s, 70_100, 200_000)
+	assert.Equal(t, s.customers["a"].running, 30)
+}
+
 // Guards against accepting a deadline that no run of the class ever met, and against refusing on declared times alone.
 func TestDeadlineIsJudgedByLearnedRunTimes(t *testing.T) {
 	s := fleetState(3, "a")
