--- a/core/core.go
+++ b/core/core.go
@@ -124,6 +124,8 @@
 	RetryTry
 	// HedgeTry runs beside one that is slow.
 	HedgeTry
+	// ResendTry follows one whose connection went silent. It uses no budget, since the side process did not work on it.
+	ResendTry
 )
 
 // LoadReported gives the load that a side process reported with an answer.
--- /dev/null
+++ b/core/members/members_test.go
@@ -0,0 +1,56 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/verbenakeel/verbenakeel/core/clock"
+)
+
+// Guards against an old announcement that takes effect: announcements arrive in any order, more than once and through
+// peers, and the newest run and sequence always wins.
+func TestNewestAnnouncementWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(time.Second)
+		var incarnation, sequence uint64
+		for range rapid.IntRange(1, 60).Draw(t, "announcements") {
+			a := Announcement{
+				ID: "instance-01", Incarnation: rapid.Uint64Range(1, 4).Draw(t, "incarnation"),
+				Sequence: rapid.Uint64Range(1, 6).Draw(t, "sequence"), Relayed: rapid.Bool().Draw(t, "relayed"),
+				Draining: rapid.Bool().Draw(t, "draining"), EndpointUp: true,
+			}
+			verdict, by := s.Announce(clock.Now{}, a)
+			newer := a.Incarnation > incarnation || (a.Incarnation == incarnation && a.Sequence > sequence)
+			switch {
+			case newer && verdict != Taken:
+				t.Fatalf("newer announcement %+v was not taken", a)
+			case a.Incarnation < incarnation && (verdict != Superseded || by != incarnation):
+				t.Fatalf("announcement of an earlier run: %v, %d", verdict, by)
+			case a.Incarnation == incarnation && a.Sequence < sequence && verdict != Old:
+				t.Fatalf("old announcement %+v: %v", a, verdict)
+			}
+			if newer {
+				incarnation, sequence = a.Incarnation, a.Sequence
+			}
+			e, ok := s.Get("instance-01")
+			if !ok || e.Incarnation != incarnation || e.Sequence != sequence {
+				t.Fatalf("known is %+v", e)
+			}
+		}
+	})
+}
+
+// Guards against endpoints lost at a lower pace: the limits of silence follow the interval that each one was told.
+func TestSilenceFollowsPace(t *testing.T) {
+	s := New(time.Second)
+	s.Announce(clock.Now{}, Announcement{ID: "instance-01", Incarnation: 1, Sequence: 1, EndpointUp: true, Interval: 20 * time.Second})
+	assert.Equal(t, s.Pace(time.Second, 600, 4000), time.Second)
+	s.Tick(clock.Now{Mono: 50 * time.Second})
+	assert.Equal(t, len(s.Usable("")), 1)
+	s.Tick(clock.Now{Mono: 70 * time.Second})
+	assert.Equal(t, len(s.Usable("")), 0)
+	assert.DeepEqual(t, s.Tick(clock.Now{Mono: 700 * time.Second}), []string{"instance-01"})
+}
--- a/core/route/budget.go
+++ b/core/route/budget.go
@@ -5,7 +5,7 @@
 	// retryShare is the share of requests that may be retried.
 	retryShare = 0.10
 	// retryReserve lets an idle entry retry a few requests.
-	retryReserve = 10
+	retryReserve = 20
 	// hedgeShare is the share of requests that may be hedged.
 	hedgeShare = 0.02
 	// hedgeReserve lets an idle entry hedge a few requests.
--- a/core/route/limits.go
+++ b/core/route/limits.go
@@ -43,12 +43,16 @@
 type customerUse struct {
 	bucket   *rate.Limiter
 	inFlight int
-	callers  map[string]int
+	// wanted counts requests refused for concurrency since the use was told.
+	wanted  int
+	callers map[string]int
 	// demand is the moving average of offered requests a second, admitted or not.
 	demand  float64
 	offered int
 	since   time.Duration
 	last    time.Duration
+	// told is the use that the other entries were told of. Shares are made from it, because all entries know it.
+	told Use
 }
 
 // Use is one customer's use at one entry.
@@ -89,6 +93,7 @@
 	}
 	concurrency := s.concurrencyShare(now, a, u)
 	if u.inFlight >= concurrency {
+		u.wanted++
 		return OverConcurrency
 	}
 	if a.Caller != "" && float64(u.inFlight) >= callerPressure*float64(concurrency) &&
@@ -149,13 +154,13 @@
 // rateShare is the part of the contract's rate that this entry may use.
 func (s *State) rateShare(now clock.Now, a Arrival, u *customerUse) float64 {
 	others := s.reported(now, a.Contract.Customer, func(p Use) float64 { return p.PerSecond })
-	return share(float64(a.Contract.RequestsPerSecond), u.demand, others, a.Entries)
+	return share(float64(a.Contract.RequestsPerSecond), u.told.PerSecond, others, a.Entries)
 }
 
 // concurrencyShare is the part of the contract's concurrency that this entry may use.
 func (s *State) concurrencyShare(now clock.Now, a Arrival, u *customerUse) int {
 	others := s.reported(now, a.Contract.Customer, func(p Use) float64 { return float64(p.InFlight) })
-	return max(1, int(share(float64(a.Contract.Concurrency), float64(u.inFlight+1), others, a.Entries)))
+	return max(1, int(share(float64(a.Contract.Concurrency), float64(u.told.InFlight), others, a.Entries)))
 }
 
 func (s *State) reported(now clock.Now, customer string, value func(Use) float64) []float64 {
@@ -172,7 +177,8 @@
 // share returns the part of a limit for an entry with the demand mine. All entries that know the same demands get parts
 // that sum up to at most the limit: demands below an equal part are met, the rest is shared equally among the others, and
 // what no entry asks for is shared equally among all, so that a sudden demand finds room. Entries that reported nothing
-// count as idle ones.
+// count as idle ones. Entries know each other's demands as of the last exchange, so the parts can sum up to more than
+// the limit until the next one.
 func share(limit, mine float64, others []float64, entries int) float64 {
 	demands := append([]float64{mine}, others...)
 	for len(demands) < entries {
@@ -196,14 +202,18 @@
 	s.peers[peer] = &peerUse{now.Mono, use}
 }
 
-// OwnUse returns the use at this entry, for the other entries.
+// OwnUse returns the use at this entry, which is then told to the other entries. Requests that were refused for
+// concurrency count as in flight, so that an entry in need gets a larger part.
 func (s *State) OwnUse(now clock.Now) map[string]Use {
 	out := make(map[string]Use)
 	for customer, u := range s.limits {
 		u.roll(now)
-		if u.demand >= 0.5 || u.inFlight > 0 {
-			out[customer] = Use{u.demand, u.inFlight}
+		u.told = Use{}
+		if u.demand >= 0.5 || u.inFlight > 0 || u.wanted > 0 {
+			u.told = Use{u.demand, u.inFlight + u.wanted}
+			out[customer] = u.told
 		}
+		u.wanted = 0
 	}
 	return out
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -260,7 +260,8 @@
 		st.sample(took)
 	case Failed:
 		st.failures++
-		if st.failures >= ejectAfter || st.probing {
+		// Requests that were in flight when the ejection began say nothing new.
+		if now.Mono >= st.ejected && (st.failures >= ejectAfter || st.probing) {
 			st.ejected = now.Mono + min(ejectMax, ejectFor<<min(st.ejections, 4))
 			st.ejections++
 			st.probing = true
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -21,7 +21,7 @@
 )
 
 // maxTries bounds the tries of one request.
-const maxTries = 3
+const maxTries = 4
 
 // result is the end of a request.
 type result struct {
@@ -33,7 +33,9 @@
 	notRun bool
 	// pending is true if the request may still be running at an endpoint that can be asked.
 	pending *dispatch
-	err     error
+	// silent is true if the connection went silent and the side process did not work on the request.
+	silent bool
+	err    error
 }
 
 // contentType returns the media type of the answer.
@@ -69,6 +71,9 @@
 			return last
 		}
 		exclude[ep.ID] = true
+		if kind == core.RetryTry || kind == core.ResendTry {
+			e.refresh(ep.Address)
+		}
 		var r result
 		var outcome route.Outcome
 		if repeat {
@@ -89,10 +94,23 @@
 			avoid = ep.Zone
 		}
 		kind = core.RetryTry
+		if r.silent {
+			// The endpoint is not at fault; a fresh connection to it may be the only way.
+			delete(exclude, ep.ID)
+			kind, avoid = core.ResendTry, ""
+		}
 	}
 	return last
 }
 
+// refresh makes the next sending to the address use a fresh connection, since connections to several side processes may
+// have gone silent at once.
+func (e *Entry) refresh(address string) {
+	if l, err := e.links.to(address); err == nil {
+		l.data.AbortIdle()
+	}
+}
+
 func noEndpoint(service string) error {
 	return errdefs.New(errdefs.Unavailable, fmt.Sprintf("no endpoint of %s can take the request", service), "try again after Retry-After")
 }
@@ -213,7 +231,7 @@
 	stop := context.AfterFunc(ctx, func() { d.link.data.Abort(d.try) })
 	err := d.link.data.Do(ctx, req, resp, cl.deadline)
 	stop()
-	ended()
+	silent := ended()
 	if errors.Is(err, httpserver.ErrNotSent) {
 		return result{notRun: true, err: errdefs.New(errdefs.Unavailable, "no connection to "+d.endpoint.ID, "try again after Retry-After")}, route.Failed
 	}
@@ -223,12 +241,15 @@
 		err = errors.New("the answer belongs to another request")
 	}
 	if err != nil {
-		r := result{err: lostAnswer(d.endpoint.ID, err)}
+		r := result{err: lostAnswer(d.endpoint.ID, err), silent: silent}
 		if d.start != "" {
 			r = e.askOutcome(ctx, cl, d, r)
 		}
-		if r.err == nil {
+		switch {
+		case r.err == nil:
 			return r, route.Answered
+		case r.silent:
+			return r, route.Abandoned
 		}
 		return r, route.Failed
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -71,6 +71,8 @@
 type sending struct {
 	at     time.Time
 	missed int
+	// silent is true once the side process did not know the sending twice in a row.
+	silent bool
 }
 
 // to returns the link to an address.
@@ -121,17 +123,19 @@
 	l.pings.Close()
 }
 
-// begin notes a sending until the returned function is called.
-func (l *link) begin(try string) func() {
+// begin notes a sending until the returned function is called, which reports whether its connection went silent.
+func (l *link) begin(try string) func() bool {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tries[try] = &sending{at: now}
+	s := &sending{at: now}
+	l.tries[try] = s
 	l.used = now
-	return func() {
+	return func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.tries, try)
+		return s.silent
 	}
 }
 
@@ -251,6 +255,7 @@
 			continue
 		}
 		if s.missed++; s.missed == 2 {
+			s.silent = true
 			lost = append(lost, try)
 		}
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -158,8 +158,9 @@
 	t := time.NewTicker(exchangeEvery)
 	defer t.Stop()
 	for {
+		use := e.useReport()
 		for _, address := range e.peers.targets(e.advertised()) {
-			go e.exchangeWith(ctx, address)
+			go e.exchangeWith(ctx, address, use)
 		}
 		select {
 		case <-t.C:
@@ -169,14 +170,14 @@
 	}
 }
 
-func (e *Entry) exchangeWith(ctx context.Context, address string) {
+func (e *Entry) exchangeWith(ctx context.Context, address string, use []*control.RateUse) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	told, incarnation := e.peers.toldOf(address)
 	list, count := e.membersAfter(told)
 	r, err := e.client(address).Exchange(ctx, &control.ExchangeRequest{
 		Process: e.process(), ControlAddress: e.advertised(), PublicAddress: e.PublicAddress(), Revision: e.revision(),
-		Draining: e.draining.Load(), Members: list, Rate: e.useReport(),
+		Draining: e.draining.Load(), Members: list, Rate: use,
 	})
 	if err != nil {
 		// The open connection may have gone silent; the next exchange uses a fresh one.
@@ -197,7 +198,7 @@
 // have to wait for their announcements.
 func (e *Entry) heardPeer(p peer) {
 	if e.peers.heard(p) {
-		go e.exchangeWith(context.Background(), p.address)
+		go e.exchangeWith(context.Background(), p.address, nil)
 	}
 }
 
--- /dev/null
+++ b/entry/request_test.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/verbenakeel/verbenakeel/control"
+	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
+)
+
+const testContract = `{"contract":{"customer":"hartwell","priority":"critical","requests_per_second":1000,"request_burst":1000,
+"concurrency":500,"services":[{"name":"fitcheck","deadline_ms":5000,"public":true,"once":[{"method":"POST","prefix":"/clearance"}]}]}}`
+
+// fakeSide answers like a side process and its endpoint. It does not refuse second starts, so that only the entries'
+// own rules are seen.
+type fakeSide struct {
+	mu  sync.Mutex
+	rec history.Recorder
+	n   int
+	// echo returns the request id that the answer names.
+	echo func(id string) string
+}
+
+// ServeHTTP implements http.Handler.
+func (f *fakeSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerClock, "run:1000000")
+	if r.URL.Path == "/-/ping" {
+		_, _ = io.WriteString(w, r.Header.Get(headerTries))
+		return
+	}
+	id, key := r.Header.Get(headerRequestID), r.Header.Get(headerKey)
+	f.mu.Lock()
+	f.n++
+	f.rec.Add(history.Execution{At: time.Duration(f.n), ID: id, Key: key, Endpoint: "instance-01"})
+	f.mu.Unlock()
+	answered := f.echo(id)
+	w.Header().Set(headerRequestID, answered)
+	_, _ = w.Write(history.EncodeBody(answered, []byte("cleared")))
+}
+
+// startEntries runs entries on one log, with the fake side process announced to each of them.
+func startEntries(t *testing.T, n int, log *memlog.Log, side *fakeSide, change func(*Entry)) []*Entry {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{Handler: side}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	var list []*Entry
+	for i := range n {
+		set := settings.DefaultEntry()
+		set.ID, set.Region, set.Zone, set.Heartbeat = fmt.Sprintf("entry-%d", i+1), "midshire", "midshire-a", time.Minute
+		e, err := New(set, log, io.Discard)
+		assert.NilError(t, err)
+		change(e)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- e.Run(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			assert.NilError(t, <-done)
+		})
+		_, err = control.NewEntryProtobufClient("http://"+e.ControlAddress(), http.DefaultClient).Announce(t.Context(), &control.AnnounceRequest{
+			Process: &control.Process{Id: "instance-01", Incarnation: 1, Zone: "midshire-a"}, Sequence: 1, Service: "fitcheck",
+			Address: ln.Addr().String(), Slots: 8, SlotsFree: 8, EndpointUp: true,
+		})
+		assert.NilError(t, err)
+		list = append(list, e)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, body := post(t, "http://"+list[0].OperatorAddress()+"/v1/config", "", "", testContract); status != 200 {
+			return poll.Continue("publish: %d %s", status, body)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+	for _, e := range list {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if !e.ready.Load() || e.revision() == 0 {
+				return poll.Continue("the entry is not ready")
+			}
+			return poll.Success()
+		}, poll.WithTimeout(time.Minute))
+	}
+	return list
+}
+
+func post(t *testing.T, url, id, key, body string) (int, []byte) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader([]byte(body)))
+	assert.NilError(t, err)
+	req.Header.Set(headerRequestID, id)
+	if key != "" {
+		req.Header.Set(headerKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, data
+}
+
+// Guards against a request that runs twice because entries do not wait for log order, and shows that the checker reports
+// it when the rule is switched off. The log is slow, so that both entries claim before either claim is read.
+func TestClaimDecidesOneRunner(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		side := &fakeSide{echo: func(id string) string { return id }}
+		log := memlog.New(memlog.Options{})
+		entries := startEntries(t, 2, log, side, func(e *Entry) { e.ignoreClaim = off })
+		log.SetFaults(memlog.Faults{DelayMs: 200})
+		var both sync.WaitGroup
+		for i, e := range entries {
+			both.Go(func() {
+				id := fmt.Sprintf("r%d", i)
+				side.rec.Add(history.Request{ID: id, Key: "k1"})
+				status, body := post(t, "http://"+e.PublicAddress()+"/fitcheck/clearance", id, "k1", "seat")
+				a := history.ReadAnswer(status, body)
+				a.At, a.ID = time.Hour, id
+				side.rec.Add(a)
+			})
+		}
+		both.Wait()
+		expect(t, side, off, history.ExecutedTwice)
+	}
+}
+
+// Guards against an answer that reaches a caller who did not ask for it, and shows that the checker reports it when the
+// rule is switched off.
+func TestEchoIsChecked(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		side := &fakeSide{echo: func(string) string { return "another" }}
+		e := startEntries(t, 1, memlog.New(memlog.Options{}), side, func(e *Entry) { e.ignoreEcho = off })[0]
+		side.rec.Add(history.Request{ID: "r1"})
+		status, body := post(t, "http://"+e.PublicAddress()+"/fitcheck/seat?ms=1", "r1", "", "seat")
+		a := history.ReadAnswer(status, body)
+		a.At, a.ID = time.Hour, "r1"
+		side.rec.Add(a)
+		expect(t, side, off, history.AnswerOfOther)
+	}
+}
+
+// expect checks that the history breaks exactly the rule when it is switched off, and none otherwise.
+func expect(t *testing.T, side *fakeSide, off bool, rule history.Rule) {
+	t.Helper()
+	found := history.Check(side.rec.Events())
+	if !off {
+		assert.Equal(t, len(found), 0, "%v", found)
+		return
+	}
+	assert.Assert(t, len(found) > 0)
+	assert.Equal(t, found[0].Rule, rule)
+}
+
+// Guards against a repeat that gets an empty answer because the first one was too large to keep.
+func TestAnswerTooLargeToKeep(t *testing.T) {
+	side := &fakeSide{echo: func(id string) string { return id }}
+	e := startEntries(t, 1, memlog.New(memlog.Options{}), side, func(*Entry) {})[0]
+	cl := &call{customer: "hartwell", key: "big", deadline: time.Now().Add(time.Minute)}
+	won, err := e.claim(t.Context(), cl, 7, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, won)
+	e.keepAnswer(cl, 7, result{status: 200, body: make([]byte, maxKept+1)})
+	known, ok := e.lookupClaim(cl)
+	assert.Assert(t, ok)
+	assert.Assert(t, known.TooLarge)
+	assert.Equal(t, e.requestWords(known), "ran once and was answered; the answer was too large to keep")
+}
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -61,7 +61,12 @@
 // publish publishes the contract and waits until every entry routes by it.
 func publish(t *testing.T, d *deploy.Deployment) {
 	t.Helper()
-	status, body := operate(t, d, 0, contract)
+	publishContract(t, d, contract)
+}
+
+func publishContract(t *testing.T, d *deploy.Deployment, change string) {
+	t.Helper()
+	status, body := operate(t, d, 0, change)
 	assert.Equal(t, status, 200, string(body))
 	for _, e := range d.Entries {
 		wait(t, "routing at "+e.Name, func() bool {
--- /dev/null
+++ b/integration/request_drain_test.go
@@ -0,0 +1,151 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/testkit/deploy"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
+)
+
+// oneEndpoint changes a deployment to a single instance, so that a request's endpoint is known.
+func oneEndpoint(o *deploy.Options) { o.Instances = 1 }
+
+// order sends a change that must be accepted and returns its outcome.
+func order(t *testing.T, d *deploy.Deployment, i int, change string) []byte {
+	t.Helper()
+	status, body := operate(t, d, i, change)
+	assert.Equal(t, status, 200, string(body))
+	return body
+}
+
+// withBase returns the change as made from the one whose outcome is given.
+func withBase(t *testing.T, outcome []byte, change string) string {
+	t.Helper()
+	var out struct {
+		Revision uint64 `json:"revision"`
+	}
+	assert.NilError(t, json.Unmarshal(outcome, &out))
+	return fmt.Sprintf(`{"base":%d,%s`, out.Revision, change[1:])
+}
+
+const (
+	drainOrder = `{"shutdown":{"endpoint":"instance-01","drain":true}}`
+	limitOrder = `{"shutdown":{"endpoint":"instance-01","drain":true,"limit_ms":500}}`
+)
+
+// Guards against a graceful shutdown that cuts off a request in progress, lets new work in, or does not end: by order and
+// by the process's own signal at once.
+func TestDrainKeepsWorkInProgress(t *testing.T) {
+	d := deployment(t, oneEndpoint)
+	publish(t, d)
+	long := get(t, d.Entries[0], "/fitcheck/seat?ms=6000")
+	running(t, d.Instances[0], 1)
+	order(t, d, 1, drainOrder)
+	side := d.Instances[0].Side.Process()
+	assert.NilError(t, side.Terminate())
+	wait(t, "refusal at all entries", func() bool {
+		for _, e := range d.Entries {
+			status, _, err := deploy.Call(t.Context(), http.MethodGet, e.URL("public")+"/fitcheck/seat", nil, nil)
+			if err != nil || status != 503 {
+				return false
+			}
+		}
+		return true
+	})
+	tr := newTraffic(d)
+	before := len(tr.executionsAt(t, 0))
+	for _, e := range d.Entries {
+		assert.Equal(t, <-get(t, e, "/fitcheck/seat"), 503)
+	}
+	assert.Equal(t, <-long, 200)
+	code, err := side.Wait(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, code, 0)
+	assert.Equal(t, len(tr.executionsAt(t, 0)), before, "the endpoint got new work while it was leaving")
+}
+
+// Guards against an endpoint that stays out after its shutdown was cancelled, and against a limit that is not enforced
+// or that is enforced after the order was cancelled.
+func TestDrainCancelledAndLimited(t *testing.T) {
+	d := deployment(t, oneEndpoint)
+	publish(t, d)
+	long := get(t, d.Entries[0], "/fitcheck/seat?ms=4000")
+	running(t, d.Instances[0], 1)
+	body := order(t, d, 0, `{"shutdown":{"endpoint":"instance-01","drain":true,"limit_ms":3000}}`)
+	wait(t, "drain to be seen", func() bool {
+		state, _, _ := endpointState(t, d.Entries[2], "instance-01")
+		return state == "draining"
+	})
+	body = order(t, d, 1, withBase(t, body, `{"shutdown":{"endpoint":"instance-01","drain":false}}`))
+	assert.Equal(t, <-long, 200)
+	wait(t, "work after the cancelled shutdown", func() bool { return <-get(t, d.Entries[2], "/fitcheck/seat") == 200 })
+
+	cut := get(t, d.Entries[0], "/fitcheck/seat?ms=50000")
+	running(t, d.Instances[0], 1)
+	order(t, d, 0, withBase(t, body, limitOrder))
+	assert.Equal(t, <-cut, 502)
+	wait(t, "drained", func() bool {
+		_, _, drained := endpointState(t, d.Entries[1], "instance-01")
+		return drained
+	})
+}
+
+// Guards against requests cut off or refused without need when an entry stops behind its balancer.
+func TestEntryDrain(t *testing.T) {
+	d := deployment(t, nil)
+	publish(t, d)
+	tr := newTraffic(d)
+	long := get(t, d.Entries[0], "/fitcheck/seat?ms=5000")
+	running(t, d.Instances[0], 1)
+	const n = 600
+	cfg := tr.config(150, n, gets("drain", ""))
+	cfg.HealthPath, cfg.HealthInterval = "/-/health", 100*time.Millisecond
+	end := tr.start(t, cfg)
+	time.Sleep(500 * time.Millisecond)
+	stopping := d.Entries[0].Process()
+	assert.NilError(t, stopping.Terminate())
+	r := end()
+	assert.Equal(t, r.Outcomes[history.Answered], n, "%v", r.Outcomes)
+	assert.Equal(t, <-long, 200)
+	code, err := stopping.Wait(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, code, 0)
+	tr.check(t)
+}
+
+// Guards against lost requests when every side process restarts gracefully in turn under load, and when one crashes in
+// the middle of its shutdown.
+func TestRollingShutdown(t *testing.T) {
+	d := deployment(t, nil)
+	publish(t, d)
+	tr := newTraffic(d)
+	const n = 1500
+	end := tr.start(t, tr.config(150, n, gets("rolling", "")))
+	time.Sleep(500 * time.Millisecond)
+	for i, in := range d.Instances {
+		if i == 2 {
+			assert.NilError(t, in.Side.Process().Terminate())
+			assert.NilError(t, in.Side.Process().Kill())
+		} else {
+			assert.NilError(t, in.Side.Stop())
+		}
+		assert.NilError(t, in.Side.Start(t.Context()))
+		wait(t, in.Side.Name+" to be up at all entries", func() bool {
+			for _, e := range d.Entries {
+				if state, up, _ := endpointState(t, e, in.Side.Name); state != "up" || !up {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	r := end()
+	assert.Equal(t, r.Outcomes[history.Answered], n, "%v", r.Outcomes)
+	tr.check(t)
+}
--- /dev/null
+++ b/integration/request_helpers_test.go
@@ -0,0 +1,154 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/standin"
+	"github.com/verbenakeel/verbenakeel/testkit/deploy"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
+	"github.com/verbenakeel/verbenakeel/testkit/load"
+)
+
+// traffic is a load on a deployment whose history is checked.
+type traffic struct {
+	d      *deploy.Deployment
+	origin time.Time
+	rec    history.Recorder
+}
+
+func newTraffic(d *deploy.Deployment) *traffic { return &traffic{d: d, origin: time.Now()} }
+
+func (tr *traffic) config(perSecond float64, n int, next func(i int) load.Request) load.Config {
+	var targets []string
+	for _, e := range tr.d.Entries {
+		targets = append(targets, e.Address("public"))
+	}
+	return load.Config{
+		Targets: targets, Arrivals: load.Arrivals(perSecond, n, true, 1), Next: next, MaxOutstanding: 2000,
+		Timeout: 30 * time.Second, Deadline: 5 * time.Second, History: &tr.rec, Origin: tr.origin,
+	}
+}
+
+// start runs a load in the background. The returned function waits for its result.
+func (tr *traffic) start(t *testing.T, cfg load.Config) func() *load.Result {
+	t.Helper()
+	type end struct {
+		r   *load.Result
+		err error
+	}
+	done := make(chan end, 1)
+	go func() {
+		r, err := load.Run(t.Context(), cfg)
+		done <- end{r, err}
+	}()
+	return func() *load.Result {
+		e := <-done
+		assert.NilError(t, e.err)
+		return e.r
+	}
+}
+
+// gets returns repeatable requests with the query.
+func gets(prefix, query string) func(i int) load.Request {
+	return func(i int) load.Request {
+		return load.Request{ID: fmt.Sprintf("%s-%d", prefix, i), Method: "GET", Path: "/fitcheck/seat" + query}
+	}
+}
+
+// once returns requests that may run at most once, each key sent twice in a row, so through two entries.
+func once(prefix, deadlineMs string) func(i int) load.Request {
+	return func(i int) load.Request {
+		return load.Request{
+			ID: fmt.Sprintf("%s-%d", prefix, i), Method: "POST", Path: "/fitcheck/clearance", Customer: "hartwell",
+			Key: fmt.Sprintf("%s-key-%d", prefix, i/2), Header: map[string]string{"X-Deadline-Ms": deadlineMs}, Body: []byte("seat"),
+		}
+	}
+}
+
+// executions adds what the endpoints ran to the history and returns it.
+func (tr *traffic) executions(t *testing.T) []standin.Execution {
+	t.Helper()
+	var all []standin.Execution
+	for i := range tr.d.Instances {
+		all = append(all, tr.executionsAt(t, i)...)
+	}
+	for _, x := range all {
+		key := x.Key
+		if key != "" {
+			key = "hartwell/" + key
+		}
+		tr.rec.Add(history.Execution{At: time.Unix(0, x.StartNs).Sub(tr.origin), ID: x.RequestID, Key: key, Endpoint: x.Endpoint})
+	}
+	return all
+}
+
+// check checks the whole history.
+func (tr *traffic) check(t *testing.T) {
+	t.Helper()
+	tr.executions(t)
+	for _, v := range history.Check(tr.rec.Events()) {
+		t.Error(v)
+	}
+}
+
+// get sends one repeatable request in the background and returns its status through the channel, 0 for no answer.
+func get(t *testing.T, e *deploy.Node, path string) <-chan int {
+	t.Helper()
+	return call(t, http.MethodGet, e, path)
+}
+
+func call(t *testing.T, method string, e *deploy.Node, path string) <-chan int {
+	t.Helper()
+	done := make(chan int, 1)
+	go func() {
+		status, _, _ := deploy.Call(t.Context(), method, e.URL("public")+path, map[string]string{"X-Deadline-Ms": "60000"}, nil)
+		done <- status
+	}()
+	return done
+}
+
+// running waits until the instance's endpoint has begun so many requests that have not ended.
+func running(t *testing.T, in *deploy.Instance, want int) {
+	t.Helper()
+	wait(t, "requests in progress at "+in.Endpoint.Name, func() bool {
+		_, body, err := deploy.Call(t.Context(), http.MethodGet, in.Endpoint.URL("http")+"/-/history", nil, nil)
+		var list []standin.Execution
+		if err != nil || json.Unmarshal(body, &list) != nil {
+			return false
+		}
+		n := 0
+		for _, x := range list {
+			if x.EndNs == 0 {
+				n++
+			}
+		}
+		return n >= want
+	})
+}
+
+// endpointState returns what an entry knows of an endpoint.
+func endpointState(t *testing.T, e *deploy.Node, id string) (state string, up, drained bool) {
+	t.Helper()
+	for _, ep := range endpoints(t, e) {
+		if ep.ID == id {
+			return ep.State, ep.Up, ep.Drained
+		}
+	}
+	return "", false, false
+}
+
+// executionsAt returns what one endpoint ran.
+func (tr *traffic) executionsAt(t *testing.T, i int) []standin.Execution {
+	t.Helper()
+	_, body, err := deploy.Call(t.Context(), http.MethodGet, tr.d.Instances[i].Endpoint.URL("http")+"/-/history", nil, nil)
+	assert.NilError(t, err)
+	var list []standin.Execution
+	assert.NilError(t, json.Unmarshal(body, &list))
+	return list
+}
--- /dev/null
+++ b/integration/request_members_test.go
@@ -0,0 +1,111 @@
+package integration
+
+import (
+	"net/http"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/testkit/deploy"
+)
+
+// Guards against an entry that serves "no endpoint" after a restart until announcements reach it. The announcements are
+// cut off here, so that only its peers can tell it.
+func TestRestartedEntryLearnsFromPeers(t *testing.T) {
+	d := deployment(t, func(o *deploy.Options) { o.SideSettings = []deploy.Setting{{Key: "times.heartbeat", Value: "1m"}} })
+	publish(t, d)
+	e := d.Entries[2]
+	assert.NilError(t, e.Process().Kill())
+	for _, in := range d.Instances {
+		assert.NilError(t, in.Side.Process().Pause())
+	}
+	assert.NilError(t, e.Start(t.Context()))
+	wait(t, "members at the restarted entry", func() bool {
+		n := 0
+		for _, ep := range endpoints(t, e) {
+			if ep.Up {
+				n++
+			}
+		}
+		return n == len(d.Instances)
+	})
+	for _, in := range d.Instances {
+		assert.NilError(t, in.Side.Process().Resume())
+	}
+	wait(t, "routing", func() bool { return <-get(t, e, "/fitcheck/seat") == 200 })
+}
+
+// Guards against membership that needs the log: newcomers, restarts and losses of endpoints are noticed while it is down.
+func TestMembershipWithoutLog(t *testing.T) {
+	d := deployment(t, nil)
+	publish(t, d)
+	assert.NilError(t, d.SetLogFaults(t.Context(), memlog.Faults{Down: true}))
+	in := d.Instances[0]
+	assert.NilError(t, in.Side.Process().Kill())
+	wait(t, "loss to be noticed", func() bool {
+		state, _, _ := endpointState(t, d.Entries[1], in.Side.Name)
+		return state == "suspect"
+	})
+	assert.NilError(t, in.Side.Start(t.Context()))
+	wait(t, "restart to be noticed", func() bool {
+		state, up, _ := endpointState(t, d.Entries[1], in.Side.Name)
+		return state == "up" && up
+	})
+	in.EndpointProxy.Cut()
+	wait(t, "lost endpoint to be noticed", func() bool {
+		_, up, _ := endpointState(t, d.Entries[1], in.Side.Name)
+		return !up
+	})
+	in.EndpointProxy.Restore()
+	wait(t, "endpoint to be back", func() bool {
+		_, up, _ := endpointState(t, d.Entries[1], in.Side.Name)
+		return up
+	})
+}
+
+// Guards against callers that get past the contract's concurrency through several entries, and against an entry that may
+// use only an equal part of a contract that is idle elsewhere.
+func TestConcurrencyOverAllEntries(t *testing.T) {
+	d := deployment(t, nil)
+	const limit = 12
+	publishContract(t, d, strings.Replace(contract, `"concurrency":500`, `"concurrency":12`, 1))
+	tr := newTraffic(d)
+	var sent []<-chan int
+	for _, entries := range [][]*deploy.Node{d.Entries[:1], d.Entries} {
+		for range 8 {
+			for i := range 2 * limit / len(entries) {
+				// Not repeatable, so that each request is sent to one endpoint once.
+				sent = append(sent, call(t, http.MethodPost, entries[i%len(entries)], "/fitcheck/seat?ms=1500"))
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+		for _, s := range sent {
+			<-s
+		}
+		sent = nil
+	}
+	type edge struct {
+		at    int64
+		delta int
+	}
+	var edges []edge
+	for _, x := range tr.executions(t) {
+		if time.Unix(0, x.StartNs).After(tr.origin) {
+			edges = append(edges, edge{x.StartNs, 1}, edge{x.EndNs, -1})
+		}
+	}
+	sort.Slice(edges, func(i, j int) bool { return edges[i].at < edges[j].at })
+	now, most := 0, 0
+	for _, e := range edges {
+		now += e.delta
+		most = max(most, now)
+	}
+	t.Log("most requests at once:", most)
+	assert.Assert(t, most > limit/len(d.Entries)+1, "one entry got no more than an equal part: %d", most)
+	// Parts overlap by what changed since the last exchange; the stated error is an equal part.
+	assert.Assert(t, most <= limit+limit/len(d.Entries), "%d requests at once", most)
+}
--- a/side/endpoint.go
+++ b/side/endpoint.go
@@ -116,12 +116,12 @@
 	s.resends = min(resendReserve, s.resends+resendShare)
 }
 
-// takeResend uses the budget of second sendings if it allows one. extra is true if it got a slot of its own; otherwise it
+// takeResend uses the budget of second sendings if it allows one. A leaving endpoint gets none. extra is true if it got a slot of its own; otherwise it
 // takes the slot of the first.
 func (s *Side) takeResend() (extra, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.resends < 1 {
+	if s.resends < 1 || s.slots.Draining() {
 		return false, false
 	}
 	s.resends--
