Merge branch 'main' into request

Cause: the two lines of work were to be joined. Change: none beyond both sides and the resolution of conflicts. Conclusion: merged.

--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
+
+	"github.com/cenkalti/backoff/v5"
 
 	"github.com/verbenakeel/verbenakeel/record"
 )
@@ -16,6 +19,8 @@
 	phaseQueued
 	// phaseProposed tasks were placed by the last Decide; the start is not confirmed.
 	phaseProposed
+	// phaseDelayed tasks wait for their backoff to pass.
+	phaseDelayed
 	// phaseRunning tasks run, or may run on a worker out of contact.
 	phaseRunning
 )
@@ -45,8 +50,19 @@
 	refusedMs int64
 	// cancelled is true after JobCancelled.
 	cancelled bool
-	// reason is why the job's first queued task waits.
-	reason string
+	// why is why the job's first queued task waits.
+	why    why
+	class  *class
+	health *jobHealth
+	// evictions counts evictions of its tasks.
+	evictions int
+	// blockedMs is since when the job finds no room although it is owed some; 0 if it is not blocked.
+	blockedMs int64
+	// nominated is the worker on which room is kept for the job; reclaimMs is when tasks were last evicted for it.
+	nominated          *worker
+	reclaimMs, triedMs int64
+	// riskWatched is true once the deadline is watched; the others once the alert was given.
+	riskWatched, riskAlert, urgentAlert, failAlert bool
 }
 
 // waiting reports whether the job has queued tasks that may start.
@@ -84,6 +100,32 @@
 	startMs  int64
 	// causes holds the newest causes of decisions on the task, oldest first.
 	causes []string
+	// shareMilli is the share it is throttled to, decided at throttledMs and to be repeated throttleRepeats times.
+	shareMilli      int64
+	throttledMs     int64
+	throttleRepeats int
+	// evictMs is when the eviction of the running attempt was decided; 0 if it was not.
+	evictMs   int64
+	evictions int
+	// reportedCPU is the processor use in the worker's report measured at reportedMs.
+	reportedCPU, reportedMs int64
+	// addedCPU is the processor use of the attempt that its class learned from last.
+	addedCPU int64
+	// speedSum and speedCount give the mean speed of the running attempt.
+	speedSum, speedCount int64
+	// sampleMs is when the attempt was last measured, progressMs when it was last seen to progress.
+	sampleMs, progressMs int64
+	// slow is the slowdown reported last, expectedSlow the one expected by what was learned.
+	slow, expectedSlow float64
+	// unproven is true until the attempt is seen to run; measured is true once its size was learned from.
+	unproven, measured bool
+	// hung, silent and watched belong to the supervision of standing tasks.
+	hung, silent, watched bool
+	// trial is true when the attempt is a trial of a worker on probation.
+	trial       bool
+	avoid       []string
+	backoff     *backoff.ExponentialBackOff
+	notBeforeMs int64
 }
 
 // maxCauses bounds the causes kept per task.
@@ -113,7 +155,7 @@
 	}
 	j := s.jobs[e.Job.ID]
 	if j == nil {
-		j = s.newJob(e.Job)
+		j = s.newJob(nowMs, e.Job)
 	}
 	t := s.tasks[e.Task]
 	if t == nil {
@@ -122,60 +164,74 @@
 		j.tasks = append(j.tasks, t)
 	}
 	if t.job == nil {
-		s.adopt(t, j)
+		s.adopt(nowMs, t, j)
 	}
 	if t.job != j || j.cancelled || e.NextAttempt <= t.attempt || e.NextAttempt <= t.ended {
 		return
 	}
 	switch t.phase {
-	case phaseQueued, phaseProposed:
+	case phaseQueued, phaseProposed, phaseDelayed:
 		if e.NextAttempt <= t.nextAttempt {
 			return
 		}
-		s.withdraw(t)
+		s.withdraw(nowMs, t)
 	case phaseRunning:
 		// The caller queues a task again only after its last attempt ended; the end itself may arrive later.
 		t.ended = t.attempt
-		s.release(t)
+		s.release(nowMs, t)
 	}
 	t.nextAttempt, t.checkpointMs, t.queuedMs = e.NextAttempt, max(e.CheckpointMs, 0), nowMs
-	s.enqueue(t)
+	s.enqueue(nowMs, t)
+}
+
+// isOver reports whether the task belongs to a job that is over. A task's id is its job's id, '#' and an index.
+func (s *State) isOver(id string) bool {
+	i := strings.LastIndexByte(id, '#')
+	if i < 0 {
+		return false
+	}
+	_, over := s.tombstones[id[:i]]
+	return over
 }
 
-func (s *State) newJob(rec record.Job) *job {
-	j := &job{rec: rec, cust: s.customerOf(rec.Customer), pending: true}
+func (s *State) newJob(nowMs int64, rec record.Job) *job {
+	j := &job{rec: rec, cust: s.customerOf(rec.Customer), pending: true,
+		class: s.classOf(nowMs, &rec), health: &jobHealth{}}
+	j.cust.jobs++
+	s.estimate(j)
 	s.jobs[rec.ID] = j
 	s.admissions = append(s.admissions, j)
 	return j
 }
 
 // adopt gives a task that was started before its job was known to its job.
-func (s *State) adopt(t *task, j *job) {
+func (s *State) adopt(nowMs int64, t *task, j *job) {
 	w := t.worker
 	running := t.phase == phaseRunning
 	if running {
-		s.release(t)
+		s.release(nowMs, t)
 	}
 	t.job = j
 	j.tasks = append(j.tasks, t)
 	if running {
-		s.commit(t, w, t.size, phaseRunning)
+		s.commit(nowMs, t, w, t.size, phaseRunning)
+		s.watch(t)
 	}
 }
 
 // enqueue puts a task in its job's queue.
-func (s *State) enqueue(t *task) {
+func (s *State) enqueue(nowMs int64, t *task) {
 	j := t.job
 	t.phase = phaseQueued
 	j.waitingTasks++
 	j.queued = append(j.queued, t)
 	if j.admitted {
-		s.offer(j)
+		s.offer(nowMs, j)
 	}
 }
 
 // offer puts an admitted job with queued tasks in its customer's queue.
-func (s *State) offer(j *job) {
+func (s *State) offer(nowMs int64, j *job) {
 	if !j.waiting() || j.in != nil {
 		return
 	}
@@ -191,20 +247,21 @@
 // estimate sets the job's latest start.
 func (s *State) estimate(j *job) {
 	if j.rec.DeadlineMs > 0 {
-		j.latestStartMs = j.rec.DeadlineMs - j.rec.RunMs
+		j.latestStartMs = j.rec.DeadlineMs - j.expectedRunMs()
 		return
 	}
-	j.latestStartMs = j.rec.SubmittedMs + s.cfg.NoDeadlineMs
+	// Short jobs go before long ones that were submitted a little earlier: the wait is bounded in proportion to the run.
+	j.latestStartMs = j.rec.SubmittedMs + min(s.cfg.NoDeadlineFactor*j.expectedRunMs(), s.cfg.NoDeadlineMs)
 }
 
 // withdraw takes a task out of its queue, or back from the placement decided last.
-func (s *State) withdraw(t *task) {
+func (s *State) withdraw(nowMs int64, t *task) {
 	switch t.phase {
 	case phaseQueued:
 		t.job.waitingTasks--
 		s.uncount(t.job)
 	case phaseProposed:
-		s.release(t)
+		s.release(nowMs, t)
 	}
 	t.phase = phaseIdle
 }
@@ -222,133 +279,3 @@
 		j.in.dead++
 	}
 }
-
-func (s *State) taskStarted(nowMs int64, st record.Start) {
-	if st.Task == "" || st.Worker == "" || st.Attempt == 0 || !validSize(st.Size) {
-		return
-	}
-	t := s.tasks[st.Task]
-	if t == nil {
-		t = &task{id: st.Task}
-		s.tasks[st.Task] = t
-	}
-	if st.Attempt <= t.attempt || st.Attempt <= t.ended {
-		return
-	}
-	if t.phase == phaseRunning {
-		s.release(t)
-	}
-	s.withdraw(t)
-	w := s.workers[st.Worker]
-	if w == nil {
-		w = &worker{id: st.Worker}
-		s.workers[st.Worker] = w
-		s.insertWorker(w)
-	}
-	t.attempt, t.startMs = st.Attempt, nowMs
-	t.nextAttempt = max(t.nextAttempt, st.Attempt)
-	s.commit(t, w, st.Size, phaseRunning)
-}
-
-// commit places a task on a worker.
-func (s *State) commit(t *task, w *worker, size record.Resources, p phase) {
-	t.worker, t.size, t.phase = w, size, p
-	t.slot = len(w.tasks)
-	w.tasks = append(w.tasks, t)
-	w.committed = w.committed.Add(size)
-	if t.job != nil {
-		c := t.job.cust
-		c.used = c.used.Add(size)
-		if t.job.rec.Kind != record.ServiceJob {
-			c.running++
-		}
-	}
-}
-
-// release takes a task off its worker.
-func (s *State) release(t *task) {
-	w := t.worker
-	if w == nil {
-		return
-	}
-	last := len(w.tasks) - 1
-	w.tasks[t.slot] = w.tasks[last]
-	w.tasks[t.slot].slot = t.slot
-	w.tasks[last] = nil
-	w.tasks = w.tasks[:last]
-	w.committed = w.committed.Sub(t.size)
-	if t.job != nil {
-		c := t.job.cust
-		c.used = c.used.Sub(t.size)
-		if t.job.rec.Kind != record.ServiceJob {
-			c.running--
-		}
-	}
-	t.worker, t.phase = nil, phaseIdle
-	s.freeGen++
-}
-
-func (s *State) taskEnded(nowMs int64, e record.End) {
-	t := s.tasks[e.Task]
-	if t == nil {
-		if e.Task == "" || e.Attempt == 0 {
-			return
-		}
-		t = &task{id: e.Task}
-		s.tasks[e.Task] = t
-	}
-	if e.Attempt <= t.ended {
-		return
-	}
-	t.ended = e.Attempt
-	if t.phase == phaseRunning && t.attempt <= e.Attempt {
-		s.release(t)
-	}
-	if (t.phase == phaseQueued || t.phase == phaseProposed) && t.nextAttempt <= e.Attempt {
-		s.withdraw(t)
-	}
-	t.checkpointMs = max(t.checkpointMs, e.CheckpointMs)
-	if t.job != nil && t.phase == phaseIdle && t.job.rec.Kind != record.BatchJob && !t.job.cancelled {
-		t.nextAttempt, t.queuedMs = e.Attempt+1, nowMs
-		t.because("attempt %d ended as %s (%s): restarted once", e.Attempt, e.Outcome, e.Reason)
-		s.alerts = append(s.alerts, Alert{Code: AlertStandingStopped, Job: t.job.rec.ID, Task: t.id,
-			Message: fmt.Sprintf("attempt %d ended as %s: %s; restarting", e.Attempt, e.Outcome, e.Reason)})
-		s.enqueue(t)
-	}
-}
-
-func (s *State) jobCancelled(id string) {
-	j := s.jobs[id]
-	if j == nil || j.cancelled {
-		return
-	}
-	j.cancelled = true
-	for _, t := range j.tasks {
-		if t.phase == phaseQueued || t.phase == phaseProposed {
-			s.withdraw(t)
-		}
-	}
-	j.queued, j.head = nil, 0
-}
-
-func (s *State) jobDone(id string) {
-	if id == "" {
-		return
-	}
-	s.bury(id)
-	j := s.jobs[id]
-	if j == nil {
-		return
-	}
-	s.jobCancelled(id)
-	for _, t := range j.tasks {
-		if t.phase == phaseRunning {
-			s.release(t)
-		}
-		delete(s.tasks, t.id)
-	}
-	delete(s.jobs, id)
-	if j.cust.contract == nil {
-		delete(s.customers, j.cust.name)
-	}
-}
