--- a/scheduler/customer.go
+++ b/scheduler/customer.go
@@ -14,8 +14,12 @@
 	used record.Resources
 	// running counts batch and standing tasks that run or are proposed.
 	running int
+	// urgent counts its urgent tasks that run or are proposed.
+	urgent int
 	// startedMs is when a task of it was last started.
 	startedMs int64
+	// jobs counts its jobs that are not over.
+	jobs int
 	// queuedJobs counts admitted batch and standing jobs with queued tasks.
 	queuedJobs int
 	// fresh holds jobs not tried in this round, parked those that found no room.
