scheduler: harmful tasks start in bounded time; smaller bounds per call

Change: the harm limit grows for a task after 5 min; 32 tries and starts and 700 visited workers per call.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -42,6 +42,8 @@
 	// HarmLimitMilli is the expected slowdown of a service, in thousandths, beyond which no batch task is added to its
 	// worker unless the task is urgent or at risk.
 	HarmLimitMilli int64
+	// HarmWaitMs is how long a task waits before that limit grows for it, by as much again in each such time.
+	HarmWaitMs int64
 	// HotMilli and CalmMilli are the slowdowns of a service, in thousandths, above which batch tasks beside it are held
 	// back and below which throttles are lifted.
 	HotMilli, CalmMilli int64
@@ -88,9 +90,9 @@
 func DefaultConfig() Config {
 	return Config{
 		SettleMs:      30_000,
-		MaxStarts:     48,
-		MaxTries:      48,
-		MaxVisits:     1_000,
+		MaxStarts:     32,
+		MaxTries:      32,
+		MaxVisits:     700,
 		MaxAdmissions: 256,
 		MaxCandidates: 48,
 		RepeatMs:      5_000,
@@ -108,6 +110,7 @@
 		ReportHalfMs:     10_000,
 		ReportStaleMs:    10_000,
 		HarmLimitMilli:   600,
+		HarmWaitMs:       300_000,
 		HotMilli:         1_000,
 		CalmMilli:        600,
 		HotReports:       2,
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -103,12 +103,18 @@
 	if p.job.rec.Kind == record.ServiceJob || p.pressing {
 		return ""
 	}
-	if worst, _ := p.addedHarm(w); worst*1000 > float64(p.s.cfg.HarmLimitMilli) {
+	if worst, _ := p.addedHarm(w); worst*1000 > float64(p.s.harmLimit(p.nowMs-p.task.queuedMs)) {
 		return "a service there would be slowed too much"
 	}
 	return ""
 }
 
+// harmLimit is the slowdown of a service that a task may cause after it has waited that long. It grows after HarmWaitMs,
+// since where all workers have services a harmful task would otherwise never start.
+func (s *State) harmLimit(waitedMs int64) int64 {
+	return s.cfg.HarmLimitMilli + s.cfg.HarmLimitMilli*max(waitedMs-s.cfg.HarmWaitMs, 0)/max(s.cfg.HarmWaitMs, 1)
+}
+
 // rateHarm prefers workers where the task slows services least.
 func rateHarm(p *placing, w *worker) int64 {
 	_, cost := p.addedHarm(w)
--- a/scheduler/response_test.go
+++ b/scheduler/response_test.go
@@ -148,3 +148,16 @@
 	run(s, 62_100, 95_000)
 	assert.Equal(t, s.workers["w00"].committed.CPUMilli, int64(16_000))
 }
+
+// Guards against a harmful task that never starts because every worker has a service, and against starting it at once.
+func TestHarmfulTaskStartsInBoundedTime(t *testing.T) {
+	s, svc, noisy := noisyWorker(t)
+	s.Apply(61_000, TaskEnded{record.End{Task: noisy.Task, Attempt: 1, Outcome: record.Finished}})
+	s.tasks[svc.Task].job.class.setHarm(s.classOf(1, &record.Job{Customer: "a", Class: "c", Kind: record.BatchJob}), 1)
+	queue(s, 62_000, batchJob("a", "j", 1))
+	run(s, 62_000, 300_000)
+	assert.Assert(t, s.tasks["a/j#0"].phase == phaseQueued)
+	assert.Equal(t, s.WaitReason("a/j"), "no worker has room: 1 of 1 workers: a service there would be slowed too much")
+	run(s, 300_100, 800_000)
+	assert.Assert(t, s.tasks["a/j#0"].phase == phaseRunning)
+}
