--- a/core/decider/tick.go
+++ b/core/decider/tick.go
@@ -20,6 +20,7 @@
 	b := &record.Batch{Epoch: epoch}
 	s.closeSilent(now, b)
 	s.takeJoins(b)
+	s.takeEarly(now)
 	s.decide(now, b)
 	s.takeEnds(b)
 	b.Settled = s.auth.Settled(now)
--- /dev/null
+++ b/scheduler/reclaim.go
@@ -0,0 +1,167 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// reclaim makes room for a task that is urgent or within its customer's guaranteed share and found none. First a worker
+// is kept for it, so that small tasks do not take each bit of room that appears; if it still waits, batch work of
+// customers beyond their guaranteed share is evicted there.
+func (s *State) reclaim(nowMs int64, j *job, size record.Resources, owed bool) {
+	if j.blockedMs == 0 {
+		j.blockedMs = nowMs
+	}
+	keep, evict := s.cfg.KeepMs, s.cfg.ReclaimMs
+	if j.rec.Urgent {
+		keep, evict = 0, s.cfg.ReclaimUrgentMs
+	}
+	waited := nowMs - j.blockedMs
+	if waited < keep || s.reclaims >= s.cfg.ReclaimsPerCall || j.reclaimMs != 0 && nowMs-j.reclaimMs < s.cfg.NominateMs {
+		return
+	}
+	p := &placing{s: s, nowMs: nowMs, task: j.next(), job: j, size: size}
+	kept := j.nominated != nil && j.nominated.nominee == j && nowMs < j.nominated.nomineeMs
+	if waited < evict || !j.rec.Urgent && nowMs-j.cust.startedMs < s.cfg.ReclaimGapMs {
+		if !kept {
+			s.reclaims++
+			s.nominate(p, s.nearestFit(p))
+		}
+		return
+	}
+	s.reclaims++
+	var best *worker
+	var bestVictims []*task
+	var bestCost int64
+	s.eachUsable(p, func(w *worker) {
+		victims, cost, ok := s.victims(nowMs, w, j, size, owed)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestVictims, bestCost = w, victims, cost
+		}
+	})
+	if best == nil {
+		return
+	}
+	s.nominate(p, best)
+	j.reclaimMs = nowMs
+	for _, t := range bestVictims {
+		s.evict(nowMs, t, fmt.Sprintf("the room is lent and %s needs it back for job %s", j.rec.Customer, j.rec.ID))
+	}
+}
+
+// eachUsable calls f for a bounded number of workers on which the task could run if they had room.
+func (s *State) eachUsable(p *placing, f func(w *worker)) {
+	n := len(s.order)
+	for i := range min(n, 4*s.cfg.MaxCandidates) {
+		w := s.order[(s.cursor+i)%n]
+		if w.nominee != nil && w.nominee != p.job && p.nowMs < w.nomineeMs || w.probation || !p.size.Fits(w.capacity) ||
+			excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" || excludeAvoided(p, w) != "" || excludeHarmful(p, w) != "" {
+			continue
+		}
+		f(w)
+	}
+	s.cursor = (s.cursor + 1) % max(n, 1)
+}
+
+// nearestFit returns the worker that lacks least room for the task.
+func (s *State) nearestFit(p *placing) *worker {
+	var best *worker
+	var bestLack int64
+	s.eachUsable(p, func(w *worker) {
+		free := w.free()
+		lack := max(p.size.CPUMilli-free.CPUMilli, 0) + max(p.size.MemoryMB-free.MemoryMB, 0) +
+			16_000*max(p.size.Accelerators-free.Accelerators, 0)
+		if best == nil || lack < bestLack {
+			best, bestLack = w, lack
+		}
+	})
+	return best
+}
+
+// nominate keeps the room of a worker for the job.
+func (s *State) nominate(p *placing, w *worker) {
+	j := p.job
+	if j.nominated != nil && j.nominated.nominee == j {
+		j.nominated.nominee = nil
+	}
+	j.nominated = w
+	if w != nil {
+		w.nominee, w.nomineeMs, w.nomineeSize = j, p.nowMs+s.cfg.NominateMs, p.size
+	}
+}
+
+// victims returns the tasks to evict from w so that size fits, and the run time in milliseconds this loses or delays.
+func (s *State) victims(nowMs int64, w *worker, j *job, size record.Resources, owed bool) (out []*task, cost int64, ok bool) {
+	free := w.free()
+	lent := make(map[*customer]record.Resources)
+	for !size.Fits(free) {
+		var best *task
+		var bestCost int64
+		for _, t := range w.tasks {
+			if t.phase != phaseRunning || t.evictMs != 0 || !s.mayReclaim(nowMs, t, j, lent[t.custOrNil()], owed) || contains(out, t) {
+				continue
+			}
+			// Room that is freed beyond need and work that is lost both count.
+			c := t.lostMs(nowMs) + t.size.CPUMilli + 5000
+			if best == nil || c < bestCost {
+				best, bestCost = t, c
+			}
+		}
+		if best == nil || len(out) >= 4 {
+			return nil, 0, false
+		}
+		out = append(out, best)
+		cost += bestCost
+		free = free.Add(best.size)
+		c := best.job.cust
+		lent[c] = lent[c].Add(best.size)
+	}
+	return out, cost, len(out) > 0
+}
+
+func (t *task) custOrNil() *customer {
+	if t.job == nil {
+		return nil
+	}
+	return t.job.cust
+}
+
+func contains(ts []*task, t *task) bool {
+	for _, o := range ts {
+		if o == t {
+			return true
+		}
+	}
+	return false
+}
+
+// mayReclaim reports whether running task t may be evicted for job j: t is batch work, loses little, and belongs to
+// the same customer's less urgent work or to a customer that stays at or above its guarantee without it.
+func (s *State) mayReclaim(nowMs int64, t *task, j *job, taken record.Resources, owed bool) bool {
+	if t.job == nil || t.job.rec.Kind != record.BatchJob || t.job.rec.Urgent || nowMs-t.startMs < s.cfg.MinStayMs/4 ||
+		t.lostMs(nowMs) > s.cfg.MaxLostMs || t.evictions >= 2*s.cfg.TaskEvictions {
+		return false
+	}
+	c := t.job.cust
+	if c == j.cust {
+		return j.rec.Urgent
+	}
+	if !owed || c.contract == nil {
+		return owed
+	}
+	after := c.used.Sub(taken).Sub(t.size)
+	g := c.contract.Guaranteed
+	return after.CPUMilli >= g.CPUMilli || after.MemoryMB >= g.MemoryMB
+}
+
+// excludeNominated keeps room that was freed for one job from others.
+func excludeNominated(p *placing, w *worker) string {
+	if w.nominee == nil || w.nominee == p.job || p.nowMs >= w.nomineeMs {
+		return ""
+	}
+	if !p.size.Fits(w.free().Sub(w.nomineeSize)) {
+		return "its room is kept for a job that is owed it"
+	}
+	return ""
+}
