--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -9,6 +9,8 @@
 	MaxStarts int
 	// MaxTries bounds the placements tried in one call of Decide.
 	MaxTries int
+	// MaxVisits bounds the workers looked at in one call of Decide; the placement that reaches it is the last.
+	MaxVisits int
 	// MaxAdmissions bounds the jobs checked for admission in one call of Decide.
 	MaxAdmissions int
 	// MaxCandidates bounds the workers scored for one placement.
@@ -22,6 +24,9 @@
 	NoDeadlineFactor, NoDeadlineMs int64
 	// UrgentAlertMs is how long an urgent task may wait before operators are told.
 	UrgentAlertMs int64
+	// UrgentBeyond bounds the urgent tasks of a customer that go before all others although it uses more than its
+	// guaranteed share.
+	UrgentBeyond int
 	// FirstRuns bounds the tasks of a class that run before their sizes were measured.
 	FirstRuns int
 	// ReportMaxAgeMs is the age beyond which a usage report is ignored.
@@ -80,7 +85,8 @@
 	return Config{
 		SettleMs:      30_000,
 		MaxStarts:     48,
-		MaxTries:      96,
+		MaxTries:      48,
+		MaxVisits:     1_000,
 		MaxAdmissions: 256,
 		MaxCandidates: 48,
 		RepeatMs:      5_000,
@@ -90,6 +96,7 @@
 		NoDeadlineFactor: 20,
 		UrgentAlertMs:    6_000,
 
+		UrgentBeyond:     8,
 		FirstRuns:        4,
 		ReportMaxAgeMs:   60_000,
 		ReportHalfMs:     10_000,
@@ -109,7 +116,7 @@
 		ReclaimUrgentMs:  1_000,
 		KeepMs:           1_000,
 		ReclaimGapMs:     2_000,
-		ReclaimsPerCall:  4,
+		ReclaimsPerCall:  2,
 		NominateMs:       15_000,
 		EvacPerCall:      8,
 		EvacEveryMs:      500,
