--- a/core/decider/sync.go
+++ b/core/decider/sync.go
@@ -48,6 +48,10 @@
 		ServiceLeaseMs: s.cfg.ServiceLease.Milliseconds(), PermitMs: s.cfg.PermitTTL.Milliseconds(),
 	}}
 	c := s.contact(now, p.Worker)
+	if s.outdated(now, c, p) {
+		return Answer{}, errdefs.New(errdefs.Refused, "a newer poll of this worker is known", "poll again")
+	}
+	c.incarnation, c.sequence = p.Incarnation, p.Sequence
 	s.fence(now, epoch, c, p)
 	s.join(now, c, p)
 	seen := make(map[string]bool)
@@ -67,6 +71,16 @@
 	return a, nil
 }
 
+// outdated reports whether a poll was sent before one that was taken already. It tells what the worker held then, and its
+// sender no longer waits for the answer. An earlier run of the side process counts as gone once it is silent, so that a
+// clock that was set back does not keep a worker out.
+func (s *State) outdated(now clock.Now, c *contact, p Poll) bool {
+	if p.Incarnation != c.incarnation {
+		return p.Incarnation < c.incarnation && now.Mono-c.heard <= s.cfg.SilentAfter
+	}
+	return p.Sequence < c.sequence
+}
+
 // fence notes that a worker is on this epoch. From then on it takes no renewal of an older decider, and its side process
 // no start, so that its leases and permits end as this decider counts them. A later run of the side process may not know
 // the epoch, but takes no start of an attempt that was placed for an earlier run.
@@ -169,17 +183,17 @@
 		case c.held[id] == t.Attempt:
 			s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
 				Reason: "the worker no longer holds the attempt"}
-		case leaving(t):
-			// A start ordered before may still be under way until its permit has ended.
-			if now.Mono >= c.permitEnds {
-				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.NotStarted, Reason: "left before it started"}
-			}
 		case t.Incarnation != p.Incarnation:
 			// The run of the side process that the attempt was placed for may have started it until its permit ended.
 			if now.Mono >= c.permitEnds {
 				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
 					Reason: "the side process was replaced and the worker does not have the attempt"}
 			}
+		case leaving(t):
+			// A start ordered before may still be under way until its permit has ended.
+			if now.Mono >= c.permitEnds {
+				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.NotStarted, Reason: "left before it started"}
+			}
 		case !s.mayStart(now, w.Zone):
 		case !p.WantStarts:
 			a.StartsWaiting = true
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -11,6 +12,7 @@
 	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/core/config"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform/stream"
 	"github.com/verbenakeel/verbenakeel/record"
@@ -22,16 +24,73 @@
 
 func (e *Entry) claimStream() string { return "claims." + e.set.Region }
 
+func (e *Entry) streamNames() map[core.Stream]string {
+	return map[core.Stream]string{
+		core.ConfigStream: configStream, core.RegionStream: e.regionStream(), core.ClaimStream: e.claimStream(),
+	}
+}
+
+func (e *Entry) writers() []*stream.Writer {
+	list := []*stream.Writer{e.configWriter, e.regionWriter, e.submitWriter, e.claimWriter}
+	for _, w := range e.snapshots {
+		list = append(list, w)
+	}
+	return list
+}
+
+// streamView is what an entry knows of a stream beyond its folded state. It is guarded by the entry's lock.
+type streamView struct {
+	// read is when the newest read that reached the end was sent, counted from the start; valid if hasRead.
+	read    time.Duration
+	hasRead bool
+	// down is true while reads fail.
+	down bool
+	// first is the oldest offset that the log keeps.
+	first uint64
+	// snapshot is the offset of the newest whole snapshot on the log, and snapshotMs when its last piece was written, by
+	// its writer's wall clock.
+	snapshot   uint64
+	snapshotMs int64
+	// pieces counts pieces of the snapshot at piecesOf that were seen.
+	pieces   int
+	piecesOf uint64
+}
+
+// seePiece notes a piece of a snapshot on the log.
+func (v *streamView) seePiece(rec *record.Record) {
+	p := rec.Snapshot
+	if p == nil {
+		return
+	}
+	if p.Offset != v.piecesOf || p.Index == 0 {
+		v.pieces, v.piecesOf = 0, p.Offset
+	}
+	v.pieces++
+	if v.pieces == p.Count && p.Offset > v.snapshot {
+		v.snapshot, v.snapshotMs = p.Offset, rec.AtMs
+	}
+}
+
+// next returns the first offset of a stream that the state does not include. The lock is held.
+func next(s *core.State, kind core.Stream) uint64 {
+	switch kind {
+	case core.ConfigStream:
+		return s.Config.Next
+	case core.RegionStream:
+		return s.Region.Next
+	default:
+		return s.Claims.Next
+	}
+}
+
 // follow starts the followers of the three streams. A follower that cannot go on safely stops the entry.
 func (e *Entry) follow(run func(func(context.Context)), failed chan<- error) {
-	for kind, name := range map[core.Stream]string{
-		core.ConfigStream: configStream, core.RegionStream: e.regionStream(), core.ClaimStream: e.claimStream(),
-	} {
-		h := &follower{entry: e, kind: kind, name: name}
+	for kind, name := range e.streamNames() {
+		h := &follower{entry: e, kind: kind, name: name, failed: failed}
 		run(func(ctx context.Context) {
-			if err := stream.Follow(ctx, e.platform, name, 1, stream.DefaultFollowOptions(), h); err != nil {
+			if err := stream.Follow(ctx, e.platform, name, stream.DefaultFollowOptions(), h); err != nil {
 				e.log.Log(logevent.SchemaTooNew, logevent.Str("stream", name), logevent.Err(err))
-				failed <- err
+				h.fail(err)
 			}
 		})
 	}
@@ -39,101 +98,165 @@
 
 // follower hands records of one stream to the reducer.
 type follower struct {
-	entry *Entry
-	kind  core.Stream
-	name  string
-	down  bool
+	entry  *Entry
+	kind   core.Stream
+	name   string
+	failed chan<- error
+}
+
+func (f *follower) fail(err error) {
+	select {
+	case f.failed <- err:
+	default:
+	}
+}
+
+// Next implements stream.Handler.
+func (f *follower) Next() uint64 {
+	f.entry.mu.Lock()
+	defer f.entry.mu.Unlock()
+	return next(f.entry.state, f.kind)
 }
 
 // Apply implements stream.Handler.
 func (f *follower) Apply(offset uint64, rec *record.Record) {
-	f.entry.step(core.Folded{Stream: f.kind, Offset: offset, Record: rec})
-	f.entry.notify(false)
+	e := f.entry
+	e.checkOwnWriter(f, rec)
+	if rec.Snapshot != nil {
+		e.mu.Lock()
+		e.views[f.kind].seePiece(rec)
+		e.mu.Unlock()
+	}
+	e.step(core.Folded{Stream: f.kind, Offset: offset, Record: rec})
+	e.notify(false)
+}
+
+// checkOwnWriter stops the entry when a later run with its id writes to the log: readers drop what this run appends.
+func (e *Entry) checkOwnWriter(f *follower, rec *record.Record) {
+	id, _, _ := strings.Cut(rec.Writer, "/")
+	if id != e.set.ID || rec.Incarnation <= e.incarnation {
+		return
+	}
+	for _, w := range e.writers() {
+		w.Supersede()
+	}
+	e.step(core.Leaving{})
+	e.log.Log(logevent.WriterSuperseded, logevent.Str("stream", f.name), logevent.Int("incarnation", rec.Incarnation))
+	f.fail(errdefs.New(errdefs.Conflict, fmt.Sprintf("incarnation %d of entry %s writes to the log, this run is %d", rec.Incarnation, e.set.ID, e.incarnation),
+		"give every entry an id of its own, stop the older run, and check the clock of the instance"))
 }
 
 // CaughtUp implements stream.Handler.
-func (f *follower) CaughtUp(next uint64, sentAt time.Time) {
-	f.entry.step(core.CaughtUp{Stream: f.kind, SentAt: sentAt.Sub(f.entry.start)})
-	f.entry.caughtUp(f.kind)
-	if f.down {
-		f.down = false
-		f.entry.log.Log(logevent.LogRecovered, logevent.Str("stream", f.name))
+func (f *follower) CaughtUp(first, _ uint64, sentAt time.Time) {
+	e := f.entry
+	sent := sentAt.Sub(e.start)
+	e.step(core.CaughtUp{Stream: f.kind, SentAt: sent})
+	e.mu.Lock()
+	v := e.views[f.kind]
+	recovered := v.down
+	v.read, v.hasRead, v.first, v.down = max(v.read, sent), true, first, false
+	e.mu.Unlock()
+	e.caughtUp(f.kind)
+	e.notify(false)
+	if recovered {
+		e.log.Log(logevent.LogRecovered, logevent.Str("stream", f.name))
 	}
 }
 
 // Failed implements stream.Handler.
 func (f *follower) Failed(err error) {
-	if !f.down {
-		f.entry.log.Log(logevent.LogReadFailed, logevent.Str("stream", f.name), logevent.Err(err))
+	e := f.entry
+	e.mu.Lock()
+	v := e.views[f.kind]
+	was := v.down
+	v.down = true
+	e.mu.Unlock()
+	if !was {
+		e.log.Log(logevent.LogReadFailed, logevent.Str("stream", f.name), logevent.Err(err))
 	}
-	f.down = true
 }
 
 // Restore implements stream.Handler.
 func (f *follower) Restore(offset uint64, data []byte) error {
-	e := f.entry
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err := restore(e.state, f.kind, offset, data); err != nil {
+	if err := f.entry.restore(f.kind, offset, data); err != nil {
 		return err
 	}
-	if f.kind == core.RegionStream {
-		r := e.state.Region
-		e.state.Authority.Restored(e.now(), r.Epoch, r.DeciderID, r.DeciderIncarnation, r.Decider, r.Older, r.Resigned == r.Epoch)
-	}
-	e.state.Decider.Rebind(e.now(), e.state.Region, e.state.Config)
-	e.log.Log(logevent.SnapshotRestored, logevent.Str("stream", f.name), logevent.Int("offset", offset))
+	f.entry.log.Log(logevent.SnapshotRestored, logevent.Str("stream", f.name), logevent.Int("offset", offset))
 	return nil
 }
 
-// restore replaces one folded state by a snapshot. It never goes back to an older state.
-func restore(s *core.State, kind core.Stream, offset uint64, data []byte) error {
+// restore replaces one folded state by a snapshot that includes all records below offset. It never goes back to an older
+// state than the one it has.
+func (e *Entry) restore(kind core.Stream, offset uint64, data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if offset <= next(e.state, kind) {
+		return nil
+	}
+	s := e.state
+	fresh := core.State{Config: config.New(), Region: tasks.New(), Claims: claims.New()}
+	into := map[core.Stream]any{core.ConfigStream: fresh.Config, core.RegionStream: fresh.Region, core.ClaimStream: fresh.Claims}[kind]
+	if err := cbor.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
+	if got := next(&fresh, kind); got != offset {
+		return fmt.Errorf("the snapshot at offset %d holds the state at %d", offset, got)
+	}
 	switch kind {
 	case core.ConfigStream:
-		n := config.New()
-		if err := cbor.Unmarshal(data, n); err != nil {
-			return fmt.Errorf("decode snapshot of configuration: %w", err)
-		}
-		n.Reindex()
-		if offset > s.Config.Next {
-			s.Config = n
-		}
+		fresh.Config.Reindex()
+		s.Config = fresh.Config
 	case core.RegionStream:
-		n := tasks.New()
-		if err := cbor.Unmarshal(data, n); err != nil {
-			return fmt.Errorf("decode snapshot of region: %w", err)
-		}
-		n.Reindex()
-		if offset > s.Region.Next {
-			s.Region = n
-		}
+		fresh.Region.Reindex()
+		s.Region = fresh.Region
+		r := s.Region
+		s.Authority.Restored(e.now(), r.Epoch, r.DeciderID, r.DeciderIncarnation, r.Decider, r.Older, r.Resigned == r.Epoch)
 	case core.ClaimStream:
-		n := claims.New()
-		if err := cbor.Unmarshal(data, n); err != nil {
-			return fmt.Errorf("decode snapshot of claims: %w", err)
-		}
-		n.Reindex()
-		if offset > s.Claims.Next {
-			s.Claims = n
-		}
+		fresh.Claims.Reindex()
+		s.Claims = fresh.Claims
+		return nil
 	}
+	s.Decider.Rebind(e.now(), s.Region, s.Config)
 	return nil
 }
 
-// caughtUp marks the entry ready once all streams were read to their end.
+// caughtUp marks the entry ready once the state of all streams is dated.
 func (e *Entry) caughtUp(kind core.Stream) {
 	if e.ready.Load() {
 		return
 	}
 	e.mu.Lock()
 	e.seen[kind] = true
-	all := len(e.seen) == 3
+	all := len(e.seen) == len(e.views)
 	e.mu.Unlock()
 	if all {
 		e.ready.Store(true)
 	}
 }
 
+// freshen waits until a read of the stream that was sent after now reached its end. It reports false if the log does not
+// answer in time: then nothing can be said of what the state does not hold.
+func (e *Entry) freshen(ctx context.Context, kind core.Stream) bool {
+	ctx, cancel := context.WithTimeout(ctx, freshWait)
+	defer cancel()
+	asked := time.Since(e.start)
+	return e.waitFor(ctx, func(*core.State) bool {
+		v := e.views[kind]
+		return v.hasRead && v.read >= asked
+	}) == nil
+}
+
+// freshWait bounds the wait for a fresh read of the log before something is said not to be on record.
+const freshWait = 2 * time.Second
+
+// age returns how old the state of a stream is: the time since the newest read of the log that reached its end was sent.
+func (e *Entry) age(kind core.Stream) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.views[kind]
+	return time.Since(e.start) - v.read, v.hasRead
+}
+
 func (e *Entry) logConfig(o config.Outcome) {
 	ev := logevent.ConfigAccepted
 	if o.Status != config.Accepted {
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -29,6 +29,8 @@
 	SnapshotWritten   = Event{203, zerolog.InfoLevel, "snapshot written"}
 	SchemaTooNew      = Event{204, zerolog.ErrorLevel, "a record has a newer schema than this program reads"}
 	SnapshotFailed    = Event{205, zerolog.ErrorLevel, "writing a snapshot failed"}
+	WriterSuperseded  = Event{206, zerolog.ErrorLevel, "another run of this process writes to the log; this one stops"}
+	PeerRestored      = Event{207, zerolog.WarnLevel, "state taken from a peer while the log is down"}
 	ConfigAccepted    = Event{300, zerolog.InfoLevel, "configuration change accepted"}
 	ConfigRefused     = Event{301, zerolog.WarnLevel, "configuration change refused"}
 	ZoneHeld          = Event{302, zerolog.WarnLevel, "starts in an availability zone are held"}
--- a/side/sync.go
+++ b/side/sync.go
@@ -19,6 +19,8 @@
 	pollMargin = time.Second
 	// pollPause keeps a worker with steady news from polling without pause.
 	pollPause = 50 * time.Millisecond
+	// watchEvery is the time between looks at the worker during a poll. It bounds how late an end is reported.
+	watchEvery = 150 * time.Millisecond
 	// retryPause follows a poll that no decider answered.
 	retryPause = 200 * time.Millisecond
 	// workerTimeout bounds one call to the worker.
@@ -65,6 +67,9 @@
 	if !ok {
 		return false
 	}
+	if resp == nil {
+		return true
+	}
 	y.starts = resp.StartsWaiting
 	y.wait = time.Duration(resp.NextPollMs) * time.Millisecond
 	e := y.state.Receive(p, replyOf(resp))
@@ -93,8 +98,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, y.wait+pollMargin)
 	defer cancel()
+	ended := make(chan struct{})
+	watch, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	go func() {
+		if y.watchEnds(watch, p) {
+			close(ended)
+			cancel()
+		}
+	}()
 	resp, err := control.NewEntryProtobufClient("http://"+address, y.s.rpc).Sync(ctx, y.request(p))
 	if err != nil {
+		select {
+		case <-ended:
+			// The poll was cut short to report an end. The decider stays known.
+			return nil, true
+		default:
+		}
 		y.decider = ""
 		y.s.log.Log(logevent.SyncFailed, logevent.Str("entry", address), logevent.Err(err))
 		return nil, false
@@ -107,6 +127,38 @@
 	return resp, true
 }
 
+// watchEnds looks at the worker while the decider withholds its answer, and reports true once an attempt has ended that
+// the poll showed as running.
+func (y *syncer) watchEnds(ctx context.Context, p holder.Poll) bool {
+	running := make(map[holder.Renewal]bool)
+	for _, t := range p.Status.Tasks {
+		if t.State == platform.TaskRunning {
+			running[holder.Renewal{Task: t.Task, Attempt: t.Attempt}] = true
+		}
+	}
+	if len(running) == 0 {
+		return false
+	}
+	t := time.NewTicker(watchEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return false
+		}
+		status, err := y.status(ctx)
+		if err != nil {
+			continue
+		}
+		for _, s := range status.Tasks {
+			if s.State != platform.TaskRunning && running[holder.Renewal{Task: s.Task, Attempt: s.Attempt}] {
+				return true
+			}
+		}
+	}
+}
+
 func (y *syncer) request(p holder.Poll) *control.SyncRequest {
 	y.s.mu.Lock()
 	inc, rev := y.s.incarnation, y.s.revision
