Add the operators' command line and accounts of jobs, requests and customers

Cause: operators could act only through raw HTTP calls, and no interface told why a job waited, moved or ended.

Change: the command verbenakeel publishes, shows, compares and lists contracts, takes zones out and back, shuts endpoints down, submits and cancels jobs, explains jobs, tasks, requests, workers and customers, lists the audit trail, checks settings files and shows the status. Exit codes are stable. A change whose answer is lost is asked for by its id and never sent again. Entries serve /v1/explain to operators and, for their own work, to customers; an entry that is not the decider asks the decider over its control listener why a job waits. Changes of tasks record the checkpoint, so that an account says where an attempt resumed.

Conclusion: a deployment can be operated from the command line alone.

--- /dev/null
+++ b/cmd/verbenakeel/main.go
@@ -0,0 +1,16 @@
+// Command verbenakeel operates a verbenakeel deployment.
+package main
+
+import (
+	"os"
+
+	"github.com/verbenakeel/verbenakeel/daemon"
+	"github.com/verbenakeel/verbenakeel/operator"
+)
+
+func main() {
+	ctx, stop := daemon.Context()
+	code := operator.Run(ctx, os.Args[1:], operator.Standard())
+	stop()
+	os.Exit(code)
+}
--- a/core/config/check.go
+++ b/core/config/check.go
@@ -54,7 +54,7 @@
 
 func checkShutdown(c record.ShutdownChange) error {
 	if c.Endpoint == "" {
-		return errdefs.Field("shutdown.endpoint", "is empty", "name the endpoint as `verbenakeel endpoints` prints it")
+		return errdefs.Field("shutdown.endpoint", "is empty", "name the endpoint as `verbenakeel endpoint list` prints it")
 	}
 	if c.LimitMs < 0 {
 		return errdefs.Field("shutdown.limit_ms", "is negative", "use 0 for no limit or a positive number of milliseconds")
--- a/core/tasks/ends.go
+++ b/core/tasks/ends.go
@@ -115,12 +115,13 @@
 func (f *folder) noteAttempt(task *Task, worker, cause string) {
 	task.History = appendChange(task.History, Change{
 		Offset: f.offset, AtMs: f.atMs, State: string(task.State), Cause: cause, Worker: worker, Attempt: task.Attempt,
+		CheckpointMs: task.CheckpointMs,
 	})
 }
 
 // appendChange keeps the first change and the newest ones.
 func appendChange(history []Change, c Change) []Change {
-	if len(history) >= maxHistory {
+	if len(history) >= MaxHistory {
 		copy(history[1:], history[2:])
 		history = history[:len(history)-1]
 	}
--- a/core/tasks/state.go
+++ b/core/tasks/state.go
@@ -17,8 +17,8 @@
 const (
 	// maxEndedJobs bounds ended jobs kept for their accounts: about two days at 8,600 jobs a day.
 	maxEndedJobs = 20_000
-	// maxHistory bounds the changes kept per task; the first one and the newest ones stay.
-	maxHistory = 24
+	// MaxHistory bounds the changes kept per task; the first one and the newest ones stay.
+	MaxHistory = 24
 	// maxFailures is how many attempts of a task may fail before the task fails.
 	maxFailures = 3
 )
@@ -37,6 +37,8 @@
 	Worker string `cbor:"5,keyasint,omitempty" json:"worker,omitempty"`
 	// Attempt is the attempt concerned, if any.
 	Attempt uint32 `cbor:"6,keyasint,omitempty" json:"attempt,omitempty"`
+	// CheckpointMs is the task's last checkpoint at the change; an attempt that starts resumes from it.
+	CheckpointMs int64 `cbor:"7,keyasint,omitempty" json:"checkpoint_ms,omitempty"`
 }
 
 // Worker is a worker and what is committed to it.
--- a/entry/authority.go
+++ b/entry/authority.go
@@ -15,7 +15,7 @@
 const witnessTimeout = time.Second
 
 func (e *Entry) client(address string) control.Entry {
-	return control.NewEntryProtobufClient("http://"+address, e.rpc)
+	return control.NewEntryProtobufClient(e.controlURL(address), e.rpc)
 }
 
 func (e *Entry) doAuthority(eff authority.Effect) {
@@ -68,3 +68,6 @@
 	}
 	return e.ControlAddress()
 }
+
+// controlURL returns the base URL of a control listener.
+func (e *Entry) controlURL(address string) string { return "http://" + address }
--- a/entry/control.go
+++ b/entry/control.go
@@ -24,6 +24,7 @@
 
 func (e *Entry) routeControl() {
 	srv := control.NewEntryServer(&controlServer{e})
+	e.control.GET(waitPath+"*job", e.getWait)
 	e.control.Any(srv.PathPrefix()+"*method", adaptor.HertzHandler(srv))
 }
 
--- /dev/null
+++ b/entry/explain_text.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+func sizeText(r record.Resources) string {
+	s := fmt.Sprintf("%.3g cores, %d MB", float64(r.CPUMilli)/1000, r.MemoryMB)
+	if r.Accelerators != 0 {
+		s += fmt.Sprintf(", %d accelerators", r.Accelerators)
+	}
+	return s
+}
+
+func msText(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
+func checkpointText(ms int64) string {
+	if ms == 0 {
+		return "none"
+	}
+	return msText(ms) + " of run time"
+}
+
+// taskSteps adds the changes of a task in words.
+func (x *Explanation) taskSteps(t *tasks.Task) {
+	if t == nil {
+		return
+	}
+	for i, c := range t.History {
+		x.Steps = append(x.Steps, Step{c.AtMs, c.Offset, t.ID, c.State, stepText(c, i == 0)})
+	}
+	if len(t.History) >= tasks.MaxHistory {
+		x.Notes = append(x.Notes, fmt.Sprintf("task %s changed often; changes between its first and its newest %d are not kept", t.ID, tasks.MaxHistory-1))
+	}
+}
+
+// stepText says what a change was and why.
+func stepText(c tasks.Change, first bool) string {
+	switch lifecycle.TaskState(c.State) {
+	case lifecycle.TaskStarting:
+		from := "from its beginning"
+		if c.CheckpointMs > 0 {
+			from = "from the checkpoint at " + msText(c.CheckpointMs)
+		}
+		return fmt.Sprintf("attempt %d placed on %s, %s: %s", c.Attempt, c.Worker, from, orNone(c.Cause))
+	case lifecycle.TaskEvicting:
+		return fmt.Sprintf("attempt %d evicted from %s: %s", c.Attempt, c.Worker, orNone(c.Cause))
+	case lifecycle.TaskStopping:
+		return fmt.Sprintf("attempt %d ordered to stop on %s: %s", c.Attempt, c.Worker, orNone(c.Cause))
+	case lifecycle.TaskQueued:
+		if first || c.Attempt == 0 {
+			return orNone(c.Cause)
+		}
+		return fmt.Sprintf("attempt %d on %s ended, queued again (checkpoint: %s): %s", c.Attempt, c.Worker, checkpointText(c.CheckpointMs), orNone(c.Cause))
+	}
+	if c.Attempt == 0 {
+		return c.State + ": " + orNone(c.Cause)
+	}
+	if c.Worker == "" {
+		return fmt.Sprintf("%s in attempt %d: %s", c.State, c.Attempt, orNone(c.Cause))
+	}
+	return fmt.Sprintf("%s in attempt %d on %s: %s", c.State, c.Attempt, c.Worker, orNone(c.Cause))
+}
+
+func orNone(cause string) string {
+	if cause = strings.TrimSuffix(strings.TrimSpace(cause), ":"); cause == "" {
+		return "no cause recorded"
+	}
+	return cause
+}
+
+// sortSteps orders steps by record; steps of one record keep their order.
+func sortSteps(steps []Step) {
+	sort.SliceStable(steps, func(i, j int) bool {
+		if steps[i].Offset != steps[j].Offset {
+			return steps[i].Offset < steps[j].Offset
+		}
+		return steps[i].Object < steps[j].Object
+	})
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -48,6 +48,11 @@
 		e.refuse(c, err, true)
 		return
 	}
+	e.submit(ctx, c, customer)
+}
+
+// submit accepts a job of a customer whose right to send it was checked.
+func (e *Entry) submit(ctx context.Context, c *app.RequestContext, customer string) {
 	job, err := e.parseJob(c.Request.Body(), customer)
 	if err != nil {
 		e.refuse(c, err, true)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -65,3 +65,16 @@
 		l.inFlight--
 	}, nil
 }
+
+// use returns a customer's requests in progress and how many more the bucket allows now; -1 if it sent none yet.
+func (t *limitTable) use(customer string) (int, float64) {
+	t.mu.Lock()
+	l := t.byID[customer]
+	t.mu.Unlock()
+	if l == nil {
+		return 0, -1
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight, max(0, l.bucket.Tokens())
+}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,6 +31,7 @@
 	h.GET("/v1/config/changes/:id", e.guard(e.getChange))
 	h.GET("/v1/contracts", e.guard(e.getContracts))
 	h.GET("/v1/zones", e.guard(e.getZones))
+	h.GET("/v1/shutdowns", e.guard(e.getShutdowns))
 	h.GET("/v1/endpoints", e.guard(e.getEndpoints))
 	h.GET("/v1/workers", e.guard(e.getWorkers))
 	h.GET("/v1/status", e.guard(e.getStatus))
@@ -45,11 +49,11 @@
 	h.GET("/v1/requests/:customer/:key", e.guard(func(_ context.Context, c *app.RequestContext) {
 		e.writeRequest(c, c.Param("customer"), c.Param("key"))
 	}))
-	h.GET("/v1/explain/task/*id", e.guard(func(_ context.Context, c *app.RequestContext) {
-		var lines []string
-		e.read(func(s *core.State) { lines = s.Decider.ExplainPlacement(strings.TrimPrefix(c.Param("id"), "/")) })
-		httpserver.JSON(c, 200, lines)
+	h.POST("/v1/customers/:customer/jobs", e.guard(e.submitFor))
+	h.GET("/v1/customers/:customer/jobs/:job", e.guard(func(_ context.Context, c *app.RequestContext) {
+		e.writeAccount(c, 200, c.Param("customer")+"/"+c.Param("job"))
 	}))
+	h.GET("/v1/explain/:kind/*id", e.guard(e.explainForOperator))
 }
 
 // guard checks the operators' token.
@@ -163,6 +167,18 @@
 	httpserver.JSON(c, 200, list)
 }
 
+// getShutdowns lists the orders for endpoints, cancelled ones included, because a change names their revision.
+func (e *Entry) getShutdowns(_ context.Context, c *app.RequestContext) {
+	list := []config.ShutdownVersion{}
+	e.read(func(s *core.State) {
+		for _, v := range s.Config.Shutdowns {
+			list = append(list, *v)
+		}
+	})
+	sort.Slice(list, func(i, j int) bool { return list[i].Shutdown.Endpoint < list[j].Shutdown.Endpoint })
+	httpserver.JSON(c, 200, list)
+}
+
 // EndpointView is an endpoint as this entry knows it.
 type EndpointView struct {
 	ID       string `json:"id"`
@@ -194,21 +210,23 @@
 	httpserver.JSON(c, 200, list)
 }
 
+// WorkerView is a worker and what is committed to it.
+type WorkerView struct {
+	ID        string           `json:"id"`
+	Zone      string           `json:"zone"`
+	Rack      string           `json:"rack"`
+	Capacity  record.Resources `json:"capacity"`
+	Committed record.Resources `json:"committed"`
+	Lost      bool             `json:"lost"`
+	Tasks     int              `json:"tasks"`
+}
+
 func (e *Entry) getWorkers(_ context.Context, c *app.RequestContext) {
-	type view struct {
-		ID        string           `json:"id"`
-		Zone      string           `json:"zone"`
-		Rack      string           `json:"rack"`
-		Capacity  record.Resources `json:"capacity"`
-		Committed record.Resources `json:"committed"`
-		Lost      bool             `json:"lost"`
-		Tasks     int              `json:"tasks"`
-	}
-	list := []view{}
+	list := []WorkerView{}
 	e.read(func(s *core.State) {
 		for _, id := range s.Region.WorkerIDs() {
 			w := s.Region.Workers[id]
-			list = append(list, view{w.ID, w.Zone, w.Rack, w.Capacity, w.Committed, w.Lost, len(w.Tasks)})
+			list = append(list, WorkerView{w.ID, w.Zone, w.Rack, w.Capacity, w.Committed, w.Lost, len(w.Tasks)})
 		}
 	})
 	httpserver.JSON(c, 200, list)
@@ -249,12 +267,55 @@
 	httpserver.JSON(c, 200, st)
 }
 
+// ObjectOf names the object that a change is about: its kind, a slash and its name.
+func ObjectOf(change record.ConfigChange) string {
+	switch {
+	case change.Contract != nil:
+		return "contract/" + change.Contract.Customer
+	case change.Zone != nil:
+		return "zone/" + change.Zone.Zone
+	case change.Shutdown != nil:
+		return "endpoint/" + change.Shutdown.Endpoint
+	}
+	return ""
+}
+
+// getAudit lists changes, oldest first. The query selects by object and operator and limits to the newest ones.
 func (e *Entry) getAudit(_ context.Context, c *app.RequestContext) {
+	object, operator, limit := c.Query("object"), c.Query("operator"), 0
+	if v := c.Query("limit"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 1 {
+			e.refuse(c, errdefs.Field("limit", fmt.Sprintf("%q is not a positive number", v), "pass the number of changes to list"), true)
+			return
+		}
+		limit = n
+	}
 	list := []config.Outcome{}
-	e.read(func(s *core.State) { list = append(list, s.Config.Audit...) })
+	e.read(func(s *core.State) {
+		for _, o := range s.Config.Audit {
+			if (object == "" || ObjectOf(o.Change) == object) && (operator == "" || o.Change.Operator == operator) {
+				list = append(list, o)
+			}
+		}
+	})
+	if limit > 0 && len(list) > limit {
+		list = list[len(list)-limit:]
+	}
 	httpserver.JSON(c, 200, list)
 }
 
+// submitFor accepts a job that an operator sends for a customer.
+func (e *Entry) submitFor(ctx context.Context, c *app.RequestContext) {
+	customer, known := c.Param("customer"), false
+	e.read(func(s *core.State) { known = s.Config.Contracts[customer] != nil })
+	if !known {
+		e.refuse(c, errdefs.New(errdefs.NotFound, "customer "+customer+" has no contract", "publish its contract first"), true)
+		return
+	}
+	e.submit(ctx, c, customer)
+}
+
 // InForce tells which processes enforce a revision.
 type InForce struct {
 	Revision uint64   `json:"revision"`
--- a/entry/public.go
+++ b/entry/public.go
@@ -38,6 +38,8 @@
 	h.GET("/v1/jobs/:job", e.getJob)
 	h.DELETE("/v1/jobs/:job", e.cancelJob)
 	h.GET("/v1/requests/:key", e.getRequest)
+	h.GET("/v1/explain/:kind/*id", e.explainForCustomer)
+	h.GET("/v1/explain", e.explainForCustomer)
 	h.NoRoute(e.serveCall)
 }
 
--- /dev/null
+++ b/operator/endpoint.go
@@ -0,0 +1,161 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/entry"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+func (c *command) endpoint() func(context.Context) error {
+	a := c.args.Endpoint
+	switch {
+	case a.List != nil:
+		return c.listEndpoints
+	case a.Shutdown != nil:
+		return c.shutdown
+	case a.Cancel != nil:
+		return c.cancelShutdown
+	case a.Watch != nil:
+		return c.watchEndpoint
+	}
+	return nil
+}
+
+func (c *command) endpoints(ctx context.Context) ([]entry.EndpointView, error) {
+	var list []entry.EndpointView
+	err := c.client.Get(ctx, "/v1/endpoints", &list)
+	return list, err
+}
+
+func (c *command) listEndpoints(ctx context.Context) error {
+	list, err := c.endpoints(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(list, func(w io.Writer) { endpointTable(w, list) })
+}
+
+func endpointTable(w io.Writer, list []entry.EndpointView) {
+	row(w, "ENDPOINT", "SERVICE", "ZONE", "STATE", "UP", "DRAINED", "SLOTS FREE", "QUEUE", "REVISION", "ADDRESS")
+	for _, e := range list {
+		row(w, e.ID, e.Service, e.Zone, e.State, e.Up, e.Drained, e.Free, e.Queue, e.Revision, e.Address)
+	}
+}
+
+// order returns the order in force for an endpoint; its revision is 0 if there is none.
+func (c *command) order(ctx context.Context, endpoint string) (config.ShutdownVersion, error) {
+	var list []config.ShutdownVersion
+	if err := c.client.Get(ctx, "/v1/shutdowns", &list); err != nil {
+		return config.ShutdownVersion{}, err
+	}
+	for _, v := range list {
+		if v.Shutdown.Endpoint == endpoint {
+			return v, nil
+		}
+	}
+	return config.ShutdownVersion{}, nil
+}
+
+func (c *command) find(ctx context.Context, id string) (entry.EndpointView, []entry.EndpointView, error) {
+	list, err := c.endpoints(ctx)
+	if err != nil {
+		return entry.EndpointView{}, nil, err
+	}
+	for _, e := range list {
+		if e.ID == id {
+			return e, list, nil
+		}
+	}
+	return entry.EndpointView{}, list, errdefs.New(errdefs.NotFound, fmt.Sprintf("no endpoint %q is known", id),
+		"list endpoints with `verbenakeel endpoint list`; one that just started may take a second")
+}
+
+func (c *command) shutdown(ctx context.Context) error {
+	a := c.args.Endpoint.Shutdown
+	if a.Limit < 0 {
+		return errdefs.Field("--limit", "is negative", "leave it out for no limit")
+	}
+	e, all, err := c.find(ctx, a.Endpoint)
+	if err != nil {
+		return err
+	}
+	order, err := c.order(ctx, a.Endpoint)
+	if err != nil {
+		return err
+	}
+	others := 0
+	for _, o := range all {
+		if o.Service == e.Service && o.ID != e.ID && o.Up && o.State == "up" {
+			others++
+		}
+	}
+	affects := []string{
+		fmt.Sprintf("endpoint %s of service %s in zone %s gets no new requests; other usable endpoints of the service: %d", e.ID, e.Service, e.Zone, others),
+	}
+	if a.Limit > 0 {
+		affects = append(affects, fmt.Sprintf("requests in progress for longer than %s are cut off", a.Limit))
+	}
+	if err := c.confirm("shutting down "+e.ID, affects); err != nil {
+		return err
+	}
+	return c.makeChange(ctx, record.ConfigChange{Base: base(a.Base, order.Revision), Shutdown: &record.ShutdownChange{
+		Endpoint: a.Endpoint, Drain: true, LimitMs: a.Limit.Milliseconds(),
+	}}, false)
+}
+
+func (c *command) cancelShutdown(ctx context.Context) error {
+	a := c.args.Endpoint.Cancel
+	order, err := c.order(ctx, a.Endpoint)
+	if err != nil {
+		return err
+	}
+	if !order.Shutdown.Drain {
+		return errdefs.New(errdefs.NotFound, "no shutdown of "+a.Endpoint+" is ordered", "list endpoints with `verbenakeel endpoint list`")
+	}
+	return c.makeChange(ctx, record.ConfigChange{Base: base(a.Base, order.Revision), Shutdown: &record.ShutdownChange{Endpoint: a.Endpoint}}, false)
+}
+
+// watchEndpoint prints an endpoint whenever it changes, until it has drained.
+func (c *command) watchEndpoint(ctx context.Context) error {
+	a := c.args.Endpoint.Watch
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	last := entry.EndpointView{}
+	for {
+		e, _, err := c.find(ctx, a.Endpoint)
+		if err == nil && e != last {
+			last = e
+			if err := c.print(e, func(w io.Writer) {
+				fmt.Fprintf(w, "%s %s: %s, up %t, drained %t, %d slots free, queue %d\n", time.Now().UTC().Format(time.RFC3339), e.ID, e.State, e.Up, e.Drained, e.Free, e.Queue)
+			}); err != nil {
+				return err
+			}
+		}
+		if err == nil && e.Drained {
+			return nil
+		}
+		if err != nil && errdefs.KindOf(err) == errdefs.NotFound && last.ID == "" {
+			return err
+		}
+		if !pause(ctx) {
+			return errdefs.New(errdefs.Unavailable, a.Endpoint+" has not drained within "+a.Timeout.String(),
+				"requests in progress run to their end; order the shutdown again with --limit to cut them off")
+		}
+	}
+}
+
+func sorted(set map[string]bool) []string {
+	list := make([]string, 0, len(set))
+	for s := range set {
+		list = append(list, s)
+	}
+	sort.Strings(list)
+	return list
+}
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,153 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// stub is an entry that loses the answers to changes.
+type stub struct {
+	posts    []string
+	outcomes map[string]config.Outcome
+}
+
+func (s *stub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var change record.ConfigChange
+		if json.NewDecoder(r.Body).Decode(&change) == nil {
+			s.posts = append(s.posts, change.ID)
+			s.outcomes[change.ID] = config.Outcome{Change: change, Status: config.Accepted, Revision: 7}
+		}
+		panic(http.ErrAbortHandler)
+	}
+	id := strings.TrimPrefix(r.URL.Path, "/v1/config/changes/")
+	out, ok := s.outcomes[id]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// Guards against a change that takes effect twice, or that is reported as failed, because its answer was lost.
+func TestLostAnswerIsAskedForAndNeverSentAgain(t *testing.T) {
+	s := &stub{outcomes: make(map[string]config.Outcome)}
+	srv := httptest.NewServer(s)
+	defer srv.Close()
+	c := &Client{Entries: []string{"http://127.0.0.1:1", srv.URL, srv.URL}, HTTP: srv.Client()}
+	out, err := c.Change(t.Context(), record.ConfigChange{ID: "c1", Zone: &record.ZoneChange{Zone: "a", Out: true}})
+	assert.NilError(t, err)
+	assert.Equal(t, out.Revision, uint64(7))
+	assert.DeepEqual(t, s.posts, []string{"c1"})
+}
+
+func run(t *testing.T, in string, terminal bool, args ...string) (int, string) {
+	t.Helper()
+	var out bytes.Buffer
+	code := Run(t.Context(), args, Streams{In: strings.NewReader(in), Out: &out, Err: &out, Terminal: terminal})
+	return code, out.String()
+}
+
+// Guards against exit codes or remedies that scripts and operators cannot rely on.
+func TestInputErrors(t *testing.T) {
+	t.Setenv("VERBENAKEEL_ENTRIES", "")
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	dead := "--entry=127.0.0.1:1"
+	for _, c := range []struct {
+		name string
+		args []string
+		code int
+		text string
+	}{
+		{"no command", nil, 2, "Usage"},
+		{"unknown command", []string{"zones"}, 2, "--help"},
+		{"half a command", []string{dead, "zone"}, 2, "out"},
+		{"missing argument", []string{dead, "zone", "out"}, 2, "verbenakeel zone out --help"},
+		{"no entry", []string{"zone", "list"}, 2, "VERBENAKEEL_ENTRIES"},
+		{"dead entry", []string{dead, "zone", "list"}, 5, "check the address"},
+		{"no file", []string{dead, "contract", "publish", dir + "/none"}, 2, "readable"},
+		{"unknown field", []string{dead, "contract", "publish", file("a", `{"costumer":"x"}`)}, 2, "docs/operators.md"},
+		{"bad contract", []string{dead, "contract", "diff", file("b", `{"customer":"X"}`)}, 2, "lower-case"},
+		{"bad job", []string{dead, "job", "submit", "h", file("c", `{"kind":"batch"}`)}, 2, "tasks"},
+		{"bad job id", []string{dead, "job", "show", "plan"}, 2, "CUSTOMER/NAME"},
+		{"negative limit", []string{dead, "endpoint", "shutdown", "e", "--limit=-1s"}, 2, "--limit"},
+		{"bad settings", []string{"settings", "check", file("d", "[process]\nid =\n"), "--role", "entry"}, 2, "line 2: process.id"},
+		{"bad role", []string{"settings", "check", dir + "/d", "--role", "x"}, 2, "entry or side"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			code, text := run(t, "", false, c.args...)
+			assert.Equal(t, code, c.code, text)
+			assert.Assert(t, is.Contains(text, c.text))
+		})
+	}
+}
+
+// Guards against dangerous commands that run without consent, and against consent that is not taken.
+func TestConsent(t *testing.T) {
+	for _, c := range []struct {
+		in       string
+		terminal bool
+		yes      bool
+		ok       bool
+	}{
+		{"y\n", true, false, true}, {"YES\n", true, false, true}, {"n\n", true, false, false}, {"\n", true, false, false},
+		{"", true, false, false}, {"y\n", false, false, false}, {"", false, true, true},
+	} {
+		t.Run(fmt.Sprintf("%q %t %t", c.in, c.terminal, c.yes), func(t *testing.T) {
+			var text bytes.Buffer
+			cmd := &command{Streams: Streams{In: strings.NewReader(c.in), Err: &text, Terminal: c.terminal}, args: Args{Yes: c.yes}}
+			err := cmd.confirm("this", []string{"that"})
+			assert.Equal(t, err == nil, c.ok)
+			assert.Equal(t, strings.Contains(text.String(), "that"), !c.yes)
+		})
+	}
+}
+
+// Guards against a contract that takes something away without the operator being told.
+func TestLowers(t *testing.T) {
+	old := config.ContractVersion{Revision: 1, Contract: record.Contract{
+		Priority: record.Critical, MaxTasks: 5, Services: []record.Service{{Name: "a"}}, TokenSHA256: []string{"t"},
+		Guaranteed: record.Resources{CPUMilli: 2}, Burst: record.Resources{Accelerators: 1},
+	}}
+	assert.Equal(t, len(lowers(old, old.Contract)), 0)
+	assert.Equal(t, len(lowers(old, record.Contract{Priority: record.BestEffort})), 6)
+	assert.Equal(t, len(lowers(config.ContractVersion{}, record.Contract{})), 0)
+	assert.DeepEqual(t, diff(old.Contract, record.Contract{Priority: record.Critical, MaxTasks: 6, TokenSHA256: []string{"t"},
+		Guaranteed: record.Resources{CPUMilli: 2}, Burst: record.Resources{Accelerators: 1}, Services: []record.Service{{Name: "a", Public: true}}}),
+		[]Difference{{"max_tasks", "5", "6"}, {"services[a].public", "false", "true"}})
+}
+
+// Guards against a wait that calls a revision in force although an entry did not answer.
+func TestWaitCountsSilentEntries(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"revision":3,"everyone":true,"behind":[]}`)
+	}))
+	defer srv.Close()
+	code, text := run(t, "", false, "--entry", srv.URL, "wait", "--revision", "3")
+	assert.Equal(t, code, 0, text)
+	code, text = run(t, "", false, "--entry", srv.URL, "--entry", "127.0.0.1:1", "wait", "--revision", "3", "--timeout", "300ms")
+	assert.Equal(t, code, 5, text)
+	assert.Assert(t, is.Contains(text, "http://127.0.0.1:1 (no answer)"))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !pause(ctx))
+}
--- /dev/null
+++ b/operator/run.go
@@ -0,0 +1,213 @@
+package operator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/user"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alexflint/go-arg"
+	"github.com/mattn/go-isatty"
+
+	"github.com/verbenakeel/verbenakeel/errdefs"
+)
+
+// Exit codes. They are stable.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitInvalid     = 2
+	ExitConflict    = 3
+	ExitUnknown     = 4
+	ExitUnavailable = 5
+)
+
+// Streams are where a command reads and writes.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+	// Terminal is true if a person can be asked through In.
+	Terminal bool
+}
+
+// Standard returns the streams of the process.
+func Standard() Streams {
+	return Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Terminal: isatty.IsTerminal(os.Stdin.Fd())}
+}
+
+// command is one run of the command line.
+type command struct {
+	Streams
+	args   Args
+	client *Client
+}
+
+// Run runs a command and returns its exit code.
+func Run(ctx context.Context, argv []string, s Streams) int {
+	c := &command{Streams: s}
+	p, err := arg.NewParser(arg.Config{Program: "verbenakeel", Out: s.Out}, &c.args)
+	if err != nil {
+		fmt.Fprintln(s.Err, err)
+		return ExitFailed
+	}
+	switch err := p.Parse(argv); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = p.WriteHelpForSubcommand(s.Out, p.SubcommandNames()...)
+		return ExitOK
+	case err != nil:
+		return c.fail(errdefs.New(errdefs.Invalid, err.Error(), "run `verbenakeel "+strings.Join(append(p.SubcommandNames(), "--help"), " ")+"`"))
+	case p.Subcommand() == nil:
+		_ = p.WriteHelpForSubcommand(s.Err)
+		return ExitInvalid
+	}
+	run := c.command()
+	if run == nil {
+		_ = p.WriteHelpForSubcommand(s.Err, p.SubcommandNames()...)
+		return ExitInvalid
+	}
+	if c.args.Settings == nil {
+		if err := c.connect(); err != nil {
+			return c.fail(err)
+		}
+	}
+	return c.fail(run(ctx))
+}
+
+// connect sets up the client.
+func (c *command) connect() error {
+	entries := c.args.Entry
+	if len(entries) == 0 {
+		entries = []string{os.Getenv("VERBENAKEEL_ENTRIES")}
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2}
+	c.client = &Client{Entries: baseURLs(entries, "http"), Token: c.args.Token, Operator: c.operator(), HTTP: &http.Client{Transport: transport}}
+	if len(c.client.Entries) == 0 {
+		return errdefs.New(errdefs.Invalid, "no entry is named", "pass --entry IP:PORT or set VERBENAKEEL_ENTRIES")
+	}
+	return nil
+}
+
+func (c *command) operator() string {
+	if c.args.Operator != "" {
+		return c.args.Operator
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unnamed"
+}
+
+// fail prints an error and returns the exit code for it.
+func (c *command) fail(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	code := exitCode(err)
+	if !c.args.JSON {
+		fmt.Fprintln(c.Err, "verbenakeel:", err)
+		return code
+	}
+	out := map[string]any{"kind": "failed", "message": err.Error(), "exit_code": code}
+	var te *errdefs.Error
+	if errors.As(err, &te) {
+		out["kind"], out["message"], out["remedy"], out["field"] = te.Kind, te.Message, te.Remedy, te.Field
+	}
+	_ = json.NewEncoder(c.Err).Encode(map[string]any{"error": out})
+	return code
+}
+
+func exitCode(err error) int {
+	switch errdefs.KindOf(err) {
+	case errdefs.Invalid:
+		return ExitInvalid
+	case errdefs.Conflict:
+		return ExitConflict
+	case errdefs.Unknown:
+		return ExitUnknown
+	case errdefs.Unavailable:
+		return ExitUnavailable
+	}
+	return ExitFailed
+}
+
+// command returns the function of the chosen command, or nil if none was chosen.
+func (c *command) command() func(context.Context) error {
+	a := &c.args
+	switch {
+	case a.Contract != nil:
+		return c.contract()
+	case a.Zone != nil:
+		return c.zone()
+	case a.Endpoint != nil:
+		return c.endpoint()
+	case a.Job != nil:
+		return c.job()
+	case a.Explain != nil:
+		return c.explain
+	case a.Audit != nil:
+		return c.audit
+	case a.Change != nil:
+		return c.change
+	case a.Wait != nil:
+		return c.wait
+	case a.Worker != nil && a.Worker.List != nil:
+		return c.workers
+	case a.Status != nil:
+		return c.status
+	case a.Settings != nil && a.Settings.Check != nil:
+		return c.checkSettings
+	}
+	return nil
+}
+
+// print writes v as JSON, or calls table for people.
+func (c *command) print(v any, table func(w io.Writer)) error {
+	if c.args.JSON {
+		return json.NewEncoder(c.Out).Encode(v)
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// row writes the cells of one line of a table.
+func row(w io.Writer, cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(w, "\t")
+		}
+		fmt.Fprint(w, cell)
+	}
+	fmt.Fprintln(w)
+}
+
+// confirm shows what a command affects and asks whether to go on.
+func (c *command) confirm(what string, affects []string) error {
+	if c.args.Yes {
+		return nil
+	}
+	fmt.Fprintf(c.Err, "%s affects:\n", what)
+	for _, a := range affects {
+		fmt.Fprintln(c.Err, "  "+a)
+	}
+	if !c.Terminal {
+		return errdefs.New(errdefs.Refused, what+" affects running work and nobody can be asked here", "check the list above and pass --yes")
+	}
+	fmt.Fprint(c.Err, "Go on? [y/N] ")
+	line, err := bufio.NewReader(c.In).ReadString('\n')
+	if err != nil && line == "" {
+		return errdefs.New(errdefs.Refused, "no answer was given", "answer y, or pass --yes")
+	}
+	switch strings.ToLower(strings.TrimSpace(line)) {
+	case "y", "yes":
+		return nil
+	}
+	return errdefs.New(errdefs.Refused, "nothing was changed", "run the command again and answer y")
+}
--- /dev/null
+++ b/operator/work.go
@@ -0,0 +1,229 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"github.com/verbenakeel/verbenakeel/entry"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+func (c *command) job() func(context.Context) error {
+	a := c.args.Job
+	switch {
+	case a.Submit != nil:
+		return c.submit
+	case a.Cancel != nil:
+		return c.cancelJob
+	case a.List != nil:
+		return c.listJobs
+	case a.Show != nil:
+		return c.showJob
+	}
+	return nil
+}
+
+// jobPath returns the path of a job, whose id is the customer, a slash and the job's name.
+func jobPath(id string) (string, error) {
+	customer, name, ok := strings.Cut(id, "/")
+	if !ok || customer == "" || name == "" {
+		return "", errdefs.New(errdefs.Invalid, fmt.Sprintf("%q is not the id of a job", id), "write CUSTOMER/NAME as `verbenakeel job list` prints it")
+	}
+	return "/v1/jobs/" + url.PathEscape(customer) + "/" + url.PathEscape(name), nil
+}
+
+func (c *command) submit(ctx context.Context) error {
+	a := c.args.Job.Submit
+	data, err := os.ReadFile(a.File)
+	if err != nil {
+		return errdefs.New(errdefs.Invalid, err.Error(), "name a readable JSON file")
+	}
+	var job record.Job
+	dec := json.NewDecoder(strings.NewReader(string(data)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&job); err != nil {
+		return errdefs.New(errdefs.Invalid, a.File+": "+err.Error(), "docs/operators.md lists the fields of a job")
+	}
+	// The id is made here, so that the job can be asked for when the answer is lost.
+	if job.ID == "" {
+		job.ID = uuid.NewString()
+	}
+	if err := entry.CheckJob(job); err != nil {
+		return err
+	}
+	body, err := json.Marshal(job)
+	if err != nil {
+		return fmt.Errorf("encode job: %w", err)
+	}
+	ans, err, known := c.client.act(ctx, http.MethodPost, "/v1/customers/"+url.PathEscape(a.Customer)+"/jobs", body)
+	id := a.Customer + "/" + job.ID
+	if !known {
+		return c.jobAfterLoss(ctx, id, err, func(entry.JobAccount) bool { return true })
+	}
+	if err != nil {
+		return err
+	}
+	return c.printAccount(ans)
+}
+
+// jobAfterLoss asks for a job after the answer about it was lost. done tells whether the account shows the outcome.
+func (c *command) jobAfterLoss(ctx context.Context, id string, cause error, done func(entry.JobAccount) bool) error {
+	path, err := jobPath(id)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	for {
+		var a entry.JobAccount
+		if err := c.client.Get(ctx, path, &a); err == nil && a.Job != nil && done(a) {
+			return c.printJob(a)
+		}
+		if !pause(ctx) {
+			return errdefs.New(errdefs.Unknown, fmt.Sprintf("whether job %s took the command is not known: %v", id, cause),
+				"run `verbenakeel job show "+id+"` until it tells")
+		}
+	}
+}
+
+func (c *command) printAccount(ans answer) error {
+	if ans.status/100 != 2 {
+		return problem(ans)
+	}
+	var a entry.JobAccount
+	if err := json.Unmarshal(ans.body, &a); err != nil || a.Job == nil {
+		return errdefs.New(errdefs.Incompatible, "the answer about the job cannot be read", "check that the versions fit")
+	}
+	return c.printJob(a)
+}
+
+func (c *command) printJob(a entry.JobAccount) error {
+	return c.print(a, func(w io.Writer) {
+		last := a.Job.History[len(a.Job.History)-1]
+		fmt.Fprintf(w, "job %s: %s, %d of %d tasks open; %s\n", a.Job.Spec.ID, a.Job.State, a.Job.Open, len(a.Job.Tasks), last.Cause)
+		if a.Waiting != "" {
+			fmt.Fprintln(w, "waits:", a.Waiting)
+		}
+		row(w, "TASK", "STATE", "ATTEMPT", "WORKER", "EVICTIONS", "CHECKPOINT", "LAST CAUSE")
+		for _, t := range a.Tasks {
+			cause := ""
+			if n := len(t.History); n > 0 {
+				cause = t.History[n-1].Cause
+			}
+			row(w, t.ID, t.State, t.Attempt, orDash(t.Worker), t.Evictions, fmt.Sprintf("%d ms", t.CheckpointMs), cause)
+		}
+	})
+}
+
+func (c *command) account(ctx context.Context, id string) (entry.JobAccount, error) {
+	var a entry.JobAccount
+	path, err := jobPath(id)
+	if err != nil {
+		return a, err
+	}
+	if err := c.client.Get(ctx, path, &a); err != nil {
+		return a, err
+	}
+	if a.Job == nil || len(a.Job.History) == 0 {
+		return a, errdefs.New(errdefs.Incompatible, "the answer about the job cannot be read", "check that the versions fit")
+	}
+	return a, nil
+}
+
+func (c *command) showJob(ctx context.Context) error {
+	a, err := c.account(ctx, c.args.Job.Show.Job)
+	if err != nil {
+		return err
+	}
+	return c.printJob(a)
+}
+
+func (c *command) cancelJob(ctx context.Context) error {
+	id := c.args.Job.Cancel.Job
+	a, err := c.account(ctx, id)
+	if err != nil {
+		return err
+	}
+	placed := 0
+	for _, t := range a.Tasks {
+		if t.State.Placed() {
+			placed++
+		}
+	}
+	err = c.confirm("cancelling job "+id, []string{
+		fmt.Sprintf("open tasks of a %s job of %s that end and never run again: %d, of which on workers: %d", a.Job.Spec.Kind, a.Job.Spec.Customer, a.Job.Open, placed),
+	})
+	if err != nil {
+		return err
+	}
+	path, err := jobPath(id)
+	if err != nil {
+		return err
+	}
+	ans, err, known := c.client.act(ctx, http.MethodDelete, path, nil)
+	if !known {
+		return c.jobAfterLoss(ctx, id, err, func(a entry.JobAccount) bool { return a.Job.Cancelling })
+	}
+	if err != nil {
+		return err
+	}
+	return c.printAccount(ans)
+}
+
+func (c *command) listJobs(ctx context.Context) error {
+	var list []entry.JobSummary
+	if err := c.client.Get(ctx, "/v1/jobs?customer="+query(c.args.Job.List.Customer), &list); err != nil {
+		return err
+	}
+	return c.print(list, func(w io.Writer) {
+		row(w, "JOB", "KIND", "STATE", "OPEN", "TASKS", "LAST CAUSE")
+		for _, j := range list {
+			row(w, j.ID, j.Kind, j.State, j.Open, j.Tasks, j.Cause)
+		}
+	})
+}
+
+func (c *command) explain(ctx context.Context) error {
+	a := c.args.Explain
+	var x entry.Explanation
+	if err := c.client.Get(ctx, "/v1/explain/"+url.PathEscape(a.Kind)+"/"+escapeID(a.ID), &x); err != nil {
+		return err
+	}
+	return c.print(x, func(w io.Writer) {
+		fmt.Fprintf(w, "%s %s: %s\n", x.Kind, x.ID, x.State)
+		for _, f := range x.Facts {
+			row(w, "  "+f.Name, f.Value)
+		}
+		if len(x.Steps) > 0 {
+			fmt.Fprintln(w)
+			row(w, "TIME", "RECORD", "OBJECT", "WHAT HAPPENED AND WHY")
+		}
+		for _, s := range x.Steps {
+			row(w, timeText(s.AtMs), s.Offset, s.Object, s.Text)
+		}
+		for _, s := range x.Waiting {
+			fmt.Fprintln(w, "waits:", s)
+		}
+		for _, s := range x.Notes {
+			fmt.Fprintln(w, "note:", s)
+		}
+	})
+}
+
+// escapeID escapes the parts of an id and keeps its slashes.
+func escapeID(id string) string {
+	parts := strings.Split(id, "/")
+	for i := range parts {
+		parts[i] = url.PathEscape(parts[i])
+	}
+	return strings.Join(parts, "/")
+}
