Add metrics, readiness, traces and the catalogues of metrics and log events

Cause: a run could not be watched: no metrics, health without reasons, and log lines of one request could not be joined over processes.

Change: package telemetry holds OpenTelemetry instruments with the Prometheus exporter, one registry per process. Entries serve /metrics on the operator listener, side processes /-/metrics on the data listener, which callers cannot reach through a service. /-/ready tells what is missing. Requests carry X-Request-Id and a W3C traceparent into debug lines of entries and side processes (events 701 and 702). Log events register themselves, and tests compare docs/log-events.md and docs/metrics.md with the code. The wrong doc comment of Logger.Log is corrected.

Conclusion: the four measures, limits, budgets, epoch, evidence age and queues can be read from every process.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -112,6 +112,11 @@
 	return s.Holds() && s.evidence > 0 && now.Mono < s.evidence+s.cfg.TTL
 }
 
+// EvidenceAge returns the age of this decider's evidence; false if it holds none.
+func (s *State) EvidenceAge(now clock.Now) (time.Duration, bool) {
+	return now.Mono - s.evidence, s.Holds() && s.evidence > 0
+}
+
 // LogFresh reports whether the newest read of the log was sent less than age ago.
 func (s *State) LogFresh(now clock.Now, age time.Duration) bool {
 	return s.hasRead && now.Mono < s.logRead+age
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -144,6 +144,9 @@
 	}
 }
 
+// RetryTokens returns how many retries the budget allows now.
+func (s *State) RetryTokens() float64 { return s.tokens }
+
 // TakeRetry reports whether the budget allows a retry, and uses it.
 func (s *State) TakeRetry() bool {
 	if s.tokens < 1 {
--- a/entry/control.go
+++ b/entry/control.go
@@ -23,6 +23,7 @@
 const maxWait = 30 * time.Second
 
 func (e *Entry) routeControl() {
+	e.control.Use(e.countControl)
 	srv := control.NewEntryServer(&controlServer{e})
 	e.control.GET(waitPath+"*job", e.getWait)
 	e.control.Any(srv.PathPrefix()+"*method", adaptor.HertzHandler(srv))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
 	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/telemetry"
 )
 
 // Times of the runner.
@@ -67,6 +68,7 @@
 	rpc      *http.Client
 	peers    *peerTable
 	limits   limitTable
+	metrics  *metrics
 	// seen holds the streams that were read to their end since the start.
 	seen map[core.Stream]bool
 
@@ -87,6 +89,11 @@
 		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat,
 		Authority: set.Authority, Decider: set.Decider, Scheduler: scheduler.DefaultConfig(),
 	})
+	if err := e.newMetrics(log); err != nil {
+		return nil, err
+	}
+	e.platform = e.metrics.log
+	e.rpc.Transport = &telemetry.Transport{Base: e.rpc.Transport, Bytes: e.metrics.bytes}
 	e.newWriters()
 	var err error
 	if e.forward, err = httpserver.NewClient(dialTimeout, connsPerEndpoint); err != nil {
@@ -257,6 +264,7 @@
 				logevent.Str("worker", a.Worker), logevent.Str("message", a.Message))
 		case core.RegionChanged:
 			e.logRegion(eff.Effect)
+			e.countRegion(eff.Effect)
 		case core.ConfigDecided:
 			e.logConfig(eff.Outcome)
 		}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -103,6 +103,7 @@
 	if resp.StatusCode() == 502 && len(resp.Header.Peek("X-Outcome")) > 0 {
 		return result{err: lostAnswer(ep.ID, errors.New("the endpoint gave no whole answer"))}, route.Failed, took
 	}
+	e.metrics.zoneAnswers.Add(1, cl.service, ep.Zone)
 	return result{
 		status: resp.StatusCode(), contentType: string(resp.Header.ContentType()), body: append([]byte(nil), resp.Body()...),
 	}, route.Answered, took
--- a/entry/once.go
+++ b/entry/once.go
@@ -140,6 +140,7 @@
 func (e *Entry) writeUnknown(c *app.RequestContext, cl *call, err error) {
 	p := problemOf(err)
 	p.Outcome = "unknown"
+	c.Set(outcomeKey, "unknown")
 	if cl.key != "" {
 		p.Ask = askPath(cl.key)
 	}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -27,6 +27,8 @@
 func (e *Entry) routeOperator() {
 	h := e.operator
 	h.GET("/-/health", e.health)
+	h.GET("/-/ready", e.getReady)
+	h.GET("/metrics", e.metricsHandler())
 	h.POST("/v1/config", e.guard(e.postConfig))
 	h.GET("/v1/config/changes/:id", e.guard(e.getChange))
 	h.GET("/v1/contracts", e.guard(e.getContracts))
--- a/entry/public.go
+++ b/entry/public.go
@@ -33,6 +33,7 @@
 func (e *Entry) routePublic() {
 	h := e.public
 	h.GET("/-/health", e.health)
+	h.GET("/-/ready", e.getReady)
 	h.POST("/v1/jobs", e.submitJob)
 	h.GET("/v1/jobs", e.listJobs)
 	h.GET("/v1/jobs/:job", e.getJob)
@@ -40,7 +41,7 @@
 	h.GET("/v1/requests/:key", e.getRequest)
 	h.GET("/v1/explain/:kind/*id", e.explainForCustomer)
 	h.GET("/v1/explain", e.explainForCustomer)
-	h.NoRoute(e.serveCall)
+	h.NoRoute(e.measured(e.serveCall))
 }
 
 // health answers the balancer. It fails from the start of a graceful shutdown and until all streams were read once.
@@ -157,6 +158,7 @@
 func (e *Entry) refuse(c *app.RequestContext, err error, notRun bool) {
 	p := problemOf(err)
 	p.NotRun = notRun
+	c.Set(outcomeKey, "refused")
 	status := statusOf(errdefs.KindOf(err))
 	if status == 429 || status == 503 {
 		c.Response.Header.Set("Retry-After", "1")
--- /dev/null
+++ b/entry/trace.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/google/uuid"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/telemetry"
+)
+
+// maxRequestID bounds the caller's request id in bytes, because it goes into logs and headers of every process.
+const maxRequestID = 128
+
+// outcomeKey is the key of a request's context under which a refusal or an unknown outcome is noted for metrics.
+const outcomeKey = "outcome"
+
+// measured counts and logs the requests of callers, and gives each an id that follows it over all processes.
+func (e *Entry) measured(next app.HandlerFunc) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		start := time.Now()
+		id := string(c.GetHeader(headerRequestID))
+		if len(id) > maxRequestID {
+			e.refuse(c, errdefs.Field(headerRequestID, fmt.Sprintf("is longer than %d bytes", maxRequestID), "send a shorter id, or none"), true)
+			return
+		}
+		if id == "" {
+			id = uuid.NewString()
+			c.Request.Header.Set(headerRequestID, id)
+		}
+		trace := telemetry.TraceID(string(c.GetHeader("traceparent")), id)
+		c.Response.Header.Set(headerRequestID, id)
+		next(ctx, c)
+		outcome := c.GetString(outcomeKey)
+		if outcome == "" {
+			outcome = "answered"
+		}
+		service := e.knownService(c)
+		took := time.Since(start)
+		e.metrics.requests.Record(took, service, outcome)
+		if e.log.Enabled(logevent.RequestEnded) {
+			e.log.Log(logevent.RequestEnded, logevent.Str("trace", trace), logevent.Str("request", id), logevent.Str("service", service),
+				logevent.Str("outcome", outcome), logevent.Int("status", c.Response.StatusCode()), logevent.Int("us", took.Microseconds()))
+		}
+	}
+}
+
+// knownService returns the service of a request, or "none" for paths of no service, so that callers cannot make series.
+func (e *Entry) knownService(c *app.RequestContext) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(string(c.Request.URI().Path()), "/"), "/")
+	known := false
+	e.read(func(s *core.State) { _, _, known = s.Config.Service(name) })
+	if !known {
+		return "none"
+	}
+	return name
+}
+
+// countControl counts the bytes of messages that other processes send.
+func (e *Entry) countControl(ctx context.Context, c *app.RequestContext) {
+	message := telemetry.MessageOf(string(c.Request.URI().Path()))
+	c.Next(ctx)
+	e.metrics.bytes.Add(float64(len(c.Request.Body())), message, "received")
+	e.metrics.bytes.Add(float64(len(c.Response.Body())), message, "sent")
+}
+
+// Readiness tells whether an entry can serve, and why not.
+type Readiness struct {
+	Ready bool `json:"ready"`
+	// Reasons say what is missing.
+	Reasons []string `json:"reasons"`
+	// LogReadAgeMs is the age of the newest answered read of each stream in milliseconds.
+	LogReadAgeMs map[string]int64 `json:"log_read_age_ms"`
+}
+
+// getReady answers rollouts. Unlike health it tells what is missing, and it does not fail while the log is down,
+// because an entry with a dated state still serves.
+func (e *Entry) getReady(_ context.Context, c *app.RequestContext) {
+	r := Readiness{Reasons: []string{}, LogReadAgeMs: make(map[string]int64)}
+	for stream, age := range e.metrics.log.Ages() {
+		r.LogReadAgeMs[stream] = age.Milliseconds()
+	}
+	if e.draining.Load() {
+		r.Reasons = append(r.Reasons, "a graceful shutdown is in progress")
+	}
+	if !e.ready.Load() {
+		r.Reasons = append(r.Reasons, "not all streams were read to their end since the start")
+	}
+	r.Ready = len(r.Reasons) == 0
+	status := 200
+	if !r.Ready {
+		status = 503
+	}
+	httpserver.JSON(c, status, r)
+}
+
+func (e *Entry) metricsHandler() app.HandlerFunc {
+	return adaptor.HertzHandler(e.metrics.registry.Handler())
+}
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -17,38 +17,54 @@
 	Text string
 }
 
+// events lists all events in the order of their definition.
+var events []Event
+
+// All returns all events.
+func All() []Event { return events }
+
+func define(number int, level zerolog.Level, text string) Event {
+	e := Event{number, level, text}
+	events = append(events, e)
+	return e
+}
+
 // Events.
 var (
-	Started           = Event{100, zerolog.InfoLevel, "process started"}
-	Stopping          = Event{101, zerolog.InfoLevel, "graceful shutdown started"}
-	Stopped           = Event{102, zerolog.InfoLevel, "process stopped"}
-	InsecureControl   = Event{103, zerolog.WarnLevel, "connections between processes are not encrypted or authenticated"}
-	LogReadFailed     = Event{200, zerolog.WarnLevel, "reading the platform's log failed"}
-	LogRecovered      = Event{201, zerolog.InfoLevel, "the platform's log answers again"}
-	SnapshotRestored  = Event{202, zerolog.InfoLevel, "state restored from a snapshot"}
-	SnapshotWritten   = Event{203, zerolog.InfoLevel, "snapshot written"}
-	SchemaTooNew      = Event{204, zerolog.ErrorLevel, "a record has a newer schema than this program reads"}
-	SnapshotFailed    = Event{205, zerolog.ErrorLevel, "writing a snapshot failed"}
-	ConfigAccepted    = Event{300, zerolog.InfoLevel, "configuration change accepted"}
-	ConfigRefused     = Event{301, zerolog.WarnLevel, "configuration change refused"}
-	ZoneHeld          = Event{302, zerolog.WarnLevel, "starts in an availability zone are held"}
-	DeciderChanged    = Event{400, zerolog.InfoLevel, "decider changed"}
-	DeciderActive     = Event{401, zerolog.InfoLevel, "this entry is the decider"}
-	WitnessReleased   = Event{402, zerolog.InfoLevel, "the old witness released its epoch"}
-	DecisionVoid      = Event{403, zerolog.WarnLevel, "a recorded decision is void"}
-	Alert             = Event{404, zerolog.WarnLevel, "alert for operators"}
-	TaskStartFailed   = Event{500, zerolog.WarnLevel, "the worker refused a start"}
-	WorkerFailed      = Event{501, zerolog.WarnLevel, "the worker does not answer"}
-	ReplyIgnored      = Event{502, zerolog.WarnLevel, "a reply of a decider was ignored"}
-	SyncFailed        = Event{503, zerolog.WarnLevel, "no decider answered"}
-	EndpointDown      = Event{600, zerolog.WarnLevel, "the endpoint does not answer"}
-	EndpointUp        = Event{601, zerolog.InfoLevel, "the endpoint answers"}
-	DrainStarted      = Event{602, zerolog.InfoLevel, "graceful shutdown of the endpoint started"}
-	DrainCancelled    = Event{603, zerolog.InfoLevel, "graceful shutdown of the endpoint cancelled"}
-	Drained           = Event{604, zerolog.InfoLevel, "graceful shutdown of the endpoint finished"}
-	Superseded        = Event{605, zerolog.WarnLevel, "a higher incarnation of this process is known"}
-	AnnounceFailed    = Event{606, zerolog.WarnLevel, "an entry did not take the announcement"}
-	RequestNotWritten = Event{700, zerolog.WarnLevel, "the answer of a request could not be recorded"}
+	Started           = define(100, zerolog.InfoLevel, "process started")
+	Stopping          = define(101, zerolog.InfoLevel, "graceful shutdown started")
+	Stopped           = define(102, zerolog.InfoLevel, "process stopped")
+	InsecureControl   = define(103, zerolog.WarnLevel, "connections between processes are not encrypted or authenticated")
+	LogReadFailed     = define(200, zerolog.WarnLevel, "reading the platform's log failed")
+	LogRecovered      = define(201, zerolog.InfoLevel, "the platform's log answers again")
+	SnapshotRestored  = define(202, zerolog.InfoLevel, "state restored from a snapshot")
+	SnapshotWritten   = define(203, zerolog.InfoLevel, "snapshot written")
+	SchemaTooNew      = define(204, zerolog.ErrorLevel, "a record has a newer schema than this program reads")
+	SnapshotFailed    = define(205, zerolog.ErrorLevel, "writing a snapshot failed")
+	ConfigAccepted    = define(300, zerolog.InfoLevel, "configuration change accepted")
+	ConfigRefused     = define(301, zerolog.WarnLevel, "configuration change refused")
+	ZoneHeld          = define(302, zerolog.WarnLevel, "starts in an availability zone are held")
+	DeciderChanged    = define(400, zerolog.InfoLevel, "decider changed")
+	DeciderActive     = define(401, zerolog.InfoLevel, "this entry is the decider")
+	WitnessReleased   = define(402, zerolog.InfoLevel, "the old witness released its epoch")
+	DecisionVoid      = define(403, zerolog.WarnLevel, "a recorded decision is void")
+	Alert             = define(404, zerolog.WarnLevel, "alert for operators")
+	TaskStartFailed   = define(500, zerolog.WarnLevel, "the worker refused a start")
+	WorkerFailed      = define(501, zerolog.WarnLevel, "the worker does not answer")
+	ReplyIgnored      = define(502, zerolog.WarnLevel, "a reply of a decider was ignored")
+	SyncFailed        = define(503, zerolog.WarnLevel, "no decider answered")
+	EndpointDown      = define(600, zerolog.WarnLevel, "the endpoint does not answer")
+	EndpointUp        = define(601, zerolog.InfoLevel, "the endpoint answers")
+	DrainStarted      = define(602, zerolog.InfoLevel, "graceful shutdown of the endpoint started")
+	DrainCancelled    = define(603, zerolog.InfoLevel, "graceful shutdown of the endpoint cancelled")
+	Drained           = define(604, zerolog.InfoLevel, "graceful shutdown of the endpoint finished")
+	Superseded        = define(605, zerolog.WarnLevel, "a higher incarnation of this process is known")
+	AnnounceFailed    = define(606, zerolog.WarnLevel, "an entry did not take the announcement")
+	RequestNotWritten = define(700, zerolog.WarnLevel, "the answer of a request could not be recorded")
+	RequestEnded      = define(701, zerolog.DebugLevel, "a caller's request ended")
+	RequestServed     = define(702, zerolog.DebugLevel, "the endpoint served a request")
+	KeysReloaded      = define(104, zerolog.InfoLevel, "certificate, key and authorities reloaded")
+	KeysUnreadable    = define(105, zerolog.ErrorLevel, "certificate, key or authorities cannot be read; the old ones stay in use")
 )
 
 // Logger writes numbered events.
@@ -68,13 +84,15 @@
 // Nop returns a logger that writes nothing.
 func Nop() Logger { return Logger{zerolog.Nop()} }
 
-// Log starts a line for the event. Call Msg or Send on the result through End.
+// Enabled reports whether the event would be written.
+func (l Logger) Enabled(e Event) bool { return l.z.GetLevel() <= e.Level }
+
+// Log writes one line with the event's number, its text and the fields, if the logger's level includes the event.
 func (l Logger) Log(e Event, fields ...Field) {
-	line := l.z.WithLevel(e.Level)
-	if l.z.GetLevel() > e.Level {
+	if !l.Enabled(e) {
 		return
 	}
-	line = line.Int("event", e.Number)
+	line := l.z.WithLevel(e.Level).Int("event", e.Number)
 	for _, f := range fields {
 		line = f(line)
 	}
--- a/side/announce.go
+++ b/side/announce.go
@@ -68,6 +68,7 @@
 		s.log.Log(logevent.AnnounceFailed, logevent.Str("entry", address), logevent.Err(err))
 		return
 	}
+	s.metrics.announced.Store(time.Now().UnixMilli())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if resp.SupersededBy >= s.incarnation && resp.SupersededBy > 0 {
--- a/side/data.go
+++ b/side/data.go
@@ -27,7 +27,8 @@
 
 func (s *Side) routeData() {
 	s.data.GET("/-/ping", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
-	s.data.NoRoute(s.serve)
+	s.routeOwn()
+	s.data.NoRoute(s.measured)
 }
 
 // serve passes a request to the endpoint once it has a slot, and returns the whole answer or none.
--- a/side/side.go
+++ b/side/side.go
@@ -18,6 +18,7 @@
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/telemetry"
 )
 
 // stopGrace bounds how long the listener waits for requests in progress once the endpoint is drained.
@@ -52,6 +53,7 @@
 	cutAt time.Time
 
 	announceNow chan struct{}
+	metrics     *metrics
 }
 
 // New binds the listener of a side process. worker may be nil if the instance has none.
@@ -64,6 +66,10 @@
 		announceNow: make(chan struct{}, 1),
 		rpc:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
 	}
+	if err := s.newMetrics(); err != nil {
+		return nil, err
+	}
+	s.rpc.Transport = &telemetry.Transport{Base: s.rpc.Transport, Bytes: s.metrics.bytes}
 	var err error
 	if s.endpoint, err = httpserver.NewClient(time.Second, set.Slots+1); err != nil {
 		return nil, err
--- a/side/sync.go
+++ b/side/sync.go
@@ -101,6 +101,8 @@
 		return nil, false
 	}
 	y.decider = address
+	y.s.metrics.synced.Store(time.Now().UnixMilli())
+	y.s.metrics.held.Store(int64(len(p.Status.Tasks)))
 	return resp, true
 }
 
