Encrypt and authenticate connections between processes and towards operators

Cause: everybody who reached a control, data or operator listener could act as a process or an operator.

Change: package tlsconf sets up mutual TLS from [tls] cert, key and ca. Certificates name roles (entry, side, operator) rather than addresses, and the common name of an operator's certificate goes into the audit trail. Changed files are read for new connections; unusable ones leave the old keys in use and are told (events 104 and 105). Event 103 is logged only where TLS is off. Handshakes are part of dialling, so their failure proves that nothing was sent.

--- a/entry/authority.go
+++ b/entry/authority.go
@@ -68,6 +68,3 @@
 	}
 	return e.ControlAddress()
 }
-
-// controlURL returns the base URL of a control listener.
-func (e *Entry) controlURL(address string) string { return "http://" + address }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/verbenakeel/verbenakeel/scheduler"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/telemetry"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
 
 // Times of the runner.
@@ -69,6 +70,8 @@
 	peers    *peerTable
 	limits   limitTable
 	metrics  *metrics
+	// keys are for encrypted connections between processes and towards operators; nil without TLS.
+	keys *tlsconf.Keys
 	// seen holds the streams that were read to their end since the start.
 	seen map[core.Stream]bool
 
@@ -93,10 +96,13 @@
 		return nil, err
 	}
 	e.platform = e.metrics.log
+	if err := e.loadKeys(); err != nil {
+		return nil, err
+	}
 	e.rpc.Transport = &telemetry.Transport{Base: e.rpc.Transport, Bytes: e.metrics.bytes}
 	e.newWriters()
 	var err error
-	if e.forward, err = httpserver.NewClient(dialTimeout, connsPerEndpoint); err != nil {
+	if e.forward, err = httpserver.NewTLSClient(e.keys, dialTimeout, connsPerEndpoint, tlsconf.Side); err != nil {
 		return nil, err
 	}
 	if err := e.listen(); err != nil {
@@ -126,10 +132,10 @@
 	if e.public, err = httpserver.Listen(e.set.Public); err != nil {
 		return err
 	}
-	if e.operator, err = httpserver.Listen(e.set.Operator); err != nil {
+	if e.operator, err = httpserver.Listen(e.set.Operator, httpserver.WithTLS(e.keys, tlsconf.Operator)...); err != nil {
 		return err
 	}
-	if e.control, err = httpserver.Listen(e.set.Control); err != nil {
+	if e.control, err = httpserver.Listen(e.set.Control, httpserver.WithTLS(e.keys, tlsconf.Entry, tlsconf.Side)...); err != nil {
 		return err
 	}
 	e.routePublic()
@@ -169,7 +175,9 @@
 	for _, s := range []*httpserver.Server{e.public, e.operator, e.control} {
 		go func() { served <- s.Serve(serve, drainGrace) }()
 	}
-	e.log.Log(logevent.InsecureControl)
+	if e.keys == nil {
+		e.log.Log(logevent.InsecureControl)
+	}
 	e.log.Log(logevent.Started, logevent.Str("public", e.PublicAddress()), logevent.Str("operator", e.OperatorAddress()),
 		logevent.Str("control", e.ControlAddress()))
 	var err error
--- /dev/null
+++ b/entry/keys.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
+)
+
+// loadKeys reads the keys of the settings and has clients use them.
+func (e *Entry) loadKeys() error {
+	if !e.set.TLS.On() {
+		return nil
+	}
+	keys, err := tlsconf.Load(e.set.TLS, func(err error) {
+		if err != nil {
+			e.log.Log(logevent.KeysUnreadable, logevent.Err(err))
+			return
+		}
+		e.log.Log(logevent.KeysReloaded)
+	})
+	if err != nil {
+		return fmt.Errorf("entry %s: %w", e.set.ID, err)
+	}
+	e.keys = keys
+	e.rpc.Transport = &http.Transport{
+		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, TLSClientConfig: keys.Client(tlsconf.Entry),
+	}
+	return nil
+}
+
+// controlURL returns the base URL of a control listener.
+func (e *Entry) controlURL(address string) string {
+	if e.keys != nil {
+		return "https://" + address
+	}
+	return "http://" + address
+}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -69,7 +69,11 @@
 	}
 }
 
+// operatorName names who acts. A certificate counts more than what the request says.
 func operatorName(c *app.RequestContext) string {
+	if name := httpserver.PeerName(c); name != "" {
+		return name
+	}
 	if name := string(c.GetHeader("X-Operator")); name != "" {
 		return name
 	}
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
@@ -74,8 +75,12 @@
 
 // NewClient returns a hertz client that never retries by itself.
 func NewClient(dialTimeout time.Duration, conns int) (*client.Client, error) {
+	return newClient(standard.NewDialer(), dialTimeout, conns)
+}
+
+func newClient(dialer network.Dialer, dialTimeout time.Duration, conns int) (*client.Client, error) {
 	c, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()), client.WithDialTimeout(dialTimeout), client.WithMaxConnsPerHost(conns),
+		client.WithDialer(dialer), client.WithDialTimeout(dialTimeout), client.WithMaxConnsPerHost(conns),
 		client.WithMaxIdleConnDuration(30*time.Second), client.WithNoDefaultUserAgentHeader(true),
 	)
 	if err != nil {
--- a/operator/run.go
+++ b/operator/run.go
@@ -17,6 +17,7 @@
 	"github.com/mattn/go-isatty"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
 
 // Exit codes. They are stable.
@@ -86,8 +87,15 @@
 	if len(entries) == 0 {
 		entries = []string{os.Getenv("VERBENAKEEL_ENTRIES")}
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 2}
-	c.client = &Client{Entries: baseURLs(entries, "http"), Token: c.args.Token, Operator: c.operator(), HTTP: &http.Client{Transport: transport}}
+	transport, scheme := &http.Transport{MaxIdleConnsPerHost: 2}, "http"
+	if files := (tlsconf.Files{Cert: c.args.Cert, Key: c.args.Key, CA: c.args.CA}); files.On() {
+		keys, err := tlsconf.Load(files, nil)
+		if err != nil {
+			return fmt.Errorf("read --cert, --key and --ca: %w", err)
+		}
+		transport.TLSClientConfig, scheme = keys.Client(tlsconf.Entry), "https"
+	}
+	c.client = &Client{Entries: baseURLs(entries, scheme), Token: c.args.Token, Operator: c.operator(), HTTP: &http.Client{Transport: transport}}
 	if len(c.client.Entries) == 0 {
 		return errdefs.New(errdefs.Invalid, "no entry is named", "pass --entry IP:PORT or set VERBENAKEEL_ENTRIES")
 	}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/verbenakeel/verbenakeel/core/authority"
 	"github.com/verbenakeel/verbenakeel/core/decider"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
 
 // Entry holds the settings of an entry instance.
@@ -31,6 +32,8 @@
 	OperatorTokenSHA256 string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
+	// TLS names the key files for the operator and control listeners and for clients; empty for plain connections.
+	TLS tlsconf.Files
 	// Heartbeat is the wanted interval of announcements.
 	Heartbeat time.Duration
 	// Decider and Authority hold the times of the decider.
@@ -63,6 +66,9 @@
 		{"platform", "log", true, baseURL(&e.LogURL), "write the log's base URL, for example http://10.0.0.2:7000"},
 		{"peers", "entries", false, addressList(&e.Peers), "list control addresses of other entries, separated by commas"},
 		{"operators", "token_sha256", false, hexSum(&e.OperatorTokenSHA256), "give the 64 hex digits of the token's SHA-256"},
+		{"tls", "cert", false, text(&e.TLS.Cert), certRemedy},
+		{"tls", "key", false, text(&e.TLS.Key), keyRemedy},
+		{"tls", "ca", false, text(&e.TLS.CA), caRemedy},
 		{"times", "heartbeat", false, duration(&e.Heartbeat, 50*time.Millisecond, time.Minute), dur},
 		{"times", "task_lease", false, duration(&e.Decider.TaskLease, time.Second, time.Hour), dur},
 		{"times", "service_lease", false, duration(&e.Decider.ServiceLease, time.Second, 24*time.Hour), dur},
@@ -94,6 +100,7 @@
 		problems = append(problems, Problem{lines["times.task_lease"], "times.task_lease",
 			"must be at least three times poll_every", "raise task_lease or lower poll_every; a single lost poll could otherwise end tasks"})
 	}
+	problems = append(problems, checkTLS(e.TLS, lines)...)
 	if e.Advertise == "" {
 		e.Advertise = e.Control
 	}
--- a/settings/side.go
+++ b/settings/side.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/tlsconf"
+)
 
 // Side holds the settings of a side process.
 type Side struct {
@@ -30,6 +34,8 @@
 	WorkerURL string
 	// Heartbeat is the interval of announcements until an entry says otherwise.
 	Heartbeat time.Duration
+	// TLS names the key files for the data listener and for clients; empty for plain connections.
+	TLS tlsconf.Files
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -56,6 +62,9 @@
 		{"endpoint", "connections", false, number(&s.Connections, 1, 100_000), "write the number of connections"},
 		{"endpoint", "queue", false, number(&s.Queue, 0, 10_000), "write the number of requests that may wait"},
 		{"worker", "url", false, baseURL(&s.WorkerURL), "write the worker's base URL"},
+		{"tls", "cert", false, text(&s.TLS.Cert), certRemedy},
+		{"tls", "key", false, text(&s.TLS.Key), keyRemedy},
+		{"tls", "ca", false, text(&s.TLS.CA), caRemedy},
 		{"times", "heartbeat", false, duration(&s.Heartbeat, 50*time.Millisecond, time.Minute), "write a duration, for example 1s"},
 	}
 }
@@ -64,6 +73,7 @@
 func CheckSide(data []byte) (Side, []Problem) {
 	s := DefaultSide()
 	problems := check(data, s.keys())
+	problems = append(problems, checkTLS(s.TLS, lineNumbers(data))...)
 	if (s.Service == "") != (s.EndpointURL == "") {
 		problems = append(problems, Problem{Key: "endpoint", Message: "service and url belong together",
 			Remedy: "set both keys or neither"})
--- a/side/announce.go
+++ b/side/announce.go
@@ -63,7 +63,7 @@
 func (s *Side) announceTo(ctx context.Context, address string, req *control.AnnounceRequest) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	resp, err := control.NewEntryProtobufClient("http://"+address, s.rpc).Announce(ctx, req)
+	resp, err := control.NewEntryProtobufClient(s.controlURL(address), s.rpc).Announce(ctx, req)
 	if err != nil {
 		s.log.Log(logevent.AnnounceFailed, logevent.Str("entry", address), logevent.Err(err))
 		return
--- a/side/side.go
+++ b/side/side.go
@@ -19,6 +19,7 @@
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/telemetry"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
 
 // stopGrace bounds how long the listener waits for requests in progress once the endpoint is drained.
@@ -54,6 +55,8 @@
 
 	announceNow chan struct{}
 	metrics     *metrics
+	// keys are for encrypted connections with entries; nil without TLS.
+	keys *tlsconf.Keys
 }
 
 // New binds the listener of a side process. worker may be nil if the instance has none.
@@ -69,12 +72,15 @@
 	if err := s.newMetrics(); err != nil {
 		return nil, err
 	}
+	if err := s.loadKeys(); err != nil {
+		return nil, err
+	}
 	s.rpc.Transport = &telemetry.Transport{Base: s.rpc.Transport, Bytes: s.metrics.bytes}
 	var err error
 	if s.endpoint, err = httpserver.NewClient(time.Second, set.Slots+1); err != nil {
 		return nil, err
 	}
-	if s.data, err = httpserver.Listen(set.Data); err != nil {
+	if s.data, err = httpserver.Listen(set.Data, httpserver.WithTLS(s.keys, tlsconf.Entry, tlsconf.Operator)...); err != nil {
 		return nil, fmt.Errorf("side process %s: %w", set.ID, err)
 	}
 	s.routeData()
@@ -104,7 +110,9 @@
 	if s.worker != nil {
 		run(s.syncLoop)
 	}
-	s.log.Log(logevent.InsecureControl)
+	if s.keys == nil {
+		s.log.Log(logevent.InsecureControl)
+	}
 	s.log.Log(logevent.Started, logevent.Str("data", s.DataAddress()), logevent.Str("service", s.set.Service))
 	var err error
 	select {
--- a/side/sync.go
+++ b/side/sync.go
@@ -90,7 +90,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, y.wait+pollMargin)
 	defer cancel()
-	resp, err := control.NewEntryProtobufClient("http://"+address, y.s.rpc).Sync(ctx, y.request(p))
+	resp, err := control.NewEntryProtobufClient(y.s.controlURL(address), y.s.rpc).Sync(ctx, y.request(p))
 	if err != nil {
 		y.decider = ""
 		y.s.log.Log(logevent.SyncFailed, logevent.Str("entry", address), logevent.Err(err))
--- a/testkit/deploy/deploy.go
+++ b/testkit/deploy/deploy.go
@@ -229,7 +229,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	return poll(ctx, "health of "+e.Name, func() bool {
-		status, _, err := get(ctx, e.URL("operator")+"/-/health")
+		status, _, err := get(ctx, e.URL("public")+"/-/health")
 		return err == nil && status == 200
 	})
 }
--- /dev/null
+++ b/testkit/testca/testca.go
@@ -0,0 +1,89 @@
+// Package testca issues short-lived certificates for tests. Keys are made in memory and written to the test's directory.
+package testca
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/tlsconf"
+)
+
+// CA is a certificate authority of a test.
+type CA struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	// PEM is the authority's certificate.
+	PEM []byte
+}
+
+// New returns an authority.
+func New(name string) (*CA, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("make key: %w", err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(24 * time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("make authority: %w", err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("parse authority: %w", err)
+	}
+	return &CA{cert, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}, nil
+}
+
+// Issue writes a certificate of the role and its key to dir, with the authorities that its holder accepts, and returns
+// the files. until is when the certificate ends.
+func (ca *CA) Issue(dir, name string, role tlsconf.Role, until time.Time, accepts ...*CA) (tlsconf.Files, error) {
+	files := tlsconf.Files{
+		Cert: filepath.Join(dir, name+".crt"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, name+".ca"),
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return files, fmt.Errorf("make key: %w", err)
+	}
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		return files, fmt.Errorf("make serial number: %w", err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: name, OrganizationalUnit: []string{string(role)}},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: until, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, ca.cert, &key.PublicKey, ca.key)
+	if err != nil {
+		return files, fmt.Errorf("make certificate: %w", err)
+	}
+	secret, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return files, fmt.Errorf("encode key: %w", err)
+	}
+	var pool []byte
+	for _, a := range accepts {
+		pool = append(pool, a.PEM...)
+	}
+	for path, data := range map[string][]byte{
+		files.Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		files.Key:  pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: secret}), files.CA: pool,
+	} {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return files, fmt.Errorf("write %s: %w", path, err)
+		}
+	}
+	return files, nil
+}
