--- a/core/tasks/ends.go
+++ b/core/tasks/ends.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/record"
 )
@@ -88,6 +90,7 @@
 }
 
 func (f *folder) close(job *Job) {
+	delete(f.services, job.Spec.ID)
 	f.Ended = append(f.Ended, job.Spec.ID)
 	f.emit(JobEnded{job})
 }
@@ -101,6 +104,17 @@
 			delete(s.Tasks, task)
 		}
 		delete(s.Jobs, id)
+		s.expire(id)
+	}
+}
+
+func (s *State) expire(id string) {
+	h := xxhash.Sum64String(id)
+	s.expired[h] = struct{}{}
+	s.Expired = append(s.Expired, h)
+	if len(s.Expired) > maxExpired {
+		delete(s.expired, s.Expired[0])
+		s.Expired = s.Expired[1:]
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,10 +12,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/clock"
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/core/route"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
@@ -34,12 +35,9 @@
 	submitWindow = 20 * time.Millisecond
 	// claimWindow is how long claims are grouped; callers wait for it.
 	claimWindow = 3 * time.Millisecond
-	// drainGrace bounds how long listeners wait for requests in progress when the process stops.
-	drainGrace = 30 * time.Second
-	// dialTimeout bounds new connections to side processes.
-	dialTimeout = 500 * time.Millisecond
-	// connsPerEndpoint bounds connections of this entry to one side process.
-	connsPerEndpoint = 64
+	// controlGrace bounds how long the listeners for operators and processes wait for requests in progress when the
+	// process stops. Requests of callers are waited for without limit.
+	controlGrace = 2 * time.Second
 )
 
 // Entry is a running entry instance.
@@ -65,19 +63,29 @@
 	public   *httpserver.Server
 	operator *httpserver.Server
 	control  *httpserver.Server
-	forward  *client.Client
 	rpc      *http.Client
 	peers    *peerTable
-	limits   limitTable
 	metrics  *metrics
 	// keys are for encrypted connections between processes and towards operators; nil without TLS.
-	keys *tlsconf.Keys
+	keys  *tlsconf.Keys
+	links links
+	// unrecorded holds answers of claimed requests until they are read back from the log.
+	unrecorded answerTable
+	// pace sizes the heartbeat interval.
+	pace pacer
 	// seen holds the streams that were read to their end since the start.
 	seen map[core.Stream]bool
 
 	draining atomic.Bool
+	// claiming is true while a claim of the region is being appended.
+	claiming atomic.Bool
 	nonce    atomic.Uint64
+	tries    atomic.Uint64
+	inFlight atomic.Int64
 	ready    atomic.Bool
+
+	// ignoreClaim and ignoreEcho switch off rules, for the tests that show that they are needed.
+	ignoreClaim, ignoreEcho bool
 }
 
 // New binds the listeners of an entry. Nothing is served before Run.
@@ -89,7 +97,7 @@
 		rpc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
 	}
 	e.state = core.New(core.Options{
-		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat,
+		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat, Routing: route.Policy(set.Routing),
 		Authority: set.Authority, Decider: set.Decider, Scheduler: scheduler.DefaultConfig(),
 	})
 	if err := e.newMetrics(log); err != nil {
@@ -101,10 +109,6 @@
 	}
 	e.rpc.Transport = &telemetry.Transport{Base: e.rpc.Transport, Bytes: e.metrics.bytes}
 	e.newWriters()
-	var err error
-	if e.forward, err = httpserver.NewTLSClient(e.keys, dialTimeout, connsPerEndpoint, tlsconf.Side); err != nil {
-		return nil, err
-	}
 	if err := e.listen(); err != nil {
 		return nil, fmt.Errorf("entry %s: %w", set.ID, err)
 	}
@@ -169,11 +173,15 @@
 	e.follow(run, failed)
 	run(e.tick)
 	run(e.exchange)
+	run(e.watchLinks)
+	callers, stopCallers := context.WithCancel(context.Background())
+	defer stopCallers()
 	serve, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	served := make(chan error, 3)
-	for _, s := range []*httpserver.Server{e.public, e.operator, e.control} {
-		go func() { served <- s.Serve(serve, drainGrace) }()
+	publicServed, served := make(chan error, 1), make(chan error, 2)
+	go func() { publicServed <- e.public.Serve(callers, 0) }()
+	for _, s := range []*httpserver.Server{e.operator, e.control} {
+		go func() { served <- s.Serve(serve, controlGrace) }()
 	}
 	if e.keys == nil {
 		e.log.Log(logevent.InsecureControl)
@@ -186,8 +194,11 @@
 		e.drain()
 	case err = <-failed:
 	}
+	// Requests of callers may need the other listeners and the log until they end.
+	stopCallers()
+	<-publicServed
 	stopServing()
-	for range 3 {
+	for range 2 {
 		<-served
 	}
 	stop()
@@ -202,6 +213,8 @@
 func (e *Entry) drain() {
 	e.draining.Store(true)
 	e.log.Log(logevent.Stopping)
+	e.notify(true)
+	e.resign()
 	time.Sleep(drainNotice)
 }
 
@@ -275,6 +288,9 @@
 			e.countRegion(eff.Effect)
 		case core.ConfigDecided:
 			e.logConfig(eff.Outcome)
+			if sh := eff.Outcome.Change.Shutdown; sh != nil && eff.Outcome.Status == config.Accepted {
+				go e.nudge(sh.Endpoint)
+			}
 		}
 	}
 }
@@ -285,7 +301,8 @@
 	for {
 		select {
 		case <-t.C:
-			e.step(core.Ticked{Rank: e.peers.rank(e.set.ID)})
+			e.step(core.Ticked{Rank: e.peers.rank(e.set.ID), Candidate: e.witnessCandidate()})
+			e.pruneUnrecorded()
 			e.notify(e.isDecider())
 		case <-ctx.Done():
 			return
@@ -306,5 +323,5 @@
 	if err == nil {
 		_ = e.waitFor(ctx, func(s *core.State) bool { return s.Region.Next > offset })
 	}
-	e.step(core.BatchSettled{})
+	e.step(core.BatchSettled{Dropped: errors.Is(err, platform.ErrNotAppended)})
 }
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -371,9 +371,10 @@
 
 // useHere adds what the customer uses of its request limits at this entry.
 func (e *Entry) useHere(x *Explanation, customer string) {
-	inFlight, available := e.limits.use(customer)
-	x.fact("requests in progress at entry "+e.set.ID, "%d", inFlight)
-	if available >= 0 {
-		x.fact("requests allowed at once now at entry "+e.set.ID, "%.0f", available)
-	}
+	e.read(func(s *core.State) {
+		if u, ok := s.Route.LimitUse(e.now(), customer); ok {
+			x.fact("requests in progress at entry "+e.set.ID, "%d", u.InFlight)
+			x.fact("requests allowed at once now at entry "+e.set.ID, "%.0f of %.0f", u.Available, u.Burst)
+		}
+	})
 }
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return fmt.Errorf("entry %s: %w", e.set.ID, err)
 	}
-	e.keys = keys
+	e.keys, e.links.keys = keys, keys
 	e.rpc.Transport = &http.Transport{
 		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, TLSClientConfig: keys.Client(tlsconf.Entry),
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/core/route"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
@@ -53,7 +54,7 @@
 	m.log = telemetry.NewLog(log, appends)
 	e.metrics = m
 	return r.Gauges([]*telemetry.Desc{
-		telemetry.RetryTokens, telemetry.Endpoints, telemetry.OpenJobs, telemetry.Tasks, telemetry.Workers, telemetry.Committed,
+		telemetry.RetryTokens, telemetry.HedgeTokens, telemetry.Endpoints, telemetry.OpenJobs, telemetry.Tasks, telemetry.Workers, telemetry.Committed,
 		telemetry.Capacity, telemetry.LimitUsed, telemetry.LimitAllowed, telemetry.DeciderEpoch, telemetry.DeciderActing,
 		telemetry.EvidenceAge, telemetry.LogReadAge, telemetry.Revision, telemetry.LiveEntries, telemetry.ProcessesInfo,
 	}, e.observe)
@@ -62,11 +63,11 @@
 // observe sets all gauges.
 func (e *Entry) observe(set telemetry.Set) {
 	set(telemetry.ProcessesInfo, 1, e.set.ID, e.set.Zone, strconv.FormatUint(e.incarnation, 10))
-	set(telemetry.LiveEntries, float64(len(e.peers.live())+1))
+	entries := float64(len(e.peers.live()) + 1)
+	set(telemetry.LiveEntries, entries)
 	for stream, age := range e.metrics.log.Ages() {
 		set(telemetry.LogReadAge, age.Seconds(), stream)
 	}
-	var contracts []record.Contract
 	e.read(func(s *core.State) {
 		now := e.now()
 		epoch, _ := s.Authority.Epoch()
@@ -77,16 +78,16 @@
 		}
 		set(telemetry.Revision, float64(s.Config.Revision))
 		set(telemetry.RetryTokens, s.Route.RetryTokens())
+		set(telemetry.HedgeTokens, s.Route.HedgeTokens())
 		observeEndpoints(s, set)
 		observeWorkers(s, set)
 		observeWork(s, set)
 		for _, name := range s.Config.Customers() {
-			contracts = append(contracts, s.Config.Contracts[name].Contract)
+			if u, ok := s.Route.LimitUse(now, name); ok {
+				observeRequestLimits(s.Config.Contracts[name].Contract, u, entries, set)
+			}
 		}
 	})
-	for _, c := range contracts {
-		e.observeRequestLimits(c, set)
-	}
 }
 
 func boolValue(b bool) float64 {
@@ -186,18 +187,12 @@
 	}
 }
 
-// observeRequestLimits shows the request limits of a customer that sent requests to this entry.
-func (e *Entry) observeRequestLimits(c record.Contract, set telemetry.Set) {
-	inFlight, available := e.limits.use(c.Customer)
-	if available < 0 {
-		return
-	}
-	share := float64(len(e.peers.live()) + 1)
-	concurrency, burst := max(1, float64(int(float64(c.Concurrency)/share))), max(1, float64(int(float64(c.RequestBurst)/share)))
-	set(telemetry.LimitUsed, float64(inFlight), c.Customer, "concurrency")
-	set(telemetry.LimitAllowed, concurrency, c.Customer, "concurrency")
-	set(telemetry.LimitUsed, max(0, burst-available), c.Customer, "request_burst")
-	set(telemetry.LimitAllowed, burst, c.Customer, "request_burst")
+// observeRequestLimits shows the request limits of a customer that sent requests to this entry lately.
+func observeRequestLimits(c record.Contract, u route.LimitUse, entries float64, set telemetry.Set) {
+	set(telemetry.LimitUsed, float64(u.InFlight), c.Customer, "concurrency")
+	set(telemetry.LimitAllowed, max(1, float64(c.Concurrency)/entries), c.Customer, "concurrency")
+	set(telemetry.LimitUsed, max(0, u.Burst-u.Available), c.Customer, "request_burst")
+	set(telemetry.LimitAllowed, u.Burst, c.Customer, "request_burst")
 }
 
 // countRegion counts what a record changed in the region, at the decider only, so that sums over entries are right.
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -11,15 +10,11 @@
 	"github.com/google/uuid"
 
 	"github.com/verbenakeel/verbenakeel/core"
-	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/telemetry"
 )
 
-// maxRequestID bounds the caller's request id in bytes, because it goes into logs and headers of every process.
-const maxRequestID = 128
-
 // outcomeKey is the key of a request's context under which a refusal or an unknown outcome is noted for metrics.
 const outcomeKey = "outcome"
 
@@ -28,11 +23,7 @@
 	return func(ctx context.Context, c *app.RequestContext) {
 		start := time.Now()
 		id := string(c.GetHeader(headerRequestID))
-		if len(id) > maxRequestID {
-			e.refuse(c, errdefs.Field(headerRequestID, fmt.Sprintf("is longer than %d bytes", maxRequestID), "send a shorter id, or none"), true)
-			return
-		}
-		if id == "" {
+		if id == "" || len(id) > maxRequestID {
 			id = uuid.NewString()
 			c.Request.Header.Set(headerRequestID, id)
 		}
--- a/httpserver/tls.go
+++ b/httpserver/tls.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -24,13 +23,13 @@
 	return []hconfig.Option{server.WithTLS(keys.Server(roles...))}
 }
 
-// NewTLSClient returns a client like NewClient whose connections are all encrypted, also those to http URLs. Without
-// keys it returns a plain client.
-func NewTLSClient(keys *tlsconf.Keys, dialTimeout time.Duration, conns int, roles ...tlsconf.Role) (*client.Client, error) {
+// NewTLSPool returns a pool like NewPool whose connections are all encrypted, also those to http URLs. Without keys it
+// returns a plain pool.
+func NewTLSPool(keys *tlsconf.Keys, dialTimeout time.Duration, conns int, keepAlive bool, roles ...tlsconf.Role) (*Pool, error) {
 	if keys == nil {
-		return NewClient(dialTimeout, conns)
+		return NewPool(dialTimeout, conns, keepAlive)
 	}
-	return newClient(&tlsDialer{standard.NewDialer(), keys.Client(roles...)}, dialTimeout, conns)
+	return newPool(&tlsDialer{standard.NewDialer(), keys.Client(roles...)}, dialTimeout, conns, keepAlive)
 }
 
 // tlsDialer sets up encrypted connections. The handshake is part of dialling, so that its failure shows that no byte of
--- a/scheduler/customer.go
+++ b/scheduler/customer.go
@@ -14,10 +14,16 @@
 	used record.Resources
 	// running counts batch and standing tasks that run or are proposed.
 	running int
+	// urgent counts its urgent tasks that run or are proposed.
+	urgent int
+	// startedMs is when a task of it was last started.
+	startedMs int64
+	// jobs counts its jobs that are not over.
+	jobs int
 	// queuedJobs counts admitted batch and standing jobs with queued tasks.
 	queuedJobs int
 	// fresh holds jobs not tried in this round, parked those that found no room.
-	fresh, parked jobHeap
+	fresh, parked *jobHeap
 	// roundGen is the state's freeGen when the round began.
 	roundGen uint64
 	// active is true while the customer is in State.active.
@@ -27,7 +33,7 @@
 func (s *State) customerOf(name string) *customer {
 	c := s.customers[name]
 	if c == nil {
-		c = &customer{name: name}
+		c = &customer{name: name, fresh: &jobHeap{}, parked: &jobHeap{}}
 		s.customers[name] = c
 	}
 	return c
@@ -52,29 +58,46 @@
 	}
 }
 
-// withinGuarantee reports whether the customer still has all it uses, plus size, within its guaranteed share.
+// withinGuarantee reports whether the customer stays within its guaranteed share with a task of that size. Only what
+// the task asks for counts: a customer that borrows accelerators does not lose its processors for it.
 func (c *customer) withinGuarantee(size record.Resources) bool {
-	return c.contract != nil && c.used.Add(size).Fits(c.contract.Guaranteed)
+	if c.contract == nil {
+		return false
+	}
+	within := func(asked, used, guaranteed int64) bool { return asked == 0 || used+asked <= guaranteed }
+	g := c.contract.Guaranteed
+	return within(size.CPUMilli, c.used.CPUMilli, g.CPUMilli) && within(size.MemoryMB, c.used.MemoryMB, g.MemoryMB) &&
+		within(size.Accelerators, c.used.Accelerators, g.Accelerators)
 }
 
-// dominantShare is the customer's largest use in any dimension relative to its guaranteed share, in thousandths.
-// Weighting dominant resource fairness by the guarantee makes lent room go to customers in proportion to what they pay for.
-func (c *customer) dominantShare(fleet record.Resources) int64 {
-	var g record.Resources
-	if c.contract != nil {
-		g = c.contract.Guaranteed
-	}
-	share := func(used, guaranteed, total int64) int64 {
-		if used <= 0 {
+// dominantShare is the customer's largest share of the fleet, in millionths, of the resources that its next task asks
+// for, weighted by priority. Room beyond guarantees is lent in the order of this share (dominant resource fairness).
+// Accelerators do not count for a task without: a customer that holds all few accelerators would get nothing else.
+func (c *customer) dominantShare(size, fleet record.Resources) int64 {
+	share := func(asked, used, total int64) int64 {
+		if asked == 0 {
 			return 0
 		}
-		// A customer without a guarantee weighs as if it had a thousandth of the fleet.
-		base := max(guaranteed, total/1000, 1)
-		return used * 1000 / base
+		return used * 1_000_000 / max(total, 1)
+	}
+	return c.weight() * max(share(size.CPUMilli, c.used.CPUMilli, fleet.CPUMilli),
+		share(size.MemoryMB, c.used.MemoryMB, fleet.MemoryMB),
+		share(size.Accelerators, c.used.Accelerators, fleet.Accelerators))
+}
+
+// weight makes a lower priority class count its use more.
+func (c *customer) weight() int64 {
+	if c.contract == nil {
+		return 4
+	}
+	switch c.contract.Priority {
+	case record.Critical:
+		return 1
+	case record.BestEffort:
+		return 4
+	default:
+		return 2
 	}
-	return max(share(c.used.CPUMilli, g.CPUMilli, fleet.CPUMilli),
-		share(c.used.MemoryMB, g.MemoryMB, fleet.MemoryMB),
-		share(c.used.Accelerators, g.Accelerators, fleet.Accelerators))
 }
 
 // overQuota returns why the customer's contract lets no further task of j start; empty if it does.
@@ -109,7 +132,7 @@
 			continue
 		}
 		c.active = false
-		c.fresh, c.parked = jobHeap{}, jobHeap{}
+		c.fresh.jobs, c.parked.jobs, c.fresh.dead, c.parked.dead = nil, nil, 0, 0
 	}
 	for i := len(kept); i < len(s.active); i++ {
 		s.active[i] = nil
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -10,14 +10,14 @@
 		return ""
 	case j.refusal != "":
 		return "refused: " + j.refusal
-	case j.pending && j.reason == "":
+	case j.pending && j.why.text == "":
 		return "not checked for admission yet"
 	case j.waitingTasks == 0:
-		return ""
-	case j.reason == "":
+		return j.delayReason()
+	case j.why.text == "":
 		return fmt.Sprintf("%d tasks wait for their turn", j.waitingTasks)
 	}
-	return j.reason
+	return j.why.String()
 }
 
 // ExplainPlacement returns the causes of the newest decisions on a task, oldest first.
@@ -29,8 +29,15 @@
 	return append([]string(nil), t.causes...)
 }
 
-// ExportLearned returns what was learned, for a snapshot.
-func (s *State) ExportLearned() ([]byte, error) { return nil, nil }
-
-// ImportLearned restores what ExportLearned returned.
-func (s *State) ImportLearned(_ []byte) error { return nil }
+// delayReason returns why tasks of the job wait that are not in its queue.
+func (j *job) delayReason() string {
+	for _, t := range j.tasks {
+		switch t.phase {
+		case phaseDelayed:
+			return fmt.Sprintf("%s keeps ending and waits to be restarted", t.id)
+		case phaseProposed:
+			return fmt.Sprintf("%s is being started on %s", t.id, t.worker.id)
+		}
+	}
+	return ""
+}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -36,6 +36,8 @@
 	TLS tlsconf.Files
 	// Heartbeat is the wanted interval of announcements.
 	Heartbeat time.Duration
+	// Routing is least_loaded; random and round_robin are baselines for measurements.
+	Routing string
 	// Decider and Authority hold the times of the decider.
 	Decider   decider.Config
 	Authority authority.Config
@@ -47,7 +49,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		Public: "127.0.0.1:0", Operator: "127.0.0.1:0", Control: "127.0.0.1:0", LogLevel: "info",
-		Heartbeat: time.Second, Decider: decider.DefaultConfig(), Authority: authority.DefaultConfig(), SnapshotEvery: 5000,
+		Heartbeat: time.Second, Routing: "least_loaded", Decider: decider.DefaultConfig(), Authority: authority.DefaultConfig(), SnapshotEvery: 5000,
 	}
 }
 
@@ -69,6 +71,7 @@
 		{"tls", "cert", false, text(&e.TLS.Cert), certRemedy},
 		{"tls", "key", false, text(&e.TLS.Key), keyRemedy},
 		{"tls", "ca", false, text(&e.TLS.CA), caRemedy},
+		{"routing", "policy", false, oneOf(&e.Routing, "least_loaded", "random", "round_robin"), "use least_loaded, random or round_robin"},
 		{"times", "heartbeat", false, duration(&e.Heartbeat, 50*time.Millisecond, time.Minute), dur},
 		{"times", "task_lease", false, duration(&e.Decider.TaskLease, time.Second, time.Hour), dur},
 		{"times", "service_lease", false, duration(&e.Decider.ServiceLease, time.Second, 24*time.Hour), dur},
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -50,6 +50,7 @@
 	ZoneAnswers = define(CounterKind, EntryRole, "zone_requests_answered_total",
 		"answers taken from endpoints, by the endpoint's availability zone", "service", "zone")
 	RetryTokens = define(GaugeKind, EntryRole, "retry_budget_tokens", "retries that the budget allows now")
+	HedgeTokens = define(GaugeKind, EntryRole, "hedge_budget_tokens", "hedges that the budget allows now")
 	Endpoints   = define(GaugeKind, EntryRole, "endpoints", "endpoints that this entry knows, by state", "service", "zone", "state")
 )
 
