--- a/settings/entry.go
+++ b/settings/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/core/authority"
@@ -103,6 +104,11 @@
 		problems = append(problems, Problem{lines["times.task_lease"], "times.task_lease",
 			"must be at least three times poll_every", "raise task_lease or lower poll_every; a single lost poll could otherwise end tasks"})
 	}
+	if e.Decider.SilentAfter <= e.Decider.PollEvery {
+		problems = append(problems, Problem{lines["times.silent_after"], "times.silent_after",
+			"must be longer than poll_every", "raise silent_after or lower poll_every; workers that poll in time would count as silent"})
+	}
+	problems = append(problems, checkListeners(e, lines)...)
 	problems = append(problems, checkTLS(e.TLS, lines)...)
 	if e.Advertise == "" {
 		e.Advertise = e.Control
@@ -110,6 +116,22 @@
 	return e, problems
 }
 
+// checkListeners reports listeners that cannot be bound together.
+func checkListeners(e Entry, lines map[string]int) []Problem {
+	var problems []Problem
+	seen := make(map[string]string)
+	for _, l := range []struct{ key, address string }{{"listen.public", e.Public}, {"listen.operator", e.Operator}, {"listen.control", e.Control}} {
+		if strings.HasSuffix(l.address, ":0") {
+			continue
+		}
+		if other, taken := seen[l.address]; taken {
+			problems = append(problems, Problem{lines[l.key], l.key, "is the address of " + other + " too", "give each listener an address of its own"})
+		}
+		seen[l.address] = l.key
+	}
+	return problems
+}
+
 // LoadEntry reads the settings of an entry. Its error lists every problem.
 func LoadEntry(path string) (Entry, error) {
 	data, err := read(path)
@@ -120,8 +142,8 @@
 	return e, asError(path, problems)
 }
 
-func oneOf(into *string, allowed ...string) func(string) error {
-	return func(v string) error {
+func oneOf(into *string, allowed ...string) value {
+	return value{*into, strings.Join(allowed, ", "), func(v string) error {
 		for _, a := range allowed {
 			if v == a {
 				*into = v
@@ -129,11 +151,11 @@
 			}
 		}
 		return fmt.Errorf("%q is not allowed", v)
-	}
+	}}
 }
 
-func hexSum(into *string) func(string) error {
-	return func(v string) error {
+func hexSum(into *string) value {
+	return value{*into, "64 lower-case hex digits", func(v string) error {
 		if len(v) != 64 {
 			return fmt.Errorf("is not a SHA-256 sum")
 		}
@@ -144,5 +166,5 @@
 		}
 		*into = v
 		return nil
-	}
+	}}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,12 +35,21 @@
 	return fmt.Sprintf("line %d: %s: %s; %s", p.Line, p.Key, p.Message, p.Remedy)
 }
 
+// value describes what a key holds.
+type value struct {
+	// def is the default; empty if there is none.
+	def string
+	// allowed says in words which values are allowed.
+	allowed string
+	// set parses the value and stores it; its error says what is wrong.
+	set func(value string) error
+}
+
 // key describes one key of a file.
 type key struct {
 	section, name string
 	required      bool
-	// set parses the value and stores it; its error says what is wrong.
-	set func(value string) error
+	value
 	// remedy says what a valid value looks like.
 	remedy string
 }
@@ -53,7 +62,7 @@
 	}
 	lines := lineNumbers(data)
 	var problems []Problem
-	known := make(map[string]bool)
+	known := make(map[string]bool, len(keys))
 	for _, k := range keys {
 		full := k.section + "." + k.name
 		known[full] = true
@@ -126,18 +135,18 @@
 	return data, nil
 }
 
-func text(into *string) func(string) error {
-	return func(v string) error {
+func text(into *string) value {
+	return value{*into, "text", func(v string) error {
 		if v == "" {
 			return fmt.Errorf("is empty")
 		}
 		*into = v
 		return nil
-	}
+	}}
 }
 
-func address(into *string) func(string) error {
-	return func(v string) error {
+func address(into *string) value {
+	return value{*into, "ip:port", func(v string) error {
 		host, port, err := net.SplitHostPort(v)
 		if err != nil {
 			return fmt.Errorf("%q is not ip:port", v)
@@ -150,35 +159,35 @@
 		}
 		*into = v
 		return nil
-	}
+	}}
 }
 
-func addressList(into *[]string) func(string) error {
-	return func(v string) error {
+func addressList(into *[]string) value {
+	return value{strings.Join(*into, ", "), "list of ip:port", func(v string) error {
 		for _, item := range strings.Split(v, ",") {
 			var a string
-			if err := address(&a)(strings.TrimSpace(item)); err != nil {
+			if err := address(&a).set(strings.TrimSpace(item)); err != nil {
 				return err
 			}
 			*into = append(*into, a)
 		}
 		return nil
-	}
+	}}
 }
 
-func baseURL(into *string) func(string) error {
-	return func(v string) error {
+func baseURL(into *string) value {
+	return value{*into, "http or https URL", func(v string) error {
 		u, err := url.Parse(v)
 		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
 			return fmt.Errorf("%q is not an http URL", v)
 		}
 		*into = strings.TrimSuffix(v, "/")
 		return nil
-	}
+	}}
 }
 
-func duration(into *time.Duration, low, high time.Duration) func(string) error {
-	return func(v string) error {
+func duration(into *time.Duration, low, high time.Duration) value {
+	return value{into.String(), fmt.Sprintf("%s to %s", low, high), func(v string) error {
 		d, err := time.ParseDuration(v)
 		if err != nil {
 			return fmt.Errorf("%q is not a duration", v)
@@ -188,11 +197,11 @@
 		}
 		*into = d
 		return nil
-	}
+	}}
 }
 
-func number(into *int, low, high int) func(string) error {
-	return func(v string) error {
+func number(into *int, low, high int) value {
+	return value{strconv.Itoa(*into), fmt.Sprintf("%d to %d", low, high), func(v string) error {
 		n, err := strconv.Atoi(v)
 		if err != nil {
 			return fmt.Errorf("%q is not a whole number", v)
@@ -202,5 +211,5 @@
 		}
 		*into = n
 		return nil
-	}
+	}}
 }
