--- a/integration/operate_cli_test.go
+++ b/integration/operate_cli_test.go
@@ -194,3 +194,37 @@
 	}
 	return b.String()
 }
+
+// Guards against an eviction whose reason, checkpoint and next place cannot be read.
+func TestExplainEviction(t *testing.T) {
+	d := deployment(t, nil)
+	publish(t, d)
+	c := newCLI(t, d)
+	c.ok(nil, "job", "submit", "hartwell", c.file("routes.json",
+		`{"id":"routes","kind":"batch","tasks":1,"size":{"cpu_milli":1000,"memory_mb":1000},"run_ms":600000,"checkpoint":true}`))
+	zone := ""
+	wait(t, "task to be placed", func() bool {
+		a, ok := account(t.Context(), d.Entries[0], "routes")
+		if ok && a.Tasks[0].Worker != "" {
+			var workers []entry.WorkerView
+			c.ok(&workers, "worker", "list")
+			for _, w := range workers {
+				if w.ID == a.Tasks[0].Worker {
+					zone = w.Zone
+				}
+			}
+		}
+		return zone != ""
+	})
+	c.run("--yes", "zone", "out", zone, "--reason", "power work", "--wait")
+	var x entry.Explanation
+	wait(t, "task to move", func() bool {
+		c.ok(&x, "explain", "task", "hartwell/routes#0")
+		return strings.Contains(stepsText(x), "attempt 2 placed on")
+	})
+	assert.Assert(t, is.Contains(stepsText(x), "evicted from"))
+	assert.Assert(t, is.Contains(stepsText(x), "zone"))
+	c.run("explain", "task", "hartwell/routes#0")
+	c.run("zone", "list")
+	c.run("audit")
+}
