--- a/entry/authority.go
+++ b/entry/authority.go
@@ -18,7 +18,7 @@
 const resignTimeout = 2 * time.Second
 
 func (e *Entry) client(address string) control.Entry {
-	return control.NewEntryProtobufClient("http://"+address, e.rpc)
+	return control.NewEntryProtobufClient(e.controlURL(address), e.rpc)
 }
 
 func (e *Entry) doAuthority(eff authority.Effect) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,8 @@
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
 	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/telemetry"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
 
 // Times of the runner.
@@ -67,7 +69,10 @@
 	control  *httpserver.Server
 	rpc      *http.Client
 	peers    *peerTable
-	links    links
+	metrics  *metrics
+	// keys are for encrypted connections between processes and towards operators; nil without TLS.
+	keys  *tlsconf.Keys
+	links links
 	// unrecorded holds answers of claimed requests until they are read back from the log.
 	unrecorded answerTable
 	// pace sizes the heartbeat interval.
@@ -99,6 +104,14 @@
 		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat, Routing: route.Policy(set.Routing),
 		Authority: set.Authority, Decider: set.Decider, Scheduler: scheduler.DefaultConfig(),
 	})
+	if err := e.newMetrics(log); err != nil {
+		return nil, err
+	}
+	e.platform = e.metrics.log
+	if err := e.loadKeys(); err != nil {
+		return nil, err
+	}
+	e.rpc.Transport = &telemetry.Transport{Base: e.rpc.Transport, Bytes: e.metrics.bytes}
 	e.newWriters()
 	if err := e.listen(); err != nil {
 		return nil, fmt.Errorf("entry %s: %w", set.ID, err)
@@ -136,10 +149,10 @@
 	if e.public, err = httpserver.Listen(e.set.Public); err != nil {
 		return err
 	}
-	if e.operator, err = httpserver.Listen(e.set.Operator); err != nil {
+	if e.operator, err = httpserver.Listen(e.set.Operator, httpserver.WithTLS(e.keys, tlsconf.Operator)...); err != nil {
 		return err
 	}
-	if e.control, err = httpserver.Listen(e.set.Control); err != nil {
+	if e.control, err = httpserver.Listen(e.set.Control, httpserver.WithTLS(e.keys, tlsconf.Entry, tlsconf.Side)...); err != nil {
 		return err
 	}
 	e.routePublic()
@@ -185,7 +198,9 @@
 	for _, s := range []*httpserver.Server{e.operator, e.control} {
 		go func() { served <- s.Serve(serve, controlGrace) }()
 	}
-	e.log.Log(logevent.InsecureControl)
+	if e.keys == nil {
+		e.log.Log(logevent.InsecureControl)
+	}
 	e.log.Log(logevent.Started, logevent.Str("public", e.PublicAddress()), logevent.Str("operator", e.OperatorAddress()),
 		logevent.Str("control", e.ControlAddress()))
 	var err error
@@ -285,6 +300,7 @@
 				logevent.Str("worker", a.Worker), logevent.Str("message", a.Message))
 		case core.RegionChanged:
 			e.logRegion(eff.Effect)
+			e.countRegion(eff.Effect)
 		case core.ConfigDecided:
 			e.logConfig(eff.Outcome)
 			if sh := eff.Outcome.Change.Shutdown; sh != nil && eff.Outcome.Status == config.Accepted {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -269,6 +269,7 @@
 	default:
 		return result{err: lostAnswer(d.endpoint.ID, errors.New("the endpoint gave no whole answer"))}, route.Failed
 	}
+	e.metrics.zoneAnswers.Add(1, cl.service, d.endpoint.Zone)
 	return wholeAnswer(resp), route.Answered
 }
 
--- a/entry/link.go
+++ b/entry/link.go
@@ -14,6 +14,7 @@
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
 
 // Times of the connections to side processes. Together they bound detection of a silent connection and recovery by 2 s.
@@ -45,6 +46,8 @@
 
 // links holds the connections to side processes, by address.
 type links struct {
+	// keys are for encrypted connections; nil without TLS.
+	keys      *tlsconf.Keys
 	mu        sync.Mutex
 	byAddress map[string]*link
 }
@@ -84,10 +87,10 @@
 	}
 	l := &link{address: address, tries: make(map[string]*sending), used: time.Now()}
 	var err error
-	if l.data, err = httpserver.NewPool(dialTimeout, connsPerEndpoint, true); err != nil {
+	if l.data, err = httpserver.NewTLSPool(t.keys, dialTimeout, connsPerEndpoint, true, tlsconf.Side); err != nil {
 		return nil, err
 	}
-	if l.pings, err = httpserver.NewPool(pingTimeout, 4, true); err != nil {
+	if l.pings, err = httpserver.NewTLSPool(t.keys, pingTimeout, 4, true, tlsconf.Side); err != nil {
 		return nil, err
 	}
 	if t.byAddress == nil {
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -64,13 +64,20 @@
 		server.WithListener(ln), server.WithTransport(standard.NewTransporter), server.WithMaxRequestBodySize(MaxBody),
 		server.WithMaxHeaderBytes(maxHeader), server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout),
 		server.WithDisablePrintRoute(true), server.WithExitWaitTime(closeWait), server.WithSenseClientDisconnection(false),
-		server.WithTracer(&s.progress), server.WithTraceLevel(stats.LevelDisabled),
+		server.WithOnAccept(boundFirstRead), server.WithTracer(&s.progress), server.WithTraceLevel(stats.LevelDisabled),
 	}
 	s.Hertz = server.New(append(base, opts...)...)
 	s.Use(s.progress.begin)
 	return s
 }
 
+// boundFirstRead bounds the first request of a connection and its handshake. hertz applies the read timeout to later
+// requests only, so a sender of a byte now and then could hold a connection for ever.
+func boundFirstRead(conn net.Conn) context.Context {
+	_ = conn.SetReadDeadline(time.Now().Add(readTimeout))
+	return context.Background()
+}
+
 // Address returns the bound address.
 func (s *Server) Address() string { return s.ln.Addr().String() }
 
--- a/httpserver/pool.go
+++ b/httpserver/pool.go
@@ -50,9 +50,13 @@
 
 // NewPool returns a pool of at most conns connections. Without keepAlive every request uses a fresh connection.
 func NewPool(dialTimeout time.Duration, conns int, keepAlive bool) (*Pool, error) {
+	return newPool(standard.NewDialer(), dialTimeout, conns, keepAlive)
+}
+
+func newPool(dialer network.Dialer, dialTimeout time.Duration, conns int, keepAlive bool) (*Pool, error) {
 	p := &Pool{conns: make(map[*pooledConn]struct{}), tries: make(map[string]*pooledConn)}
 	c, err := client.NewClient(
-		client.WithDialer(pooledDialer{standard.NewDialer(), p}), client.WithDialTimeout(dialTimeout),
+		client.WithDialer(pooledDialer{dialer, p}), client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnsPerHost(conns), client.WithMaxIdleConnDuration(maxIdle), client.WithNoDefaultUserAgentHeader(true),
 		client.WithKeepAlive(keepAlive), client.WithDisablePathNormalizing(true),
 		client.WithHostClientConfigHook(func(hc any) error {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/core/authority"
 	"github.com/verbenakeel/verbenakeel/core/decider"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
 
 // Entry holds the settings of an entry instance.
@@ -31,6 +33,8 @@
 	OperatorTokenSHA256 string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
+	// TLS names the key files for the operator and control listeners and for clients; empty for plain connections.
+	TLS tlsconf.Files
 	// Heartbeat is the wanted interval of announcements.
 	Heartbeat time.Duration
 	// Routing is least_loaded; random and round_robin are baselines for measurements.
@@ -70,6 +74,9 @@
 		{"platform", "log", true, baseURL(&e.LogURL), "write the log's base URL, for example http://10.0.0.2:7000"},
 		{"peers", "entries", false, addressList(&e.Peers), "list control addresses of other entries, separated by commas"},
 		{"operators", "token_sha256", false, hexSum(&e.OperatorTokenSHA256), "give the 64 hex digits of the token's SHA-256"},
+		{"tls", "cert", false, text(&e.TLS.Cert), certRemedy},
+		{"tls", "key", false, text(&e.TLS.Key), keyRemedy},
+		{"tls", "ca", false, text(&e.TLS.CA), caRemedy},
 		{"routing", "policy", false, oneOf(&e.Routing, "least_loaded", "random", "round_robin"), "use least_loaded, random or round_robin"},
 		{"times", "heartbeat", false, duration(&e.Heartbeat, 50*time.Millisecond, time.Minute), dur},
 		{"times", "task_lease", false, duration(&e.Decider.TaskLease, time.Second, time.Hour), dur},
@@ -105,12 +112,34 @@
 		problems = append(problems, Problem{lines["times.task_lease"], "times.task_lease",
 			"must be at least three times poll_every", "raise task_lease or lower poll_every; a single lost poll could otherwise end tasks"})
 	}
+	if e.Decider.SilentAfter <= e.Decider.PollEvery {
+		problems = append(problems, Problem{lines["times.silent_after"], "times.silent_after",
+			"must be longer than poll_every", "raise silent_after or lower poll_every; workers that poll in time would count as silent"})
+	}
+	problems = append(problems, checkListeners(e, lines)...)
+	problems = append(problems, checkTLS(e.TLS, lines)...)
 	if e.Advertise == "" {
 		e.Advertise = e.Control
 	}
 	return e, problems
 }
 
+// checkListeners reports listeners that cannot be bound together.
+func checkListeners(e Entry, lines map[string]int) []Problem {
+	var problems []Problem
+	seen := make(map[string]string)
+	for _, l := range []struct{ key, address string }{{"listen.public", e.Public}, {"listen.operator", e.Operator}, {"listen.control", e.Control}} {
+		if strings.HasSuffix(l.address, ":0") {
+			continue
+		}
+		if other, taken := seen[l.address]; taken {
+			problems = append(problems, Problem{lines[l.key], l.key, "is the address of " + other + " too", "give each listener an address of its own"})
+		}
+		seen[l.address] = l.key
+	}
+	return problems
+}
+
 // LoadEntry reads the settings of an entry. Its error lists every problem.
 func LoadEntry(path string) (Entry, error) {
 	data, err := read(path)
@@ -121,8 +150,8 @@
 	return e, asError(path, problems)
 }
 
-func oneOf(into *string, allowed ...string) func(string) error {
-	return func(v string) error {
+func oneOf(into *string, allowed ...string) value {
+	return value{*into, strings.Join(allowed, ", "), func(v string) error {
 		for _, a := range allowed {
 			if v == a {
 				*into = v
@@ -130,11 +159,11 @@
 			}
 		}
 		return fmt.Errorf("%q is not allowed", v)
-	}
+	}}
 }
 
-func hexSum(into *string) func(string) error {
-	return func(v string) error {
+func hexSum(into *string) value {
+	return value{*into, "64 lower-case hex digits", func(v string) error {
 		if len(v) != 64 {
 			return fmt.Errorf("is not a SHA-256 sum")
 		}
@@ -145,5 +174,5 @@
 		}
 		*into = v
 		return nil
-	}
+	}}
 }
--- a/side/announce.go
+++ b/side/announce.go
@@ -139,7 +139,7 @@
 	s.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	resp, err := control.NewEntryProtobufClient("http://"+a.address, s.rpc).Announce(call, req)
+	resp, err := control.NewEntryProtobufClient(s.controlURL(a.address), s.rpc).Announce(call, req)
 	if err != nil {
 		return s.announceFailed(ctx, a, err)
 	}
@@ -193,6 +193,7 @@
 
 // take applies an entry's reply. The lock is held.
 func (s *Side) take(resp *control.AnnounceResponse) {
+	s.metrics.announced.Store(time.Now().UnixMilli())
 	if resp.SupersededBy >= s.incarnation && resp.SupersededBy > 0 {
 		s.log.Log(logevent.Superseded, logevent.Int("incarnation", resp.SupersededBy))
 		s.incarnation = resp.SupersededBy + 1
--- a/side/data.go
+++ b/side/data.go
@@ -28,7 +28,8 @@
 func (s *Side) routeData() {
 	s.data.GET("/-/ping", s.ping)
 	s.data.GET("/-/start", s.askStart)
-	s.data.NoRoute(s.serve)
+	s.routeOwn()
+	s.data.NoRoute(s.measured)
 }
 
 // arrival is one sending of a request as it reached this side process.
--- a/side/side.go
+++ b/side/side.go
@@ -18,6 +18,8 @@
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/telemetry"
+	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
 
 // Times of a graceful shutdown.
@@ -73,6 +75,9 @@
 	// cut is true once requests in progress were cut off.
 	cut bool
 
+	metrics *metrics
+	// keys are for encrypted connections with entries; nil without TLS.
+	keys *tlsconf.Keys
 	// ignoreStarts switches off the refusal of second starts, for the test that shows that it is needed.
 	ignoreStarts bool
 }
@@ -88,6 +93,13 @@
 		tries: make(map[string]struct{}), resends: resendReserve,
 		rpc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
 	}
+	if err := s.newMetrics(); err != nil {
+		return nil, err
+	}
+	if err := s.loadKeys(); err != nil {
+		return nil, err
+	}
+	s.rpc.Transport = &telemetry.Transport{Base: s.rpc.Transport, Bytes: s.metrics.bytes}
 	var err error
 	if s.endpoint, err = httpserver.NewPool(endpointDial, set.Slots+resendReserve, true); err != nil {
 		return nil, err
@@ -95,7 +107,7 @@
 	if s.once, err = httpserver.NewPool(endpointDial, set.Slots+resendReserve, false); err != nil {
 		return nil, err
 	}
-	if s.data, err = httpserver.ListenLimited(set.Data, set.Connections); err != nil {
+	if s.data, err = httpserver.ListenLimited(set.Data, set.Connections, httpserver.WithTLS(s.keys, tlsconf.Entry, tlsconf.Operator)...); err != nil {
 		return nil, fmt.Errorf("side process %s: %w", set.ID, err)
 	}
 	s.routeData()
@@ -126,7 +138,9 @@
 	if s.worker != nil {
 		run(s.syncLoop)
 	}
-	s.log.Log(logevent.InsecureControl)
+	if s.keys == nil {
+		s.log.Log(logevent.InsecureControl)
+	}
 	s.log.Log(logevent.Started, logevent.Str("data", s.DataAddress()), logevent.Str("service", s.set.Service))
 	var err error
 	select {
--- a/side/sync.go
+++ b/side/sync.go
@@ -107,7 +107,7 @@
 			cancel()
 		}
 	}()
-	resp, err := control.NewEntryProtobufClient("http://"+address, y.s.rpc).Sync(ctx, y.request(p))
+	resp, err := control.NewEntryProtobufClient(y.s.controlURL(address), y.s.rpc).Sync(ctx, y.request(p))
 	if err != nil {
 		select {
 		case <-ended:
@@ -124,6 +124,8 @@
 		return nil, false
 	}
 	y.decider = address
+	y.s.metrics.synced.Store(time.Now().UnixMilli())
+	y.s.metrics.held.Store(int64(len(p.Status.Tasks)))
 	return resp, true
 }
 
