--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -26,6 +26,9 @@
 	writeWait = 5 * time.Second
 	// maxTasks bounds the tasks of one job.
 	maxTasks = 10_000
+	// maxClass and maxCommand bound texts of a job in bytes, because up to 512 submissions share one record.
+	maxClass   = 100
+	maxCommand = 16 << 10
 )
 
 var jobName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
@@ -107,6 +110,10 @@
 		return errdefs.Field("tasks", "is outside 1 to 10000", "split larger jobs")
 	case job.Size.CPUMilli <= 0 || job.Size.MemoryMB <= 0 || job.Size.Accelerators < 0:
 		return errdefs.Field("size", "needs positive cpu_milli and memory_mb", "declare what each task uses at most")
+	case len(job.Class) > maxClass:
+		return errdefs.Field("class", "is longer than 100 bytes", "use a short name for jobs that behave alike")
+	case len(job.Command) > maxCommand:
+		return errdefs.Field("command", "is longer than 16384 bytes", "store the input elsewhere and name it in the command")
 	case job.RunMs < 0 || job.DeadlineMs < 0:
 		return errdefs.Field("run_ms", "and deadline_ms must not be negative", "use 0 for none")
 	case job.Kind == record.BatchJob && job.RunMs == 0:
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -24,6 +24,9 @@
 // holdFor is how long a zone is held while its removal from service is recorded.
 const holdFor = 30 * time.Second
 
+// maxChange bounds the body of a change in bytes, because every process keeps the newest changes.
+const maxChange = 256 << 10
+
 func (e *Entry) routeOperator() {
 	h := e.operator
 	h.GET("/-/health", e.health)
@@ -82,6 +85,10 @@
 
 // postConfig records a change and answers once log order has decided it.
 func (e *Entry) postConfig(ctx context.Context, c *app.RequestContext) {
+	if len(c.Request.Body()) > maxChange {
+		e.refuse(c, errdefs.Field("body", "is longer than 262144 bytes", "split the contract's services over several customers"), true)
+		return
+	}
 	var change record.ConfigChange
 	dec := json.NewDecoder(strings.NewReader(string(c.Request.Body())))
 	dec.DisallowUnknownFields()
