--- a/core/tasks/fold.go
+++ b/core/tasks/fold.go
@@ -223,7 +223,7 @@
 		return
 	}
 	for _, id := range job.Tasks {
-		if f.Tasks[id].State != lifecycle.TaskQueued {
+		if f.Tasks[id].State != lifecycle.TaskQueued || f.Tasks[id].Attempt > 0 {
 			f.emit(Voided{r.Job, "job has tasks that were placed"})
 			return
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,10 @@
 	regionWriter *stream.Writer
 	submitWriter *stream.Writer
 	claimWriter  *stream.Writer
+	// snapshots writes the snapshots of each stream.
+	snapshots map[core.Stream]*stream.Writer
+	// views holds what is known of each stream beyond its folded state; guarded by mu.
+	views map[core.Stream]*streamView
 
 	public   *httpserver.Server
 	operator *httpserver.Server
@@ -93,7 +97,7 @@
 	start := time.Now()
 	e := &Entry{
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), incarnation: uint64(start.UnixMilli()), start: start,
-		seen: make(map[core.Stream]bool), changed: make(chan struct{}), wake: make(chan struct{}), platform: log,
+		seen: make(map[core.Stream]bool), views: make(map[core.Stream]*streamView), changed: make(chan struct{}), wake: make(chan struct{}), platform: log,
 		rpc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
 	}
 	e.state = core.New(core.Options{
@@ -117,7 +121,9 @@
 }
 
 func (e *Entry) newWriters() {
-	opts := stream.WriterOptions{ID: e.set.ID, Incarnation: e.incarnation, WallMs: wallMs}
+	opts := stream.WriterOptions{
+		ID: e.set.ID, Incarnation: e.incarnation, WallMs: wallMs, Budget: stream.NewBudget(e.set.AppendsPerSecond, e.set.SnapshotAppends),
+	}
 	named := func(suffix string, window time.Duration) stream.WriterOptions {
 		o := opts
 		o.ID += suffix
@@ -129,6 +135,13 @@
 	e.regionWriter = stream.NewWriter(e.platform, e.regionStream(), named("", 0))
 	e.submitWriter = stream.NewWriter(e.platform, e.regionStream(), named("/submit", submitWindow))
 	e.claimWriter = stream.NewWriter(e.platform, e.claimStream(), named("", claimWindow))
+	e.snapshots = make(map[core.Stream]*stream.Writer)
+	for kind, name := range e.streamNames() {
+		o := named("/snapshot", 0)
+		o.Bulk = true
+		e.snapshots[kind] = stream.NewWriter(e.platform, name, o)
+		e.views[kind] = &streamView{}
+	}
 }
 
 func (e *Entry) listen() error {
@@ -166,13 +179,15 @@
 		background.Add(1)
 		go func() { defer background.Done(); f(work) }()
 	}
-	for _, w := range []*stream.Writer{e.configWriter, e.regionWriter, e.submitWriter, e.claimWriter} {
+	for _, w := range e.writers() {
 		run(w.Run)
 	}
 	failed := make(chan error, 8)
 	e.follow(run, failed)
 	run(e.tick)
 	run(e.exchange)
+	run(e.snapshotLoop)
+	run(e.recoverFromPeers)
 	run(e.watchLinks)
 	callers, stopCallers := context.WithCancel(context.Background())
 	defer stopCallers()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -17,6 +17,8 @@
 	exchangeTimeout = time.Second
 	// peerSilent is how long an entry may be silent before it counts as gone.
 	peerSilent = 3 * time.Second
+	// forgetPeer is how long a silent entry counts as one that may still run: the longest loss of connectivity.
+	forgetPeer = time.Hour
 )
 
 // peer is another entry of the region.
@@ -56,6 +58,10 @@
 	if old != nil && old.incarnation > p.incarnation {
 		return false
 	}
+	// A shutdown is never taken back by the same run.
+	if old := t.byID[p.id]; old != nil && old.incarnation == p.incarnation && old.draining {
+		p.draining = true
+	}
 	p.heard = time.Now()
 	fresh := old == nil || old.incarnation < p.incarnation
 	if !fresh {
@@ -100,6 +106,21 @@
 	return list
 }
 
+// known returns the entries that were heard of within forgetPeer and did not shut down gracefully, ordered by id.
+func (t *peerTable) known() []peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []peer
+	for _, p := range t.byID {
+		silent := time.Since(p.heard)
+		if silent < forgetPeer && !(p.draining && silent >= peerSilent) {
+			list = append(list, *p)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
+	return list
+}
+
 // rank returns how many live entries have a lower id.
 func (t *peerTable) rank(self string) int {
 	n := 0
--- a/integration/request_members_test.go
+++ b/integration/request_members_test.go
@@ -16,7 +16,8 @@
 // Guards against an entry that serves "no endpoint" after a restart until announcements reach it. The announcements are
 // cut off here, so that only its peers can tell it.
 func TestRestartedEntryLearnsFromPeers(t *testing.T) {
-	d := deployment(t, func(o *deploy.Options) { o.SideSettings = []deploy.Setting{{Key: "times.heartbeat", Value: "1m"}} })
+	// The peers do not take the endpoints for silent while the side processes are paused.
+	d := deployment(t, func(o *deploy.Options) { o.EntrySettings = []deploy.Setting{{Key: "times.heartbeat", Value: "1m"}} })
 	publish(t, d)
 	e := d.Entries[2]
 	assert.NilError(t, e.Process().Kill())
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -41,6 +41,8 @@
 	SnapshotWritten   = define(203, zerolog.InfoLevel, "snapshot written")
 	SchemaTooNew      = define(204, zerolog.ErrorLevel, "a record has a newer schema than this program reads")
 	SnapshotFailed    = define(205, zerolog.ErrorLevel, "writing a snapshot failed")
+	WriterSuperseded  = define(206, zerolog.ErrorLevel, "another run of this process writes to the log; this one stops")
+	PeerRestored      = define(207, zerolog.WarnLevel, "state taken from a peer while the log is down")
 	ConfigAccepted    = define(300, zerolog.InfoLevel, "configuration change accepted")
 	ConfigRefused     = define(301, zerolog.WarnLevel, "configuration change refused")
 	ZoneHeld          = define(302, zerolog.WarnLevel, "starts in an availability zone are held")
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -44,13 +44,18 @@
 	Authority authority.Config
 	// SnapshotEvery is the number of records between snapshots.
 	SnapshotEvery int
+	// SnapshotInterval is the longest time between snapshots; a quarter of the log's retention or less.
+	SnapshotInterval time.Duration
+	// AppendsPerSecond limits this process's appends, SnapshotAppends those of snapshots among them.
+	AppendsPerSecond, SnapshotAppends int
 }
 
 // DefaultEntry returns the defaults.
 func DefaultEntry() Entry {
 	return Entry{
 		Public: "127.0.0.1:0", Operator: "127.0.0.1:0", Control: "127.0.0.1:0", LogLevel: "info",
-		Heartbeat: time.Second, Routing: "least_loaded", Decider: decider.DefaultConfig(), Authority: authority.DefaultConfig(), SnapshotEvery: 5000,
+		Heartbeat: time.Second, Routing: "least_loaded", Decider: decider.DefaultConfig(), Authority: authority.DefaultConfig(),
+		SnapshotEvery: 5000, SnapshotInterval: time.Hour, AppendsPerSecond: 100, SnapshotAppends: 5,
 	}
 }
 
@@ -84,6 +89,9 @@
 		{"times", "authority_max", false, duration(&e.Authority.Max, time.Second, 24*time.Hour), dur},
 		{"times", "decider_silence", false, duration(&e.Authority.Silence, 300*time.Millisecond, time.Minute), dur},
 		{"snapshots", "every_records", false, number(&e.SnapshotEvery, 10, 1_000_000), "write a number of records"},
+		{"snapshots", "interval", false, duration(&e.SnapshotInterval, time.Second, 24*time.Hour), dur},
+		{"snapshots", "appends_per_second", false, number(&e.SnapshotAppends, 1, 1000), "write a number of appends a second"},
+		{"log", "appends_per_second", false, number(&e.AppendsPerSecond, 10, 10_000), "write a number of appends a second"},
 	}
 }
 
