--- a/entry/change.go
+++ b/entry/change.go
@@ -27,9 +27,16 @@
 	inForceCheck = 50 * time.Millisecond
 )
 
+// maxChange bounds the body of a change in bytes, because every process keeps the newest changes.
+const maxChange = 256 << 10
+
 // postConfig records a change and answers once log order has decided it. A change that is on record already keeps its
 // outcome.
 func (e *Entry) postConfig(ctx context.Context, c *app.RequestContext) {
+	if len(c.Request.Body()) > maxChange {
+		e.refuse(c, errdefs.Field("body", "is longer than 262144 bytes", "split the contract's services over several customers"), true)
+		return
+	}
 	var change record.ConfigChange
 	dec := json.NewDecoder(strings.NewReader(string(c.Request.Body())))
 	dec.DisallowUnknownFields()
