--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 PKGS ?= ./...
 
-.PHONY: all build test test-red check demo demo-processes bench slopes generate
+.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state
 
 all: build
 
@@ -31,5 +31,8 @@
 bench:
 	@$(GO) run ./cmd/bench --seed $(SEED)
 
+bench-state:
+	@$(GO) run ./cmd/bench-state --seed $(SEED)
+
 slopes: build
 	@$(GO) run ./cmd/slopes --seed $(SEED)
--- a/side/announce.go
+++ b/side/announce.go
@@ -205,6 +205,10 @@
 	if resp.Revision < s.revision {
 		return
 	}
+	if resp.Revision > s.revision {
+		// Entries learn at once that the revision is in force here.
+		s.kickAnnounce()
+	}
 	s.revision = resp.Revision
 	for _, data := range resp.Contracts {
 		var c record.Contract
