--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 PKGS ?= ./...
 
-.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state
+.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state bench-requests
 
 all: build
 
@@ -33,6 +33,8 @@
 
 bench-state:
 	@$(GO) run ./cmd/bench-state --seed $(SEED)
+bench-requests: build
+	@./bin/bench-requests --seed $(SEED)
 
 slopes: build
 	@$(GO) run ./cmd/slopes --seed $(SEED)
--- a/integration/state_test.go
+++ b/integration/state_test.go
@@ -104,7 +104,7 @@
 	publish(t, d)
 	first := deciderOf(t, d)
 	submitLong(t, d.Entries[0], "through", 3, 20*time.Second)
-	wait(t, "tasks to run", func() bool { return running(t, d) >= 1 })
+	wait(t, "tasks to run", func() bool { return runningTasks(t, d) >= 1 })
 	assert.NilError(t, d.SetLogFaults(t.Context(), memlog.Faults{Down: true}))
 
 	assert.Equal(t, submit(t, d.Entries[1], fmt.Sprintf(longJob, "refused", 1, 100)), 503)
@@ -125,8 +125,8 @@
 	}
 }
 
-// running counts attempts that run on all workers.
-func running(t *testing.T, d *deploy.Deployment) int {
+// runningTasks counts attempts that run on all workers.
+func runningTasks(t *testing.T, d *deploy.Deployment) int {
 	t.Helper()
 	n := 0
 	for _, in := range d.Instances {
@@ -152,7 +152,7 @@
 	})
 	publish(t, d)
 	submitLong(t, d.Entries[0], "long", 3, 30*time.Second)
-	wait(t, "tasks to run", func() bool { return running(t, d) >= 1 })
+	wait(t, "tasks to run", func() bool { return runningTasks(t, d) >= 1 })
 	// 30 records are kept, so the first ones expire before the kill.
 	wait(t, "old records to expire", func() bool {
 		a, ok := account(t.Context(), d.Entries[0], "long")
@@ -193,7 +193,7 @@
 	for i := range 6 {
 		submitLong(t, d.Entries[i%3], fmt.Sprintf("j%d", i), 4, 1500*time.Millisecond)
 	}
-	wait(t, "tasks to run", func() bool { return running(t, d) >= 1 })
+	wait(t, "tasks to run", func() bool { return runningTasks(t, d) >= 1 })
 	assert.NilError(t, d.Instances[0].Side.Process().Pause())
 	type answer struct {
 		code int
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -29,6 +29,10 @@
 	UrgentBeyond int
 	// FirstRuns bounds the tasks of a class that run before their sizes were measured.
 	FirstRuns int
+	// FirstRunsMs is how long after the first start of a class this bound holds if no usage is reported.
+	FirstRunsMs int64
+	// ProveMs is how long an attempt must run without failure to count as seen to run if no usage is reported.
+	ProveMs int64
 	// ReportMaxAgeMs is the age beyond which a usage report is ignored.
 	ReportMaxAgeMs int64
 	// ReportHalfMs is the age at which a usage report counts half.
@@ -38,6 +42,8 @@
 	// HarmLimitMilli is the expected slowdown of a service, in thousandths, beyond which no batch task is added to its
 	// worker unless the task is urgent or at risk.
 	HarmLimitMilli int64
+	// HarmWaitMs is how long a task waits before that limit grows for it, by as much again in each such time.
+	HarmWaitMs int64
 	// HotMilli and CalmMilli are the slowdowns of a service, in thousandths, above which batch tasks beside it are held
 	// back and below which throttles are lifted.
 	HotMilli, CalmMilli int64
@@ -84,9 +90,9 @@
 func DefaultConfig() Config {
 	return Config{
 		SettleMs:      30_000,
-		MaxStarts:     48,
-		MaxTries:      48,
-		MaxVisits:     1_000,
+		MaxStarts:     32,
+		MaxTries:      32,
+		MaxVisits:     700,
 		MaxAdmissions: 256,
 		MaxCandidates: 48,
 		RepeatMs:      5_000,
@@ -98,10 +104,13 @@
 
 		UrgentBeyond:     8,
 		FirstRuns:        4,
+		FirstRunsMs:      30_000,
+		ProveMs:          20_000,
 		ReportMaxAgeMs:   60_000,
 		ReportHalfMs:     10_000,
 		ReportStaleMs:    10_000,
 		HarmLimitMilli:   600,
+		HarmWaitMs:       300_000,
 		HotMilli:         1_000,
 		CalmMilli:        600,
 		HotReports:       2,
