--- a/side/announce.go
+++ b/side/announce.go
@@ -207,7 +207,7 @@
 	}
 	if resp.Revision > s.revision {
 		// Entries learn at once that the revision is in force here.
-		s.kickAnnounce()
+		s.kickLocked()
 	}
 	s.revision = resp.Revision
 	for _, data := range resp.Contracts {
