--- a/cmd/bench-state/main.go
+++ b/cmd/bench-state/main.go
@@ -291,6 +291,10 @@
 	if err := e.Stop(); err != nil {
 		return err
 	}
+	// An embedded entry that stopped may still hold open connections.
+	for _, p := range e.Proxies {
+		p.CloseConnections()
+	}
 	began := time.Now()
 	if err := e.Start(b.ctx); err != nil {
 		return err
