--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 PKGS ?= ./...
 
-.PHONY: all build test test-red check demo demo-processes bench bench-requests slopes generate
+.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state bench-requests
 
 all: build
 
@@ -31,6 +31,8 @@
 bench:
 	@$(GO) run ./cmd/bench --seed $(SEED)
 
+bench-state:
+	@$(GO) run ./cmd/bench-state --seed $(SEED)
 bench-requests: build
 	@./bin/bench-requests --seed $(SEED)
 
