--- a/core/members/members.go
+++ b/core/members/members.go
@@ -51,6 +51,8 @@
 	Heard time.Duration
 	// Since is when this incarnation was first heard of.
 	Since time.Duration
+	// FirstHand is true once the side process announced this run here itself. A newer copy from a peer does not undo it.
+	FirstHand bool
 	// Change counts the changes of all endpoints up to the last one of this endpoint that peers should know.
 	Change uint64
 }
@@ -95,6 +97,7 @@
 		case a.Incarnation == e.Incarnation && a.Sequence < e.Sequence,
 			// One that came first through a peer is completed by the side process's own copy.
 			a.Incarnation == e.Incarnation && a.Sequence == e.Sequence && (a.Relayed || !e.Relayed):
+			e.FirstHand = e.FirstHand || !a.Relayed
 			return Old, 0
 		}
 	}
@@ -107,6 +110,7 @@
 		s.changes++
 		e.Change = s.changes
 	}
+	e.FirstHand = e.FirstHand || !a.Relayed
 	e.Announcement = a
 	e.Heard = max(e.Heard, heard)
 	e.fire(lifecycle.EndpointHeard)
@@ -119,11 +123,11 @@
 }
 
 // ChangedAfter returns the endpoints that this entry heard of first-hand and that changed after the given count, and the
-// count to ask for next. Endpoints that a peer passed on are left out, so that nothing circulates.
+// count to ask for next. Endpoints known from peers only are left out, so that nothing circulates.
 func (s *State) ChangedAfter(count uint64) ([]*Endpoint, uint64) {
 	var list []*Endpoint
 	for _, e := range s.All() {
-		if !e.Relayed && e.Change > count && e.State != lifecycle.EndpointSuspect {
+		if e.FirstHand && e.Change > count && e.State != lifecycle.EndpointSuspect {
 			list = append(list, e)
 		}
 	}
--- a/core/members/members_test.go
+++ b/core/members/members_test.go
@@ -54,3 +54,18 @@
 	assert.Equal(t, len(s.Usable("")), 0)
 	assert.DeepEqual(t, s.Tick(clock.Now{Mono: 700 * time.Second}), []string{"instance-01"})
 }
+
+// Guards against a restarted entry that no peer tells of an endpoint, because each peer's own copy was replaced by a newer
+// one that came through the entry before its restart.
+func TestPassedOnCopyKeepsFirstHand(t *testing.T) {
+	s := New(time.Minute)
+	s.Announce(clock.Now{}, Announcement{ID: "instance-01", Incarnation: 1, Sequence: 1, EndpointUp: true})
+	s.Announce(clock.Now{}, Announcement{ID: "instance-01", Incarnation: 1, Sequence: 2, EndpointUp: true, Relayed: true})
+	s.Announce(clock.Now{}, Announcement{ID: "instance-02", Incarnation: 1, Sequence: 1, EndpointUp: true, Relayed: true})
+	s.Announce(clock.Now{}, Announcement{ID: "instance-03", Incarnation: 1, Sequence: 2, EndpointUp: true, Relayed: true})
+	s.Announce(clock.Now{}, Announcement{ID: "instance-03", Incarnation: 1, Sequence: 1, EndpointUp: true})
+	list, _ := s.ChangedAfter(0)
+	assert.Equal(t, len(list), 2)
+	assert.Equal(t, list[1].ID, "instance-03")
+	assert.Equal(t, list[0].ID, "instance-01")
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -245,6 +245,8 @@
 	Failed
 	// Abandoned means that the answer was not waited for, so that nothing was learned.
 	Abandoned
+	// Slow means that another try was answered first. The time so far is a lower bound of the latency.
+	Slow
 )
 
 // Done ends a try.
@@ -258,7 +260,14 @@
 		}
 		st.failures, st.ejections, st.probing, st.ejected = 0, 0, false, 0
 		st.sample(took)
+	case Slow:
+		if took.Seconds() > st.latency {
+			st.sample(took)
+		}
 	case Failed:
+		if took.Seconds() > st.latency {
+			st.sample(took)
+		}
 		st.failures++
 		// Requests that were in flight when the ejection began say nothing new.
 		if now.Mono >= st.ejected && (st.failures >= ejectAfter || st.probing) {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -106,7 +106,7 @@
 // refresh makes the next sending to the address use a fresh connection, since connections to several side processes may
 // have gone silent at once.
 func (e *Entry) refresh(address string) {
-	if l, err := e.links.to(address); err == nil {
+	if l, err := e.linkTo(address); err == nil {
 		l.data.AbortIdle()
 	}
 }
@@ -187,7 +187,7 @@
 	began := time.Now()
 	r, outcome := e.send(ctx, req, cl, ep)
 	if abandoned != nil && abandoned.Load() {
-		outcome = route.Abandoned
+		outcome = route.Slow
 	}
 	e.step(core.TryEnded{Endpoint: ep.ID, Outcome: outcome, Took: time.Since(began)})
 	return r, outcome
@@ -195,7 +195,7 @@
 
 // send sends the request to one endpoint.
 func (e *Entry) send(ctx context.Context, req *protocol.Request, cl *call, ep *members.Endpoint) (result, route.Outcome) {
-	l, err := e.links.to(ep.Address)
+	l, err := e.linkTo(ep.Address)
 	if err != nil {
 		return result{notRun: true, err: err}, route.Failed
 	}
@@ -232,6 +232,9 @@
 	err := d.link.data.Do(ctx, req, resp, cl.deadline)
 	stop()
 	silent := ended()
+	if errors.Is(err, httpserver.ErrBusy) {
+		return result{notRun: true, err: noEndpoint(cl.service)}, route.Refused
+	}
 	if errors.Is(err, httpserver.ErrNotSent) {
 		return result{notRun: true, err: errdefs.New(errdefs.Unavailable, "no connection to "+d.endpoint.ID, "try again after Retry-After")}, route.Failed
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -20,8 +20,10 @@
 const (
 	// dialTimeout bounds new connections to side processes.
 	dialTimeout = 500 * time.Millisecond
-	// connsPerEndpoint bounds connections of this entry to one side process for requests.
-	connsPerEndpoint = 64
+	// connsPerEndpoint bounds connections of all entries together to one side process for requests. It leaves room for
+	// pings below the 64 connections that a side process takes, and connsLeast is what an entry gets at least.
+	connsPerEndpoint = 56
+	connsLeast       = 16
 	// watchEvery is the time between looks at sendings in progress.
 	watchEvery = 100 * time.Millisecond
 	// askAfter is the age from which a side process is asked whether it works on a sending.
@@ -75,8 +77,13 @@
 	silent bool
 }
 
-// to returns the link to an address.
-func (t *links) to(address string) (*link, error) {
+// linkTo returns the link to an address.
+func (e *Entry) linkTo(address string) (*link, error) {
+	return e.links.to(address, max(connsLeast, connsPerEndpoint/(len(e.peers.live())+1)))
+}
+
+// to returns the link to an address, with at most so many connections for requests.
+func (t *links) to(address string, conns int) (*link, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if l := t.byAddress[address]; l != nil {
@@ -84,7 +91,7 @@
 	}
 	l := &link{address: address, tries: make(map[string]*sending), used: time.Now()}
 	var err error
-	if l.data, err = httpserver.NewPool(dialTimeout, connsPerEndpoint, true); err != nil {
+	if l.data, err = httpserver.NewPool(dialTimeout, conns, true); err != nil {
 		return nil, err
 	}
 	if l.pings, err = httpserver.NewPool(pingTimeout, 4, true); err != nil {
@@ -308,7 +315,7 @@
 	if address == "" {
 		return
 	}
-	if l, err := e.links.to(address); err == nil {
+	if l, err := e.linkTo(address); err == nil {
 		// Best effort: the order is also in the answer to the next announcement.
 		_, _ = l.ping(context.Background(), nil, e.revision())
 	}
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -49,13 +49,21 @@
 	return newServer(ln, opts...), nil
 }
 
-// ListenLimited is Listen with a bound on open connections. Connections beyond it are closed at once.
+// ListenLimited is Listen with a bound on open connections. Connections beyond it are closed after one answer.
 func ListenLimited(address string, conns int, opts ...hconfig.Option) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", errdefs.New(errdefs.Unavailable, err.Error(), "choose a free address in the settings"))
 	}
-	return newServer(&limitedListener{Listener: ln, max: int64(conns)}, opts...), nil
+	limited := &limitedListener{Listener: ln, max: int64(conns)}
+	s := newServer(limited, opts...)
+	s.Use(func(ctx context.Context, c *app.RequestContext) {
+		c.Next(ctx)
+		if limited.over() {
+			c.Response.SetConnectionClose()
+		}
+	})
+	return s, nil
 }
 
 func newServer(ln net.Listener, opts ...hconfig.Option) *Server {
--- a/httpserver/progress.go
+++ b/httpserver/progress.go
@@ -95,14 +95,19 @@
 	open atomic.Int64
 }
 
-// Accept implements net.Listener.
+// over reports whether more connections are open than allowed.
+func (l *limitedListener) over() bool { return l.open.Load() > l.max }
+
+// Accept implements net.Listener. A connection that is closed at once would leave the outcome of a request sent on it
+// unknown, so those beyond the bound are served and closed after their answer, and only those beyond twice the bound are
+// closed at once.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) > l.max {
+		if l.open.Add(1) > 2*l.max {
 			l.open.Add(-1)
 			_ = c.Close()
 			continue
