--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -151,9 +151,6 @@
 	return s.hasRead && now.Mono < s.logRead+age
 }
 
-// LogAge returns the age of the newest read of the log, and whether there was one.
-func (s *State) LogAge(now clock.Now) (time.Duration, bool) { return now.Mono - s.logRead, s.hasRead }
-
 // PresumeFrom returns when all older deciders have certainly stopped granting leases.
 func (s *State) PresumeFrom() time.Duration {
 	from := s.claimed
--- a/core/decider/state.go
+++ b/core/decider/state.go
@@ -24,6 +24,8 @@
 	permitEnds time.Duration
 	// held is the newest attempt of each task that the worker was seen to hold.
 	held map[string]uint32
+	// incarnation and sequence name the newest poll taken.
+	incarnation, sequence uint64
 	// fenced is true once the worker was seen to refuse older deciders; from then on their authority no longer counts.
 	fenced bool
 	// down is true when the policy was told that the worker is silent.
@@ -50,6 +52,14 @@
 	confRead  time.Duration
 	holds     map[string]time.Duration
 	alerts    []scheduler.Alert
+	// early holds new tasks whose customer is not in the configuration that was read so far.
+	early []earlyTask
+}
+
+// earlyTask is a new task that the policy is told of once the configuration was read after it.
+type earlyTask struct {
+	task string
+	at   time.Duration
 }
 
 // New returns an inactive decider over the folded states.
@@ -132,7 +142,7 @@
 
 func (s *State) deactivate() {
 	s.policy = nil
-	s.contacts, s.ends, s.joins = nil, nil, nil
+	s.contacts, s.ends, s.joins, s.early = nil, nil, nil, nil
 }
 
 // activate builds the policy from the folded state. All workers count as silent until they poll.
@@ -188,7 +198,34 @@
 	}
 }
 
+// queue tells the policy of a task that waits. A task whose customer is unknown waits here until the configuration was
+// read later than the task's record: the policy refuses jobs of unknown customers for good.
 func (s *State) queue(now clock.Now, job *tasks.Job, t *tasks.Task) {
+	if s.conf.Contracts[job.Spec.Customer] == nil && s.confRead <= now.Mono {
+		s.early = append(s.early, earlyTask{t.ID, now.Mono})
+		return
+	}
+	s.tellQueued(now, job, t)
+}
+
+// takeEarly tells the policy of tasks that waited for the configuration.
+func (s *State) takeEarly(now clock.Now) {
+	for len(s.early) > 0 && s.early[0].at < s.confRead {
+		t := s.region.Tasks[s.early[0].task]
+		s.early = s.early[1:]
+		if t == nil || t.State.Ended() {
+			continue
+		}
+		s.tellQueued(now, s.region.Jobs[t.Job], t)
+		if t.State.Placed() {
+			s.policy.Apply(now.WallMs, scheduler.TaskStarted{Start: record.Start{
+				Task: t.ID, Attempt: t.Attempt, Worker: t.Worker, Size: t.Size,
+			}})
+		}
+	}
+}
+
+func (s *State) tellQueued(now clock.Now, job *tasks.Job, t *tasks.Task) {
 	next := t.Attempt + 1
 	if t.State.Placed() {
 		next = t.Attempt
--- a/core/modelcheck/model_test.go
+++ b/core/modelcheck/model_test.go
@@ -84,7 +84,9 @@
 	add := func(kind faultKind, from, to time.Duration, a, b int) {
 		faults = append(faults, fault{kind: kind, at: from * time.Second, length: (to - from) * time.Second, a: a, b: b})
 	}
-	add(submitJob, 18, 63, 1, 2)
+	for range 6 {
+		add(submitJob, 18, 63, 1, 0)
+	}
 	add(cutEntryLog, 30, 70, 0, 0)
 	add(cutEntryLog, 30, 70, 2, 0)
 	add(cutEntries, 30, 70, 1, 2)
--- /dev/null
+++ b/entry/change.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
+
+	"github.com/verbenakeel/verbenakeel/control"
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// Times of changes.
+const (
+	// holdFor is how long a zone is held while its removal from service is recorded.
+	holdFor = 30 * time.Second
+	// maxInForceWait bounds how long an operator may wait for a revision to be in force everywhere.
+	maxInForceWait = time.Minute
+	// inForceCheck is the time between looks at who enforces a revision.
+	inForceCheck = 50 * time.Millisecond
+)
+
+// postConfig records a change and answers once log order has decided it. A change that is on record already keeps its
+// outcome.
+func (e *Entry) postConfig(ctx context.Context, c *app.RequestContext) {
+	var change record.ConfigChange
+	dec := json.NewDecoder(strings.NewReader(string(c.Request.Body())))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&change); err != nil {
+		e.refuse(c, errdefs.Field("body", err.Error(), "send one change as JSON"), true)
+		return
+	}
+	if change.ID == "" {
+		change.ID = uuid.NewString()
+	}
+	if _, ok := e.outcome(change.ID); ok {
+		e.writeChange(ctx, c, change.ID)
+		return
+	}
+	change.Operator, change.AtMs = operatorName(c), wallMs()
+	var err error
+	e.read(func(s *core.State) { err = config.Check(change, s.Config) })
+	if err != nil {
+		e.refuse(c, err, true)
+		return
+	}
+	if change.Zone != nil && change.Zone.Out {
+		e.holdEverywhere(change.Zone.Zone, change.Operator)
+	}
+	e.recordChange(ctx, c, change)
+}
+
+func (e *Entry) recordChange(ctx context.Context, c *app.RequestContext, change record.ConfigChange) {
+	wait, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	offset, err := e.configWriter.Write(wait, record.Record{Config: []record.ConfigChange{change}})
+	if err == nil {
+		err = e.waitRecorded(wait, core.ConfigStream, e.configWriter, offset)
+	}
+	if err != nil {
+		// An earlier copy of the change, sent through this or another entry, may have been folded meanwhile.
+		if _, ok := e.outcome(change.ID); !ok {
+			e.writeNotRecorded(c, err, "change", "/v1/config/changes/"+change.ID)
+			return
+		}
+	}
+	e.writeChange(ctx, c, change.ID)
+}
+
+func (e *Entry) outcome(id string) (config.Outcome, bool) {
+	var out config.Outcome
+	ok := false
+	e.read(func(s *core.State) { out, ok = s.Config.Outcome(id) })
+	return out, ok
+}
+
+// writeChange answers with the outcome of a change. That a change is not on record is said only after a read of the log
+// that was sent after the question.
+func (e *Entry) writeChange(ctx context.Context, c *app.RequestContext, id string) {
+	out, ok := e.outcome(id)
+	fresh := true
+	if !ok {
+		fresh = e.freshen(ctx, core.ConfigStream)
+		out, ok = e.outcome(id)
+	}
+	switch {
+	case !ok && !fresh:
+		e.refuse(c, errdefs.New(errdefs.Unavailable, "the log does not answer, so nobody can say whether change "+id+" is on record",
+			"ask again later; sending the change again with the same id is safe"), false)
+	case !ok:
+		e.refuse(c, errdefs.New(errdefs.NotFound, "no change "+id+" is on record", "send it again with the same id if it is still wanted"), false)
+	case out.Status == config.Accepted:
+		httpserver.JSON(c, 200, out)
+	case out.Status == config.Conflict:
+		httpserver.JSON(c, 409, out)
+	default:
+		httpserver.JSON(c, 400, out)
+	}
+}
+
+func (e *Entry) getChange(ctx context.Context, c *app.RequestContext) {
+	e.writeChange(ctx, c, c.Param("id"))
+}
+
+// holdEverywhere stops starts in the zone at all entries before the record is in force. It only ever stops starts. Every
+// entry keeps the hold, so that it outlasts a change of decider.
+func (e *Entry) holdEverywhere(zone, operator string) {
+	e.hold(zone, holdFor)
+	for _, p := range e.peers.live() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+			defer cancel()
+			_, _ = e.client(p.address).Hold(ctx, &control.HoldRequest{
+				Zone: zone, DurationMs: uint32(holdFor.Milliseconds()), Operator: operator,
+			})
+		}()
+	}
+}
+
+// InForce tells which processes enforce a revision.
+type InForce struct {
+	Revision uint64 `json:"revision"`
+	// Everyone is true when every known process enforces the revision and none is silent.
+	Everyone bool `json:"everyone"`
+	// Behind holds processes that reported an older revision.
+	Behind []string `json:"behind"`
+	// Silent holds processes that were not heard of lately. What they enforce is not known.
+	Silent []string `json:"silent"`
+}
+
+func (e *Entry) revision() uint64 {
+	var r uint64
+	e.read(func(s *core.State) { r = s.Config.Revision })
+	return r
+}
+
+// getInForce tells who enforces a revision; with wait_ms it waits until everybody does.
+func (e *Entry) getInForce(ctx context.Context, c *app.RequestContext) {
+	want, wait, err := inForceQuery(c)
+	if err != nil {
+		e.refuse(c, err, false)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(wait, maxInForceWait))
+	defer cancel()
+	t := time.NewTicker(inForceCheck)
+	defer t.Stop()
+	for {
+		r := e.inForce(want)
+		if r.Everyone || ctx.Err() != nil {
+			httpserver.JSON(c, 200, r)
+			return
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func inForceQuery(c *app.RequestContext) (revision uint64, wait time.Duration, err error) {
+	var waitMs int64
+	bad := json.Unmarshal([]byte(c.Query("revision")), &revision)
+	if bad == nil && c.Query("wait_ms") != "" {
+		bad = json.Unmarshal([]byte(c.Query("wait_ms")), &waitMs)
+	}
+	if bad != nil || waitMs < 0 {
+		return 0, 0, errdefs.Field("revision", "or wait_ms is not a number", "pass the revision that the change was accepted with, and milliseconds")
+	}
+	return revision, time.Duration(waitMs) * time.Millisecond, nil
+}
+
+// inForce compares what every known process reported with a revision. Side processes report by their announcements,
+// entries by their exchange.
+func (e *Entry) inForce(want uint64) InForce {
+	r := InForce{Revision: want, Behind: []string{}, Silent: []string{}}
+	now := e.now()
+	e.read(func(s *core.State) {
+		if s.Config.Revision < want {
+			r.Behind = append(r.Behind, e.set.ID)
+		}
+		for _, ep := range s.Members.All() {
+			switch {
+			case now.Mono-ep.Heard > 3*s.Members.Interval:
+				r.Silent = append(r.Silent, ep.ID)
+			case ep.Revision < want:
+				r.Behind = append(r.Behind, ep.ID)
+			}
+		}
+	})
+	for _, p := range e.peers.known() {
+		switch {
+		case time.Since(p.heard) >= peerSilent:
+			r.Silent = append(r.Silent, p.id)
+		case p.revision < want:
+			r.Behind = append(r.Behind, p.id)
+		}
+	}
+	r.Everyone = len(r.Behind) == 0 && len(r.Silent) == 0
+	return r
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -17,6 +17,7 @@
 	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/platform/stream"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -26,6 +27,8 @@
 	writeWait = 5 * time.Second
 	// maxTasks bounds the tasks of one job.
 	maxTasks = 10_000
+	// staleAfter is the age of the newest read of the log from which an account says that the log does not answer.
+	staleAfter = 3 * time.Second
 )
 
 var jobName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
@@ -40,6 +43,8 @@
 	Waiting string `json:"waiting,omitempty"`
 	// AsOf is the offset of the region's stream that the account includes.
 	AsOf uint64 `json:"as_of"`
+	// AgeMs is how old the account may be: the time since the newest read of the log.
+	AgeMs int64 `json:"age_ms"`
 }
 
 func (e *Entry) submitJob(ctx context.Context, c *app.RequestContext) {
@@ -54,20 +59,39 @@
 		return
 	}
 	if e.known(job.ID) {
-		e.writeAccount(c, 200, job.ID)
+		e.writeAccount(ctx, c, 200, job.ID)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeWait)
 	defer cancel()
 	offset, err := e.submitWriter.Write(ctx, record.Record{Submits: []record.Job{job}})
 	if err == nil {
-		err = e.waitFor(ctx, func(s *core.State) bool { return s.Region.Next > offset })
+		err = e.waitRecorded(ctx, core.RegionStream, e.submitWriter, offset)
 	}
 	if err != nil {
 		e.writeNotRecorded(c, err, "job", "/v1/jobs/"+strings.TrimPrefix(job.ID, customer+"/"))
 		return
 	}
-	e.writeAccount(c, 202, job.ID)
+	e.writeAccount(ctx, c, 202, job.ID)
+}
+
+// waitRecorded waits until the record at the offset was folded. A record of a run that was superseded before is void.
+func (e *Entry) waitRecorded(ctx context.Context, kind core.Stream, w *stream.Writer, offset uint64) error {
+	if err := e.waitFor(ctx, func(s *core.State) bool { return next(s, kind) > offset }); err != nil {
+		return err
+	}
+	void := false
+	e.read(func(s *core.State) {
+		writers := s.Region.Writers
+		if kind == core.ConfigStream {
+			writers = s.Config.Writers
+		}
+		void = writers[w.ID()].Incarnation > e.incarnation
+	})
+	if void {
+		return fmt.Errorf("another run of entry %s writes to the log: %w", e.set.ID, platform.ErrNotAppended)
+	}
+	return nil
 }
 
 // parseJob decodes and checks a job.
@@ -112,7 +136,7 @@
 
 func (e *Entry) known(id string) bool {
 	ok := false
-	e.read(func(s *core.State) { ok = s.Region.Jobs[id] != nil })
+	e.read(func(s *core.State) { ok = s.Region.Jobs[id] != nil || s.Region.JobExpired(id) })
 	return ok
 }
 
@@ -131,6 +155,8 @@
 func (e *Entry) account(id string) (JobAccount, bool) {
 	var a JobAccount
 	ok := false
+	age, _ := e.age(core.RegionStream)
+	a.AgeMs = age.Milliseconds()
 	e.read(func(s *core.State) {
 		job := s.Region.Jobs[id]
 		if job == nil {
@@ -144,27 +170,44 @@
 		}
 		if job.State == tasks.JobOpen && s.Decider.Active() {
 			a.Waiting = s.Decider.WaitReason(id)
+			if !s.Authority.Valid(e.now()) || !s.Authority.LogFresh(e.now(), staleAfter) {
+				a.Waiting = "the log does not answer, and nothing starts until it does"
+			}
 		}
 	})
 	return a, ok
 }
 
-func (e *Entry) writeAccount(c *app.RequestContext, status int, id string) {
+// writeAccount answers with a job's account. That a job is not on record is said only after a read of the log that was
+// sent after the question.
+func (e *Entry) writeAccount(ctx context.Context, c *app.RequestContext, status int, id string) {
 	a, ok := e.account(id)
+	fresh := true
 	if !ok {
-		e.refuse(c, errdefs.New(errdefs.NotFound, "no job "+id+" is on record", "check the id; a job that was just sent may take a second"), false)
-		return
+		fresh = e.freshen(ctx, core.RegionStream)
+		a, ok = e.account(id)
+	}
+	expired := false
+	e.read(func(s *core.State) { expired = s.Region.JobExpired(id) })
+	switch {
+	case ok:
+		httpserver.JSON(c, status, a)
+	case expired:
+		e.refuse(c, errdefs.New(errdefs.Expired, "job "+id+" ended and its account has expired", "read accounts before they expire; the id is not used again"), false)
+	case !fresh:
+		e.refuse(c, errdefs.New(errdefs.Unavailable, "the log does not answer, so nobody can say whether job "+id+" is on record", "ask again later"), false)
+	default:
+		e.refuse(c, errdefs.New(errdefs.NotFound, "no job "+id+" is on record", "check the id"), false)
 	}
-	httpserver.JSON(c, status, a)
 }
 
-func (e *Entry) getJob(_ context.Context, c *app.RequestContext) {
+func (e *Entry) getJob(ctx context.Context, c *app.RequestContext) {
 	customer, err := e.customerOf(c)
 	if err != nil {
 		e.refuse(c, err, false)
 		return
 	}
-	e.writeAccount(c, 200, customer+"/"+c.Param("job"))
+	e.writeAccount(ctx, c, 200, customer+"/"+c.Param("job"))
 }
 
 // JobSummary is one line of a list of jobs.
@@ -215,18 +258,18 @@
 
 func (e *Entry) cancel(ctx context.Context, c *app.RequestContext, id, by string) {
 	if !e.known(id) {
-		e.writeAccount(c, 404, id)
+		e.writeAccount(ctx, c, 404, id)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeWait)
 	defer cancel()
 	offset, err := e.submitWriter.Write(ctx, record.Record{Cancels: []record.Cancel{{Job: id, By: by}}})
 	if err == nil {
-		err = e.waitFor(ctx, func(s *core.State) bool { return s.Region.Next > offset })
+		err = e.waitRecorded(ctx, core.RegionStream, e.submitWriter, offset)
 	}
 	if err != nil {
 		e.writeNotRecorded(c, err, "cancel", "/v1/jobs/"+id)
 		return
 	}
-	e.writeAccount(c, 202, id)
+	e.writeAccount(ctx, c, 202, id)
 }
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -2,25 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/google/uuid"
 
-	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/config"
 	"github.com/verbenakeel/verbenakeel/core/members"
-	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
-// holdFor is how long a zone is held while its removal from service is recorded.
-const holdFor = 30 * time.Second
-
 func (e *Entry) routeOperator() {
 	h := e.operator
 	h.GET("/-/health", e.health)
@@ -36,8 +29,8 @@
 	h.GET("/v1/jobs", e.guard(func(_ context.Context, c *app.RequestContext) {
 		httpserver.JSON(c, 200, e.jobSummaries(c.Query("customer")))
 	}))
-	h.GET("/v1/jobs/*id", e.guard(func(_ context.Context, c *app.RequestContext) {
-		e.writeAccount(c, 200, strings.TrimPrefix(c.Param("id"), "/"))
+	h.GET("/v1/jobs/*id", e.guard(func(ctx context.Context, c *app.RequestContext) {
+		e.writeAccount(ctx, c, 200, strings.TrimPrefix(c.Param("id"), "/"))
 	}))
 	h.DELETE("/v1/jobs/*id", e.guard(func(ctx context.Context, c *app.RequestContext) {
 		e.cancel(ctx, c, strings.TrimPrefix(c.Param("id"), "/"), "operator "+operatorName(c))
@@ -70,79 +63,6 @@
 	return "unnamed"
 }
 
-// postConfig records a change and answers once log order has decided it.
-func (e *Entry) postConfig(ctx context.Context, c *app.RequestContext) {
-	var change record.ConfigChange
-	dec := json.NewDecoder(strings.NewReader(string(c.Request.Body())))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&change); err != nil {
-		e.refuse(c, errdefs.Field("body", err.Error(), "send one change as JSON"), true)
-		return
-	}
-	if change.ID == "" {
-		change.ID = uuid.NewString()
-	}
-	change.Operator, change.AtMs = operatorName(c), wallMs()
-	var err error
-	e.read(func(s *core.State) { err = config.Check(change, s.Config) })
-	if err != nil {
-		e.refuse(c, err, true)
-		return
-	}
-	if change.Zone != nil && change.Zone.Out {
-		e.holdEverywhere(change.Zone.Zone, change.Operator)
-	}
-	e.recordChange(ctx, c, change)
-}
-
-func (e *Entry) recordChange(ctx context.Context, c *app.RequestContext, change record.ConfigChange) {
-	ctx, cancel := context.WithTimeout(ctx, writeWait)
-	defer cancel()
-	offset, err := e.configWriter.Write(ctx, record.Record{Config: []record.ConfigChange{change}})
-	if err == nil {
-		err = e.waitFor(ctx, func(s *core.State) bool { return s.Config.Next > offset })
-	}
-	if err != nil {
-		e.writeNotRecorded(c, err, "change", "/v1/config/changes/"+change.ID)
-		return
-	}
-	e.writeChange(c, change.ID)
-}
-
-func (e *Entry) writeChange(c *app.RequestContext, id string) {
-	var out config.Outcome
-	ok := false
-	e.read(func(s *core.State) { out, ok = s.Config.Outcome(id) })
-	switch {
-	case !ok:
-		e.refuse(c, errdefs.New(errdefs.NotFound, "no change "+id+" is on record", "if it was just sent, ask again; otherwise send it again"), false)
-	case out.Status == config.Accepted:
-		httpserver.JSON(c, 200, out)
-	case out.Status == config.Conflict:
-		httpserver.JSON(c, 409, out)
-	default:
-		httpserver.JSON(c, 400, out)
-	}
-}
-
-func (e *Entry) getChange(_ context.Context, c *app.RequestContext) {
-	e.writeChange(c, c.Param("id"))
-}
-
-// holdEverywhere stops starts in the zone at all entries before the record is in force. It only ever stops starts.
-func (e *Entry) holdEverywhere(zone, operator string) {
-	e.hold(zone, holdFor)
-	for _, p := range e.peers.live() {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-			defer cancel()
-			_, _ = e.client(p.address).Hold(ctx, &control.HoldRequest{
-				Zone: zone, DurationMs: uint32(holdFor.Milliseconds()), Operator: operator,
-			})
-		}()
-	}
-}
-
 func (e *Entry) getContracts(_ context.Context, c *app.RequestContext) {
 	list := []config.ContractVersion{}
 	e.read(func(s *core.State) {
@@ -254,42 +174,3 @@
 	e.read(func(s *core.State) { list = append(list, s.Config.Audit...) })
 	httpserver.JSON(c, 200, list)
 }
-
-// InForce tells which processes enforce a revision.
-type InForce struct {
-	Revision uint64   `json:"revision"`
-	Everyone bool     `json:"everyone"`
-	Behind   []string `json:"behind"`
-}
-
-func (e *Entry) revision() uint64 {
-	var r uint64
-	e.read(func(s *core.State) { r = s.Config.Revision })
-	return r
-}
-
-func (e *Entry) getInForce(_ context.Context, c *app.RequestContext) {
-	var want uint64
-	if err := json.Unmarshal([]byte(c.Query("revision")), &want); err != nil {
-		e.refuse(c, errdefs.Field("revision", "is not a number", "pass the revision that the change was accepted with"), false)
-		return
-	}
-	r := InForce{Revision: want, Behind: []string{}}
-	e.read(func(s *core.State) {
-		if s.Config.Revision < want {
-			r.Behind = append(r.Behind, e.set.ID)
-		}
-		for _, ep := range s.Members.All() {
-			if ep.Revision < want {
-				r.Behind = append(r.Behind, ep.ID)
-			}
-		}
-	})
-	for _, p := range e.peers.live() {
-		if p.revision < want {
-			r.Behind = append(r.Behind, p.id)
-		}
-	}
-	r.Everyone = len(r.Behind) == 0
-	httpserver.JSON(c, 200, r)
-}
