--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,9 @@
 const (
 	// tickEvery is the time between ticks and so between batches.
 	tickEvery = 50 * time.Millisecond
+	// wakeTicks is the number of ticks between looks at all withheld polls for news that came with time, such as the end
+	// of a hold. Folded records wake them at once. A look at every tick cost a fifth more per worker.
+	wakeTicks = 5
 	// submitWindow is how long submissions and cancels are grouped.
 	submitWindow = 20 * time.Millisecond
 	// claimWindow is how long claims are grouped; callers wait for it.
@@ -297,12 +300,12 @@
 func (e *Entry) tick(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-t.C:
 			e.step(core.Ticked{Rank: e.peers.rank(e.set.ID), Candidate: e.witnessCandidate()})
 			e.pruneUnrecorded()
-			e.notify(e.isDecider())
+			e.notify(n%wakeTicks == 0 && e.isDecider())
 		case <-ctx.Done():
 			return
 		}
--- a/side/announce.go
+++ b/side/announce.go
@@ -52,7 +52,7 @@
 		s.addEntry(address, true)
 	}
 	s.mu.Unlock()
-	t := time.NewTicker(drainPoll)
+	t := time.NewTicker(idleCheckEvery)
 	defer t.Stop()
 	for {
 		s.mu.Lock()
--- a/side/side.go
+++ b/side/side.go
@@ -27,6 +27,9 @@
 	noticeMax = 3 * time.Second
 	// drainPoll is the time between looks at what is in progress.
 	drainPoll = 10 * time.Millisecond
+	// idleCheckEvery is the time between looks of an idle side process at new entries and at the limit of a shutdown order.
+	// With 10 ms an idle side process took 2.4% of a core, more than the 1.3% that control may take; now 0.6%.
+	idleCheckEvery = 100 * time.Millisecond
 )
 
 // Side is a running side process.
@@ -168,7 +171,7 @@
 
 // watchCut cuts off requests in progress once the limit of the shutdown order has passed.
 func (s *Side) watchCut(ctx context.Context) {
-	t := time.NewTicker(drainPoll)
+	t := time.NewTicker(idleCheckEvery)
 	defer t.Stop()
 	for {
 		select {
--- a/slopes/kept.go
+++ b/slopes/kept.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/platform/logclient"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
@@ -29,19 +30,27 @@
 func claimRecords(w *writer, n int) []*record.Record {
 	var list []*record.Record
 	for i := 0; i < n; i += perRecord {
-		var claims, answers record.Record
+		var asked, answers record.Record
 		for k := i; k < min(n, i+perRecord); k++ {
 			key := fmt.Sprintf("booking-%08d", k)
-			claims.RequestClaims = append(claims.RequestClaims, record.RequestClaim{Customer: customer, Key: key, Nonce: uint64(k), Digest: uint64(k)})
+			asked.RequestClaims = append(asked.RequestClaims, record.RequestClaim{Customer: customer, Key: key, Nonce: uint64(k), Digest: uint64(k)})
 			answers.RequestAnswers = append(answers.RequestAnswers, record.RequestAnswer{
 				Customer: customer, Key: key, Nonce: uint64(k), Status: 200, ContentType: "application/json", Body: make([]byte, answerBytes),
 			})
 		}
-		list = append(list, w.stamp(claims), w.stamp(answers))
+		list = append(list, w.stamp(asked), w.stamp(answers))
 	}
 	return list
 }
 
+// expiredRecords returns records of n requests whose answers are no longer kept but whose keys are.
+func expiredRecords(w *writer, n int) []*record.Record {
+	list := claimRecords(w, n)
+	late := w.stamp(record.Record{})
+	late.AtMs += 2 * claims.AnswerKept.Milliseconds()
+	return append(list, late)
+}
+
 // contractRecords returns records of n contracts of idle customers.
 func contractRecords(w *writer, n int) []*record.Record {
 	var list []*record.Record
@@ -99,6 +108,7 @@
 		records            func(*writer, int) []*record.Record
 	}{
 		{"claim", "kept claims", streams[2], []int{0, 20_000, 40_000, 80_000}, claimRecords},
+		{"key", "claims whose answers have expired", streams[2], []int{0, 20_000, 40_000, 80_000}, expiredRecords},
 		{"contract", "contracts", streams[0], []int{0, 2000, 4000, 8000}, contractRecords},
 		{"job", "ended jobs of one task", streams[1], []int{0, 5000, 10_000, 20_000},
 			func(w *writer, n int) []*record.Record { return jobRecords(w, n, 1) }},
