decider: lift throttles that an earlier decider set

Cause: throttles are not on the log, so a new decider does not know of them and never lifts them. Change: the first renewal of an attempt that an earlier epoch placed carries an order to run at the full share. Conclusion: a task is throttled only by the decider in force.

--- a/core/decider/sync.go
+++ b/core/decider/sync.go
@@ -134,6 +134,7 @@
 		return
 	}
 	seen[h.Task] = true
+	first := c.held[h.Task] != h.Attempt
 	c.held[h.Task] = h.Attempt
 	a.Renewed = append(a.Renewed, h)
 	switch t.State {
@@ -145,6 +146,11 @@
 		if th, ok := c.throttles[h.Task]; ok && th.Attempt == h.Attempt {
 			a.Orders = append(a.Orders, throttleOrder(th))
 			delete(c.throttles, h.Task)
+		} else if first && t.Epoch != a.Epoch {
+			// Throttles are not on the log: one that an earlier decider set would otherwise stay for ever.
+			a.Orders = append(a.Orders, throttleOrder(scheduler.ThrottleTask{
+				Task: h.Task, Attempt: h.Attempt, ShareMilli: 1000, Reason: "a new decider sets throttles anew",
+			}))
 		}
 	}
 }
