entry: repeats wait for an answer in progress; refusals of keyed requests state their scope

Cause: TestWholePath failed twice on a busy machine: a repeat through another entry, milliseconds after the first answer, was told 409 because that entry had not read the answer's record yet. And a keyed request that was refused over a limit or while the log was down said not_run, which a caller could take for all sendings of the key, use a new key and book twice. Change: a repeat of a claim that a live entry works on waits for the answer until 100 ms before its own deadline. A refusal before the key was looked up or claimed carries scope this_sending. TestOnceWhileLogIsDown now checks the scope.

--- a/entry/once.go
+++ b/entry/once.go
@@ -25,6 +25,8 @@
 	maxKept = 64 << 10
 	// answerWait bounds how long a caller waits for the record of an answer. The answer is given even if it fails.
 	answerWait = 250 * time.Millisecond
+	// replyMargin is left of a caller's deadline to tell that a claim is still in progress.
+	replyMargin = 100 * time.Millisecond
 	// claimWait bounds how long a claim may take. A slower log counts as down.
 	claimWait = time.Second
 	// logStale is the age of the last successful read of the claims from which the log counts as down. Reads take up to
@@ -36,18 +38,18 @@
 func (e *Entry) serveOnce(ctx context.Context, c *app.RequestContext, cl *call) {
 	digest := digestOf(c, cl)
 	if known, ok := e.lookupClaim(cl); ok {
-		e.replay(c, cl, known, digest)
+		e.replay(c, cl, e.awaitAnswer(ctx, cl, known, digest), digest)
 		return
 	}
 	nonce := e.nonce.Add(1)
 	won, err := e.claim(ctx, cl, nonce, digest)
 	if err != nil {
-		e.refuse(c, err, true)
+		e.refuseSending(c, err)
 		return
 	}
 	if !won {
 		known, _ := e.lookupClaim(cl)
-		e.replay(c, cl, known, digest)
+		e.replay(c, cl, e.awaitAnswer(ctx, cl, known, digest), digest)
 		return
 	}
 	// The claim may have been read back after its caller's deadline, for example because the process was paused.
@@ -65,6 +67,26 @@
 	e.writeResult(c, cl, r)
 }
 
+// awaitAnswer waits for the answer of a claim that a live entry is working on, until shortly before the caller's
+// deadline. A repeat that another entry takes a moment after the first answer would otherwise be told "in progress",
+// because that entry has not read the answer's record yet.
+func (e *Entry) awaitAnswer(ctx context.Context, cl *call, known claims.Claim, digest uint64) claims.Claim {
+	if known.State != lifecycle.RequestClaimed || known.Digest != digest || e.logDown() ||
+		!e.entryLive(known.Writer, known.Incarnation) {
+		return known
+	}
+	ctx, cancel := context.WithDeadline(ctx, cl.deadline.Add(-replyMargin))
+	defer cancel()
+	_ = e.waitFor(ctx, func(s *core.State) bool {
+		k, ok := s.Claims.Lookup(cl.customer, cl.key)
+		return !ok || k.State != lifecycle.RequestClaimed
+	})
+	if newest, ok := e.lookupClaim(cl); ok {
+		return newest
+	}
+	return known
+}
+
 // keepOnly drops the headers that are not kept for repeats, so that every repeat gets the same answer as the first.
 func (r *result) keepOnly() {
 	r.header = [][2]string{{"Content-Type", r.contentType()}}
--- a/entry/public.go
+++ b/entry/public.go
@@ -73,12 +73,12 @@
 	start := time.Now()
 	cl, err := e.parseCall(c, start)
 	if err != nil {
-		e.refuse(c, err, true)
+		e.refuseSending(c, err)
 		return
 	}
 	release, err := e.admit(cl)
 	if err != nil {
-		e.refuse(c, err, true)
+		e.refuseSending(c, err)
 		return
 	}
 	defer release()
@@ -163,6 +163,21 @@
 func (e *Entry) refuse(c *app.RequestContext, err error, notRun bool) {
 	p := problemOf(err)
 	p.NotRun = notRun
+	e.writeRefusal(c, err, p)
+}
+
+// refuseSending refuses a sending before its key was looked up or claimed. An earlier sending with the same key may have
+// run, so a refusal of a keyed request is about this sending only.
+func (e *Entry) refuseSending(c *app.RequestContext, err error) {
+	p := problemOf(err)
+	p.NotRun = true
+	if len(c.GetHeader(headerKey)) > 0 {
+		p.Scope = "this_sending"
+	}
+	e.writeRefusal(c, err, p)
+}
+
+func (e *Entry) writeRefusal(c *app.RequestContext, err error, p httpserver.Problem) {
 	c.Set(outcomeKey, "refused")
 	status := statusOf(errdefs.KindOf(err))
 	if status == 429 || status == 503 {
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -125,6 +125,8 @@
 	Error ProblemError `json:"error"`
 	// NotRun is true only if the request certainly did not run.
 	NotRun bool `json:"not_run"`
+	// Scope is "this_sending" when NotRun is about this sending alone and an earlier one with the same key may have run.
+	Scope string `json:"scope,omitempty"`
 	// Outcome is "unknown" when the request may have run.
 	Outcome string `json:"outcome,omitempty"`
 	// Ask is the path that tells the outcome later.
--- a/integration/request_once_test.go
+++ b/integration/request_once_test.go
@@ -102,6 +102,7 @@
 	status, p, body := post(1, "during")
 	assert.Equal(t, status, 503, body)
 	assert.Assert(t, p.NotRun, body)
+	assert.Equal(t, p.Scope, "this_sending", body)
 	status, _, again := post(0, "before")
 	assert.Equal(t, status, 200, again)
 	assert.Equal(t, again, first)
