scheduler: finished runs widen the bound on first runs

Change: each finished run of the class allows two further first runs. Conclusion: short tasks reach the rate that the fleet allows; classes that fail or do not finish stay cautious.

--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -22,6 +22,9 @@
 	minSizeTasks = 3
 	// minRuns is how many run times must be known before they replace declared ones.
 	minRuns = 5
+	// runsPerFinished is how many further first runs each finished run of a class allows. Tasks that end before their
+	// first usage report are never measured, and would otherwise stay at the first bound.
+	runsPerFinished = 2
 	// minImpossibleRuns is how many run times must be known before a deadline is called impossible.
 	minImpossibleRuns = 20
 	// maxClasses bounds the classes remembered; the least recently used eighth without tasks is dropped beyond it.
@@ -265,7 +268,7 @@
 	if c.firstMs != 0 && nowMs-c.firstMs >= s.cfg.FirstRunsMs {
 		return ""
 	}
-	if j.class.measured >= minSizeTasks || j.rec.Kind == record.ServiceJob || j.rec.Urgent || j.class.running < s.cfg.FirstRuns {
+	if j.class.measured >= minSizeTasks || j.rec.Kind == record.ServiceJob || j.rec.Urgent || j.class.running < s.cfg.FirstRuns+runsPerFinished*j.class.runs {
 		return ""
 	}
 	return "the first tasks of this class run and are not measured yet"
--- a/scheduler/policy_test.go
+++ b/scheduler/policy_test.go
@@ -263,6 +263,23 @@
 	assert.Equal(t, s.customers["a"].running, 30)
 }
 
+// Guards against a class of short tasks that stays at its first bound, because its tasks end before they are measured.
+func TestShortTasksWidenTheFirstBound(t *testing.T) {
+	s := fleetState(4, "a")
+	queue(s, 60_000, batchJob("a", "short", 200))
+	finished := 0
+	for now := int64(60_000); now < 65_000; now += 200 {
+		for _, d := range s.Decide(now) {
+			if st, ok := d.(StartTask); ok {
+				s.Apply(now, TaskStarted{Start: st.Start})
+				end(s, now+100, st.Start, record.Finished)
+				finished++
+			}
+		}
+	}
+	assert.Assert(t, finished >= 150, "%d finished", finished)
+}
+
 // Guards against accepting a deadline that no run of the class ever met, and against refusing on declared times alone.
 func TestDeadlineIsJudgedByLearnedRunTimes(t *testing.T) {
 	s := fleetState(3, "a")
