--- a/core/tasks/ends.go
+++ b/core/tasks/ends.go
@@ -92,14 +92,16 @@
 func (f *folder) close(job *Job) {
 	delete(f.services, job.Spec.ID)
 	f.Ended = append(f.Ended, job.Spec.ID)
+	f.endedTasks += len(job.Tasks)
 	f.emit(JobEnded{job})
 }
 
-// trim forgets the oldest ended jobs beyond the limit.
+// trim forgets the oldest ended jobs beyond the limits. The newest one stays whatever its size.
 func (s *State) trim() {
-	for len(s.Ended) > maxEndedJobs {
+	for len(s.Ended) > maxEndedJobs || (s.endedTasks > maxEndedTasks && len(s.Ended) > 1) {
 		id := s.Ended[0]
 		s.Ended = s.Ended[1:]
+		s.endedTasks -= len(s.Jobs[id].Tasks)
 		for _, task := range s.Jobs[id].Tasks {
 			delete(s.Tasks, task)
 		}
--- a/core/tasks/fold_test.go
+++ b/core/tasks/fold_test.go
@@ -72,3 +72,15 @@
 	assert.Equal(t, l.state.Tasks["c/j#0"].State, lifecycle.TaskCancelled)
 	assert.Equal(t, l.state.Workers["w"].Committed, record.Resources{})
 }
+
+// Guards against an entry that grows beyond its memory by the accounts of jobs with many tasks.
+func TestTrimBoundsEndedTasks(t *testing.T) {
+	l := &log{state: New()}
+	const perJob = 10_000
+	for _, id := range []string{"c/1", "c/2", "c/3", "c/4", "c/5"} {
+		l.append(record.Record{Submits: []record.Job{{ID: id, Customer: "c", Kind: record.BatchJob, Tasks: perJob}}})
+		l.append(record.Record{Cancels: []record.Cancel{{Job: id}}})
+	}
+	assert.Equal(t, len(l.state.Tasks), maxEndedTasks)
+	assert.Assert(t, l.state.Jobs["c/1"] == nil && l.state.JobExpired("c/1"))
+}
--- a/core/tasks/state.go
+++ b/core/tasks/state.go
@@ -19,6 +19,8 @@
 const (
 	// maxEndedJobs bounds ended jobs kept for their accounts: about two days at 8,600 jobs a day.
 	maxEndedJobs = 20_000
+	// maxEndedTasks bounds the tasks of these jobs: at 1.1 KB a task they keep an entry well below 128 MB.
+	maxEndedTasks = 40_000
 	// maxExpired bounds the ids kept of trimmed jobs: about three weeks at 8,600 jobs a day, 1.6 MB in a snapshot.
 	maxExpired = 200_000
 	// maxOlder bounds the older epochs kept apart. More of them only arise when deciders change faster than their
@@ -149,6 +151,8 @@
 	// and an account can say "expired".
 	Expired []uint64 `cbor:"14,keyasint,omitempty"`
 
+	// endedTasks counts the tasks of the jobs in Ended.
+	endedTasks int
 	// services holds the ids of service jobs that have not ended.
 	services map[string]struct{}
 	expired  map[uint64]struct{}
@@ -176,6 +180,10 @@
 			s.services[id] = struct{}{}
 		}
 	}
+	s.endedTasks = 0
+	for _, id := range s.Ended {
+		s.endedTasks += len(s.Jobs[id].Tasks)
+	}
 	s.expired = make(map[uint64]struct{}, len(s.Expired))
 	for _, h := range s.Expired {
 		s.expired[h] = struct{}{}
