--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/record"
 )
@@ -61,28 +63,52 @@
 	Next uint64 `cbor:"1,keyasint"`
 	// NewestMs is the highest writer clock seen. Expiry is measured against it, so that every reader expires alike.
 	NewestMs int64 `cbor:"2,keyasint"`
-	// Order holds the claims in the order of their offsets.
+	// Order holds the claims whose answers are kept, in the order of their offsets.
 	Order []*Claim `cbor:"3,keyasint"`
 	// Writers drops repeated records.
 	Writers record.Sequences `cbor:"4,keyasint"`
+	// Old holds the keys whose answers were dropped, in the order of their offsets.
+	Old []OldKey `cbor:"5,keyasint,omitempty"`
 
 	byKey map[Key]*Claim
-	// stripped counts the leading claims of Order whose answers were dropped.
-	stripped int
+	old   map[uint64]OldKey
+}
+
+// OldKey remembers a key after its answer was dropped. Keys are kept as hashes, because a day of them is many times an
+// hour of claims: two keys that share a 64-bit hash would make the later one read "expired, not run again".
+type OldKey struct {
+	// Hash is the xxhash of customer and key.
+	Hash uint64 `cbor:"1,keyasint"`
+	// Digest is the digest of the request.
+	Digest uint64 `cbor:"2,keyasint"`
+	// Offset and AtMs are those of the claim.
+	Offset uint64 `cbor:"3,keyasint"`
+	AtMs   int64  `cbor:"4,keyasint"`
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{Next: 1, Writers: make(record.Sequences), byKey: make(map[Key]*Claim)}
+	return &State{Next: 1, Writers: make(record.Sequences), byKey: make(map[Key]*Claim), old: make(map[uint64]OldKey)}
 }
 
 // Reindex rebuilds the indexes that a snapshot does not hold.
 func (s *State) Reindex() {
 	s.byKey = make(map[Key]*Claim, len(s.Order))
-	s.stripped = 0
 	for _, c := range s.Order {
 		s.byKey[Key{c.Customer, c.Key}] = c
 	}
+	s.old = make(map[uint64]OldKey, len(s.Old))
+	for _, k := range s.Old {
+		s.old[k.Hash] = k
+	}
+}
+
+func (k Key) hash() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(k.Customer)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(k.Key)
+	return d.Sum64()
 }
 
 // Fold applies the record at offset and returns the verdicts on its claims.
@@ -108,7 +134,7 @@
 
 func (s *State) claim(offset uint64, rec *record.Record, rc record.RequestClaim) Verdict {
 	key := Key{rc.Customer, rc.Key}
-	if c := s.byKey[key]; c != nil {
+	if c, ok := s.Lookup(rc.Customer, rc.Key); ok {
 		return Verdict{c, rc.Nonce, rec.Writer, false}
 	}
 	c := &Claim{
@@ -140,25 +166,37 @@
 
 // expire drops answers after AnswerKept and keys after KeyKept.
 func (s *State) expire() {
-	forget := 0
-	for forget < len(s.Order) && s.Order[forget].AtMs+KeyKept.Milliseconds() < s.NewestMs {
-		c := s.Order[forget]
-		delete(s.byKey, Key{c.Customer, c.Key})
-		forget++
+	dropped := 0
+	for dropped < len(s.Order) && s.Order[dropped].AtMs+AnswerKept.Milliseconds() < s.NewestMs {
+		c := s.Order[dropped]
+		key := Key{c.Customer, c.Key}
+		delete(s.byKey, key)
+		k := OldKey{key.hash(), c.Digest, c.Offset, c.AtMs}
+		s.old[k.Hash] = k
+		s.Old = append(s.Old, k)
+		s.Order[dropped] = nil
+		dropped++
 	}
-	s.Order = s.Order[forget:]
-	s.stripped = max(0, s.stripped-forget)
-	for s.stripped < len(s.Order) && s.Order[s.stripped].AtMs+AnswerKept.Milliseconds() < s.NewestMs {
-		c := s.Order[s.stripped]
-		if lifecycle.Request.Fire(&c.State, lifecycle.ExpireRequest) == nil {
-			c.Body, c.ContentType, c.Status = nil, "", 0
-		}
-		s.stripped++
+	s.Order = s.Order[dropped:]
+	forgotten := 0
+	for forgotten < len(s.Old) && s.Old[forgotten].AtMs+KeyKept.Milliseconds() < s.NewestMs {
+		delete(s.old, s.Old[forgotten].Hash)
+		forgotten++
 	}
+	s.Old = s.Old[forgotten:]
 }
 
-// Lookup returns the claim in force for the key.
+// Lookup returns the claim in force for the key. A key whose answer was dropped gives a claim in state expired.
 func (s *State) Lookup(customer, key string) (*Claim, bool) {
-	c, ok := s.byKey[Key{customer, key}]
-	return c, ok
+	k := Key{customer, key}
+	if c, ok := s.byKey[k]; ok {
+		return c, true
+	}
+	old, ok := s.old[k.hash()]
+	if !ok {
+		return nil, false
+	}
+	return &Claim{
+		Customer: customer, Key: key, Digest: old.Digest, State: lifecycle.RequestExpired, Offset: old.Offset, AtMs: old.AtMs,
+	}, true
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,9 @@
 	incarnation uint64
 	start       time.Time
 
+	// folding is held by folds and by the encoder of the stream's state. It is taken before mu.
+	folding [3]sync.Mutex
+
 	mu    sync.Mutex
 	state *core.State
 	// changed is closed and replaced whenever a fold may have changed something that a waiter looks at.
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -110,27 +110,34 @@
 	return nil
 }
 
-// encode encodes the folded state of a stream, with the offset of the first record that it does not include.
+// encode encodes the folded state of a stream, with the offset of the first record that it does not include. Only folds of
+// that stream wait for it: only they change the state, and at the target size requests would wait 0.1 s for the lock.
 func (e *Entry) encode(kind core.Stream) ([]byte, uint64, error) {
+	e.folding[kind].Lock()
+	defer e.folding[kind].Unlock()
+	state, offset := e.snapshotState(kind)
+	data, err := snapshotMode.Marshal(state)
+	if err != nil {
+		return nil, 0, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, offset, nil
+}
+
+func (e *Entry) snapshotState(kind core.Stream) (any, uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var v any
+	offset := next(e.state, kind)
 	switch kind {
 	case core.ConfigStream:
-		v = e.state.Config
+		return e.state.Config, offset
 	case core.RegionStream:
 		if learned, err := e.state.Decider.Learned(); err == nil {
 			e.state.Region.Learned = learned
 		}
-		v = e.state.Region
+		return e.state.Region, offset
 	default:
-		v = e.state.Claims
-	}
-	data, err := snapshotMode.Marshal(v)
-	if err != nil {
-		return nil, 0, fmt.Errorf("encode snapshot: %w", err)
+		return e.state.Claims, offset
 	}
-	return data, next(e.state, kind), nil
 }
 
 // export returns the state of a stream for a peer, with its offset and the age of the newest read of the log in it. An
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -127,7 +127,9 @@
 		e.views[f.kind].seePiece(rec)
 		e.mu.Unlock()
 	}
+	e.folding[f.kind].Lock()
 	e.step(core.Folded{Stream: f.kind, Offset: offset, Record: rec})
+	e.folding[f.kind].Unlock()
 	e.notify(false)
 }
 
