--- a/core/claims/started.go
+++ b/core/claims/started.go
@@ -53,20 +53,16 @@
 // Begin asks to start a sending that is accepted until it expires. Only StartNew allows the start. The state is kept
 // until the given time, which is not before the expiry.
 func (s *Started[A]) Begin(now clock.Now, id string, keepUntil time.Duration) (StartState, A) {
-	var none A
-	if e := s.byID[id]; e != nil {
-		return e.state, e.answer
-	}
-	s.sweep(now)
-	if len(s.byID) >= s.maxCount {
-		return StartTooMany, none
-	}
-	s.byID[id] = &started[A]{state: StartRunning, expires: keepUntil}
-	return StartNew, none
+	return s.remember(now, id, keepUntil, StartRunning, StartNew)
 }
 
 // Bar makes sure that a sending that was not started never starts, and returns its state.
 func (s *Started[A]) Bar(now clock.Now, id string, keepUntil time.Duration) (StartState, A) {
+	return s.remember(now, id, keepUntil, StartBarred, StartBarred)
+}
+
+// remember returns what is known of a sending. One that is not known is kept in state first, and answered with reply.
+func (s *Started[A]) remember(now clock.Now, id string, keepUntil time.Duration, first, reply StartState) (StartState, A) {
 	var none A
 	if e := s.byID[id]; e != nil {
 		return e.state, e.answer
@@ -75,8 +71,8 @@
 	if len(s.byID) >= s.maxCount {
 		return StartTooMany, none
 	}
-	s.byID[id] = &started[A]{state: StartBarred, expires: keepUntil}
-	return StartBarred, none
+	s.byID[id] = &started[A]{state: first, expires: keepUntil}
+	return reply, none
 }
 
 // Refused notes that a sending was refused before it was passed on.
--- a/entry/ask.go
+++ b/entry/ask.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/verbenakeel/verbenakeel/control"
 )
 
 // Times of questions about a request that must not run twice.
@@ -41,9 +43,9 @@
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + d.link.address + "/-/start")
-	req.Header.Set(headerStart, d.start)
-	req.Header.Set(headerExpires, d.expires)
-	req.Header.Set(headerRequestID, cl.id)
+	req.Header.Set(control.HeaderStart, d.start)
+	req.Header.Set(control.HeaderExpires, d.expires)
+	req.Header.Set(control.HeaderRequestID, cl.id)
 	if limit := time.Now().Add(askTimeout); limit.Before(deadline) {
 		deadline = limit
 	}
@@ -51,13 +53,13 @@
 		d.link.pings.AbortIdle()
 		return result{}, false
 	}
-	if string(resp.Header.Peek(headerRequestID)) != cl.id {
+	if string(resp.Header.Peek(control.HeaderRequestID)) != cl.id {
 		return result{}, false
 	}
-	if string(resp.Header.Peek(headerNotRun)) == "true" {
-		return result{notRun: true, err: refusedBySide(string(resp.Header.Peek(headerReason)))}, true
+	if string(resp.Header.Peek(control.HeaderNotRun)) == "true" {
+		return result{notRun: true, err: refusedBySide(string(resp.Header.Peek(control.HeaderReason)))}, true
 	}
-	switch string(resp.Header.Peek(headerOutcome)) {
+	switch string(resp.Header.Peek(control.HeaderOutcome)) {
 	case "":
 		return wholeAnswer(resp), true
 	case "running":
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/members"
 	"github.com/verbenakeel/verbenakeel/core/route"
@@ -208,16 +209,16 @@
 		if cl.key != "" {
 			d.start = cl.customer + "/" + cl.key
 		}
-		req.Header.Set(headerStart, d.start)
+		req.Header.Set(control.HeaderStart, d.start)
 	}
 	left := time.Until(cl.deadline)
 	if left <= 0 {
 		return result{notRun: true, err: tooLate()}, route.Refused
 	}
 	if d.expires = l.expires(cl.deadline); d.expires != "" {
-		req.Header.Set(headerExpires, d.expires)
+		req.Header.Set(control.HeaderExpires, d.expires)
 	}
-	req.Header.Set(headerDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	req.Header.Set(control.HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	req.Header.Set(httpserver.HeaderTry, d.try)
 	req.SetRequestURI("http://" + ep.Address + cl.uri)
 	return e.exchangeData(ctx, req, cl, d)
@@ -238,7 +239,7 @@
 	if errors.Is(err, httpserver.ErrNotSent) {
 		return result{notRun: true, err: errdefs.New(errdefs.Unavailable, "no connection to "+d.endpoint.ID, "try again after Retry-After")}, route.Failed
 	}
-	if err == nil && string(resp.Header.Peek(headerRequestID)) != cl.id && !e.ignoreEcho {
+	if err == nil && string(resp.Header.Peek(control.HeaderRequestID)) != cl.id && !e.ignoreEcho {
 		e.log.Log(logevent.ForeignAnswer, logevent.Str("endpoint", d.endpoint.ID))
 		d.link.data.AbortIdle()
 		err = errors.New("the answer belongs to another request")
@@ -262,10 +263,10 @@
 // readAnswer reads what a side process answered.
 func (e *Entry) readAnswer(ctx context.Context, resp *protocol.Response, cl *call, d *dispatch) (result, route.Outcome) {
 	e.reportLoad(resp, d)
-	if string(resp.Header.Peek(headerNotRun)) == "true" {
-		return result{notRun: true, err: refusedBySide(string(resp.Header.Peek(headerReason)))}, route.Refused
+	if string(resp.Header.Peek(control.HeaderNotRun)) == "true" {
+		return result{notRun: true, err: refusedBySide(string(resp.Header.Peek(control.HeaderReason)))}, route.Refused
 	}
-	switch string(resp.Header.Peek(headerOutcome)) {
+	switch string(resp.Header.Peek(control.HeaderOutcome)) {
 	case "":
 	case "running":
 		return e.askOutcome(ctx, cl, d, result{err: lostAnswer(d.endpoint.ID, errors.New("it runs already"))}), route.Failed
@@ -277,12 +278,12 @@
 }
 
 func (e *Entry) reportLoad(resp *protocol.Response, d *dispatch) {
-	d.link.heardClock(string(resp.Header.Peek(headerClock)))
-	free, err := strconv.Atoi(string(resp.Header.Peek(headerSlots)))
+	d.link.heardClock(string(resp.Header.Peek(control.HeaderClock)))
+	free, err := strconv.Atoi(string(resp.Header.Peek(control.HeaderSlots)))
 	if err != nil {
 		return
 	}
-	queue, err := strconv.Atoi(string(resp.Header.Peek(headerQueue)))
+	queue, err := strconv.Atoi(string(resp.Header.Peek(control.HeaderQueue)))
 	if err != nil {
 		return
 	}
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -6,43 +6,24 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 )
 
-// Headers between callers, entries and side processes.
-const (
-	headerDeadline   = "X-Deadline-Ms"
-	headerRequestID  = "X-Request-Id"
-	headerNotRun     = "X-Not-Run"
-	headerReason     = "X-Reason"
-	headerOutcome    = "X-Outcome"
-	headerSlots      = "X-Slots-Free"
-	headerQueue      = "X-Queue"
-	headerCustomer   = "X-Customer"
-	headerCaller     = "X-Caller"
-	headerKey        = "Idempotency-Key"
-	headerClock      = "X-Side-Clock"
-	headerExpires    = "X-Expires"
-	headerStart      = "X-Start-Id"
-	headerRepeatable = "X-Repeatable"
-	headerTries      = "X-Tries"
-	headerRevision   = "X-Config-Revision"
-)
-
 // requestHeadersDropped are not passed on to an endpoint: hop headers describe one connection, the others are set by
 // this entry.
 var requestHeadersDropped = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Host": true, "Content-Length": true,
-	"Authorization": true, headerDeadline: true, headerRequestID: true, headerCustomer: true, headerExpires: true,
-	headerStart: true, headerRepeatable: true, headerTries: true, headerRevision: true, httpserver.HeaderTry: true,
+	"Authorization": true, control.HeaderDeadline: true, control.HeaderRequestID: true, control.HeaderCustomer: true, control.HeaderExpires: true,
+	control.HeaderStart: true, control.HeaderRepeatable: true, control.HeaderTries: true, control.HeaderRevision: true, httpserver.HeaderTry: true,
 }
 
 // answerHeadersDropped are not passed on to a caller.
 var answerHeadersDropped = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Server": true, "Date": true, headerRequestID: true, headerNotRun: true, headerReason: true,
-	headerOutcome: true, headerSlots: true, headerQueue: true, headerClock: true,
+	"Content-Length": true, "Server": true, "Date": true, control.HeaderRequestID: true, control.HeaderNotRun: true, control.HeaderReason: true,
+	control.HeaderOutcome: true, control.HeaderSlots: true, control.HeaderQueue: true, control.HeaderClock: true,
 }
 
 // copyRequest copies the caller's request for one sending.
@@ -54,16 +35,16 @@
 		}
 	})
 	req.SetMethod(cl.method)
-	req.Header.Set(headerRequestID, cl.id)
-	req.Header.Set(headerCustomer, cl.customer)
-	req.Header.Set(headerRepeatable, strconv.FormatBool(cl.repeatable))
+	req.Header.Set(control.HeaderRequestID, cl.id)
+	req.Header.Set(control.HeaderCustomer, cl.customer)
+	req.Header.Set(control.HeaderRepeatable, strconv.FormatBool(cl.repeatable))
 	req.SetBody(c.Request.Body())
 	return req
 }
 
 // writeResult answers the caller with a whole answer or a typed error.
 func (e *Entry) writeResult(c *app.RequestContext, cl *call, r result) {
-	c.Response.Header.Set(headerRequestID, cl.id)
+	c.Response.Header.Set(control.HeaderRequestID, cl.id)
 	if r.err == nil {
 		c.SetStatusCode(r.status)
 		c.Response.Header.SetNoDefaultContentType(true)
--- a/entry/link.go
+++ b/entry/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
@@ -290,15 +291,15 @@
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + l.address + "/-/ping")
-	req.Header.Set(headerTries, strings.Join(asked, ","))
-	req.Header.Set(headerRevision, strconv.FormatUint(revision, 10))
+	req.Header.Set(control.HeaderTries, strings.Join(asked, ","))
+	req.Header.Set(control.HeaderRevision, strconv.FormatUint(revision, 10))
 	if err := l.pings.Do(ctx, req, resp, time.Now().Add(pingTimeout)); err != nil {
 		return nil, err
 	}
 	if resp.StatusCode() != 200 {
 		return nil, fmt.Errorf("ping was answered with status %d", resp.StatusCode())
 	}
-	l.heardClock(string(resp.Header.Peek(headerClock)))
+	l.heardClock(string(resp.Header.Peek(control.HeaderClock)))
 	known := make(map[string]bool)
 	for try := range strings.SplitSeq(string(resp.Body()), ",") {
 		known[try] = true
--- a/entry/once.go
+++ b/entry/once.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
@@ -181,9 +182,9 @@
 
 // replay answers a repeat of a claimed request.
 func (e *Entry) replay(c *app.RequestContext, cl *call, known claims.Claim, digest uint64) {
-	c.Response.Header.Set(headerRequestID, cl.id)
+	c.Response.Header.Set(control.HeaderRequestID, cl.id)
 	if known.Digest != digest {
-		e.refuse(c, errdefs.Field(headerKey, "was used for another request", "use a new key for a new request"), true)
+		e.refuse(c, errdefs.Field(control.HeaderKey, "was used for another request", "use a new key for a new request"), true)
 		return
 	}
 	switch known.State {
--- a/entry/public.go
+++ b/entry/public.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/google/uuid"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/httpserver"
@@ -94,11 +95,11 @@
 func (e *Entry) parseCall(c *app.RequestContext, start time.Time) (*call, error) {
 	path := string(c.Request.URI().PathOriginal())
 	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	cl := &call{service: name, path: "/" + rest, method: string(c.Method()), id: string(c.GetHeader(headerRequestID))}
+	cl := &call{service: name, path: "/" + rest, method: string(c.Method()), id: string(c.GetHeader(control.HeaderRequestID))}
 	if cl.id == "" || len(cl.id) > maxRequestID {
 		cl.id = uuid.NewString()
 	}
-	cl.caller = string(c.GetHeader(headerCaller))
+	cl.caller = string(c.GetHeader(control.HeaderCaller))
 	cl.uri = cl.path
 	if q := c.Request.URI().QueryString(); len(q) > 0 {
 		cl.uri += "?" + string(q)
@@ -121,19 +122,19 @@
 		return nil, errdefs.New(errdefs.Unauthorized, "the token is missing or does not belong to the customer", "send Authorization: Bearer TOKEN")
 	}
 	limit := time.Duration(svc.DeadlineMs) * time.Millisecond
-	if v := string(c.GetHeader(headerDeadline)); v != "" {
+	if v := string(c.GetHeader(control.HeaderDeadline)); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
 		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
-			return nil, errdefs.Field(headerDeadline, fmt.Sprintf("%q is not a deadline", v), "send 1 to 600000 milliseconds")
+			return nil, errdefs.Field(control.HeaderDeadline, fmt.Sprintf("%q is not a deadline", v), "send 1 to 600000 milliseconds")
 		}
 		limit = time.Duration(ms) * time.Millisecond
 	}
 	cl.deadline = start.Add(limit)
 	cl.rule = onceRule(svc, cl)
 	if cl.rule != nil {
-		cl.key = string(c.GetHeader(headerKey))
+		cl.key = string(c.GetHeader(control.HeaderKey))
 		if cl.key == "" || len(cl.key) > 200 {
-			return nil, errdefs.Field(headerKey, "is missing or longer than 200 bytes",
+			return nil, errdefs.Field(control.HeaderKey, "is missing or longer than 200 bytes",
 				"send a unique key; this request may run at most once")
 		}
 	}
@@ -171,7 +172,7 @@
 func (e *Entry) refuseSending(c *app.RequestContext, err error) {
 	p := problemOf(err)
 	p.NotRun = true
-	if len(c.GetHeader(headerKey)) > 0 {
+	if len(c.GetHeader(control.HeaderKey)) > 0 {
 		p.Scope = "this_sending"
 	}
 	e.writeRefusal(c, err, p)
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -35,18 +35,18 @@
 
 // ServeHTTP implements http.Handler.
 func (f *fakeSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(headerClock, "run:1000000")
+	w.Header().Set(control.HeaderClock, "run:1000000")
 	if r.URL.Path == "/-/ping" {
-		_, _ = io.WriteString(w, r.Header.Get(headerTries))
+		_, _ = io.WriteString(w, r.Header.Get(control.HeaderTries))
 		return
 	}
-	id, key := r.Header.Get(headerRequestID), r.Header.Get(headerKey)
+	id, key := r.Header.Get(control.HeaderRequestID), r.Header.Get(control.HeaderKey)
 	f.mu.Lock()
 	f.n++
 	f.rec.Add(history.Execution{At: time.Duration(f.n), ID: id, Key: key, Endpoint: "instance-01"})
 	f.mu.Unlock()
 	answered := f.echo(id)
-	w.Header().Set(headerRequestID, answered)
+	w.Header().Set(control.HeaderRequestID, answered)
 	_, _ = w.Write(history.EncodeBody(answered, []byte("cleared")))
 }
 
@@ -100,9 +100,9 @@
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader([]byte(body)))
 	assert.NilError(t, err)
-	req.Header.Set(headerRequestID, id)
+	req.Header.Set(control.HeaderRequestID, id)
 	if key != "" {
-		req.Header.Set(headerKey, key)
+		req.Header.Set(control.HeaderKey, key)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/google/uuid"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
@@ -22,13 +23,13 @@
 func (e *Entry) measured(next app.HandlerFunc) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		start := time.Now()
-		id := string(c.GetHeader(headerRequestID))
+		id := string(c.GetHeader(control.HeaderRequestID))
 		if id == "" || len(id) > maxRequestID {
 			id = uuid.NewString()
-			c.Request.Header.Set(headerRequestID, id)
+			c.Request.Header.Set(control.HeaderRequestID, id)
 		}
 		trace := telemetry.TraceID(string(c.GetHeader("traceparent")), id)
-		c.Response.Header.Set(headerRequestID, id)
+		c.Response.Header.Set(control.HeaderRequestID, id)
 		next(ctx, c)
 		outcome := c.GetString(outcomeKey)
 		if outcome == "" {
--- a/side/ask.go
+++ b/side/ask.go
@@ -8,6 +8,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core/claims"
 )
 
@@ -42,13 +43,13 @@
 func (s *Side) ping(_ context.Context, c *app.RequestContext) {
 	var known []string
 	s.mu.Lock()
-	for try := range strings.SplitSeq(string(c.GetHeader(headerTries)), ",") {
+	for try := range strings.SplitSeq(string(c.GetHeader(control.HeaderTries)), ",") {
 		if _, ok := s.tries[try]; ok {
 			known = append(known, try)
 		}
 	}
 	// An entry that follows a newer configuration may have an order for this endpoint.
-	if revision, err := strconv.ParseUint(string(c.GetHeader(headerRevision)), 10, 64); err == nil && revision > s.revision {
+	if revision, err := strconv.ParseUint(string(c.GetHeader(control.HeaderRevision)), 10, 64); err == nil && revision > s.revision {
 		s.kickLocked()
 	}
 	s.mu.Unlock()
@@ -60,7 +61,7 @@
 // even if it arrives later.
 func (s *Side) askStart(ctx context.Context, c *app.RequestContext) {
 	a := s.readArrival(c)
-	c.Response.Header.Set(headerRequestID, string(c.GetHeader(headerRequestID)))
+	c.Response.Header.Set(control.HeaderRequestID, string(c.GetHeader(control.HeaderRequestID)))
 	if a.start == "" || a.otherRun {
 		s.writeStart(c, claims.StartUnknown, nil)
 		return
--- a/side/data.go
+++ b/side/data.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/core/slots"
 	"github.com/verbenakeel/verbenakeel/httpserver"
@@ -49,13 +50,13 @@
 func (s *Side) readArrival(c *app.RequestContext) arrival {
 	now := time.Now()
 	a := arrival{
-		try: string(c.GetHeader(httpserver.HeaderTry)), start: string(c.GetHeader(headerStart)),
-		repeatable: string(c.GetHeader(headerRepeatable)) == "true", deadline: now.Add(defaultDeadline),
+		try: string(c.GetHeader(httpserver.HeaderTry)), start: string(c.GetHeader(control.HeaderStart)),
+		repeatable: string(c.GetHeader(control.HeaderRepeatable)) == "true", deadline: now.Add(defaultDeadline),
 	}
-	if ms, err := strconv.ParseInt(string(c.GetHeader(headerDeadline)), 10, 64); err == nil && ms > 0 {
+	if ms, err := strconv.ParseInt(string(c.GetHeader(control.HeaderDeadline)), 10, 64); err == nil && ms > 0 {
 		a.deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	run, ms, ok := strings.Cut(string(c.GetHeader(headerExpires)), ":")
+	run, ms, ok := strings.Cut(string(c.GetHeader(control.HeaderExpires)), ":")
 	if at, err := strconv.ParseInt(ms, 10, 64); ok && err == nil {
 		a.otherRun = run != s.run
 		if expires := s.start.Add(time.Duration(at) * time.Millisecond); !a.otherRun && expires.Before(a.deadline) {
@@ -69,7 +70,7 @@
 // serve passes a request to the endpoint once it has a slot, and returns the whole answer or none.
 func (s *Side) serve(ctx context.Context, c *app.RequestContext) {
 	a := s.readArrival(c)
-	c.Response.Header.Set(headerRequestID, string(c.GetHeader(headerRequestID)))
+	c.Response.Header.Set(control.HeaderRequestID, string(c.GetHeader(control.HeaderRequestID)))
 	if a.start != "" && !s.mayStart(c, a) {
 		return
 	}
@@ -88,7 +89,7 @@
 	case neverSent(err):
 		s.notRun(c, refusedDown)
 	case err != nil:
-		c.Response.Header.Set(headerOutcome, "unknown")
+		c.Response.Header.Set(control.HeaderOutcome, "unknown")
 		c.SetStatusCode(502)
 		c.SetBodyString(err.Error())
 	default:
@@ -128,11 +129,11 @@
 		s.notRun(c, refusedMemory)
 	case claims.StartRunning:
 		s.load(c)
-		c.Response.Header.Set(headerOutcome, "running")
+		c.Response.Header.Set(control.HeaderOutcome, "running")
 		c.SetStatusCode(502)
 	default:
 		s.load(c)
-		c.Response.Header.Set(headerOutcome, "unknown")
+		c.Response.Header.Set(control.HeaderOutcome, "unknown")
 		c.SetStatusCode(502)
 		c.SetBodyString("the endpoint gave no whole answer")
 	}
@@ -159,8 +160,8 @@
 
 func (s *Side) notRun(c *app.RequestContext, refusal slots.Refusal) {
 	s.load(c)
-	c.Response.Header.Set(headerNotRun, "true")
-	c.Response.Header.Set(headerReason, string(refusal))
+	c.Response.Header.Set(control.HeaderNotRun, "true")
+	c.Response.Header.Set(control.HeaderReason, string(refusal))
 	c.SetStatusCode(503)
 }
 
@@ -254,7 +255,7 @@
 	s.mu.Lock()
 	free, queued := s.slots.Free(), s.slots.Queued()
 	s.mu.Unlock()
-	c.Response.Header.Set(headerSlots, strconv.Itoa(free))
-	c.Response.Header.Set(headerQueue, strconv.Itoa(queued))
-	c.Response.Header.Set(headerClock, fmt.Sprintf("%s:%d", s.run, time.Since(s.start).Milliseconds()))
+	c.Response.Header.Set(control.HeaderSlots, strconv.Itoa(free))
+	c.Response.Header.Set(control.HeaderQueue, strconv.Itoa(queued))
+	c.Response.Header.Set(control.HeaderClock, fmt.Sprintf("%s:%d", s.run, time.Since(s.start).Milliseconds()))
 }
--- a/side/data_test.go
+++ b/side/data_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/testkit/history"
 )
@@ -82,7 +83,7 @@
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.DataAddress()+"/clearance", strings.NewReader("seat"))
 	assert.NilError(t, err)
-	req.Header.Set(headerRequestID, "r1")
+	req.Header.Set(control.HeaderRequestID, "r1")
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
@@ -116,15 +117,15 @@
 			var hits atomic.Int64
 			s := startSide(t, rawEndpoint(t, tc.bytes, &hits), nil)
 			for _, repeatable := range []string{"true", "false"} {
-				resp, body := send(t, s, map[string]string{headerRepeatable: repeatable})
-				assert.Equal(t, resp.Header.Get(headerNotRun), "")
+				resp, body := send(t, s, map[string]string{control.HeaderRepeatable: repeatable})
+				assert.Equal(t, resp.Header.Get(control.HeaderNotRun), "")
 				if tc.whole {
 					assert.Equal(t, resp.StatusCode, 200)
 					assert.Equal(t, body, "whole")
 					continue
 				}
 				assert.Equal(t, resp.StatusCode, 502, body)
-				assert.Equal(t, resp.Header.Get(headerOutcome), "unknown")
+				assert.Equal(t, resp.Header.Get(control.HeaderOutcome), "unknown")
 			}
 		})
 	}
@@ -141,7 +142,7 @@
 	var hits atomic.Int64
 	s := startSide(t, rawEndpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", &hits), nil)
 	for range 3 {
-		resp, body := send(t, s, map[string]string{headerStart: "k1", headerExpires: s.expires(time.Minute)})
+		resp, body := send(t, s, map[string]string{control.HeaderStart: "k1", control.HeaderExpires: s.expires(time.Minute)})
 		assert.Equal(t, resp.StatusCode, 200)
 		assert.Equal(t, body, "whole")
 	}
@@ -149,19 +150,19 @@
 
 	ask, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.DataAddress()+"/-/start", nil)
 	assert.NilError(t, err)
-	ask.Header.Set(headerStart, "k2")
-	ask.Header.Set(headerExpires, s.expires(time.Minute))
+	ask.Header.Set(control.HeaderStart, "k2")
+	ask.Header.Set(control.HeaderExpires, s.expires(time.Minute))
 	resp, err := http.DefaultClient.Do(ask)
 	assert.NilError(t, err)
 	_ = resp.Body.Close()
-	assert.Equal(t, resp.Header.Get(headerNotRun), "true")
+	assert.Equal(t, resp.Header.Get(control.HeaderNotRun), "true")
 	for name, header := range map[string]map[string]string{
-		"barred":      {headerStart: "k2", headerExpires: s.expires(time.Minute)},
-		"expired":     {headerStart: "k3", headerExpires: s.expires(-time.Millisecond)},
-		"earlier run": {headerStart: "k4", headerExpires: "other:100000000"},
+		"barred":      {control.HeaderStart: "k2", control.HeaderExpires: s.expires(time.Minute)},
+		"expired":     {control.HeaderStart: "k3", control.HeaderExpires: s.expires(-time.Millisecond)},
+		"earlier run": {control.HeaderStart: "k4", control.HeaderExpires: "other:100000000"},
 	} {
 		resp, _ := send(t, s, header)
-		assert.Equal(t, resp.Header.Get(headerNotRun), "true", name)
+		assert.Equal(t, resp.Header.Get(control.HeaderNotRun), "true", name)
 	}
 	assert.Equal(t, hits.Load(), int64(1))
 }
@@ -174,7 +175,7 @@
 		rec := new(history.Recorder)
 		rec.Add(history.Request{ID: "r1", Key: "hartwell/k1"})
 		for range 2 {
-			send(t, s, map[string]string{headerStart: "hartwell/k1", headerExpires: s.expires(time.Minute)})
+			send(t, s, map[string]string{control.HeaderStart: "hartwell/k1", control.HeaderExpires: s.expires(time.Minute)})
 		}
 		for i := range hits.Load() {
 			rec.Add(history.Execution{At: time.Duration(i), ID: "r1", Key: "hartwell/k1", Endpoint: "instance-01"})
--- a/side/endpoint.go
+++ b/side/endpoint.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 )
 
@@ -167,12 +168,12 @@
 		}
 		return nil, err
 	}
-	if echo := resp.Header.Peek(headerRequestID); len(echo) > 0 && string(echo) != string(req.Header.Peek(headerRequestID)) {
+	if echo := resp.Header.Peek(control.HeaderRequestID); len(echo) > 0 && string(echo) != string(req.Header.Peek(control.HeaderRequestID)) {
 		return nil, errForeign
 	}
 	a := &answer{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
 	resp.Header.VisitAll(func(k, v []byte) {
-		if !internalHeaders[string(k)] && string(k) != headerRequestID {
+		if !internalHeaders[string(k)] && string(k) != control.HeaderRequestID {
 			a.header = append(a.header, [2]string{string(k), string(v)})
 		}
 	})
--- a/side/metrics.go
+++ b/side/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/telemetry"
 )
@@ -81,7 +82,7 @@
 func (s *Side) routeOwn() {
 	own := func(h app.HandlerFunc) app.HandlerFunc {
 		return func(ctx context.Context, c *app.RequestContext) {
-			if len(c.GetHeader(headerRequestID)) > 0 {
+			if len(c.GetHeader(control.HeaderRequestID)) > 0 {
 				s.measured(ctx, c)
 				return
 			}
@@ -134,15 +135,15 @@
 // measured serves a forwarded request, counts it and logs it with its trace.
 func (s *Side) measured(ctx context.Context, c *app.RequestContext) {
 	start := time.Now()
-	id, parent := string(c.GetHeader(headerRequestID)), string(c.GetHeader("traceparent"))
+	id, parent := string(c.GetHeader(control.HeaderRequestID)), string(c.GetHeader("traceparent"))
 	s.serve(ctx, c)
 	took := time.Since(start)
 	outcome := "answered"
 	switch {
-	case len(c.Response.Header.Peek(headerNotRun)) > 0:
+	case len(c.Response.Header.Peek(control.HeaderNotRun)) > 0:
 		outcome = "refused"
-		s.metrics.refused.Add(1, string(c.Response.Header.Peek(headerReason)))
-	case len(c.Response.Header.Peek(headerOutcome)) > 0:
+		s.metrics.refused.Add(1, string(c.Response.Header.Peek(control.HeaderReason)))
+	case len(c.Response.Header.Peek(control.HeaderOutcome)) > 0:
 		outcome = "unknown"
 		s.metrics.served.Record(took, outcome)
 	default:
