--- a/entry/streams.go
+++ b/entry/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -231,8 +232,9 @@
 	e.seen[kind] = true
 	all := len(e.seen) == len(e.views)
 	e.mu.Unlock()
-	if all {
-		e.ready.Store(true)
+	if all && e.ready.CompareAndSwap(false, true) {
+		// Reading the streams leaves garbage of several times the state, which the process would otherwise keep.
+		go debug.FreeOSMemory()
 	}
 }
 
