operator: guard the stub's state in tests against its own handlers

Cause: TestLostAnswerIsAskedForAndNeverSentAgain failed under the race detector on a busy machine. The stub aborts the handler of a change after it wrote its maps; the client asks for the outcome on another connection, and nothing ordered the two handlers.

Change: a mutex in the stub. What the test checks is unchanged.

The order of the two handlers rarely shows, so the proof is the race report, which named both accesses.

Conclusion: a fault of the test, not of the client.

--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -21,11 +22,14 @@
 
 // stub is an entry that loses the answers to changes.
 type stub struct {
+	mu       sync.Mutex // guards the rest: a client may ask before the handler of its lost request has ended
 	posts    []string
 	outcomes map[string]config.Outcome
 }
 
 func (s *stub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if r.Method == http.MethodPost {
 		var change record.ConfigChange
 		if json.NewDecoder(r.Body).Decode(&change) == nil {
