operator: ask all entries at once for the status, and end a live view that may not look

Cause: `status` asked the entries one after the other with the general limit of 8 s each, so one paused entry held up every print of a live view for 8 s, also when the other entries answered. No test covered the live view.

Change: the entries are asked at once, within 2 s; the fleet is asked from those that answered. A wrong token ends the view with its remedy; other errors are printed and the view goes on. An interrupt prints no error.

Conclusion: the live view is tested against a silent entry, an interrupt and a wrong token.

--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -155,3 +155,52 @@
 	cancel()
 	assert.Assert(t, !pause(ctx))
 }
+
+// Guards against a live view that hangs on an entry that does not answer, that ends when an entry dies, or that goes on
+// although the token is wrong.
+func TestStatusWatch(t *testing.T) {
+	served := make(chan struct{}, 100)
+	alive := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/status" {
+			fmt.Fprint(w, "[]")
+			return
+		}
+		served <- struct{}{}
+		fmt.Fprint(w, `{"entry":"entry-1"}`)
+	}))
+	defer alive.Close()
+	stop := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-stop:
+		}
+	}))
+	defer silent.Close()
+	defer close(stop)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	var out, errs bytes.Buffer
+	code := make(chan int)
+	go func() {
+		code <- Run(ctx, []string{"--entry", silent.URL, "--entry", alive.URL, "--json", "status", "--watch", "--every", "200ms"},
+			Streams{In: strings.NewReader(""), Out: &out, Err: &errs})
+	}()
+	for range 3 {
+		<-served
+	}
+	cancel()
+	assert.Equal(t, <-code, ExitOK, errs.String())
+	first := strings.SplitN(out.String(), "\n", 2)[0]
+	assert.Assert(t, is.Contains(first, `"entry":"entry-1"`))
+	assert.Assert(t, is.Contains(first, fmt.Sprintf(`"silent":[%q]`, silent.URL)))
+
+	denied := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusUnauthorized)
+		fmt.Fprint(w, `{"error":{"kind":"unauthorized","message":"the token is wrong","remedy":"pass --token"}}`)
+	}))
+	defer denied.Close()
+	got, text := run(t, "", false, "--entry", denied.URL, "status", "--watch")
+	assert.Equal(t, got, ExitFailed, text)
+	assert.Assert(t, is.Contains(text, "pass --token"))
+}
--- a/operator/status.go
+++ b/operator/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/entry"
@@ -13,6 +14,9 @@
 // clearScreen moves a terminal's cursor home and clears it (ECMA-48).
 const clearScreen = "\x1b[H\x1b[2J"
 
+// statusTimeout bounds the wait for the entries' answers to one view.
+const statusTimeout = 2 * time.Second
+
 // statusView is the state of a deployment as its entries tell it.
 type statusView struct {
 	// AtMs is when the entries were asked, in Unix milliseconds.
@@ -28,7 +32,10 @@
 	a := c.args.Status
 	for {
 		v, err := c.askStatus(ctx)
-		if err != nil && !a.Watch {
+		if a.Watch && ctx.Err() != nil {
+			return nil
+		}
+		if err != nil && (!a.Watch || errdefs.KindOf(err) == errdefs.Unauthorized) {
 			return err
 		}
 		if a.Watch && c.Terminal && !c.args.JSON {
@@ -40,6 +47,9 @@
 		if !a.Watch {
 			return nil
 		}
+		if err != nil {
+			c.fail(err)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -48,28 +58,52 @@
 	}
 }
 
+// askStatus asks all entries at once, so that one that does not answer delays the view by no more than statusTimeout.
 func (c *command) askStatus(ctx context.Context) (statusView, error) {
 	v := statusView{AtMs: time.Now().UnixMilli(), Entries: []entry.Status{}, Silent: []string{}, Zones: []zoneRow{}}
+	answers, errs := make([]entry.Status, len(c.client.Entries)), make([]error, len(c.client.Entries))
+	limited, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	for i, base := range c.client.Entries {
+		asked.Go(func() { errs[i] = c.client.GetFrom(limited, base, "/v1/status", &answers[i]) })
+	}
+	asked.Wait()
 	var last error
-	for _, base := range c.client.Entries {
-		var s entry.Status
-		if err := c.client.GetFrom(ctx, base, "/v1/status", &s); err != nil {
-			if errdefs.KindOf(err) == errdefs.Unauthorized {
-				return v, err
-			}
-			v.Silent, last = append(v.Silent, base), err
-			continue
+	for i, err := range errs {
+		switch {
+		case errdefs.KindOf(err) == errdefs.Unauthorized:
+			return v, err
+		case err != nil:
+			v.Silent, last = append(v.Silent, c.client.Entries[i]), err
+		default:
+			v.Entries = append(v.Entries, answers[i])
 		}
-		v.Entries = append(v.Entries, s)
 	}
 	if len(v.Entries) == 0 {
 		return v, last
 	}
-	f, err := c.fleet(ctx)
+	f, err := c.fleetFrom(ctx, errs)
 	v.Zones = f.rows()
 	return v, err
 }
 
+// fleetFrom asks the entries that just answered for the fleet.
+func (c *command) fleetFrom(ctx context.Context, errs []error) (fleet, error) {
+	answering := *c
+	client := *c.client
+	client.Entries = nil
+	for i, base := range c.client.Entries {
+		if errs[i] == nil {
+			client.Entries = append(client.Entries, base)
+		}
+	}
+	answering.client = &client
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	return answering.fleet(ctx)
+}
+
 func (v statusView) table(w io.Writer) {
 	fmt.Fprintln(w, "at", timeText(v.AtMs))
 	row(w, "ENTRY", "REGION", "ZONE", "READY", "DRAINING", "REVISION", "LOG FRESH", "DECIDER", "EPOCH", "ACTING", "WITNESS", "JOBS", "WORKERS")
