config: test the checks, the order of the log, and the audit trail directly

Cause: package core/config had no tests of its own; its rules were covered only through processes and the model check, which do not reach most checks of contracts.

Change: a table of bad changes with the field that each error must name, a race of two operators with a repeated change and a service that moves between customers, and an audit trail beyond its bound with a restore.

--- /dev/null
+++ b/core/config/config_test.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/record"
+)
+
+// contract returns a contract that passes all checks.
+func contract(customer string, services ...string) record.Contract {
+	c := record.Contract{Customer: customer, Priority: record.Critical}
+	for _, name := range services {
+		c.Services = append(c.Services, record.Service{Name: name, DeadlineMs: 1000})
+	}
+	return c
+}
+
+func change(id string, base uint64, c record.Contract) record.ConfigChange {
+	return record.ConfigChange{ID: id, Base: base, Contract: &c}
+}
+
+// journal folds records of one writer.
+type journal struct {
+	state *State
+	next  uint64
+}
+
+func (j *journal) fold(changes ...record.ConfigChange) []Outcome {
+	j.next++
+	return j.state.Fold(j.next, &record.Record{Writer: "e", Incarnation: 1, Seq: j.next, Config: changes})
+}
+
+// Guards against a bad change that is accepted, and against errors that do not name the field and the remedy.
+func TestCheck(t *testing.T) {
+	with := func(edit func(*record.Contract)) record.ConfigChange {
+		c := contract("hartwell", "fitcheck")
+		edit(&c)
+		return change("c1", 0, c)
+	}
+	for field, c := range map[string]record.ConfigChange{
+		"":                                 with(func(*record.Contract) {}),
+		"id":                               change("", 0, contract("hartwell")),
+		"change":                           {ID: "c1"},
+		"zone.zone":                        {ID: "c1", Zone: &record.ZoneChange{Zone: "Midshire A"}},
+		"shutdown.endpoint":                {ID: "c1", Shutdown: &record.ShutdownChange{Drain: true}},
+		"shutdown.limit_ms":                {ID: "c1", Shutdown: &record.ShutdownChange{Endpoint: "e", LimitMs: -1}},
+		"contract.customer":                with(func(c *record.Contract) { c.Customer = "-" }),
+		"contract.priority":                with(func(c *record.Contract) { c.Priority = "high" }),
+		"contract.guaranteed":              with(func(c *record.Contract) { c.Guaranteed.CPUMilli = -1 }),
+		"contract.burst":                   with(func(c *record.Contract) { c.Guaranteed.MemoryMB = 1 }),
+		"contract.concurrency":             with(func(c *record.Contract) { c.Concurrency = -1 }),
+		"contract.max_keys":                with(func(c *record.Contract) { c.MaxKeys = -1 }),
+		"contract.token_sha256[0]":         with(func(c *record.Contract) { c.TokenSHA256 = []string{"secret"} }),
+		"contract.services[0].name":        with(func(c *record.Contract) { c.Services[0].Name = "v1" }),
+		"contract.services[1].name":        with(func(c *record.Contract) { c.Services = append(c.Services, c.Services[0]) }),
+		"contract.services[0].deadline_ms": with(func(c *record.Contract) { c.Services[0].DeadlineMs = 0 }),
+		"contract.services[0].once[0]":     with(func(c *record.Contract) { c.Services[0].Once = []record.OnceRule{{Method: "POST", Prefix: "x"}} }),
+	} {
+		err := Check(c, New())
+		if field == "" {
+			assert.NilError(t, err)
+			continue
+		}
+		var typed *errdefs.Error
+		assert.Assert(t, errors.As(err, &typed), "%s: %v", field, err)
+		assert.Equal(t, typed.Field, field)
+		assert.Assert(t, typed.Remedy != "", field)
+	}
+}
+
+// Guards against two operators who both win, against a change that takes effect twice because its reply was lost, and
+// against a service that belongs to two customers.
+func TestLogOrderDecides(t *testing.T) {
+	j := &journal{state: New()}
+	first := j.fold(change("c1", 0, contract("hartwell", "fitcheck")), change("c2", 0, contract("hartwell", "other")))
+	assert.Equal(t, first[0].Status, Accepted)
+	assert.Equal(t, first[1].Status, Conflict)
+	assert.Equal(t, first[1].Won, first[0].Revision)
+	assert.Equal(t, first[1].WonBy, "c1")
+
+	assert.Equal(t, len(j.fold(change("c1", 0, contract("hartwell", "again")))), 0, "a repeat has no second outcome")
+	kept, ok := j.state.Outcome("c1")
+	assert.Assert(t, ok && kept.Revision == first[0].Revision)
+
+	taken := j.fold(change("c3", 0, contract("nilewater", "fitcheck")))[0]
+	assert.Equal(t, taken.Status, Rejected)
+	assert.Equal(t, j.fold(change("c4", first[0].Revision, contract("hartwell", "clearance")))[0].Status, Accepted)
+	assert.Equal(t, j.fold(change("c5", 0, contract("nilewater", "fitcheck")))[0].Status, Accepted, "the service was given up")
+	c, _, ok := j.state.Service("fitcheck")
+	assert.Assert(t, ok && c.Customer == "nilewater")
+
+	before := j.state.Revision
+	assert.Equal(t, len(j.state.Fold(1, &record.Record{Writer: "late", Incarnation: 1, Seq: 1,
+		Config: []record.ConfigChange{change("c6", 0, contract("late"))}})), 0, "an old offset changes nothing")
+	assert.Equal(t, j.state.Revision, before)
+}
+
+// Guards against an audit trail that grows without bound, against outcomes that are mixed up when it is trimmed, and
+// against a restored configuration that differs.
+func TestAuditIsBounded(t *testing.T) {
+	j := &journal{state: New()}
+	zone := func(i int) record.ConfigChange {
+		return record.ConfigChange{ID: fmt.Sprint("c", i), Base: j.next, Zone: &record.ZoneChange{Zone: "midshire-a", Out: i%2 == 0}}
+	}
+	for i := range maxAudit + 10 {
+		assert.Equal(t, j.fold(zone(i))[0].Status, Accepted)
+	}
+	assert.Assert(t, len(j.state.Audit) <= maxAudit)
+	_, ok := j.state.Outcome("c0")
+	assert.Assert(t, !ok)
+	out, ok := j.state.Outcome(fmt.Sprint("c", maxAudit+9))
+	assert.Assert(t, ok && out.Revision == j.next)
+
+	data, err := cbor.Marshal(j.state)
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, cbor.Unmarshal(data, restored))
+	restored.Reindex()
+	again, ok := restored.Outcome(out.Change.ID)
+	assert.Assert(t, ok && again.Revision == out.Revision)
+	assert.Equal(t, restored.ZoneOut("midshire-a"), j.state.ZoneOut("midshire-a"))
+}
