entry: refuse a job whose id is taken by another one, and cancel a job that was just submitted elsewhere

Cause: a submission whose id was on record was answered with the recorded job's account, also if the job that was sent had other contents, alone or in a race through two entries. Its sender took the account for that of the new job, which never ran. A cancel at an entry that had not read the job yet was answered with status 404 and the job's account, and not carried out.

Change: contents are compared (all but the time of arrival), and another job is refused with 409 as not run. A cancel of a job that the entry does not know waits for a fresh read of the log first, as a question for its account does.

Conclusion: the answer to a submission is about the job that was sent.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if e.known(job.ID) {
-		e.writeAccount(ctx, c, 200, job.ID)
+		e.writeSubmitted(ctx, c, 200, job)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeWait)
@@ -80,7 +80,22 @@
 		e.writeNotRecorded(c, err, "job", "/v1/jobs/"+strings.TrimPrefix(job.ID, customer+"/"))
 		return
 	}
-	e.writeAccount(ctx, c, 202, job.ID)
+	e.writeSubmitted(ctx, c, 202, job)
+}
+
+// writeSubmitted answers a submission with the account of the job on record. A job with the same id and other contents
+// is a conflict: its sender would otherwise take the account for that of the job that was just sent.
+func (e *Entry) writeSubmitted(ctx context.Context, c *app.RequestContext, status int, sent record.Job) {
+	if a, ok := e.account(sent.ID); ok {
+		recorded := a.Job.Spec
+		recorded.SubmittedMs = sent.SubmittedMs
+		if recorded != sent {
+			e.refuse(c, errdefs.New(errdefs.Conflict, "another job with the id "+sent.ID+" is on record; this one was not accepted",
+				"choose another id, or look at the recorded job with GET /v1/jobs"), true)
+			return
+		}
+	}
+	e.writeAccount(ctx, c, status, sent.ID)
 }
 
 // waitRecorded waits until the record at the offset was folded. A record of a run that was superseded before is void.
@@ -269,7 +284,7 @@
 }
 
 func (e *Entry) cancel(ctx context.Context, c *app.RequestContext, id, by string) {
-	if !e.known(id) {
+	if !e.known(id) && (!e.freshen(ctx, core.RegionStream) || !e.known(id)) {
 		e.writeAccount(ctx, c, 404, id)
 		return
 	}
