--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 PKGS ?= ./...
 
-.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state bench-requests
+.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state bench-requests test-frozen
 
 all: build
 
@@ -29,6 +29,11 @@
 demo-processes: build
 	./bin/demo --processes --bin ./bin
 
+# test-frozen runs the integration tests while all processes are frozen for 0.8 s after every 2 s.
+test-frozen:
+	$(GO) test -race -c -o bin/integration.test ./integration
+	skip="$$(sh .ci/known-red.sh pattern)"; cd integration && ../.ci/freeze.sh 2 0.8 ../bin/integration.test -test.timeout 20m -test.skip "$$skip"
+
 bench:
 	@$(GO) run ./cmd/bench --seed $(SEED)
 
