tasks: keep the capacity check of readers from overflowing, and fuzz the fold

Cause: readers void a start for which a worker has no room, as the last guard against a faulty decider. The check added the size to what is committed; a size near the largest integer overflowed the sum to a negative one, which fits anywhere.

Change: the size is compared with what is free. An empty writer no longer counts as a sign of life of the decider while there is none.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 PKGS ?= ./...
 
-.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state bench-requests test-frozen
+.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state bench-requests test-frozen fuzz
 
 all: build
 
@@ -34,6 +34,12 @@
 	$(GO) test -race -c -o bin/integration.test ./integration
 	skip="$$(sh .ci/known-red.sh pattern)"; cd integration && ../.ci/freeze.sh 2 0.8 ../bin/integration.test -test.timeout 20m -test.skip "$$skip"
 
+# fuzz departs from the committed corpora for a bounded time; make test runs the corpora only.
+FUZZTIME ?= 30s
+fuzz:
+	$(GO) test ./core -run '^$$' -fuzz FuzzFold -fuzztime $(FUZZTIME)
+	$(GO) test ./scheduler -run '^$$' -fuzz FuzzPolicy -fuzztime $(FUZZTIME)
+
 bench:
 	@$(GO) run ./cmd/bench --seed $(SEED)
 
--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -185,7 +185,7 @@
 
 // Heard notes a record of the newest decider.
 func (s *State) Heard(now clock.Now, writer string, incarnation uint64) {
-	if writer == s.holder && incarnation == s.holderInc {
+	if writer != "" && writer == s.holder && incarnation == s.holderInc {
 		s.heard = now.Mono
 	}
 }
--- a/core/tasks/fold.go
+++ b/core/tasks/fold.go
@@ -198,10 +198,11 @@
 		return "unknown or lost worker " + st.Worker
 	case st.Attempt != task.Attempt+1:
 		return fmt.Sprintf("attempt %d does not follow %d", st.Attempt, task.Attempt)
-	case !w.Committed.Add(st.Size).Fits(w.Capacity):
-		return "worker " + st.Worker + " has no room"
 	case !(record.Resources{}).Fits(st.Size):
 		return "negative size"
+	case !st.Size.Fits(w.Capacity.Sub(w.Committed)):
+		// The sum of committed and size could overflow, what is free cannot.
+		return "worker " + st.Worker + " has no room"
 	}
 	return ""
 }
--- a/core/tasks/fold_test.go
+++ b/core/tasks/fold_test.go
@@ -1,6 +1,7 @@
 package tasks
 
 import (
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -39,6 +40,11 @@
 	assert.Equal(t, l.state.Tasks["c/j#0"].State, lifecycle.TaskStarting)
 	assert.Equal(t, l.state.Tasks["c/j#1"].State, lifecycle.TaskQueued)
 	assert.Equal(t, l.state.Workers["w"].Committed.CPUMilli, int64(600))
+
+	overflowing := start("c/j#1", 1)
+	overflowing.Size.CPUMilli = math.MaxInt64
+	l.append(record.Record{Batch: &record.Batch{Epoch: 1, Starts: []record.Start{overflowing}}})
+	assert.Equal(t, l.state.Tasks["c/j#1"].State, lifecycle.TaskQueued)
 }
 
 // Guards against decisions of a decider that was replaced.
