stream: skip entries of the log that are no records

Cause: a follower returned an error for anything that it could not decode, and every entry stopped. Operators publish on the platform's log, so a single append by hand to one of the system's streams would have stopped all entries for good, and their replacements with them.

Change: data without a readable header or schema version is skipped by every reader alike, with event 208. A record of a newer schema and a damaged record still stop the reader: only for them could releases disagree about what is skipped.

Conclusion: an append by mistake costs a warning.

--- a/entry/streams.go
+++ b/entry/streams.go
@@ -166,6 +166,11 @@
 	}
 }
 
+// Skipped implements stream.Handler.
+func (f *follower) Skipped(offset uint64, err error) {
+	f.entry.log.Log(logevent.ForeignEntry, logevent.Str("stream", f.name), logevent.Int("offset", offset), logevent.Err(err))
+}
+
 // Failed implements stream.Handler.
 func (f *follower) Failed(err error) {
 	e := f.entry
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -43,6 +43,7 @@
 	SnapshotFailed    = define(205, zerolog.ErrorLevel, "writing a snapshot failed")
 	WriterSuperseded  = define(206, zerolog.ErrorLevel, "another run of this process writes to the log; this one stops")
 	PeerRestored      = define(207, zerolog.WarnLevel, "state taken from a peer while the log is down")
+	ForeignEntry      = define(208, zerolog.WarnLevel, "an entry of the log is not a record and was skipped")
 	ConfigAccepted    = define(300, zerolog.InfoLevel, "configuration change accepted")
 	ConfigRefused     = define(301, zerolog.WarnLevel, "configuration change refused")
 	ZoneHeld          = define(302, zerolog.WarnLevel, "starts in an availability zone are held")
--- a/record/record.go
+++ b/record/record.go
@@ -324,12 +324,19 @@
 	Version int `cbor:"1,keyasint"`
 }
 
-// Decode returns the record in data. A record of a newer schema gives an error of kind Incompatible.
+// ErrForeign marks data that no release of this system wrote. Every reader skips it alike, so that something appended to a
+// stream by mistake does not stop them all.
+var ErrForeign = errdefs.New(errdefs.Invalid, "the data is not a record", "check that the stream is written by verbenakeel only")
+
+// Decode returns the record in data. A record of a newer schema gives an error of kind Incompatible, data that is no record
+// one that wraps ErrForeign, and a damaged record one of kind Invalid.
 func Decode(data []byte) (*Record, error) {
 	var h header
 	if err := cbor.Unmarshal(data, &h); err != nil {
-		return nil, fmt.Errorf("decode record header: %w", errdefs.New(errdefs.Invalid, err.Error(),
-			"check that the stream is written by verbenakeel only"))
+		return nil, fmt.Errorf("decode record header: %w: %w", ErrForeign, err)
+	}
+	if h.Version < 1 {
+		return nil, fmt.Errorf("decode record header: %w: it has no schema version", ErrForeign)
 	}
 	if h.Version > SchemaVersion {
 		return nil, errdefs.New(errdefs.Incompatible,
