--- a/core/claims/started_test.go
+++ b/core/claims/started_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/verbenakeel/verbenakeel/core/clock"
+	_ "github.com/verbenakeel/verbenakeel/testkit/fixedseed"
 )
 
 // Guards against a second start of a sending, a start after it was barred, and a memory without bound.
--- a/core/members/members_test.go
+++ b/core/members/members_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/verbenakeel/verbenakeel/core/clock"
+	_ "github.com/verbenakeel/verbenakeel/testkit/fixedseed"
 )
 
 // Guards against an old announcement that takes effect: announcements arrive in any order, more than once and through
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -12,6 +12,7 @@
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/members"
 	"github.com/verbenakeel/verbenakeel/record"
+	_ "github.com/verbenakeel/verbenakeel/testkit/fixedseed"
 )
 
 func at(d time.Duration) clock.Now { return clock.Now{Mono: d} }
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/verbenakeel/verbenakeel/core/clock"
+	_ "github.com/verbenakeel/verbenakeel/testkit/fixedseed"
 )
 
 // Guards against more requests at once than slots, a queue beyond its bound, a slot that is lost, and a request let in
