Lengthen the waits of reads of the log

Change: Reads of `config` wait 400 ms at the decider, whose permits are dated by them, and 1 s elsewhere; of the region's stream 600 ms, longer than the decider's heartbeat; of `claims` 2 s, but 250 ms for 10 s after a claim, which also ends the wait in progress. First reads and reads after a failure stay short. Whether the log is down is told by the newest read of any stream. Claims wait 2 s and not 5 s, because the alert on `log_read_age_seconds` is at 5 s.

With round trips of up to 90 ms to the log the decider's configuration never gets as old as `config_freshness`; with slower ones starts wait for the next read.

--- a/core/core.go
+++ b/core/core.go
@@ -25,8 +25,6 @@
 	Route     *route.State
 	Authority *authority.State
 	Decider   *decider.State
-	// ClaimsRead is when the last read that showed the end of the stream of claims was sent.
-	ClaimsRead time.Duration
 }
 
 // Options configure a State.
--- a/core/step.go
+++ b/core/step.go
@@ -140,8 +140,6 @@
 		s.Decider.ConfigRead(ev.SentAt)
 	case RegionStream:
 		s.Authority.Read(now, ev.SentAt)
-	case ClaimStream:
-		s.ClaimsRead = ev.SentAt
 	}
 	return nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,6 +68,8 @@
 	claimWriter  *stream.Writer
 	// snapshots writes the snapshots of each stream.
 	snapshots map[core.Stream]*stream.Writer
+	// reads paces the reads of each stream.
+	reads map[core.Stream]*reads
 	// views holds what is known of each stream beyond its folded state; guarded by mu.
 	views map[core.Stream]*streamView
 
@@ -142,12 +144,12 @@
 	e.regionWriter = stream.NewWriter(e.platform, e.regionStream(), named("", 0))
 	e.submitWriter = stream.NewWriter(e.platform, e.regionStream(), named("/submit", submitWindow))
 	e.claimWriter = stream.NewWriter(e.platform, e.claimStream(), named("", claimWindow))
-	e.snapshots = make(map[core.Stream]*stream.Writer)
+	e.snapshots, e.reads = make(map[core.Stream]*stream.Writer), make(map[core.Stream]*reads)
 	for kind, name := range e.streamNames() {
 		o := named("/snapshot", 0)
 		o.Bulk = true
 		e.snapshots[kind] = stream.NewWriter(e.platform, name, o)
-		e.views[kind] = &streamView{}
+		e.views[kind], e.reads[kind] = &streamView{}, e.pacedReads(kind)
 	}
 }
 
--- a/entry/once.go
+++ b/entry/once.go
@@ -30,8 +30,8 @@
 	replyMargin = 100 * time.Millisecond
 	// claimWait bounds how long a claim may take. A slower log counts as down.
 	claimWait = time.Second
-	// logStale is the age of the last successful read of the claims from which the log counts as down. Reads take up to
-	// 250 ms when nothing happens.
+	// logStale is the age of the newest successful read of the log from which it counts as down. Reads of the region's
+	// stream take up to 600 ms when nothing happens.
 	logStale = 1500 * time.Millisecond
 )
 
@@ -117,11 +117,15 @@
 	return found, ok
 }
 
-// logDown reports whether the stream of claims could not be read lately.
+// logDown reports whether the claims cannot be read, or no stream could be read lately.
 func (e *Entry) logDown() bool {
-	down := false
-	e.read(func(s *core.State) { down = e.now().Mono-s.ClaimsRead > logStale })
-	return down
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	newest, now := time.Duration(0), e.now().Mono
+	for _, v := range e.views {
+		newest = max(newest, v.read)
+	}
+	return e.views[core.ClaimStream].down || now-newest > logStale
 }
 
 // claim appends a claim and reads it back. An error means that the request certainly does not run.
@@ -132,6 +136,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
 	rc := record.RequestClaim{Customer: cl.customer, Key: cl.key, Nonce: nonce, Digest: digest}
+	e.reads[core.ClaimStream].hurry(claimBusy)
 	offset, err := e.claimWriter.Write(ctx, record.Record{RequestClaims: []record.RequestClaim{rc}})
 	if err == nil {
 		err = e.waitFor(ctx, func(s *core.State) bool { return s.Claims.Next > offset })
--- /dev/null
+++ b/entry/reads.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/platform/stream"
+)
+
+// Waits of reads for new records. A read returns as soon as there is one, so a wait bounds only how old the date of the
+// state may be, and how long a connection that went silent is noticed later.
+const (
+	// busyWait is the wait of the first read, of reads after a failure, and of claims while there are any.
+	busyWait = 250 * time.Millisecond
+	// claimIdle is the wait for claims without any: their date is not used, since the log's health shows by the other
+	// streams and a claim is read back before it counts. With 5 s the age in log_read_age_seconds would pass the alert of
+	// docs/metrics.md in an idle region, and a silent connection would be noticed after 6 s.
+	claimIdle = 2 * time.Second
+	// claimBusy is how long after a claim of this entry the reads of claims are short.
+	claimBusy = 10 * time.Second
+	// configIdle is the wait for configuration at entries that do not decide. A silent connection delays a change by at
+	// most this and the timeout of a read.
+	configIdle = time.Second
+)
+
+// reads paces the reads of one stream.
+type reads struct {
+	platform.Log
+	// longest is the wait that the follower assumes for its timeout, idle the wait of the next read if nothing is urgent.
+	longest time.Duration
+	idle    func() time.Duration
+
+	mu sync.Mutex
+	// fine is true if the newest read succeeded.
+	fine      bool
+	busyUntil time.Time
+	// interrupt ends the wait of the read in progress; nil if it is short.
+	interrupt context.CancelFunc
+}
+
+// pacedReads returns the reads of a stream. The decider dates its permits by config, and entries claim and decide by a read of
+// the region's stream that is younger than a third of the evidence's life: two waits and two round trips have to pass
+// within the freshness, and one wait and a round trip within that third.
+func (e *Entry) pacedReads(kind core.Stream) *reads {
+	r := &reads{Log: e.platform}
+	switch kind {
+	case core.ConfigStream:
+		deciding := min(400*time.Millisecond, e.set.Decider.ConfigFreshness*2/5)
+		r.longest = configIdle
+		r.idle = func() time.Duration {
+			if e.isDecider() {
+				return deciding
+			}
+			return configIdle
+		}
+	case core.RegionStream:
+		// The decider writes every 500 ms at least, so that most waits end with a record.
+		wait := min(600*time.Millisecond, e.set.Authority.TTL/5)
+		r.longest, r.idle = wait, func() time.Duration { return wait }
+	case core.ClaimStream:
+		r.longest, r.idle = claimIdle, func() time.Duration { return claimIdle }
+	}
+	return r
+}
+
+// options returns how the stream is followed.
+func (r *reads) options() stream.FollowOptions {
+	opts := stream.DefaultFollowOptions()
+	opts.Wait = max(r.longest, busyWait)
+	return opts
+}
+
+// hurry makes reads short for a while and ends the wait of the one in progress, whose connection may also be silent.
+func (r *reads) hurry(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until := time.Now().Add(d); until.After(r.busyUntil) {
+		r.busyUntil = until
+	}
+	if r.interrupt != nil {
+		r.interrupt()
+		r.interrupt = nil
+	}
+}
+
+// Read implements platform.Log. The wait asked for is replaced.
+func (r *reads) Read(ctx context.Context, name string, from uint64, limit int, _ time.Duration) (platform.Page, error) {
+	wait := r.idle()
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	if !r.fine || time.Now().Before(r.busyUntil) {
+		wait = min(wait, busyWait)
+	} else if wait > busyWait {
+		r.interrupt = cancel
+	}
+	r.mu.Unlock()
+	// The follower's timeout counts from its longest wait.
+	if at, ok := ctx.Deadline(); ok {
+		var stop context.CancelFunc
+		waiting, stop = context.WithDeadline(waiting, at.Add(wait-max(r.longest, busyWait)))
+		defer stop()
+	}
+	page, err := r.Log.Read(waiting, name, from, limit, wait)
+	r.mu.Lock()
+	r.interrupt = nil
+	r.mu.Unlock()
+	if err != nil && waiting.Err() == context.Canceled && ctx.Err() == nil {
+		page, err = r.Log.Read(ctx, name, from, limit, 0)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fine = err == nil
+	return page, err
+}
--- /dev/null
+++ b/entry/reads_test.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/settings"
+)
+
+// quietLog has no records: its reads wait as long as they may. A silent one does not answer at all.
+type quietLog struct {
+	platform.Log
+	waits  []time.Duration
+	silent bool
+}
+
+func (l *quietLog) Read(ctx context.Context, _ string, _ uint64, _ int, wait time.Duration) (platform.Page, error) {
+	l.waits = append(l.waits, wait)
+	if l.silent {
+		wait = time.Hour
+	}
+	select {
+	case <-time.After(wait):
+		return platform.Page{First: 1, Next: 1}, nil
+	case <-ctx.Done():
+		return platform.Page{}, ctx.Err()
+	}
+}
+
+func quietReads(kind core.Stream) (*quietLog, *reads) {
+	log := &quietLog{}
+	a := newActing()
+	a.set, a.platform = settings.DefaultEntry(), log
+	return log, a.pacedReads(kind)
+}
+
+func (r *reads) once(t *testing.T) (time.Duration, error) {
+	t.Helper()
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), r.options().Wait+r.options().Timeout)
+	defer cancel()
+	_, err := r.Read(ctx, "s", 1, 1, r.options().Wait)
+	return time.Since(begin), err
+}
+
+// Guards against an entry that is not ready for seconds, a claim that waits for a long read, and reads that stay frequent
+// after the last claim.
+func TestReadsOfClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, r := quietReads(core.ClaimStream)
+		for _, want := range []time.Duration{busyWait, claimIdle, claimIdle} {
+			took, err := r.once(t)
+			assert.NilError(t, err)
+			assert.Equal(t, took, want)
+		}
+		time.AfterFunc(time.Second, func() { r.hurry(claimBusy) })
+		took, err := r.once(t)
+		assert.NilError(t, err, "a claim ends the wait without a failure")
+		assert.Equal(t, took, time.Second)
+		for range 36 {
+			_, err = r.once(t)
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, log.waits[len(log.waits)-1], busyWait)
+		time.Sleep(claimBusy)
+		took, err = r.once(t)
+		assert.NilError(t, err)
+		assert.Equal(t, took, claimIdle)
+	})
+}
+
+// Guards against a silent connection to the log that is noticed only after the longest wait, and against long waits before
+// the log answers again.
+func TestSilentReadIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for kind, want := range map[core.Stream]time.Duration{
+			core.ConfigStream: 1400 * time.Millisecond, core.RegionStream: 1600 * time.Millisecond, core.ClaimStream: 3 * time.Second,
+		} {
+			log, r := quietReads(kind)
+			_, err := r.once(t)
+			assert.NilError(t, err)
+			log.silent = true
+			took, err := r.once(t)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, took, want)
+			took, err = r.once(t)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, took, busyWait+time.Second, "the next reads are short")
+		}
+	})
+}
+
+// Guards against a decider whose configuration is too old to permit starts although the log answers: with round trips of
+// 90 ms the date is never as old as the freshness, also with a shorter freshness by settings.
+func TestConfigStaysFreshAtDecider(t *testing.T) {
+	const roundTrip = 90 * time.Millisecond
+	for _, fresh := range []time.Duration{time.Second, 900 * time.Millisecond} {
+		a := newActing()
+		a.set = settings.DefaultEntry()
+		a.set.Decider.ConfigFreshness = fresh
+		r := a.pacedReads(core.ConfigStream)
+		assert.Assert(t, a.isDecider())
+		assert.Assert(t, 2*r.idle()+2*roundTrip <= fresh)
+	}
+	set := settings.DefaultEntry()
+	_, r := quietReads(core.RegionStream)
+	assert.Assert(t, r.idle()+roundTrip < set.Authority.TTL/3, "an entry could not claim")
+}
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -89,7 +89,7 @@
 	for kind, name := range e.streamNames() {
 		h := &follower{entry: e, kind: kind, name: name, failed: failed}
 		run(func(ctx context.Context) {
-			if err := stream.Follow(ctx, e.platform, name, stream.DefaultFollowOptions(), h); err != nil {
+			if err := stream.Follow(ctx, e.reads[kind], name, e.reads[kind].options(), h); err != nil {
 				e.log.Log(logevent.SchemaTooNew, logevent.Str("stream", name), logevent.Err(err))
 				h.fail(err)
 			}
@@ -244,6 +244,7 @@
 	ctx, cancel := context.WithTimeout(ctx, freshWait)
 	defer cancel()
 	asked := time.Since(e.start)
+	e.reads[kind].hurry(freshWait)
 	return e.waitFor(ctx, func(*core.State) bool {
 		v := e.views[kind]
 		return v.hasRead && v.read >= asked
