Exchange changes once a second, with holds, gaps and raised incarnations

Cause: Two peers cost an idle entry 5.2 KB/s, its whole budget. An entry that started during a hold of a zone did not learn of it, a passed-on endpoint told by zero slots that it is down and never that it has drained, and an entry that restarted with a clock that was set back was ignored.

Change: Entries exchange every second, and at once when one shuts down. An exchange names the changes of endpoints that it builds on, so that a receiver with a gap asks for everything, and has a sequence by which late ones are dropped. Holds that an entry was asked for itself are in requests and answers. Members carry endpoint_up and drained. An entry goes by a higher incarnation once a peer has seen one for its id; records keep the one it started with.

An entry whose earlier run wrote to the log with a higher incarnation still stops, as before: its records would be dropped.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -10,6 +10,7 @@
 package authority
 
 import (
+	"slices"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/core/clock"
@@ -85,6 +86,9 @@
 	cfg         Config
 	self        string
 	incarnation uint64
+	// names holds the incarnations by which other entries know this run: the one it started with, and higher ones that it
+	// took since. Records carry the first.
+	names []uint64
 
 	epoch     uint64
 	holder    string
@@ -123,7 +127,7 @@
 
 // New returns the state of an entry.
 func New(cfg Config, self string, incarnation uint64) *State {
-	return &State{cfg: cfg, self: self, incarnation: incarnation}
+	return &State{cfg: cfg, self: self, incarnation: incarnation, names: []uint64{incarnation}}
 }
 
 // Epoch returns the newest epoch and its holder.
@@ -204,7 +208,7 @@
 	for _, b := range before {
 		o := older{OlderEpoch: b, asked: now.Mono}
 		// Without a witness, or with this entry as the witness, all evidence of the old decider is from before now.
-		if !b.Unasked && (b.Witness == "" || (b.Witness == s.self && b.WitnessIncarnation == s.incarnation)) {
+		if !b.Unasked && (b.Witness == "" || (b.Witness == s.self && slices.Contains(s.names, b.WitnessIncarnation))) {
 			o.done, o.ends = true, now.Mono+clock.WithMargin(s.cfg.TTL)
 		}
 		s.older = append(s.older, o)
@@ -294,13 +298,17 @@
 
 // Promise answers a decider as its witness.
 func (s *State) Promise(epoch, incarnation uint64) bool {
-	return incarnation == s.incarnation && epoch > s.released && epoch >= s.epoch
+	return slices.Contains(s.names, incarnation) && epoch > s.released && epoch >= s.epoch
 }
 
+// Raise notes a further incarnation by which other entries know this run. It remembers what it promised by the earlier
+// ones.
+func (s *State) Raise(incarnation uint64) { s.names = append(s.names, incarnation) }
+
 // Release answers a new decider as the witness of an older epoch. A witness that was restarted has forgotten its
 // promises and cannot release them.
 func (s *State) Release(epoch, incarnation uint64) bool {
-	if incarnation != s.incarnation {
+	if !slices.Contains(s.names, incarnation) {
 		return false
 	}
 	s.released = max(s.released, epoch)
--- a/core/core.go
+++ b/core/core.go
@@ -111,8 +111,13 @@
 type ZoneHeld struct {
 	Zone     string
 	Duration time.Duration
+	// Relayed is true for a hold that another entry was asked for.
+	Relayed bool
 }
 
+// IncarnationRaised tells that this run goes by a higher incarnation among entries from now on.
+type IncarnationRaised struct{ Incarnation uint64 }
+
 // TryWanted asks for an endpoint for a request.
 type TryWanted struct {
 	Service   string
@@ -150,20 +155,21 @@
 	Took     time.Duration
 }
 
-func (Folded) coreEvent()          {}
-func (CaughtUp) coreEvent()        {}
-func (Announced) coreEvent()       {}
-func (Ticked) coreEvent()          {}
-func (PollArrived) coreEvent()     {}
-func (Polled) coreEvent()          {}
-func (BatchSettled) coreEvent()    {}
-func (PromiseReceived) coreEvent() {}
-func (ReleaseReceived) coreEvent() {}
-func (Leaving) coreEvent()         {}
-func (ZoneHeld) coreEvent()        {}
-func (TryWanted) coreEvent()       {}
-func (TryEnded) coreEvent()        {}
-func (LoadReported) coreEvent()    {}
+func (Folded) coreEvent()            {}
+func (CaughtUp) coreEvent()          {}
+func (Announced) coreEvent()         {}
+func (Ticked) coreEvent()            {}
+func (PollArrived) coreEvent()       {}
+func (Polled) coreEvent()            {}
+func (BatchSettled) coreEvent()      {}
+func (PromiseReceived) coreEvent()   {}
+func (ReleaseReceived) coreEvent()   {}
+func (Leaving) coreEvent()           {}
+func (ZoneHeld) coreEvent()          {}
+func (IncarnationRaised) coreEvent() {}
+func (TryWanted) coreEvent()         {}
+func (TryEnded) coreEvent()          {}
+func (LoadReported) coreEvent()      {}
 
 // Effect is something to be done or told.
 type Effect interface{ coreEffect() }
@@ -204,6 +210,9 @@
 	SupersededBy uint64
 }
 
+// HoldBegan tells that starts in a zone are held that were not before.
+type HoldBegan struct{ Zone string }
+
 // Routed names the endpoint for a try; nil if there is none.
 type Routed struct {
 	// Endpoint is a copy as of the choice.
@@ -224,5 +233,6 @@
 func (Withhold) coreEffect()      {}
 func (Answered) coreEffect()      {}
 func (AnnounceTaken) coreEffect() {}
+func (HoldBegan) coreEffect()     {}
 func (Routed) coreEffect()        {}
 func (Alerted) coreEffect()       {}
--- a/core/decider/state.go
+++ b/core/decider/state.go
@@ -52,8 +52,9 @@
 	inFlight  bool
 	lastBatch time.Duration
 	confRead  time.Duration
-	holds     map[string]time.Duration
-	alerts    []scheduler.Alert
+	// holds and ownHolds are when holds of zones end: of all, and of those that this entry was asked for itself.
+	holds, ownHolds map[string]time.Duration
+	alerts          []scheduler.Alert
 	// early holds new tasks whose customer is not in the configuration that was read so far.
 	early []earlyTask
 }
@@ -68,6 +69,7 @@
 func New(cfg Config, policy scheduler.Config, auth *authority.State, region *tasks.State, conf *config.State) *State {
 	return &State{
 		cfg: cfg, policyCfg: policy, auth: auth, region: region, conf: conf, holds: make(map[string]time.Duration),
+		ownHolds: make(map[string]time.Duration),
 	}
 }
 
@@ -87,10 +89,30 @@
 // ConfigRead notes that a read of the configuration sent at sentAt showed that all records were folded.
 func (s *State) ConfigRead(sentAt time.Duration) { s.confRead = max(s.confRead, sentAt) }
 
-// Hold stops starts in a zone until the duration has passed. It never shortens a hold.
-func (s *State) Hold(now clock.Now, zone string, d time.Duration) {
+// Hold stops starts in a zone until the duration has passed. It never shortens a hold. A relayed one was told by an entry
+// that was asked for it. Holds reports whether the zone was not held before.
+func (s *State) Hold(now clock.Now, zone string, d time.Duration, relayed bool) bool {
 	until := now.Mono + min(d, s.cfg.MaxHold)
+	fresh := now.Mono >= s.holds[zone] && until > now.Mono
 	s.holds[zone] = max(s.holds[zone], until)
+	if !relayed {
+		s.ownHolds[zone] = max(s.ownHolds[zone], until)
+	}
+	return fresh
+}
+
+// OwnHolds returns how long the holds last that this entry was asked for itself. Only these are passed on: each entry
+// that passed a hold back and forth would extend it by the time on the way.
+func (s *State) OwnHolds(now clock.Now) map[string]time.Duration {
+	list := make(map[string]time.Duration)
+	for zone, until := range s.ownHolds {
+		if now.Mono < until {
+			list[zone] = until - now.Mono
+		} else {
+			delete(s.ownHolds, zone)
+		}
+	}
+	return list
 }
 
 // mayStart reports whether a permit may be given for the zone.
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -36,7 +36,7 @@
 	Revision    uint64
 	// Age is how long ago the announcement was made, for one that a peer passed on.
 	Age time.Duration
-	// Relayed is true for one that a peer passed on. It leaves out some fields.
+	// Relayed is true for one that a peer passed on. It leaves out the interval.
 	Relayed bool
 	// Interval is when the side process was told to announce again; zero for the interval in force.
 	Interval time.Duration
@@ -106,7 +106,7 @@
 		e = &Endpoint{State: lifecycle.EndpointGone, Since: heard, Heard: heard}
 		s.endpoints[a.ID] = e
 	}
-	if e.Address != a.Address || e.EndpointUp != a.EndpointUp || e.Draining != a.Draining || e.Incarnation != a.Incarnation {
+	if e.Address != a.Address || e.EndpointUp != a.EndpointUp || e.Draining != a.Draining || e.Drained != a.Drained || e.Incarnation != a.Incarnation {
 		s.changes++
 		e.Change = s.changes
 	}
--- a/core/step.go
+++ b/core/step.go
@@ -34,7 +34,11 @@
 	case ReleaseReceived:
 		s.Authority.Released(now, ev.Epoch)
 	case ZoneHeld:
-		s.Decider.Hold(now, ev.Zone, ev.Duration)
+		if s.Decider.Hold(now, ev.Zone, ev.Duration, ev.Relayed) {
+			return []Effect{HoldBegan{ev.Zone}}
+		}
+	case IncarnationRaised:
+		s.Authority.Raise(ev.Incarnation)
 	case TryWanted:
 		return s.route(now, ev)
 	case TryEnded:
--- a/entry/control.go
+++ b/entry/control.go
@@ -170,31 +170,16 @@
 	return p
 }
 
-// Exchange implements control.Entry.
-func (s *controlServer) Exchange(_ context.Context, r *control.ExchangeRequest) (*control.ExchangeResponse, error) {
-	e := s.e
-	if p := r.Process; p != nil && p.Id != e.set.ID {
-		e.heardPeer(peer{
-			id: p.Id, incarnation: p.Incarnation, zone: p.Zone, address: r.ControlAddress, revision: r.Revision, draining: r.Draining,
-		})
-		e.takeMembers(r.Members)
-		e.mu.Lock()
-		e.state.Route.PeerUsed(e.now(), p.Id, useOf(r.Rate))
-		e.mu.Unlock()
-	}
-	return &control.ExchangeResponse{Process: e.process(), Revision: e.revision(), Peers: e.peerList()}, nil
-}
-
 // Promise implements control.Entry.
 func (s *controlServer) Promise(_ context.Context, r *control.PromiseRequest) (*control.PromiseResponse, error) {
-	resp := &control.PromiseResponse{Incarnation: s.e.incarnation}
+	resp := &control.PromiseResponse{Incarnation: s.e.peerIncarnation.Load()}
 	s.e.read(func(st *core.State) { resp.Promised = st.Authority.Promise(r.Epoch, r.WitnessIncarnation) })
 	return resp, nil
 }
 
 // Release implements control.Entry.
 func (s *controlServer) Release(_ context.Context, r *control.ReleaseRequest) (*control.ReleaseResponse, error) {
-	resp := &control.ReleaseResponse{Incarnation: s.e.incarnation}
+	resp := &control.ReleaseResponse{Incarnation: s.e.peerIncarnation.Load()}
 	s.e.read(func(st *core.State) { resp.Released = st.Authority.Release(r.Epoch, r.WitnessIncarnation) })
 	return resp, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/config"
@@ -89,6 +90,14 @@
 	// seen holds the streams that were read to their end since the start.
 	seen map[core.Stream]bool
 
+	// peerIncarnation is the incarnation by which other entries know this run; see raise. Records carry incarnation.
+	peerIncarnation atomic.Uint64
+	// exchanges counts the exchanges sent; exchangeNow asks for one at once.
+	exchanges   atomic.Uint64
+	exchangeNow chan struct{}
+	// used is what this entry's customers used, as last reported.
+	used atomic.Pointer[[]*control.RateUse]
+
 	draining atomic.Bool
 	// claiming is true while a claim of the region is being appended.
 	claiming atomic.Bool
@@ -107,8 +116,10 @@
 	e := &Entry{
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), incarnation: uint64(start.UnixMilli()), start: start,
 		seen: make(map[core.Stream]bool), views: make(map[core.Stream]*streamView), changed: make(chan struct{}), waiters: make(map[string]*waiter), platform: log,
-		rpc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+		exchangeNow: make(chan struct{}, 1),
+		rpc:         &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
 	}
+	e.peerIncarnation.Store(e.incarnation)
 	e.state = core.New(core.Options{
 		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat, Routing: route.Policy(set.Routing),
 		Authority: set.Authority, Decider: set.Decider, Scheduler: scheduler.DefaultConfig(),
@@ -239,6 +250,7 @@
 	e.log.Log(logevent.Stopping)
 	e.notify()
 	e.wakePolls(nil, true)
+	e.kickExchange()
 	e.resign()
 	time.Sleep(drainNotice)
 }
--- /dev/null
+++ b/entry/exchange_test.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/verbenakeel/verbenakeel/control"
+	"github.com/verbenakeel/verbenakeel/core"
+	"github.com/verbenakeel/verbenakeel/core/members"
+	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/settings"
+)
+
+// Guards against exchanges that are repeated or late and take back what a newer one told, against changes lost in a gap,
+// and against a run that is ignored without being told why.
+func TestPeerTableHeard(t *testing.T) {
+	type message struct {
+		inc, seq, after, count, revision uint64
+	}
+	for _, tc := range []struct {
+		name     string
+		before   []message
+		m        message
+		want     verdict
+		revision uint64
+	}{
+		{"first", nil, message{5, 1, 0, 3, 7}, verdict{fresh: true, list: true}, 7},
+		{"next", []message{{5, 1, 0, 3, 7}}, message{5, 2, 3, 4, 8}, verdict{}, 8},
+		{"repeated", []message{{5, 1, 0, 3, 7}, {5, 2, 3, 4, 8}}, message{5, 2, 3, 4, 8}, verdict{late: true}, 8},
+		{"late", []message{{5, 1, 0, 3, 7}, {5, 3, 3, 4, 8}}, message{5, 2, 3, 3, 7}, verdict{late: true}, 8},
+		{"one was lost but is in the next", []message{{5, 1, 0, 3, 7}}, message{5, 3, 3, 9, 8}, verdict{}, 8},
+		{"gap", []message{{5, 1, 0, 3, 7}}, message{5, 2, 4, 5, 8}, verdict{gap: true}, 8},
+		{"still a gap", []message{{5, 1, 0, 3, 7}, {5, 2, 4, 5, 8}}, message{5, 3, 5, 6, 8}, verdict{gap: true}, 8},
+		{"everything after a gap", []message{{5, 1, 0, 3, 7}, {5, 2, 4, 5, 8}}, message{5, 3, 0, 6, 8}, verdict{}, 8},
+		{"gap at a receiver that restarted", nil, message{5, 9, 4, 5, 8}, verdict{fresh: true, list: true, gap: true}, 8},
+		{"answer", []message{{5, 4, 0, 3, 7}}, message{5, 0, 0, 0, 8}, verdict{}, 8},
+		{"restart", []message{{5, 4, 0, 3, 7}}, message{6, 1, 0, 1, 7}, verdict{fresh: true, list: true}, 7},
+		{"restart with a clock set back", []message{{5, 4, 0, 3, 7}}, message{4, 1, 0, 1, 9}, verdict{supersededBy: 5}, 7},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := newPeerTable(nil)
+			hear := func(m message) verdict {
+				return table.heard(peer{id: "p", incarnation: m.inc, sequence: m.seq, revision: m.revision}, m.after, m.count)
+			}
+			for _, m := range tc.before {
+				hear(m)
+			}
+			assert.Equal(t, hear(tc.m), tc.want)
+			assert.Equal(t, table.byID["p"].revision, tc.revision)
+		})
+	}
+}
+
+// Guards against a late exchange that makes a silent entry look alive.
+func TestLateExchangeIsNoSignOfLife(t *testing.T) {
+	table := newPeerTable(nil)
+	table.heard(peer{id: "p", incarnation: 5, sequence: 2}, 0, 0)
+	table.byID["p"].heard = time.Now().Add(-peerSilent)
+	table.heard(peer{id: "p", incarnation: 5, sequence: 1}, 0, 0)
+	table.heard(peer{id: "p", incarnation: 4, sequence: 9}, 0, 0)
+	assert.Equal(t, len(table.live()), 0)
+}
+
+// runEntry runs an entry with peers until the returned function is called.
+func runEntry(t *testing.T, id string, log *memlog.Log, change func(*Entry), peers ...string) (*Entry, func()) {
+	t.Helper()
+	set := settings.DefaultEntry()
+	set.ID, set.Region, set.Zone, set.Peers = id, "midshire", "midshire-a", peers
+	e, err := New(set, log, io.Discard)
+	assert.NilError(t, err)
+	change(e)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	stopped := false
+	stop := func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			assert.NilError(t, <-done)
+		}
+	}
+	t.Cleanup(stop)
+	return e, stop
+}
+
+func asIs(*Entry) {}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !cond() {
+			return poll.Continue("%s", what)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+}
+
+// held reports whether starts in the zone are held at the entry.
+func held(e *Entry, zone string) bool {
+	for _, eff := range e.step(core.ZoneHeld{Zone: zone, Relayed: true, Duration: time.Nanosecond}) {
+		if _, ok := eff.(core.HoldBegan); ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against an entry that starts during a hold, becomes the decider and starts tasks in the zone, and against holds
+// that entries pass back and forth for longer than they were asked for.
+func TestHoldReachesEntryThatStartsLater(t *testing.T) {
+	log := memlog.New(memlog.Options{})
+	a, _ := runEntry(t, "entry-1", log, asIs)
+	a.hold("midshire-b", 20*time.Second)
+	b, _ := runEntry(t, "entry-2", log, asIs, a.ControlAddress())
+	eventually(t, "the hold at the new entry", func() bool { return held(b, "midshire-b") })
+	assert.Assert(t, !held(b, "midshire-c"))
+	assert.Equal(t, len(a.ownHolds()), 1)
+	assert.Equal(t, len(b.ownHolds()), 0, "a hold learned from a peer is not passed on")
+}
+
+// Guards against an entry whose clock was set back before its restart and whom its peers ignore from then on, as peer and
+// as witness.
+func TestEntryRaisesItsIncarnation(t *testing.T) {
+	log := memlog.New(memlog.Options{})
+	a, _ := runEntry(t, "entry-1", log, asIs)
+	later := uint64(time.Now().Add(time.Hour).UnixMilli())
+	a.peers.heard(peer{id: "entry-2", incarnation: later, address: "127.0.0.1:1", sequence: 7}, 0, 0)
+	b, _ := runEntry(t, "entry-2", log, asIs, a.ControlAddress())
+	eventually(t, "the higher incarnation", func() bool { return b.process().Incarnation == later+1 })
+	eventually(t, "the peer", func() bool {
+		w, ok := a.peers.witness("midshire-a")
+		return ok && w.incarnation == later+1 && w.address == b.ControlAddress()
+	})
+	for _, c := range []struct {
+		incarnation uint64
+		want        bool
+	}{{later + 1, true}, {b.incarnation, true}, {later, false}} {
+		r, err := (&controlServer{b}).Promise(t.Context(), &control.PromiseRequest{Epoch: 1000, WitnessIncarnation: c.incarnation})
+		assert.NilError(t, err)
+		assert.Equal(t, r.Promised, c.want)
+		assert.Equal(t, r.Incarnation, later+1)
+	}
+}
+
+// Guards against a passed-on endpoint that looks down because it has no slots, looks up because its sender is of a later
+// version, or is taken to be still working after it has drained.
+func TestPassedOnEndpointKeepsItsState(t *testing.T) {
+	log := memlog.New(memlog.Options{})
+	a, _ := runEntry(t, "entry-1", log, asIs)
+	for i, up := range []bool{true, false} {
+		_, err := (&controlServer{a}).Announce(t.Context(), &control.AnnounceRequest{
+			Process: &control.Process{Id: fmt.Sprintf("instance-%d", i), Incarnation: 1}, Sequence: 1, Slots: 8, EndpointUp: up,
+			Draining: !up, Drained: !up,
+		})
+		assert.NilError(t, err)
+	}
+	b, _ := runEntry(t, "entry-2", log, asIs, a.ControlAddress())
+	var list []members.Endpoint
+	eventually(t, "the endpoints", func() bool {
+		list = nil
+		b.read(func(s *core.State) {
+			for _, ep := range s.Members.All() {
+				list = append(list, *ep)
+			}
+		})
+		return len(list) == 2
+	})
+	assert.Assert(t, list[0].EndpointUp && !list[0].Drained)
+	assert.Assert(t, !list[1].EndpointUp && list[1].Drained)
+	assert.Equal(t, list[1].Slots, 8)
+	// The end of a drain alone is a change that peers are told of.
+	_, err := (&controlServer{a}).Announce(t.Context(), &control.AnnounceRequest{
+		Process: &control.Process{Id: "instance-0", Incarnation: 1}, Sequence: 2, Slots: 8, EndpointUp: true, Drained: true,
+	})
+	assert.NilError(t, err)
+	eventually(t, "the drained endpoint", func() bool {
+		drained := false
+		b.read(func(s *core.State) {
+			ep, _ := s.Members.Get("instance-0")
+			drained = ep.Drained
+		})
+		return drained
+	})
+	b.takeMembers([]*control.Member{{Process: &control.Process{Id: "old", Incarnation: 1}, Sequence: 1, Slots: 0}})
+	b.read(func(s *core.State) {
+		ep, _ := s.Members.Get("old")
+		assert.Assert(t, !ep.EndpointUp, "an earlier version tells by zero slots")
+	})
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -1,22 +1,23 @@
 package entry
 
 import (
-	"context"
 	"sort"
 	"sync"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/control"
-	"github.com/verbenakeel/verbenakeel/core"
-	"github.com/verbenakeel/verbenakeel/core/members"
 )
 
 // Times of the exchange between entries.
 const (
-	exchangeEvery   = 500 * time.Millisecond
+	// exchangeEvery is the time between exchanges: two may be lost before peerSilent. With 500 ms an idle entry spent its
+	// whole budget of messages on two peers.
+	exchangeEvery   = time.Second
 	exchangeTimeout = time.Second
 	// peerSilent is how long an entry may be silent before it counts as gone.
 	peerSilent = 3 * time.Second
+	// listEvery is how often a peer is told of all entries. Addresses that no peer names are forgotten after learnedFor.
+	listEvery = 4 * time.Second
 	// forgetPeer is how long a silent entry counts as one that may still run: the longest loss of connectivity.
 	forgetPeer = time.Hour
 )
@@ -32,6 +33,11 @@
 	heard       time.Time
 	// told counts the changes of endpoints that the peer was told of.
 	told uint64
+	// sequence is the newest exchange of this run, and taken counts its changes of endpoints that this entry took.
+	sequence uint64
+	taken    uint64
+	// listed is when the peer was last told of all entries.
+	listed time.Time
 }
 
 // peerTable holds the other entries that this entry has heard of.
@@ -50,25 +56,50 @@
 	return &peerTable{seeds: seeds, learned: make(map[string]time.Time), byID: make(map[string]*peer)}
 }
 
-// heard notes a message of an entry and reports whether this run of it is new. An older incarnation is ignored.
-func (t *peerTable) heard(p peer) bool {
+// verdict says what became of a message of an entry.
+type verdict struct {
+	// fresh is true if this run of the entry is new.
+	fresh bool
+	// late is true if a newer exchange of the run came before.
+	late bool
+	// gap is true if the message builds on changes that this entry does not have.
+	gap bool
+	// list is true if the answer should name all entries.
+	list bool
+	// supersededBy is the higher incarnation that is known; 0 if there is none.
+	supersededBy uint64
+}
+
+// heard notes a message of an entry. One of an older incarnation or a late one changes nothing. An answer has no sequence.
+// After and count tell which changes of endpoints the message holds.
+func (t *peerTable) heard(p peer, after, count uint64) verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.byID[p.id]
-	if old != nil && old.incarnation > p.incarnation {
-		return false
-	}
-	// A shutdown is never taken back by the same run.
-	if old := t.byID[p.id]; old != nil && old.incarnation == p.incarnation && old.draining {
-		p.draining = true
+	fresh := old == nil || old.incarnation < p.incarnation
+	switch {
+	case old != nil && old.incarnation > p.incarnation:
+		return verdict{supersededBy: old.incarnation}
+	case !fresh && p.sequence > 0 && p.sequence <= old.sequence:
+		return verdict{late: true}
 	}
 	p.heard = time.Now()
-	fresh := old == nil || old.incarnation < p.incarnation
 	if !fresh {
-		p.told = old.told
+		// A shutdown is never taken back by the same run.
+		p.draining = p.draining || old.draining
+		p.told, p.taken, p.listed = old.told, old.taken, old.listed
+		p.sequence = max(p.sequence, old.sequence)
+	}
+	v := verdict{fresh: fresh, gap: after > p.taken}
+	if !v.gap {
+		p.taken = max(p.taken, count)
+	}
+	// Only requests have a sequence, and only their answers name entries.
+	if v.list = p.sequence > 0 && time.Since(p.listed) >= listEvery; v.list {
+		p.listed = p.heard
 	}
 	t.byID[p.id] = &p
-	return fresh
+	return v
 }
 
 // toldOf returns how many changes of endpoints the peer at the address was told of, and its incarnation.
@@ -92,6 +123,15 @@
 	}
 }
 
+// retell notes that a run of a peer misses changes, so that it is told of everything.
+func (t *peerTable) retell(id string, incarnation uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.byID[id]; p != nil && p.incarnation == incarnation {
+		p.told = 0
+	}
+}
+
 // live returns the entries heard of lately, ordered by id.
 func (t *peerTable) live() []peer {
 	t.mu.Lock()
@@ -174,94 +214,6 @@
 	return list
 }
 
-// exchange tells other entries about this one and learns about others.
-func (e *Entry) exchange(ctx context.Context) {
-	t := time.NewTicker(exchangeEvery)
-	defer t.Stop()
-	for {
-		use := e.useReport()
-		for _, address := range e.peers.targets(e.advertised()) {
-			go e.exchangeWith(ctx, address, use)
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (e *Entry) exchangeWith(ctx context.Context, address string, use []*control.RateUse) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	told, incarnation := e.peers.toldOf(address)
-	list, count := e.membersAfter(told)
-	r, err := e.client(address).Exchange(ctx, &control.ExchangeRequest{
-		Process: e.process(), ControlAddress: e.advertised(), PublicAddress: e.PublicAddress(), Revision: e.revision(),
-		Draining: e.draining.Load(), Members: list, Rate: use,
-	})
-	if err != nil {
-		// The open connection may have gone silent; the next exchange uses a fresh one.
-		e.rpc.CloseIdleConnections()
-		return
-	}
-	if p := r.Process; p != nil && p.Id != e.set.ID {
-		e.heardPeer(peer{id: p.Id, incarnation: p.Incarnation, zone: p.Zone, address: address, revision: r.Revision})
-		// A peer that restarted since is told everything with the next exchange.
-		if incarnation == 0 || incarnation == p.Incarnation {
-			e.peers.tell(p.Id, p.Incarnation, count)
-		}
-	}
-	e.peers.learn(r.Peers, e.set.ID)
-}
-
-// heardPeer notes a message of an entry. A new run of an entry is told of the endpoints at once, so that it does not
-// have to wait for their announcements.
-func (e *Entry) heardPeer(p peer) {
-	if e.peers.heard(p) {
-		go e.exchangeWith(context.Background(), p.address, nil)
-	}
-}
-
-// membersAfter returns the endpoints that changed after the count, and the count to ask for next.
-func (e *Entry) membersAfter(count uint64) ([]*control.Member, uint64) {
-	var list []*control.Member
-	now := e.now().Mono
-	e.read(func(s *core.State) {
-		var changed []*members.Endpoint
-		changed, count = s.Members.ChangedAfter(count)
-		for _, ep := range changed {
-			m := &control.Member{
-				Process: &control.Process{Id: ep.ID, Incarnation: ep.Incarnation, Zone: ep.Zone, Rack: ep.Rack},
-				Service: ep.Service, Address: ep.Address, SlotsFree: uint32(max(0, ep.SlotsFree)),
-				QueueLength: uint32(ep.Queue), Draining: ep.Draining, Sequence: ep.Sequence,
-				LatencyUs: uint32(ep.Latency.Microseconds()), AgeMs: uint32(max(0, now-ep.Heard).Milliseconds()), Revision: ep.Revision,
-			}
-			// No slots means that the endpoint does not answer.
-			if ep.EndpointUp {
-				m.Slots = uint32(ep.Slots)
-			}
-			list = append(list, m)
-		}
-	})
-	return list, count
-}
-
-// takeMembers takes the endpoints that a peer passed on.
-func (e *Entry) takeMembers(list []*control.Member) {
-	for _, m := range list {
-		if m.Process == nil || m.Process.Id == "" {
-			continue
-		}
-		e.step(core.Announced{Announcement: members.Announcement{
-			ID: m.Process.Id, Incarnation: m.Process.Incarnation, Sequence: m.Sequence, Zone: m.Process.Zone,
-			Rack: m.Process.Rack, Service: m.Service, Address: m.Address, Slots: int(m.Slots), SlotsFree: int(m.SlotsFree),
-			Queue: int(m.QueueLength), Latency: time.Duration(m.LatencyUs) * time.Microsecond, Draining: m.Draining,
-			EndpointUp: m.Slots > 0, Revision: m.Revision, Age: time.Duration(m.AgeMs) * time.Millisecond, Relayed: true,
-		}})
-	}
-}
-
 // learn takes addresses of entries that a peer knows, so that one seed is enough.
 func (t *peerTable) learn(peers []*control.Peer, self string) {
 	t.mu.Lock()
@@ -272,18 +224,3 @@
 		}
 	}
 }
-
-func (e *Entry) process() *control.Process {
-	return &control.Process{Id: e.set.ID, Incarnation: e.incarnation, Zone: e.set.Zone}
-}
-
-func (e *Entry) peerList() []*control.Peer {
-	list := []*control.Peer{{Process: e.process(), ControlAddress: e.advertised()}}
-	for _, p := range e.peers.live() {
-		list = append(list, &control.Peer{
-			Process:        &control.Process{Id: p.id, Incarnation: p.incarnation, Zone: p.zone},
-			ControlAddress: p.address,
-		})
-	}
-	return list
-}
