--- a/core/core.go
+++ b/core/core.go
@@ -25,8 +25,6 @@
 	Route     *route.State
 	Authority *authority.State
 	Decider   *decider.State
-	// ClaimsRead is when the last read that showed the end of the stream of claims was sent.
-	ClaimsRead time.Duration
 }
 
 // Options configure a State.
@@ -86,6 +84,9 @@
 	Candidate *record.DeciderClaim
 }
 
+// PollArrived gives a worker's poll whose answer may be withheld.
+type PollArrived struct{ Poll decider.Poll }
+
 // Polled gives a worker's poll.
 type Polled struct{ Poll decider.Poll }
 
@@ -110,8 +111,13 @@
 type ZoneHeld struct {
 	Zone     string
 	Duration time.Duration
+	// Relayed is true for a hold that another entry was asked for.
+	Relayed bool
 }
 
+// IncarnationRaised tells that this run goes by a higher incarnation among entries from now on.
+type IncarnationRaised struct{ Incarnation uint64 }
+
 // TryWanted asks for an endpoint for a request.
 type TryWanted struct {
 	Service   string
@@ -149,19 +155,21 @@
 	Took     time.Duration
 }
 
-func (Folded) coreEvent()          {}
-func (CaughtUp) coreEvent()        {}
-func (Announced) coreEvent()       {}
-func (Ticked) coreEvent()          {}
-func (Polled) coreEvent()          {}
-func (BatchSettled) coreEvent()    {}
-func (PromiseReceived) coreEvent() {}
-func (ReleaseReceived) coreEvent() {}
-func (Leaving) coreEvent()         {}
-func (ZoneHeld) coreEvent()        {}
-func (TryWanted) coreEvent()       {}
-func (TryEnded) coreEvent()        {}
-func (LoadReported) coreEvent()    {}
+func (Folded) coreEvent()            {}
+func (CaughtUp) coreEvent()          {}
+func (Announced) coreEvent()         {}
+func (Ticked) coreEvent()            {}
+func (PollArrived) coreEvent()       {}
+func (Polled) coreEvent()            {}
+func (BatchSettled) coreEvent()      {}
+func (PromiseReceived) coreEvent()   {}
+func (ReleaseReceived) coreEvent()   {}
+func (Leaving) coreEvent()           {}
+func (ZoneHeld) coreEvent()          {}
+func (IncarnationRaised) coreEvent() {}
+func (TryWanted) coreEvent()         {}
+func (TryEnded) coreEvent()          {}
+func (LoadReported) coreEvent()      {}
 
 // Effect is something to be done or told.
 type Effect interface{ coreEffect() }
@@ -181,8 +189,14 @@
 // RegionChanged tells what a record changed in the region.
 type RegionChanged struct{ Effect tasks.Effect }
 
-// Wake tells that polls of workers may have something to answer.
-type Wake struct{}
+// Wake tells that polls of the named workers may have something to answer, or those of all workers if All.
+type Wake struct {
+	Workers []string
+	All     bool
+}
+
+// Withhold tells that the answer to a poll may wait for news. Poll is the poll with the list that its digest stands for.
+type Withhold struct{ Poll decider.Poll }
 
 // Answered answers a poll.
 type Answered struct {
@@ -196,6 +210,9 @@
 	SupersededBy uint64
 }
 
+// HoldBegan tells that starts in a zone are held that were not before.
+type HoldBegan struct{ Zone string }
+
 // Routed names the endpoint for a try; nil if there is none.
 type Routed struct {
 	// Endpoint is a copy as of the choice.
@@ -213,7 +230,9 @@
 func (ClaimDecided) coreEffect()  {}
 func (RegionChanged) coreEffect() {}
 func (Wake) coreEffect()          {}
+func (Withhold) coreEffect()      {}
 func (Answered) coreEffect()      {}
 func (AnnounceTaken) coreEffect() {}
+func (HoldBegan) coreEffect()     {}
 func (Routed) coreEffect()        {}
 func (Alerted) coreEffect()       {}
--- a/entry/control.go
+++ b/entry/control.go
@@ -84,7 +84,10 @@
 	e := s.e
 	poll := pollOf(r)
 	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxWait)
-	e.waitForNews(ctx, poll, wait)
+	poll, err := e.waitForNews(ctx, poll, wait)
+	if err != nil {
+		return nil, err
+	}
 	for _, eff := range e.step(core.Polled{Poll: poll}) {
 		if a, ok := eff.(core.Answered); ok {
 			return e.syncResponse(a)
@@ -93,31 +96,6 @@
 	return nil, twirp.InternalError("the poll got no answer")
 }
 
-// waitForNews returns when a worker that only renews may have something to do.
-func (e *Entry) waitForNews(ctx context.Context, p decider.Poll, wait time.Duration) {
-	if p.WantStarts || wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		e.mu.Lock()
-		ready := e.draining.Load() || !e.state.Decider.Active() || e.state.Decider.Waiting(e.now(), p)
-		wake := e.wake
-		e.mu.Unlock()
-		if ready {
-			return
-		}
-		select {
-		case <-wake:
-		case <-timer.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (e *Entry) syncResponse(a core.Answered) (*control.SyncResponse, error) {
 	if a.Err != nil {
 		resp := &control.SyncResponse{}
@@ -133,7 +111,8 @@
 	r := a.Answer
 	resp := &control.SyncResponse{
 		Epoch: r.Epoch, Sequence: r.Sequence, LeaseMs: uint32(r.LeaseMs), ServiceLeaseMs: uint32(r.ServiceLeaseMs),
-		PermitMs: uint32(r.PermitMs), StartsWaiting: r.StartsWaiting,
+		PermitMs: uint32(r.PermitMs), StartsWaiting: r.StartsWaiting, RenewedAll: r.RenewedAll, HeldKnown: r.HeldKnown,
+		UsageKnown: r.UsageKnown,
 		NextPollMs: uint32(e.set.Decider.PollEvery.Milliseconds()),
 	}
 	for _, t := range r.Starts {
@@ -169,7 +148,8 @@
 		Capacity: record.Resources{
 			CPUMilli: int64(r.Capacity.CpuMilli), MemoryMB: int64(r.Capacity.MemoryMb), Accelerators: int64(r.Capacity.Accelerators),
 		},
-		Epoch: r.Epoch, Sequence: r.Sequence, WantStarts: r.WantStarts,
+		Epoch: r.Epoch, Sequence: r.Sequence, WantStarts: r.WantStarts, HeldByDigest: r.HeldByDigest, HeldDigest: r.HeldDigest,
+		UsagePartial: r.UsagePartial, UsageAgeMs: int64(r.UsageAgeMs), UsageDigest: r.UsageDigest, TakesRenewedAll: r.TakesRenewedAll,
 	}
 	for _, h := range r.Held {
 		p.Held = append(p.Held, holder.Renewal{Task: h.Task, Attempt: h.Attempt})
@@ -190,31 +170,16 @@
 	return p
 }
 
-// Exchange implements control.Entry.
-func (s *controlServer) Exchange(_ context.Context, r *control.ExchangeRequest) (*control.ExchangeResponse, error) {
-	e := s.e
-	if p := r.Process; p != nil && p.Id != e.set.ID {
-		e.heardPeer(peer{
-			id: p.Id, incarnation: p.Incarnation, zone: p.Zone, address: r.ControlAddress, revision: r.Revision, draining: r.Draining,
-		})
-		e.takeMembers(r.Members)
-		e.mu.Lock()
-		e.state.Route.PeerUsed(e.now(), p.Id, useOf(r.Rate))
-		e.mu.Unlock()
-	}
-	return &control.ExchangeResponse{Process: e.process(), Revision: e.revision(), Peers: e.peerList()}, nil
-}
-
 // Promise implements control.Entry.
 func (s *controlServer) Promise(_ context.Context, r *control.PromiseRequest) (*control.PromiseResponse, error) {
-	resp := &control.PromiseResponse{Incarnation: s.e.incarnation}
+	resp := &control.PromiseResponse{Incarnation: s.e.peerIncarnation.Load()}
 	s.e.read(func(st *core.State) { resp.Promised = st.Authority.Promise(r.Epoch, r.WitnessIncarnation) })
 	return resp, nil
 }
 
 // Release implements control.Entry.
 func (s *controlServer) Release(_ context.Context, r *control.ReleaseRequest) (*control.ReleaseResponse, error) {
-	resp := &control.ReleaseResponse{Incarnation: s.e.incarnation}
+	resp := &control.ReleaseResponse{Incarnation: s.e.peerIncarnation.Load()}
 	s.e.read(func(st *core.State) { resp.Released = st.Authority.Release(r.Epoch, r.WitnessIncarnation) })
 	return resp, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/config"
@@ -32,7 +33,8 @@
 	// tickEvery is the time between ticks and so between batches.
 	tickEvery = 50 * time.Millisecond
 	// wakeTicks is the number of ticks between looks at all withheld polls for news that came with time, such as the end
-	// of a hold. Folded records wake them at once. A look at every tick cost a fifth more per worker.
+	// of a hold. A folded record answers the polls of the workers that it is about at once. A look at every tick cost a
+	// fifth more per worker.
 	wakeTicks = 5
 	// submitWindow is how long submissions and cancels are grouped.
 	submitWindow = 20 * time.Millisecond
@@ -57,8 +59,8 @@
 	state *core.State
 	// changed is closed and replaced whenever a fold may have changed something that a waiter looks at.
 	changed chan struct{}
-	// wake is closed and replaced when polls of workers may have an answer.
-	wake chan struct{}
+	// waiters holds the newest withheld poll of each worker.
+	waiters map[string]*waiter
 
 	platform     platform.Log
 	configWriter *stream.Writer
@@ -67,6 +69,8 @@
 	claimWriter  *stream.Writer
 	// snapshots writes the snapshots of each stream.
 	snapshots map[core.Stream]*stream.Writer
+	// reads paces the reads of each stream.
+	reads map[core.Stream]*reads
 	// views holds what is known of each stream beyond its folded state; guarded by mu.
 	views map[core.Stream]*streamView
 
@@ -86,6 +90,14 @@
 	// seen holds the streams that were read to their end since the start.
 	seen map[core.Stream]bool
 
+	// peerIncarnation is the incarnation by which other entries know this run; see raise. Records carry incarnation.
+	peerIncarnation atomic.Uint64
+	// exchanges counts the exchanges sent; exchangeNow asks for one at once.
+	exchanges   atomic.Uint64
+	exchangeNow chan struct{}
+	// used is what this entry's customers used, as last reported.
+	used atomic.Pointer[[]*control.RateUse]
+
 	draining atomic.Bool
 	// claiming is true while a claim of the region is being appended.
 	claiming atomic.Bool
@@ -103,9 +115,11 @@
 	start := time.Now()
 	e := &Entry{
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), incarnation: uint64(start.UnixMilli()), start: start,
-		seen: make(map[core.Stream]bool), views: make(map[core.Stream]*streamView), changed: make(chan struct{}), wake: make(chan struct{}), platform: log,
-		rpc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+		seen: make(map[core.Stream]bool), views: make(map[core.Stream]*streamView), changed: make(chan struct{}), waiters: make(map[string]*waiter), platform: log,
+		exchangeNow: make(chan struct{}, 1),
+		rpc:         &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
 	}
+	e.peerIncarnation.Store(e.incarnation)
 	e.state = core.New(core.Options{
 		Self: set.ID, Incarnation: e.incarnation, Zone: set.Zone, Heartbeat: set.Heartbeat, Routing: route.Policy(set.Routing),
 		Authority: set.Authority, Decider: set.Decider, Scheduler: scheduler.DefaultConfig(),
@@ -141,12 +155,12 @@
 	e.regionWriter = stream.NewWriter(e.platform, e.regionStream(), named("", 0))
 	e.submitWriter = stream.NewWriter(e.platform, e.regionStream(), named("/submit", submitWindow))
 	e.claimWriter = stream.NewWriter(e.platform, e.claimStream(), named("", claimWindow))
-	e.snapshots = make(map[core.Stream]*stream.Writer)
+	e.snapshots, e.reads = make(map[core.Stream]*stream.Writer), make(map[core.Stream]*reads)
 	for kind, name := range e.streamNames() {
 		o := named("/snapshot", 0)
 		o.Bulk = true
 		e.snapshots[kind] = stream.NewWriter(e.platform, name, o)
-		e.views[kind] = &streamView{}
+		e.views[kind], e.reads[kind] = &streamView{}, e.pacedReads(kind)
 	}
 }
 
@@ -234,7 +248,9 @@
 func (e *Entry) drain() {
 	e.draining.Store(true)
 	e.log.Log(logevent.Stopping)
-	e.notify(true)
+	e.notify()
+	e.wakePolls(nil, true)
+	e.kickExchange()
 	e.resign()
 	time.Sleep(drainNotice)
 }
@@ -279,15 +295,12 @@
 	}
 }
 
-func (e *Entry) notify(wake bool) {
+// notify tells those who wait for a condition on the state that it may hold now.
+func (e *Entry) notify() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	close(e.changed)
 	e.changed = make(chan struct{})
-	if wake {
-		close(e.wake)
-		e.wake = make(chan struct{})
-	}
 }
 
 // carryOut starts what effects ask for. Effects that answer the event are read by the caller of step.
@@ -299,7 +312,7 @@
 		case core.Append:
 			go e.appendBatch(eff.Batch)
 		case core.Wake:
-			e.notify(true)
+			e.wakePolls(eff.Workers, eff.All)
 		case core.Alerted:
 			a := eff.Alert
 			e.log.Log(logevent.Alert, logevent.Str("code", a.Code), logevent.Str("job", a.Job), logevent.Str("task", a.Task),
@@ -324,7 +337,10 @@
 		case <-t.C:
 			e.step(core.Ticked{Rank: e.peers.rank(e.set.ID), Candidate: e.witnessCandidate()})
 			e.pruneUnrecorded()
-			e.notify(n%wakeTicks == 0 && e.isDecider())
+			e.notify()
+			if n%wakeTicks == 0 {
+				e.wakePolls(nil, true)
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -89,7 +89,7 @@
 	for kind, name := range e.streamNames() {
 		h := &follower{entry: e, kind: kind, name: name, failed: failed}
 		run(func(ctx context.Context) {
-			if err := stream.Follow(ctx, e.platform, name, stream.DefaultFollowOptions(), h); err != nil {
+			if err := stream.Follow(ctx, e.reads[kind], name, e.reads[kind].options(), h); err != nil {
 				e.log.Log(logevent.SchemaTooNew, logevent.Str("stream", name), logevent.Err(err))
 				h.fail(err)
 			}
@@ -131,7 +131,7 @@
 	e.folding[f.kind].Lock()
 	e.step(core.Folded{Stream: f.kind, Offset: offset, Record: rec})
 	e.folding[f.kind].Unlock()
-	e.notify(false)
+	e.notify()
 }
 
 // checkOwnWriter stops the entry when a later run with its id writes to the log: readers drop what this run appends.
@@ -160,7 +160,7 @@
 	v.read, v.hasRead, v.first, v.down = max(v.read, sent), true, first, false
 	e.mu.Unlock()
 	e.caughtUp(f.kind)
-	e.notify(false)
+	e.notify()
 	if recovered {
 		e.log.Log(logevent.LogRecovered, logevent.Str("stream", f.name))
 	}
@@ -249,6 +249,7 @@
 	ctx, cancel := context.WithTimeout(ctx, freshWait)
 	defer cancel()
 	asked := time.Since(e.start)
+	e.reads[kind].hurry(freshWait)
 	return e.waitFor(ctx, func(*core.State) bool {
 		v := e.views[kind]
 		return v.hasRead && v.read >= asked
