entry: shorten the waits of the decider's reads when the log is slow

Cause: the decider permits starts only while its newest read of config was sent less than config_freshness (1 s) ago. With reads that wait 400 ms and a log that takes 200 ms a call, the date reaches 1.2 s before the next read ends, so nothing may start for a third of the time; from 600 ms a call on, nothing starts at all.

Change: the wait is at most 9/20 of the freshness less what the newest empty read took beyond its wait.

Figures: TestConfigStaysFreshWithSlowLog: the date before the next read with 200 ms a call 1.2 s before, at most 1 s after, for delays of up to 490 ms.

Conclusion: starts go on with a log that answers within half of the freshness.

--- a/entry/reads.go
+++ b/entry/reads.go
@@ -32,11 +32,15 @@
 	// longest is the wait that the follower assumes for its timeout, idle the wait of the next read if nothing is urgent.
 	longest time.Duration
 	idle    func() time.Duration
+	// freshness bounds the age of the date that a read gives while the next one is on its way; nil or 0 for no bound.
+	freshness func() time.Duration
 
 	mu sync.Mutex
 	// fine is true if the newest read succeeded.
 	fine      bool
 	busyUntil time.Time
+	// lag is how much longer than its wait the newest read without records took.
+	lag time.Duration
 	// interrupt ends the wait of the read in progress; nil if it is short.
 	interrupt context.CancelFunc
 }
@@ -50,6 +54,12 @@
 	case core.ConfigStream:
 		deciding := min(400*time.Millisecond, e.set.Decider.ConfigFreshness*2/5)
 		r.longest = configIdle
+		r.freshness = func() time.Duration {
+			if e.isDecider() {
+				return e.set.Decider.ConfigFreshness
+			}
+			return 0
+		}
 		r.idle = func() time.Duration {
 			if e.isDecider() {
 				return deciding
@@ -86,12 +96,27 @@
 	}
 }
 
+// slowWait bounds the wait by how slow the log is. Two waits and two round trips have to pass within the freshness, or
+// the decider permits no starts in between; with a log that takes 200 ms a call and the full wait it would stop a third of
+// the time.
+func (r *reads) slowWait() time.Duration {
+	if r.freshness == nil || r.freshness() == 0 {
+		return r.longest
+	}
+	fresh := r.freshness()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, fresh*9/20-r.lag)
+}
+
 // Read implements platform.Log. The wait asked for is replaced.
 func (r *reads) Read(ctx context.Context, name string, from uint64, limit int, _ time.Duration) (platform.Page, error) {
 	wait := r.idle()
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
+	slowest := r.slowWait()
 	r.mu.Lock()
+	wait = min(wait, slowest)
 	if !r.fine || time.Now().Before(r.busyUntil) {
 		wait = min(wait, busyWait)
 	} else if wait > busyWait {
@@ -104,9 +129,13 @@
 		waiting, stop = context.WithDeadline(waiting, at.Add(wait-max(r.longest, busyWait)))
 		defer stop()
 	}
+	sent := time.Now()
 	page, err := r.Log.Read(waiting, name, from, limit, wait)
 	r.mu.Lock()
 	r.interrupt = nil
+	if err == nil && len(page.Entries) == 0 {
+		r.lag = max(0, time.Since(sent)-wait)
+	}
 	r.mu.Unlock()
 	if err != nil && waiting.Err() == context.Canceled && ctx.Err() == nil {
 		page, err = r.Log.Read(ctx, name, from, limit, 0)
--- a/entry/reads_test.go
+++ b/entry/reads_test.go
@@ -18,6 +18,8 @@
 	platform.Log
 	waits  []time.Duration
 	silent bool
+	// delay is added to every read.
+	delay time.Duration
 }
 
 func (l *quietLog) Read(ctx context.Context, _ string, _ uint64, _ int, wait time.Duration) (platform.Page, error) {
@@ -26,7 +28,7 @@
 		wait = time.Hour
 	}
 	select {
-	case <-time.After(wait):
+	case <-time.After(wait + l.delay):
 		return platform.Page{First: 1, Next: 1}, nil
 	case <-ctx.Done():
 		return platform.Page{}, ctx.Err()
@@ -112,3 +114,26 @@
 	_, r := quietReads(core.RegionStream)
 	assert.Assert(t, r.idle()+roundTrip < set.Authority.TTL/3, "an entry could not claim")
 }
+
+// Guards against a decider that permits no starts for part of the time because the log is slow: the date of its
+// configuration stays within the freshness until the next read ends.
+func TestConfigStaysFreshWithSlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, delay := range []time.Duration{0, 100 * time.Millisecond, 200 * time.Millisecond, 490 * time.Millisecond} {
+			log := &quietLog{delay: delay}
+			a := newActing()
+			a.set, a.platform = settings.DefaultEntry(), log
+			r := a.pacedReads(core.ConfigStream)
+			_, err := r.once(t)
+			assert.NilError(t, err)
+			for range 4 {
+				sent := time.Now()
+				for range 2 {
+					_, err = r.once(t)
+					assert.NilError(t, err)
+				}
+				assert.Assert(t, time.Since(sent) <= a.set.Decider.ConfigFreshness, "%v with a delay of %v", time.Since(sent), delay)
+			}
+		}
+	})
+}
