bench-requests: measure added latency of all targets at the same time

Cause: added_latency loaded the endpoint alone, the bare hops and the entry one after the other and subtracted their p99.

--- a/cmd/bench-requests/added.go
+++ b/cmd/bench-requests/added.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -125,13 +127,9 @@
 	defer func() { _ = first.Close() }()
 	own, hops := make(measured), make(measured)
 	for run := range a.Runs {
-		values := make(map[string][2]float64)
-		for _, target := range []string{direct, first.Address(), d.Entries[0].Address("public")} {
-			r, err := addedLoad(ctx, target, a.Seed+uint64(run))
-			if err != nil {
-				return nil, err
-			}
-			values[target] = r
+		values, err := addedLoads(ctx, []string{direct, first.Address(), d.Entries[0].Address("public")}, a.Seed+uint64(run))
+		if err != nil {
+			return nil, err
 		}
 		for i, name := range []string{"added_p50", "added_p99"} {
 			own[name] = append(own[name], values[d.Entries[0].Address("public")][i]-values[direct][i])
@@ -145,6 +143,26 @@
 	return list, nil
 }
 
+// addedLoads measures all targets at the same time, so that a burst of other work on the machine disturbs all alike. One
+// after the other, the latency of the endpoint alone was at times above that behind two hops.
+func addedLoads(ctx context.Context, targets []string, seed uint64) (map[string][2]float64, error) {
+	var mu sync.Mutex
+	var failed error
+	values := make(map[string][2]float64)
+	var measuring sync.WaitGroup
+	for _, target := range targets {
+		measuring.Go(func() {
+			r, err := addedLoad(ctx, target, seed)
+			mu.Lock()
+			defer mu.Unlock()
+			values[target] = r
+			failed = errors.Join(failed, err)
+		})
+	}
+	measuring.Wait()
+	return values, failed
+}
+
 // addedLoad returns p50 and p99 in milliseconds.
 func addedLoad(ctx context.Context, target string, seed uint64) ([2]float64, error) {
 	n := int(addedPerSecond * length.Seconds())
