side: do not call a request not run when only its second sending was not sent

Cause: A repeatable request that takes unusually long is sent to the endpoint a second time. When the second sending took the slot of the first and found no endpoint, the side process answered not run, although the first one had reached it.

Change: If all sendings fail, an error that shows that nothing was sent gives way to the error of the other sending.

Conclusion: A refusal that says not run is true again for second sendings.

--- a/side/endpoint.go
+++ b/side/endpoint.go
@@ -94,20 +94,30 @@
 	}
 	// Idle connections may have gone silent with this one.
 	s.endpoint.AbortIdle()
+	var failed error
 	if !extra {
 		s.endpoint.Abort(first)
-		<-results
+		failed = (<-results).err
 	} else {
 		defer s.cancel()
 	}
 	run(second)
 	r := <-results
 	if r.err != nil && extra {
-		r = <-results
+		failed, r = r.err, <-results
 	}
 	s.endpoint.Abort(first)
 	s.endpoint.Abort(second)
-	return r.ans, r.err
+	return r.ans, mayHaveRun(r.err, failed)
+}
+
+// mayHaveRun returns the error of a request of which all sendings failed: one that was not sent does not show that an
+// earlier one did not run.
+func mayHaveRun(last, earlier error) error {
+	if last != nil && earlier != nil && neverSent(last) {
+		return earlier
+	}
+	return last
 }
 
 // earnResend counts a request towards the budget of second sendings.
