scheduler: evict lent work only if its room is not freed in time

Cause: Lent room was taken back by evictions 8 s after the owner's job was blocked, although the lent tasks are mostly short and would have freed the room by themselves.

Change: The worker kept for a blocked job is the one whose running tasks are expected to free the room first. While that is expected before the job has waited ReclaimWaitMs (30 s), nothing is evicted for it. Tasks that run longer than expected are not counted on, and urgent work does not wait for ends.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -62,6 +62,9 @@
 	// ReclaimMs is how long a task within its guaranteed share waits before lent room is taken back for it, and
 	// ReclaimUrgentMs how long an urgent one waits.
 	ReclaimMs, ReclaimUrgentMs int64
+	// ReclaimWaitMs is how long a task within its guaranteed share that is not urgent may wait for room that running tasks
+	// are expected to free, before lent room is taken back by evictions.
+	ReclaimWaitMs int64
 	// KeepMs is how long a task within its guaranteed share waits before the room of a worker is kept for it.
 	KeepMs int64
 	// ReclaimGapMs is how long no task of the customer has started before room is taken back for it.
@@ -123,6 +126,7 @@
 		ProbationMaxMs:   1_800_000,
 		ReclaimMs:        8_000,
 		ReclaimUrgentMs:  1_000,
+		ReclaimWaitMs:    30_000,
 		KeepMs:           1_000,
 		ReclaimGapMs:     2_000,
 		ReclaimsPerCall:  2,
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -1,7 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
+	"math"
+	"slices"
 
 	"github.com/verbenakeel/verbenakeel/record"
 )
@@ -13,8 +16,8 @@
 const maxReclaimed = 16
 
 // reclaim makes room for a task that is urgent or within its customer's guaranteed share and found none. First a worker
-// is kept for it, so that small tasks do not take each bit of room that appears; if it still waits, batch work of
-// customers beyond their guaranteed share is evicted there.
+// is kept for it, so that small tasks do not take each bit of room that appears; if it still waits and running tasks are
+// not expected to free the room in time, batch work of customers beyond their guaranteed share is evicted there.
 func (s *State) reclaim(nowMs int64, j *job, size record.Resources, owed bool) {
 	if j.blockedMs == 0 {
 		j.blockedMs = nowMs
@@ -33,10 +36,10 @@
 	p := &placing{s: s, nowMs: nowMs, task: j.next(), job: j, size: size}
 	j.triedMs = nowMs
 	kept := j.nominated != nil && j.nominated.nominee == j && nowMs < j.nominated.nomineeMs
-	if waited < evict || !j.rec.Urgent && nowMs-j.cust.startedMs < s.cfg.ReclaimGapMs {
+	if waited < evict || !j.rec.Urgent && (nowMs-j.cust.startedMs < s.cfg.ReclaimGapMs || s.freesInTime(p, kept)) {
 		if !kept {
 			s.reclaims++
-			s.nominate(p, s.nearestFit(p))
+			s.nominate(p, s.soonestFit(p))
 		}
 		return
 	}
@@ -74,21 +77,69 @@
 	s.cursor = (s.cursor + maxReclaimed) % max(n, 1)
 }
 
-// nearestFit returns the worker that lacks least room for the task.
-func (s *State) nearestFit(p *placing) *worker {
+// soonestFit returns the worker on which running tasks are expected to free the room first. Of those that free it at the
+// same time it is the one that lacks least.
+func (s *State) soonestFit(p *placing) *worker {
 	var best *worker
-	var bestLack int64
+	var bestIn, bestLack int64
 	s.eachUsable(p, func(w *worker) {
-		free := w.free()
+		in, free := s.freesIn(p.nowMs, w, p.size), w.free()
 		lack := max(p.size.CPUMilli-free.CPUMilli, 0) + max(p.size.MemoryMB-free.MemoryMB, 0) +
 			16_000*max(p.size.Accelerators-free.Accelerators, 0)
-		if (best == nil || lack < bestLack) && excludeHarmful(p, w) == "" {
-			best, bestLack = w, lack
+		if (best == nil || in < bestIn || in == bestIn && lack < bestLack) && excludeHarmful(p, w) == "" {
+			best, bestIn, bestLack = w, in, lack
 		}
 	})
 	return best
 }
 
+// freesInTime reports whether running tasks are expected to free room for the job before it has waited ReclaimWaitMs and
+// before its latest start, so that nothing need be evicted for it.
+func (s *State) freesInTime(p *placing, kept bool) bool {
+	j := p.job
+	patience := j.blockedMs + s.cfg.ReclaimWaitMs - p.nowMs
+	w := j.nominated
+	if !kept {
+		w = s.soonestFit(p)
+	}
+	return w != nil && s.freesIn(p.nowMs, w, p.size) <= patience
+}
+
+// never is the time in which room is freed that no running batch task holds.
+const never = math.MaxInt64
+
+// freesIn returns in how many milliseconds running batch tasks are expected to have freed room for size on w.
+func (s *State) freesIn(nowMs int64, w *worker, size record.Resources) int64 {
+	free, in := w.free(), int64(0)
+	s.ending = s.ending[:0]
+	for _, t := range w.tasks {
+		if t.phase != phaseRunning || t.job == nil || t.job.rec.Kind != record.BatchJob {
+			continue
+		}
+		// Nothing is known of when a task ends that runs longer than expected.
+		if left := t.remainingMs(nowMs); left > 0 {
+			s.ending = append(s.ending, ending{left, t.size})
+		}
+	}
+	slices.SortFunc(s.ending, func(a, b ending) int { return cmp.Compare(a.inMs, b.inMs) })
+	for _, e := range s.ending {
+		if size.Fits(free) {
+			return in
+		}
+		in, free = e.inMs, free.Add(e.size)
+	}
+	if size.Fits(free) {
+		return in
+	}
+	return never
+}
+
+// ending is when a task is expected to end, and the room that it frees.
+type ending struct {
+	inMs int64
+	size record.Resources
+}
+
 // nominate keeps the room of a worker for the job.
 func (s *State) nominate(p *placing, w *worker) {
 	j := p.job
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -69,6 +69,8 @@
 	full   []record.Resources
 	// reclaims counts the jobs for which room was taken back in this call.
 	reclaims int
+	// ending is reused between tries to find room that is freed soon.
+	ending []ending
 	// accelMs is when a task that needs accelerators last found no room.
 	accelMs int64
 	// free indexes workers by free processors.
