scheduler: commit batch work by the mean use of attempts

Cause: A use of processors was learned when it changed by a quarter, so the peaks of a class with noisy phases counted as much as the longer time between them: the class `scan` was committed at 1.8 times its declared size and uses 1.4 times.

Change: The mean of an attempt is folded once per 150 samples and at its end; the first sample counts for the first attempts of a class, so sizes are known as soon as before. The median is committed instead of the 60th percentile, and up to a third above the declared size counts as declared. Services are still committed by their peaks.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -32,6 +32,7 @@
 	t.attempt, t.startMs = st.Attempt, nowMs
 	t.speedSum, t.speedCount, t.sampleMs, t.progressMs, t.slow = 0, 0, 0, 0, 0
 	t.addedCPU, t.reportedCPU, t.reportedMs = 0, 0, -1
+	t.cpuSum, t.cpuCount = 0, 0
 	t.evictMs, t.shareMilli, t.throttleRepeats = 0, fullShare, 0
 	t.hung, t.silent, t.trial, t.measured = false, false, w.probation, false
 	if w.probation {
@@ -98,6 +99,7 @@
 	s.free.update(w)
 	w.stale = true
 	if t.phase == phaseRunning && t.disturbs() {
+		t.job.class.learnMean(t)
 		w.remember(nowMs, t)
 	}
 	if t.unproven {
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -20,6 +20,9 @@
 	refreshEvery = 16
 	// minSizeTasks is how many attempts of a class must be measured before their sizes replace declared ones.
 	minSizeTasks = 3
+	// meanSamples is how many samples of an attempt are folded as one mean; it is 5 minutes at a report every 2 s. An
+	// attempt that is shorter counts once. With 15 samples long attempts, which use more, weighed too much.
+	meanSamples = 150
 	// minRuns is how many run times must be known before they replace declared ones.
 	minRuns = 5
 	// runsPerFinished is how many further first runs each finished run of a class allows. Tasks that end before their
@@ -158,11 +161,15 @@
 		c.measured++
 	}
 	declared := t.job.rec.Size
-	// A value is added once per attempt and when it changes by a quarter, so that long runs do not count more.
-	changed := used.CPUMilli*4 > t.addedCPU*5 || used.CPUMilli*5 < t.addedCPU*4
-	if declared.CPUMilli > 0 && used.CPUMilli > 0 && t.shareMilli >= fullShare && changed {
-		t.addedCPU = used.CPUMilli
-		add(&c.cpu, 1000*float64(used.CPUMilli)/float64(declared.CPUMilli))
+	if declared.CPUMilli > 0 && used.CPUMilli > 0 && t.shareMilli >= fullShare {
+		t.cpuSum += used.CPUMilli
+		t.cpuCount++
+		switch {
+		case t.job.rec.Kind == record.ServiceJob:
+			c.learnPeak(t, used.CPUMilli)
+		case t.cpuCount >= meanSamples || c.measured <= minSizeTasks && t.cpuCount == 1:
+			c.learnMean(t)
+		}
 	}
 	if declared.MemoryMB > 0 && used.MemoryMB > 0 {
 		add(&c.memory, 1000*float64(used.MemoryMB)/float64(declared.MemoryMB))
@@ -172,11 +179,32 @@
 	}
 }
 
-// refreshSize computes the ratios that sizes are committed by. Processors are shared out by a middle quantile, since a
-// short peak only slows tasks and peaks of different tasks rarely meet. Memory has a high one and a tenth in hand, since
-// a task fails when it runs out.
+// learnPeak folds the processor use of a service. A value is added once per attempt and when it changes by a quarter, so
+// that long runs do not count more.
+func (c *class) learnPeak(t *task, usedMilli int64) {
+	if usedMilli*4 > t.addedCPU*5 || usedMilli*5 < t.addedCPU*4 {
+		t.addedCPU = usedMilli
+		add(&c.cpu, 1000*float64(usedMilli)/float64(t.job.rec.Size.CPUMilli))
+	}
+}
+
+// learnMean folds the mean processor use of a batch or standing task since it was folded last. A task with noisy phases
+// is committed by its mean: by single samples its peaks would count as much as the longer time between them.
+func (c *class) learnMean(t *task) {
+	if t.cpuCount == 0 {
+		return
+	}
+	add(&c.cpu, 1000*float64(t.cpuSum)/float64(t.cpuCount*t.job.rec.Size.CPUMilli))
+	if t.cpuCount > 1 {
+		t.cpuSum, t.cpuCount = 0, 0
+	}
+}
+
+// refreshSize computes the ratios that sizes are committed by. Processors are shared out by the median of attempts, since
+// a task that wants more only slows tasks. Memory has a high quantile and a tenth in hand, since a task fails when it runs
+// out.
 func (c *class) refreshSize() {
-	q := 0.6
+	q := 0.5
 	if c.key.kind == record.ServiceJob {
 		q = 0.99
 	}
@@ -184,10 +212,10 @@
 	c.memoryMilli = nearDeclared(quantile(c.memory, 0.99, 1000) * 11 / 10)
 }
 
-// nearDeclared keeps the declared size when the learned one is within a sixth of it. Sizes a little above the declared
-// ones broke packing: a fourth task of a quarter of a worker no longer fitted.
+// nearDeclared keeps the declared size when the learned one is at most a sixth below or a third above it. Sizes a little
+// above the declared ones broke packing: a fourth task of a quarter of a worker no longer fitted.
 func nearDeclared(ratioMilli int64) int64 {
-	if ratioMilli > 833 && ratioMilli < 1167 {
+	if ratioMilli > 833 && ratioMilli < 1333 {
 		return 1000
 	}
 	return ratioMilli
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -111,6 +111,8 @@
 	reportedCPU, reportedMs int64
 	// addedCPU is the processor use of the attempt that its class learned from last.
 	addedCPU int64
+	// cpuSum and cpuCount give the mean processor use since the class learned from it last.
+	cpuSum, cpuCount int64
 	// speedSum and speedCount give the mean speed of the running attempt.
 	speedSum, speedCount int64
 	// sampleMs is when the attempt was last measured, progressMs when it was last seen to progress.
