scheduler: limit harm to services relative to their usual latency

Cause: The limit on the slowdown of a service was the same at each load.

Change: The limit counts from the latency that was usual for the service in the last 3 minutes. At the peak less harm is added to a service and in a trough more.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -32,7 +32,7 @@
 	t.attempt, t.startMs = st.Attempt, nowMs
 	t.speedSum, t.speedCount, t.sampleMs, t.progressMs, t.slow = 0, 0, 0, 0, 0
 	t.addedCPU, t.reportedCPU, t.reportedMs = 0, 0, -1
-	t.cpuSum, t.cpuCount = 0, 0
+	t.cpuSum, t.cpuCount, t.loadFactor = 0, 0, 1
 	t.evictMs, t.shareMilli, t.throttleRepeats = 0, fullShare, 0
 	t.hung, t.silent, t.trial, t.measured = false, false, w.probation, false
 	if w.probation {
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -15,6 +15,11 @@
 	learnStep = 0.15
 	// levelStep is the weight of one report in the undisturbed latency of a service.
 	levelStep = 0.05
+	// usualWindowMs is over how long the usual undisturbed latency of a service is taken.
+	usualWindowMs = 180_000
+	// maxLoadFactor bounds how far the limit on harm is lowered at high load. Without it a lasting growth of the load by
+	// two fifths left a sixth of the work undone.
+	maxLoadFactor = 1.15
 	// maxSlow bounds a learned slowdown per core, against reports that make no sense.
 	maxSlow = 20.0
 	// maxPast bounds the ended tasks remembered per worker to match late reports.
@@ -134,7 +139,7 @@
 			continue
 		}
 		s.observe(t, sm, e.MeasuredMs)
-		slow := s.learnSlow(t, sm, weight)
+		slow := s.learnSlow(t, sm, e.MeasuredMs, weight)
 		if newest {
 			t.slow, t.reportedCPU, t.reportedMs = slow, sm.Used.CPUMilli, e.MeasuredMs
 			if t.job.rec.Kind == record.ServiceJob && slow > worstSlow {
@@ -210,6 +215,17 @@
 	return level
 }
 
+// loadFactor folds the undisturbed latency at the present load and returns its ratio to the usual one.
+func (c *class) loadFactor(measuredMs int64, level float64) float64 {
+	if c.usualLevel == 0 {
+		c.usualLevel, c.usualMs = level, measuredMs
+	}
+	passed := max(measuredMs-c.usualMs, 0)
+	c.usualLevel += (level - c.usualLevel) * float64(min(passed, usualWindowMs)) / usualWindowMs
+	c.usualMs = max(c.usualMs, measuredMs)
+	return min(level/c.usualLevel, maxLoadFactor)
+}
+
 // loadBuckets is the number of loads told apart: quarters of a power of two, from 1/16 of the declared processors.
 const loadBuckets = 24
 
@@ -242,7 +258,7 @@
 
 // learnSlow corrects the learned harm of the task's neighbours by how far it was from what was expected, and returns
 // the slowdown observed of a service. It is a normalized least mean squares filter with harm kept at or above zero.
-func (s *State) learnSlow(t *task, sm *Sample, weight float64) float64 {
+func (s *State) learnSlow(t *task, sm *Sample, measuredMs int64, weight float64) float64 {
 	if t.job.rec.Kind != record.ServiceJob || sm.LatencyP99Us == 0 {
 		return 0
 	}
@@ -255,7 +271,9 @@
 		}
 	}
 	latency := float64(sm.LatencyP99Us)
-	slow := max(latency/v.follow(latency, expected, weight, sm.Used.CPUMilli, t.job.rec.Size.CPUMilli)-1, 0)
+	level := v.follow(latency, expected, weight, sm.Used.CPUMilli, t.job.rec.Size.CPUMilli)
+	t.loadFactor = v.loadFactor(measuredMs, level)
+	slow := max(latency/level-1, 0)
 	if norm == 0 {
 		return slow
 	}
@@ -317,7 +335,7 @@
 	for _, t := range w.services {
 		now := max(t.expectedSlow, t.slow/2)
 		then := now + harm(t.job.class, p.job.class)*cores + harm(t.job.class, loadClass)*load
-		worst = max(worst, then)
+		worst = max(worst, (1+then)*t.loadFactor-1)
 		cost += then - now + then*then - now*now
 	}
 	return worst, cost
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -57,6 +57,9 @@
 	usedMs  int64
 	// levels holds what is known of a service's undisturbed latency by load; nil for other classes.
 	levels *[loadBuckets]loadLevel
+	// usualLevel is the mean undisturbed latency of a service in the last minutes, and usualMs the newest report in it.
+	usualLevel float64
+	usualMs    int64
 	// harmedBy is the slowdown that one core of another class adds to a task of this service, by class id; negative if
 	// unknown.
 	harmedBy []float32
--- a/scheduler/response_test.go
+++ b/scheduler/response_test.go
@@ -161,3 +161,25 @@
 	run(s, 300_100, 800_000)
 	assert.Assert(t, s.tasks["a/j#0"].phase == phaseRunning)
 }
+
+// Guards against adding harm to a service at the peak of its load, where the same slowdown costs the most latency.
+func TestLessHarmIsAllowedAtHighLoad(t *testing.T) {
+	s, svc, noisy := noisyWorker(t)
+	s.Apply(61_000, TaskEnded{record.End{Task: noisy.Task, Attempt: 1, Outcome: record.Finished}})
+	batch := s.classOf(1, &record.Job{Customer: "a", Class: "c", Kind: record.BatchJob})
+	now := int64(62_000)
+	load := func(cpuMilli, us, until int64) {
+		for ; now < until; now += 2000 {
+			s.Apply(now, UsageReported{Worker: svc.Worker, MeasuredMs: now, Samples: []Sample{{Task: svc.Task, Attempt: 1,
+				Used: record.Resources{CPUMilli: cpuMilli}, LatencyP99Us: us, SpeedMilli: 1000}}})
+		}
+		s.tasks[svc.Task].job.class.setHarm(batch, 0.5)
+	}
+	load(400, 10_000, 300_000)
+	load(800, 14_000, 340_000)
+	queue(s, now, batchJob("a", "peak", 1))
+	assert.Equal(t, len(confirm(s, now, s.Decide(now))), 0)
+	assert.Equal(t, s.WaitReason("a/peak"), "no worker has room: 1 of 1 workers: a service there would be slowed too much")
+	load(400, 10_000, 380_000)
+	assert.Equal(t, len(confirm(s, now, s.Decide(now))), 1)
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -119,6 +119,8 @@
 	sampleMs, progressMs int64
 	// slow is the slowdown reported last, expectedSlow the one expected by what was learned.
 	slow, expectedSlow float64
+	// loadFactor is the undisturbed latency of a service replica at its present load over the usual one.
+	loadFactor float64
 	// unproven is true until the attempt is seen to run; measured is true once its size was learned from.
 	unproven, measured bool
 	// hung, silent and watched belong to the supervision of standing tasks.
