--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -111,12 +111,16 @@
 	reportedCPU, reportedMs int64
 	// addedCPU is the processor use of the attempt that its class learned from last.
 	addedCPU int64
+	// cpuSum and cpuCount give the mean processor use since the class learned from it last.
+	cpuSum, cpuCount int64
 	// speedSum and speedCount give the mean speed of the running attempt.
 	speedSum, speedCount int64
 	// sampleMs is when the attempt was last measured, progressMs when it was last seen to progress.
 	sampleMs, progressMs int64
 	// slow is the slowdown reported last, expectedSlow the one expected by what was learned.
 	slow, expectedSlow float64
+	// loadFactor is the undisturbed latency of a service replica at its present load over the usual one.
+	loadFactor float64
 	// unproven is true until the attempt is seen to run; measured is true once its size was learned from.
 	unproven, measured bool
 	// hung, silent and watched belong to the supervision of standing tasks.
