decider: end attempts that were not started before their zone was taken out

Cause: an attempt placed on a worker just before its zone was taken out gets no permit while the zone is out, and the policy evicts neither short batch tasks nor services from such a zone.

Change: the decider ends such an attempt once the worker's permits have ended and a poll sent after that does not show it; the task is queued again. The same stricter poll now decides for attempts that leave and for a replaced side process: a withheld poll tells what the worker held before the wait, and a start could have happened since.

`go test ./core/decider -run TestPlacedTaskLeavesZoneTakenOut` fails without the change.

`go test -race ./core/decider ./core/modelcheck` passes.

--- a/core/decider/state.go
+++ b/core/decider/state.go
@@ -22,6 +22,8 @@
 	serviceEnds time.Duration
 	// permitEnds is when the newest permit given to the worker has certainly ended.
 	permitEnds time.Duration
+	// overAt is the sequence of the first poll that was answered after permitEnds, 0 if none was.
+	overAt uint64
 	// held is the newest attempt of each task that the worker was seen to hold.
 	held map[string]uint32
 	// incarnation and sequence name the newest poll taken.
@@ -100,6 +102,9 @@
 	return fresh && !s.conf.ZoneOut(zone) && now.Mono >= s.holds[zone]
 }
 
+// closed reports whether no permit is given for the zone until a record brings it back.
+func (s *State) closed(zone string) bool { return s.conf.ZoneOut(zone) && rule.On(rule.Permit) }
+
 // ConfigChanged passes accepted changes to the policy.
 func (s *State) ConfigChanged(now clock.Now, outcomes []config.Outcome) {
 	if s.policy == nil {
--- a/core/decider/sync.go
+++ b/core/decider/sync.go
@@ -51,6 +51,9 @@
 	if s.outdated(now, c, p) {
 		return Answer{}, errdefs.New(errdefs.Refused, "a newer poll of this worker is known", "poll again")
 	}
+	if c.incarnation != p.Incarnation {
+		c.overAt = 0
+	}
 	c.incarnation, c.sequence = p.Incarnation, p.Sequence
 	s.fence(now, epoch, c, p)
 	s.join(now, c, p)
@@ -66,7 +69,7 @@
 	c.leaseEnds = max(c.leaseEnds, now.Mono+clock.WithMargin(s.cfg.TaskLease))
 	c.serviceEnds = max(c.serviceEnds, now.Mono+clock.WithMargin(s.cfg.ServiceLease))
 	if len(a.Starts) > 0 {
-		c.permitEnds = max(c.permitEnds, now.Mono+clock.WithMargin(s.cfg.PermitTTL))
+		c.permitEnds, c.overAt = max(c.permitEnds, now.Mono+clock.WithMargin(s.cfg.PermitTTL)), 0
 	}
 	return a, nil
 }
@@ -91,7 +94,7 @@
 	c.fenced = true
 	c.leaseEnds = now.Mono + clock.WithMargin(s.cfg.TaskLease)
 	c.serviceEnds = now.Mono + clock.WithMargin(s.cfg.ServiceLease)
-	c.permitEnds = now.Mono + clock.WithMargin(s.cfg.PermitTTL)
+	c.permitEnds, c.overAt = now.Mono+clock.WithMargin(s.cfg.PermitTTL), 0
 }
 
 // join notes contact and proposes the worker's record when it is new or differs.
@@ -183,6 +186,7 @@
 		}
 	}
 	sort.Strings(ids)
+	permitsOver := c.permitsOver(now, p)
 	for _, id := range ids {
 		t := s.region.Tasks[id]
 		switch {
@@ -191,15 +195,21 @@
 				Reason: "the worker no longer holds the attempt"}
 		case t.Incarnation != p.Incarnation:
 			// The run of the side process that the attempt was placed for may have started it until its permit ended.
-			if now.Mono >= c.permitEnds {
+			if permitsOver {
 				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
 					Reason: "the side process was replaced and the worker does not have the attempt"}
 			}
 		case leaving(t):
 			// A start ordered before may still be under way until its permit has ended.
-			if now.Mono >= c.permitEnds {
+			if permitsOver {
 				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.NotStarted, Reason: "left before it started"}
 			}
+		case s.closed(w.Zone):
+			// No permit is given until the zone is back, so the task would wait here although others have room.
+			if permitsOver {
+				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
+					Reason: "its zone was taken out of service before it started"}
+			}
 		case !s.mayStart(now, w.Zone):
 		case !p.WantStarts:
 			a.StartsWaiting = true
@@ -209,6 +219,20 @@
 	}
 }
 
+// permitsOver reports whether the poll was sent after the last permit of the worker had ended, so that it shows every
+// attempt that a permit started. A withheld poll tells what the worker held before the wait, so the first poll that is
+// answered after the end only marks it.
+func (c *contact) permitsOver(now clock.Now, p Poll) bool {
+	if now.Mono < c.permitEnds {
+		c.overAt = 0
+		return false
+	}
+	if c.overAt == 0 {
+		c.overAt = p.Sequence
+	}
+	return p.Sequence > c.overAt
+}
+
 func (s *State) spec(t *tasks.Task) platform.TaskSpec {
 	job := s.region.Jobs[t.Job].Spec
 	return platform.TaskSpec{
--- a/core/decider/tick.go
+++ b/core/decider/tick.go
@@ -223,6 +223,9 @@
 	if leaving(t) {
 		return held || now.Mono >= c.permitEnds
 	}
+	if s.closed(w.Zone) {
+		return !held && now.Mono >= c.permitEnds
+	}
 	return !held && s.mayStart(now, w.Zone)
 }
 
