--- a/core/decider/tick.go
+++ b/core/decider/tick.go
@@ -225,6 +225,9 @@
 	if leaving(t) {
 		return held || now.Mono >= c.permitEnds
 	}
+	if s.closed(w.Zone) {
+		return !held && now.Mono >= c.permitEnds
+	}
 	return !held && s.mayStart(now, w.Zone)
 }
 
