--- a/integration/state_test.go
+++ b/integration/state_test.go
@@ -53,15 +53,21 @@
 	return found
 }
 
-// workerEvents adds what a worker's stand-in saw to events.
-func workerEvents(t *testing.T, in *deploy.Instance, origin time.Time, events []history.Event) []history.Event {
+// taskEvents returns what a worker's stand-in saw.
+func taskEvents(t *testing.T, in *deploy.Instance) []standin.TaskEvent {
 	t.Helper()
 	var list []standin.TaskEvent
 	_, body, err := deploy.Call(t.Context(), http.MethodGet, in.Worker.URL("http")+"/history", nil, nil)
 	assert.NilError(t, err)
 	assert.NilError(t, json.Unmarshal(body, &list))
+	return list
+}
+
+// workerEvents adds what a worker's stand-in saw to events.
+func workerEvents(t *testing.T, in *deploy.Instance, origin time.Time, events []history.Event) []history.Event {
+	t.Helper()
 	events = append(events, history.Worker{ID: in.Side.Name, Zone: in.Side.Zone, Capacity: record.Resources{CPUMilli: 16_000, MemoryMB: 60_000}})
-	for _, e := range list {
+	for _, e := range taskEvents(t, in) {
 		at := time.Unix(0, e.AtNs).Sub(origin)
 		if e.Kind == "start" {
 			events = append(events, history.AttemptStart{At: at, Task: e.Task, Attempt: e.Attempt, Worker: e.Worker, Size: e.Size})
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -35,6 +35,8 @@
 	Outcome record.Outcome   `json:"outcome,omitempty"`
 	Size    record.Resources `json:"size"`
 	AtNs    int64            `json:"at_ns"`
+	// Epoch is that of the decider that ordered the start.
+	Epoch uint64 `json:"epoch"`
 	// ProgressMs is the progress at the event.
 	ProgressMs int64 `json:"progress_ms"`
 }
@@ -177,7 +179,7 @@
 func (w *Worker) note(a *attempt, kind string, at time.Time) {
 	w.history = append(w.history, TaskEvent{
 		Worker: w.opts.ID, Task: a.Task, Attempt: a.Attempt, Kind: kind, Outcome: a.Outcome, Size: a.Size,
-		AtNs: at.UnixNano(), ProgressMs: a.ProgressMs,
+		AtNs: at.UnixNano(), Epoch: a.Epoch, ProgressMs: a.ProgressMs,
 	})
 }
 
