Test appends whose replies are lost while tasks run

Cause: docs/proofs.md listed an append whose reply is lost as not proved with real processes for jobs, batches and changes.

Change: TestLostRepliesOfLog loses replies as errors of the log and as broken connections while three entries take jobs and changes and tasks run. It checks that each job and change is on record once at every entry, that what senders were told is true, that audit trails are equal, and that records were in fact repeated.

--- /dev/null
+++ b/integration/fault_replies_test.go
@@ -0,0 +1,251 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/testkit/deploy"
+)
+
+// claim is what a caller was told about something that it sent.
+type claim string
+
+const (
+	claimDone    claim = "done"
+	claimNotDone claim = "not done"
+	claimUnknown claim = "unknown"
+)
+
+// claimOf reads an answer to a submission or a change. Anything but the documented answers is an error.
+func claimOf(status int, body []byte) (claim, error) {
+	var p httpserver.Problem
+	_ = json.Unmarshal(body, &p)
+	switch {
+	case status == 200 || status == 202:
+		return claimDone, nil
+	case status == 503 && p.NotRun:
+		return claimNotDone, nil
+	case status == 502 && !p.NotRun && p.Outcome == "unknown" && p.Ask != "":
+		return claimUnknown, nil
+	}
+	return "", fmt.Errorf("status %d: %s", status, body)
+}
+
+// claims collects what callers were told, by id.
+type claims struct {
+	mu   sync.Mutex
+	told map[string]claim
+}
+
+func (c *claims) send(t *testing.T, id, url string, header map[string]string, body string) {
+	status, answer, err := deploy.Call(t.Context(), http.MethodPost, url, header, []byte(body))
+	said := claimUnknown
+	if err == nil {
+		said, err = claimOf(status, answer)
+	}
+	if err != nil {
+		t.Errorf("%s: %v", id, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told[id] = said
+}
+
+func (c *claims) count(said claim) int {
+	n := 0
+	for _, s := range c.told {
+		if s == said {
+			n++
+		}
+	}
+	return n
+}
+
+// sendEvery is the pause between the sendings of one sender.
+const sendEvery = 100 * time.Millisecond
+
+// Guards against jobs, decisions and changes that take effect twice, and against untrue answers, when the log's replies
+// are lost after appends took effect: as an error of the log, and as a connection that breaks.
+func TestLostRepliesOfLog(t *testing.T) {
+	t.Parallel()
+	origin := time.Now()
+	d := deployment(t, func(o *deploy.Options) { o.EntrySettings = quickSettings })
+	publish(t, d)
+	jobs, changes := claims{told: map[string]claim{}}, claims{told: map[string]claim{}}
+	var senders sync.WaitGroup
+	for i, e := range d.Entries {
+		senders.Go(func() {
+			for n := range 25 {
+				id := fmt.Sprintf("j-%d-%d", i, n)
+				time.Sleep(sendEvery)
+				jobs.send(t, id, e.URL("public")+"/v1/jobs", auth, fmt.Sprintf(longJob, id, 2, 300))
+			}
+		})
+		senders.Go(func() {
+			for n := range 25 {
+				id := fmt.Sprintf("c-%d-%d", i, n)
+				time.Sleep(sendEvery)
+				// Each change is about an endpoint of its own, so that none loses a race.
+				changes.send(t, id, e.URL("operator")+"/v1/config", nil, fmt.Sprintf(`{"id":%q,"shutdown":{"endpoint":%q,"drain":true}}`, id, "none-"+id))
+			}
+		})
+	}
+	stop := loseReplies(t, d)
+	senders.Wait()
+	stop()
+	t.Logf("jobs: %d done, %d not done, %d unknown", jobs.count(claimDone), jobs.count(claimNotDone), jobs.count(claimUnknown))
+	t.Logf("changes: %d done, %d not done, %d unknown", changes.count(claimDone), changes.count(claimNotDone), changes.count(claimUnknown))
+	assert.Assert(t, jobs.count(claimDone) > 0 && changes.count(claimDone) > 0)
+	settleWriters(t, d)
+	for _, stream := range []string{"config", "sched.midshire"} {
+		assert.Assert(t, repeats(t, d, stream) > 0, "no record on %s was repeated, so the test shows nothing", stream)
+	}
+	accepted := checkSubmits(t, d, jobs.told)
+	checkAudit(t, d, changes.told)
+	checkTasks(t, d, origin, nil, accepted...)
+}
+
+// settleWriters sends a job and a change through every entry and waits until all entries have read them. Everything that
+// was sent before through the same entries is on record then, or never will be, since a writer keeps the order.
+func settleWriters(t *testing.T, d *deploy.Deployment) {
+	t.Helper()
+	for i, e := range d.Entries {
+		id := fmt.Sprintf("marker-%d", i)
+		wait(t, "job through "+e.Name, func() bool { return submit(t, e, fmt.Sprintf(longJob, id, 2, 100)) < 300 })
+		wait(t, "change through "+e.Name, func() bool {
+			status, _ := operate(t, d, i, fmt.Sprintf(`{"id":%q,"shutdown":{"endpoint":%q,"drain":true}}`, id, "none-"+id))
+			return status == 200
+		})
+	}
+	for i := range d.Entries {
+		for _, e := range d.Entries {
+			wait(t, "markers at "+e.Name, func() bool {
+				_, ok := account(t.Context(), e, fmt.Sprintf("marker-%d", i))
+				status, _, err := deploy.Call(t.Context(), http.MethodGet, e.URL("operator")+fmt.Sprintf("/v1/config/changes/marker-%d", i), nil, nil)
+				return ok && err == nil && status == 200
+			})
+		}
+	}
+}
+
+// loseReplies loses replies of the log until the returned function is called.
+func loseReplies(t *testing.T, d *deploy.Deployment) (stop func()) {
+	t.Helper()
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for n := 0; ; n++ {
+			lose := 1
+			if n >= 20 && n < 150 {
+				// All replies are lost for longer than a caller waits, and a writer lets further writes wait.
+				lose = 25
+			}
+			if err := d.SetLogFaults(t.Context(), memlog.Faults{LoseReplies: lose}); err != nil {
+				t.Error(err)
+			}
+			d.LogProxies[n%len(d.LogProxies)].DropReplies(1, "POST /streams")
+			select {
+			case <-time.After(50 * time.Millisecond):
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+		assert.NilError(t, d.SetLogFaults(t.Context(), memlog.Faults{}))
+		for _, p := range d.LogProxies {
+			p.Restore()
+		}
+	}
+}
+
+// repeats counts records of a stream that its writer repeated.
+func repeats(t *testing.T, d *deploy.Deployment, stream string) int {
+	t.Helper()
+	type number struct {
+		writer           string
+		incarnation, seq uint64
+	}
+	seen, n := make(map[number]bool), 0
+	for _, r := range records(t, d, stream, 1) {
+		key := number{r.Writer, r.Incarnation, r.Seq}
+		if seen[key] {
+			n++
+		}
+		seen[key] = true
+	}
+	return n
+}
+
+// checkClaims checks what senders were told against what is on record.
+func checkClaims(t *testing.T, told map[string]claim, onRecord map[string]bool) {
+	t.Helper()
+	for id, said := range told {
+		assert.Assert(t, said != claimDone || onRecord[id], "%s was accepted and is not on record", id)
+		assert.Assert(t, said != claimNotDone || !onRecord[id], "%s was refused as not accepted and is on record", id)
+	}
+}
+
+// checkSubmits checks that every entry lists each job once, with the tasks that it was sent with and as its sender was
+// told. It returns the jobs on record.
+func checkSubmits(t *testing.T, d *deploy.Deployment, told map[string]claim) []string {
+	t.Helper()
+	var ids []string
+	for _, e := range d.Entries {
+		_, body, err := deploy.Call(t.Context(), http.MethodGet, e.URL("public")+"/v1/jobs", auth, nil)
+		assert.NilError(t, err)
+		var list []struct {
+			ID    string
+			Tasks int
+		}
+		assert.NilError(t, json.Unmarshal(body, &list))
+		seen := make(map[string]bool)
+		ids = nil
+		for _, j := range list {
+			id := strings.TrimPrefix(j.ID, "hartwell/")
+			assert.Assert(t, !seen[id], "%s is listed twice", id)
+			assert.Equal(t, j.Tasks, 2, id)
+			seen[id] = true
+			ids = append(ids, id)
+		}
+		checkClaims(t, told, seen)
+	}
+	return ids
+}
+
+// checkAudit checks that the audit trail of every entry holds each change once and as it was answered, and that trails
+// do not differ.
+func checkAudit(t *testing.T, d *deploy.Deployment, told map[string]claim) {
+	t.Helper()
+	var first string
+	for _, e := range d.Entries {
+		_, body, err := deploy.Call(t.Context(), http.MethodGet, e.URL("operator")+"/v1/audit", nil, nil)
+		assert.NilError(t, err)
+		var list []config.Outcome
+		assert.NilError(t, json.Unmarshal(body, &list))
+		seen, revision := make(map[string]bool), uint64(0)
+		for _, o := range list {
+			assert.Assert(t, !seen[o.Change.ID], "%s is on the trail twice", o.Change.ID)
+			seen[o.Change.ID] = true
+			assert.Assert(t, o.Revision > revision, "revision %d follows %d", o.Revision, revision)
+			revision = o.Revision
+		}
+		checkClaims(t, told, seen)
+		if first == "" {
+			first = string(body)
+		}
+		assert.Equal(t, string(body), first)
+	}
+}
