--- a/entry/reads.go
+++ b/entry/reads.go
@@ -32,8 +32,8 @@
 	// longest is the wait that the follower assumes for its timeout, idle the wait of the next read if nothing is urgent.
 	longest time.Duration
 	idle    func() time.Duration
-	// freshness bounds the age of the date that a read gives while the next one is on its way; nil or 0 for no bound.
-	freshness func() time.Duration
+	// most bounds the wait of a read together with what the log takes beyond it; nil or 0 for no bound.
+	most func() time.Duration
 
 	mu sync.Mutex
 	// fine is true if the newest read succeeded.
@@ -54,9 +54,9 @@
 	case core.ConfigStream:
 		deciding := min(400*time.Millisecond, e.set.Decider.ConfigFreshness*2/5)
 		r.longest = configIdle
-		r.freshness = func() time.Duration {
+		r.most = func() time.Duration {
 			if e.isDecider() {
-				return e.set.Decider.ConfigFreshness
+				return e.set.Decider.ConfigFreshness * 9 / 20
 			}
 			return 0
 		}
@@ -70,6 +70,7 @@
 		// The decider writes every 500 ms at least, so that most waits end with a record.
 		wait := min(600*time.Millisecond, e.set.Authority.TTL/5)
 		r.longest, r.idle = wait, func() time.Duration { return wait }
+		r.most = func() time.Duration { return e.set.Authority.TTL * 3 / 10 }
 	case core.ClaimStream:
 		r.longest, r.idle = claimIdle, func() time.Duration { return claimIdle }
 	}
@@ -96,17 +97,17 @@
 	}
 }
 
-// slowWait bounds the wait by how slow the log is. Two waits and two round trips have to pass within the freshness, or
-// the decider permits no starts in between; with a log that takes 200 ms a call and the full wait it would stop a third of
-// the time.
+// slowWait bounds the wait by how slow the log is, so that the date of the state stays young enough to act by. With a log
+// that takes 200 ms a call and the full wait the decider would permit no starts for a third of the time, and with 700 ms
+// none at all.
 func (r *reads) slowWait() time.Duration {
-	if r.freshness == nil || r.freshness() == 0 {
+	if r.most == nil || r.most() == 0 {
 		return r.longest
 	}
-	fresh := r.freshness()
+	most := r.most()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(0, fresh*9/20-r.lag)
+	return max(0, most-r.lag)
 }
 
 // Read implements platform.Log. The wait asked for is replaced.
