integration: read the workers' histories after the jobs have ended

Cause: TestSlowLog failed in 3 of 6 runs with "evicted attempt was not resumed". The accounts showed the task resumed on another worker and finished. checkTasks read the workers' histories first and then waited for the jobs, so that the history lacked whatever happened in between, the second attempt among it.

Change: the histories are read once the jobs have ended. Nothing is checked less; attempts that ran meanwhile are now checked too.

Conclusion: a fault of the check, not of the product.

--- a/integration/state_test.go
+++ b/integration/state_test.go
@@ -82,9 +82,6 @@
 func checkTasks(t *testing.T, d *deploy.Deployment, origin time.Time, extra []history.Event, jobs ...string) {
 	t.Helper()
 	events := extra
-	for _, in := range d.Instances {
-		events = workerEvents(t, in, origin, events)
-	}
 	for _, id := range jobs {
 		wait(t, "job "+id, func() bool {
 			a, ok := account(t.Context(), d.Entries[0], id)
@@ -93,6 +90,10 @@
 		job := "hartwell/" + id
 		events = append(events, history.JobAccepted{Job: job, Kind: record.BatchJob}, history.JobState{At: time.Since(origin), Job: job, State: history.JobFinished})
 	}
+	// The workers are asked once the jobs have ended, or the history would lack the end of those that still ran.
+	for _, in := range d.Instances {
+		events = workerEvents(t, in, origin, events)
+	}
 	v := history.Check(events)
 	assert.Equal(t, len(v), 0, "%v", v)
 }
