entry: give a claim half of its caller's time

Cause: a claim had 1 s for an append and its read. With a log of 700 ms a call all 120 requests of TestSlowLog that run at most once were refused, most after their claim was recorded, so that their keys were used up.

Change: a claim may take half of what is left of the deadline, at least 1 s and at most 5 s. A name in the scheduler that was figurative is replaced.

--- a/entry/once.go
+++ b/entry/once.go
@@ -28,8 +28,9 @@
 	answerWait = 250 * time.Millisecond
 	// replyMargin is left of a caller's deadline to tell that a claim is still in progress.
 	replyMargin = 100 * time.Millisecond
-	// claimWait bounds how long a claim may take. A slower log counts as down.
-	claimWait = time.Second
+	// claimWaitMin and claimWaitMax bound how long a claim may take. In between it gets half of what is left of the caller's
+	// deadline: with 1 s for all, a log that takes 700 ms a call recorded claims that were then refused.
+	claimWaitMin, claimWaitMax = time.Second, 5*time.Second
 	// logStale is the age of the newest successful read of the log from which it counts as down. Reads of the region's
 	// stream take up to 600 ms when nothing happens.
 	logStale = 1500 * time.Millisecond
@@ -137,7 +138,7 @@
 	if e.logDown() {
 		return false, notClaimed("the log is down, so the request was not run")
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	ctx, cancel := context.WithTimeout(ctx, min(max(time.Until(cl.deadline)/2, claimWaitMin), claimWaitMax))
 	defer cancel()
 	rc := record.RequestClaim{Customer: cl.customer, Key: cl.key, Nonce: nonce, Digest: digest}
 	e.reads[core.ClaimStream].hurry(claimBusy)
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -97,12 +97,12 @@
 // before its latest start, so that nothing need be evicted for it.
 func (s *State) freesInTime(p *placing, kept bool) bool {
 	j := p.job
-	patience := j.blockedMs + s.cfg.ReclaimWaitMs - p.nowMs
+	waitLeft := j.blockedMs + s.cfg.ReclaimWaitMs - p.nowMs
 	w := j.nominated
 	if !kept {
 		w = s.soonestFit(p)
 	}
-	return w != nil && s.freesIn(p.nowMs, w, p.size) <= patience
+	return w != nil && s.freesIn(p.nowMs, w, p.size) <= waitLeft
 }
 
 // never is the time in which room is freed that no running batch task holds.
