Nudge the side processes that a change concerns

Cause: `GET /v1/inforce` counted every side process as behind until its next announcement, up to 31 s at size, although a side process enforces nothing but its own shutdown order and the concurrency of its service's contract.

Change: A side process counts as behind only for changes that concern it. After a change the live entry with the lowest id nudges those at once, the others after 500 ms per rank if they are still behind, up to three times.

Worked out, not measured.

Conclusion: Chosen over counting entries only, because a side process does enforce the two, and over a nudge of all, which passes the budget. A revision before the newest change that concerns a side process counts as behind until that one is reported, since the state keeps only the newest revision of an object.

--- a/entry/change.go
+++ b/entry/change.go
@@ -136,7 +136,7 @@
 	Revision uint64 `json:"revision"`
 	// Everyone is true when every known process enforces the revision and none is silent.
 	Everyone bool `json:"everyone"`
-	// Behind holds processes that reported an older revision.
+	// Behind holds processes that reported an older revision than the newest one up to Revision that concerns them.
 	Behind []string `json:"behind"`
 	// Silent holds processes that were not heard of lately. What they enforce is not known.
 	Silent []string `json:"silent"`
@@ -185,7 +185,7 @@
 }
 
 // inForce compares what every known process reported with a revision. Side processes report by their announcements,
-// entries by their exchange.
+// entries by their exchange. A side process is asked only for the changes that concern it.
 func (e *Entry) inForce(want uint64) InForce {
 	r := InForce{Revision: want, Behind: []string{}, Silent: []string{}}
 	now := e.now()
@@ -197,7 +197,7 @@
 			switch {
 			case now.Mono-ep.Heard > 3*s.Members.Interval:
 				r.Silent = append(r.Silent, ep.ID)
-			case ep.Revision < want:
+			case ep.Revision < needed(s, ep, want):
 				r.Behind = append(r.Behind, ep.ID)
 			}
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,6 +95,8 @@
 	// exchanges counts the exchanges sent; exchangeNow asks for one at once.
 	exchanges   atomic.Uint64
 	exchangeNow chan struct{}
+	// behindNow asks for a look at side processes that a change concerns.
+	behindNow chan struct{}
 	// used is what this entry's customers used, as last reported.
 	used atomic.Pointer[[]*control.RateUse]
 
@@ -116,8 +118,8 @@
 	e := &Entry{
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), incarnation: uint64(start.UnixMilli()), start: start,
 		seen: make(map[core.Stream]bool), views: make(map[core.Stream]*streamView), changed: make(chan struct{}), waiters: make(map[string]*waiter), platform: log,
-		exchangeNow: make(chan struct{}, 1),
-		rpc:         &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+		exchangeNow: make(chan struct{}, 1), behindNow: make(chan struct{}, 1),
+		rpc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
 	}
 	e.peerIncarnation.Store(e.incarnation)
 	e.state = core.New(core.Options{
@@ -209,6 +211,7 @@
 	run(e.snapshotLoop)
 	run(e.recoverFromPeers)
 	run(e.watchLinks)
+	run(e.watchBehind)
 	callers, stopCallers := context.WithCancel(context.Background())
 	defer stopCallers()
 	serve, stopServing := context.WithCancel(context.Background())
@@ -322,7 +325,11 @@
 			e.countRegion(eff.Effect)
 		case core.ConfigDecided:
 			e.logConfig(eff.Outcome)
-			if sh := eff.Outcome.Change.Shutdown; sh != nil && eff.Outcome.Status == config.Accepted {
+			if eff.Outcome.Status != config.Accepted {
+				continue
+			}
+			e.kickBehind()
+			if sh := eff.Outcome.Change.Shutdown; sh != nil {
 				go e.nudge(sh.Endpoint)
 			}
 		}
