telemetry: close idle connections through the counting transport

Cause: Entries and side processes call http.Client.CloseIdleConnections after a failed message, so that connections that went silent are not used again. The transport that counts bytes has no such method, and the call did nothing.

Change: The transport passes the call on.

Conclusion: After a failure the next message goes over a fresh connection, as the comments at both calls say.

--- a/telemetry/transport.go
+++ b/telemetry/transport.go
@@ -38,6 +38,13 @@
 	return resp, nil
 }
 
+// CloseIdleConnections closes the idle connections of Base. Without it http.Client.CloseIdleConnections does nothing.
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // countedBody counts what was read when it is closed.
 type countedBody struct {
 	io.ReadCloser
