Leave out headers that no receiver of control messages reads

Cause: An empty poll and its reply took 460 B, most of them headers that neither side reads.

Change: Clients of control messages send no User-Agent, Accept, Accept-Encoding and Twirp-Version, and the control listener no Date and Server. The assumed size of headers of announcements follows.

--- a/entry/control.go
+++ b/entry/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	hconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
@@ -23,6 +24,9 @@
 // maxWait bounds how long a poll is withheld.
 const maxWait = 30 * time.Second
 
+// fewHeaders leaves out the headers of replies that no process reads: 52 bytes of each.
+var fewHeaders = hconfig.Option{F: func(o *hconfig.Options) { o.NoDefaultDate, o.NoDefaultServerHeader = true, true }}
+
 func (e *Entry) routeControl() {
 	e.control.Use(e.countControl)
 	srv := control.NewEntryServer(&controlServer{e})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,7 +119,7 @@
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), incarnation: uint64(start.UnixMilli()), start: start,
 		seen: make(map[core.Stream]bool), views: make(map[core.Stream]*streamView), changed: make(chan struct{}), waiters: make(map[string]*waiter), platform: log,
 		exchangeNow: make(chan struct{}, 1), behindNow: make(chan struct{}, 1),
-		rpc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+		rpc: &http.Client{Timeout: 5 * time.Second, Transport: control.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})},
 	}
 	e.peerIncarnation.Store(e.incarnation)
 	e.state = core.New(core.Options{
@@ -174,7 +174,7 @@
 	if e.operator, err = httpserver.Listen(e.set.Operator, httpserver.WithTLS(e.keys, tlsconf.Operator)...); err != nil {
 		return err
 	}
-	if e.control, err = httpserver.Listen(e.set.Control, httpserver.WithTLS(e.keys, tlsconf.Entry, tlsconf.Side)...); err != nil {
+	if e.control, err = httpserver.Listen(e.set.Control, append(httpserver.WithTLS(e.keys, tlsconf.Entry, tlsconf.Side), fewHeaders)...); err != nil {
 		return err
 	}
 	e.routePublic()
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
@@ -25,9 +26,9 @@
 		return fmt.Errorf("entry %s: %w", e.set.ID, err)
 	}
 	e.keys, e.links.keys = keys, keys
-	e.rpc.Transport = &http.Transport{
+	e.rpc.Transport = control.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, TLSClientConfig: keys.Client(tlsconf.Entry),
-	}
+	})
 	return nil
 }
 
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -12,8 +12,9 @@
 	// announceBudget is what an entry may spend on announcements, in bytes a second. The rest of the 5 KB/s per daemon is
 	// for the exchange with other entries.
 	announceBudget = 4000
-	// announceOverhead is the size of the HTTP headers of an announcement and its reply, in bytes: 246 and 127 measured.
-	announceOverhead = 375
+	// announceOverhead is the size of the HTTP headers of an announcement and its reply, in bytes: 139 and 75 by the change
+	// of their sum when headers were left out.
+	announceOverhead = 214
 	// sizeWeight is the weight of a new sample in the moving average of sizes.
 	sizeWeight = 0.05
 )
--- a/side/keys.go
+++ b/side/keys.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/tlsconf"
 )
@@ -25,9 +26,9 @@
 		return fmt.Errorf("side process %s: %w", s.set.ID, err)
 	}
 	s.keys = keys
-	s.rpc.Transport = &http.Transport{
+	s.rpc.Transport = control.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, TLSClientConfig: keys.Client(tlsconf.Entry),
-	}
+	})
 	return nil
 }
 
--- a/side/side.go
+++ b/side/side.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/slots"
@@ -94,7 +95,7 @@
 		waiters: make(map[uint64]chan slots.Refusal), entries: set.Entries, announcers: make(map[string]*announcer),
 		starts: claims.NewStarted[*answer](maxStarts, maxStartBytes), startEnded: make(chan struct{}),
 		tries: make(map[string]struct{}), resends: resendReserve,
-		rpc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		rpc: &http.Client{Transport: control.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})},
 	}
 	if err := s.newMetrics(); err != nil {
 		return nil, err
--- a/slopes/synthetic.go
+++ b/slopes/synthetic.go
@@ -28,7 +28,7 @@
 }
 
 func newCrowd(d *deploy.Deployment) *crowd {
-	rpc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, IdleConnTimeout: time.Minute}}
+	rpc := &http.Client{Transport: control.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1000, IdleConnTimeout: time.Minute})}
 	return &crowd{client: control.NewEntryProtobufClient(d.Entries[0].URL("control"), rpc)}
 }
 
