--- a/core/decider/digest_test.go
+++ b/core/decider/digest_test.go
@@ -18,6 +18,7 @@
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
+	_ "github.com/verbenakeel/verbenakeel/testkit/fixedseed"
 )
 
 const workerID = "w"
--- a/core/holder/report_test.go
+++ b/core/holder/report_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
+	_ "github.com/verbenakeel/verbenakeel/testkit/fixedseed"
 )
 
 func drawSet(t *rapid.T, name string) map[string]uint32 {
--- a/entry/control.go
+++ b/entry/control.go
@@ -45,7 +45,7 @@
 		return nil, twirp.RequiredArgumentError("process.id")
 	}
 	e := s.e
-	next := e.nextHeartbeat()
+	next, early := e.nextHeartbeat(), e.announcesEarly(r.Process.Id)
 	resp := &control.AnnounceResponse{NextHeartbeatMs: uint32(next.Milliseconds()), Peers: e.peerList()}
 	a := announcement(r)
 	a.Interval = next
@@ -61,13 +61,13 @@
 				Drain: v.Shutdown.Drain, LimitMs: uint32(v.Shutdown.LimitMs), Revision: v.Revision,
 			}
 		}
-		if c, _, ok := st.Config.Service(r.Service); ok && st.Config.Revision > r.Revision {
+		if c, _, ok := st.Config.Service(r.Service); ok && st.Config.Contracts[c.Customer].Revision > r.Revision {
 			if data, err := cbor.Marshal(c); err == nil {
 				resp.Contracts = append(resp.Contracts, data)
 			}
 		}
 	})
-	e.pace.sized(proto.Size(r) + proto.Size(resp))
+	e.pace.taken(time.Since(e.start), proto.Size(r)+proto.Size(resp), early)
 	return resp, nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,6 +87,9 @@
 	unrecorded answerTable
 	// pace sizes the heartbeat interval.
 	pace pacer
+	// nudges limits nudges after changes; changed configuration is told by newRevision.
+	nudges      *nudgeLimit
+	newRevision chan struct{}
 	// seen holds the streams that were read to their end since the start.
 	seen map[core.Stream]bool
 
@@ -95,8 +98,6 @@
 	// exchanges counts the exchanges sent; exchangeNow asks for one at once.
 	exchanges   atomic.Uint64
 	exchangeNow chan struct{}
-	// behindNow asks for a look at side processes that a change concerns.
-	behindNow chan struct{}
 	// used is what this entry's customers used, as last reported.
 	used atomic.Pointer[[]*control.RateUse]
 
@@ -118,7 +119,7 @@
 	e := &Entry{
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), incarnation: uint64(start.UnixMilli()), start: start,
 		seen: make(map[core.Stream]bool), views: make(map[core.Stream]*streamView), changed: make(chan struct{}), waiters: make(map[string]*waiter), platform: log,
-		exchangeNow: make(chan struct{}, 1), behindNow: make(chan struct{}, 1),
+		nudges: newNudgeLimit(), newRevision: make(chan struct{}, 1), exchangeNow: make(chan struct{}, 1),
 		rpc: &http.Client{Timeout: 5 * time.Second, Transport: control.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})},
 	}
 	e.peerIncarnation.Store(e.incarnation)
@@ -211,7 +212,7 @@
 	run(e.snapshotLoop)
 	run(e.recoverFromPeers)
 	run(e.watchLinks)
-	run(e.watchBehind)
+	run(e.nudgeAll)
 	callers, stopCallers := context.WithCancel(context.Background())
 	defer stopCallers()
 	serve, stopServing := context.WithCancel(context.Background())
@@ -328,10 +329,13 @@
 			if eff.Outcome.Status != config.Accepted {
 				continue
 			}
-			e.kickBehind()
 			if sh := eff.Outcome.Change.Shutdown; sh != nil {
 				go e.nudge(sh.Endpoint)
 			}
+			select {
+			case e.newRevision <- struct{}{}:
+			default:
+			}
 		}
 	}
 }
--- a/side/announce.go
+++ b/side/announce.go
@@ -206,8 +206,9 @@
 	if resp.Revision < s.revision {
 		return
 	}
-	if resp.Revision > s.revision {
-		// Entries learn at once that the revision is in force here.
+	if resp.Revision > s.revision && (len(resp.Contracts) > 0 || (resp.Shutdown != nil && resp.Shutdown.Revision > s.revision)) {
+		// Entries learn at once that a change which concerns this endpoint is in force here. They do not wait for others, and
+		// an announcement for each would take the budget of heartbeats.
 		s.kickLocked()
 	}
 	s.revision = resp.Revision
