--- a/entry/control.go
+++ b/entry/control.go
@@ -61,7 +61,7 @@
 				Drain: v.Shutdown.Drain, LimitMs: uint32(v.Shutdown.LimitMs), Revision: v.Revision,
 			}
 		}
-		if c, _, ok := st.Config.Service(r.Service); ok && st.Config.Revision > r.Revision {
+		if c, _, ok := st.Config.Service(r.Service); ok && st.Config.Contracts[c.Customer].Revision > r.Revision {
 			if data, err := cbor.Marshal(c); err == nil {
 				resp.Contracts = append(resp.Contracts, data)
 			}
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -17,7 +17,7 @@
 	// of their sum when headers were left out.
 	announceOverhead = 214
 	// heartbeatBudget is what is left to heartbeats at least, in bytes a second, however many announcements come early.
-	heartbeatBudget = 500
+	heartbeatBudget = 1000
 	// earlyWindow is the time over which early announcements are averaged. It is well above the time between changes of
 	// configuration, 38 s at 2,300 a day, so that one change does not make heartbeats rare.
 	earlyWindow = 2 * time.Minute
