scheduler: count only waits within the guarantee before room is taken back

Cause: A job kept the time at which it was blocked first while its customer went beyond its guarantee and came back.

Change: The wait starts anew when the job is tried while its customer uses its whole guarantee.

A customer below its guarantee still gets room after ReclaimMs, or ReclaimWaitMs if its room is expected to come free.

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -167,6 +167,9 @@
 		}
 		if tn.urgent || tn.owed {
 			s.reclaim(nowMs, j, size, tn.owed)
+		} else {
+			// What it waited while its customer used its whole guarantee does not count.
+			j.blockedMs = 0
 		}
 	}
 	s.park(nowMs, j, t, reason)
--- a/scheduler/reclaim_test.go
+++ b/scheduler/reclaim_test.go
@@ -70,3 +70,39 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Task, "owner/j#0")
 }
+
+// Guards against evicting lent work at once for a job that waited while its customer used its whole guarantee.
+func TestWaitBeyondTheGuaranteeDoesNotCount(t *testing.T) {
+	s := fleetState(1, "busy")
+	s.Apply(1, ContractChanged{record.Contract{Customer: "owner", MaxTasks: 10, MaxQueued: 10,
+		Guaranteed: record.Resources{CPUMilli: 1000, MemoryMB: 1000}, Burst: big}})
+	long := batchJob("busy", "long", 16)
+	long.RunMs = 600_000
+	for _, j := range []record.Job{long, batchJob("owner", "j", 1)} {
+		s.classOf(60_000, &j).measured = minSizeTasks
+	}
+	s.order[0].ramp = maxRamp
+	queue(s, 60_000, long)
+	run(s, 60_000, 61_000)
+	assert.Equal(t, s.order[0].free().CPUMilli, int64(0))
+	queue(s, 62_000, batchJob("owner", "second", 1))
+	run(s, 62_000, 64_000)
+	one := record.Resources{CPUMilli: 1000, MemoryMB: 1000}
+	replace := func(now int64, ended, started string) {
+		s.Apply(now, TaskEnded{record.End{Task: ended, Attempt: 1, Outcome: record.Finished, RanMs: 1000}})
+		s.Apply(now, TaskStarted{record.Start{Task: started, Attempt: 1, Worker: "w00", Size: one}})
+	}
+	first := batchJob("owner", "first", 1)
+	s.Apply(64_100, TaskQueued{Job: first, Task: "owner/first#0", NextAttempt: 1})
+	replace(64_100, "busy/long#0", "owner/first#0")
+	run(s, 64_200, 100_000)
+	replace(100_000, "owner/first#0", "busy/late#0")
+	evicted := int64(0)
+	for now := int64(100_100); now < 140_000 && evicted == 0; now += 100 {
+		if len(evictions(s.Decide(now))) > 0 {
+			evicted = now
+		}
+	}
+	cfg := DefaultConfig()
+	assert.Assert(t, evicted >= 100_100+cfg.ReclaimMs && evicted <= 101_000+cfg.ReclaimMs, "%d", evicted)
+}
