scheduler: keep no room on workers that the task may not use

Cause: Room was kept for blocked jobs without accelerators on workers whose free accelerators are kept for tasks that need them. Such a worker had 2 to 4 free cores that the job could not take, and the job's lent room was taken back elsewhere.

Change: These workers are passed over when room is kept or taken back.

--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -69,7 +69,7 @@
 	for i := range min(n, maxReclaimed) {
 		w := s.order[(s.cursor+i)%n]
 		if w.nominee != nil && w.nominee != p.job && p.nowMs < w.nomineeMs || w.probation || !p.size.Fits(w.capacity) ||
-			excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" || excludeAvoided(p, w) != "" {
+			excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" || excludeAvoided(p, w) != "" || excludeAccelerators(p, w) != "" {
 			continue
 		}
 		f(w)
