scheduler: let work end in a zone that is taken out if it is about to

Change: A batch task that is expected to end within EvacStayMs (30 s) of the order is not evicted in that time. The rest leaves as before, most at risk first.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -77,6 +77,8 @@
 	EvacPerCall int
 	// EvacEveryMs is the time between evictions from a zone that is out when the other zones have no room.
 	EvacEveryMs int64
+	// EvacStayMs is how long a batch task of a zone that is taken out may stay there to end.
+	EvacStayMs int64
 	// ZoneFillMs is how long a zone that comes back takes to fill.
 	ZoneFillMs int64
 	// BackoffMs is the first wait before a standing task is restarted; it doubles up to BackoffMaxMs.
@@ -133,6 +135,7 @@
 		NominateMs:       15_000,
 		EvacPerCall:      8,
 		EvacEveryMs:      500,
+		EvacStayMs:       30_000,
 		ZoneFillMs:       30_000,
 		BackoffMs:        1_000,
 		BackoffMaxMs:     300_000,
--- a/scheduler/response_test.go
+++ b/scheduler/response_test.go
@@ -130,6 +130,30 @@
 	assert.Equal(t, got[0].Task, "a/soon#0")
 }
 
+// Guards against evicting work that is about to end in a zone that is taken out, and against letting it stay for good.
+func TestWorkMayEndInAZoneThatIsOut(t *testing.T) {
+	s := fleetState(2, "a")
+	for name, runMs := range map[string]int64{"short": 25_000, "long": 600_000} {
+		j := batchJob("a", name, 1)
+		j.RunMs, j.Checkpoint = runMs, true
+		queue(s, 60_000, j)
+		s.Apply(60_000, TaskStarted{record.Start{Task: j.ID + "#0", Attempt: 1, Worker: "w00", Size: j.Size}})
+	}
+	s.Apply(61_000, ZoneChanged{Zone: "a", Out: true})
+	got := evictions(s.Decide(61_000))
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Task, "a/long#0")
+	s.Apply(62_000, TaskEnded{record.End{Task: "a/long#0", Attempt: 1, Outcome: record.Stopped}})
+	stay := DefaultConfig().EvacStayMs
+	for now := int64(62_000); now < 61_000+stay; now += 500 {
+		assert.Equal(t, len(evictions(s.Decide(now))), 0, "at %d", now)
+	}
+	// It runs longer than expected.
+	got = evictions(s.Decide(61_000 + stay))
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Task, "a/short#0")
+}
+
 // Guards against a zone that comes back and is filled at once, and against moving running work there.
 func TestReturnedZoneFillsGradually(t *testing.T) {
 	s := fleetState(3, "a")
--- a/scheduler/zone.go
+++ b/scheduler/zone.go
@@ -14,6 +14,8 @@
 	sinceMs int64
 	// leaving holds tasks to evict while the zone is out, most at risk first.
 	leaving []*task
+	// staying holds tasks that are given EvacStayMs to end where they are.
+	staying []*task
 	// moving holds tasks evicted from the zone that have not started elsewhere.
 	moving []*task
 	// nextMs is when the next eviction is due if the other zones have no room.
@@ -41,7 +43,7 @@
 	if z.out == e.Out {
 		return
 	}
-	z.out, z.sinceMs, z.leaving, z.moving, z.nextMs = e.Out, nowMs, nil, nil, nowMs
+	z.out, z.sinceMs, z.leaving, z.staying, z.moving, z.nextMs = e.Out, nowMs, nil, nil, nil, nowMs
 	s.freeGen++
 	for _, w := range s.order {
 		if w.zone != z.name {
@@ -80,6 +82,9 @@
 // what was not checkpointed by then is lost.
 func (s *State) evacuate(nowMs int64) {
 	for _, z := range s.zoneOrder {
+		if z.staying != nil && nowMs-z.sinceMs >= s.cfg.EvacStayMs {
+			z.leaving, z.staying = append(z.leaving, z.staying...), nil
+		}
 		if !z.out || len(z.leaving) == 0 {
 			continue
 		}
@@ -98,6 +103,11 @@
 				z.leaving = z.leaving[1:]
 				continue
 			}
+			if s.mayStay(nowMs, z, t) {
+				z.leaving = z.leaving[1:]
+				z.staying = append(z.staying, t)
+				continue
+			}
 			if !t.size.Fits(room) {
 				if nowMs < z.nextMs || !t.job.rec.Checkpoint {
 					break
@@ -116,6 +126,13 @@
 	}
 }
 
+// mayStay reports whether a task of a zone that is out gets time to end there: a batch task that is expected to end within
+// EvacStayMs of the order.
+func (s *State) mayStay(nowMs int64, z *zone, t *task) bool {
+	left := z.sinceMs + s.cfg.EvacStayMs - nowMs
+	return left > 0 && t.job.rec.Kind == record.BatchJob && t.remainingMs(nowMs) <= left
+}
+
 // roomElsewhere is the free room on workers in contact in zones that are not out.
 func (s *State) roomElsewhere() record.Resources {
 	var sum record.Resources
