scheduler, core/tasks: show that a missing check of room is noticed

Cause: No committed test showed that the property test of the policy and the history checker report over-commitment when the check of room is switched off.

Change: internal/rule gets the rule Capacity, which the policy's filter and the fold of starts obey. With it off, one test runs the events of the property test and another folds two starts that do not fit together; both also ask the history checker, which the property test now asks in each run as well.

Conclusion: Both checks notice a policy that ignores room.

--- a/core/tasks/fold.go
+++ b/core/tasks/fold.go
@@ -198,7 +198,7 @@
 		return "unknown or lost worker " + st.Worker
 	case st.Attempt != task.Attempt+1:
 		return fmt.Sprintf("attempt %d does not follow %d", st.Attempt, task.Attempt)
-	case !w.Committed.Add(st.Size).Fits(w.Capacity):
+	case !w.Committed.Add(st.Size).Fits(w.Capacity) && rule.On(rule.Capacity):
 		return "worker " + st.Worker + " has no room"
 	case !(record.Resources{}).Fits(st.Size):
 		return "negative size"
--- a/core/tasks/fold_test.go
+++ b/core/tasks/fold_test.go
@@ -6,7 +6,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
 )
 
 type log struct {
@@ -41,6 +43,24 @@
 	assert.Equal(t, l.state.Workers["w"].Committed.CPUMilli, int64(600))
 }
 
+// Guards against a fold whose check of capacity could be dropped without any check noticing.
+func TestMissingCapacityCheckIsNoticed(t *testing.T) {
+	violations := func() []history.Violation {
+		l := newLog()
+		l.append(record.Record{Batch: &record.Batch{Epoch: 1, Starts: []record.Start{start("c/j#0", 1), start("c/j#1", 1)}}})
+		w := l.state.Workers["w"]
+		return history.Check([]history.Event{
+			history.Worker{ID: "w", Zone: w.Zone, Capacity: w.Capacity},
+			history.Commitment{Worker: "w", Committed: w.Committed},
+		})
+	}
+	assert.Equal(t, len(violations()), 0)
+	defer rule.Off(rule.Capacity)()
+	got := violations()
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Rule, history.OverCapacity)
+}
+
 // Guards against decisions of a decider that was replaced.
 func TestBatchOfOlderEpochIsVoid(t *testing.T) {
 	l := newLog()
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -83,7 +84,7 @@
 }
 
 func excludeFull(p *placing, w *worker) string {
-	if !p.size.Fits(w.free()) {
+	if !p.size.Fits(w.free()) && rule.On(rule.Capacity) {
 		return "too little room"
 	}
 	return ""
--- a/scheduler/property_test.go
+++ b/scheduler/property_test.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
 )
 
 // TestMain fixes the seed of property tests, so that a run can be repeated; -rapid.seed overrides it.
@@ -39,12 +43,27 @@
 	state   map[string]string
 	sent    []Event
 	late    []Event
+	// overCommitted is called with a start on a worker without room for it.
+	overCommitted func(st record.Start)
+	seen          []history.Event
 }
 
 func newTruth(t *rapid.T) *truth {
-	return &truth{t: t, s: New(DefaultConfig()), now: 1, workers: map[string]record.Resources{}, zoneOf: map[string]string{}, up: map[string]bool{},
+	m := &truth{t: t, s: New(DefaultConfig()), now: 1, workers: map[string]record.Resources{}, zoneOf: map[string]string{}, up: map[string]bool{},
 		out: map[string]bool{}, used: map[string]record.Resources{}, running: map[string]record.Start{}, attempt: map[string]uint32{},
 		jobs: map[string]record.Job{}, state: map[string]string{}}
+	m.overCommitted = func(st record.Start) {
+		t.Fatalf("worker %s over-committed: %+v and %+v of %+v", st.Worker, m.used[st.Worker], st.Size, m.workers[st.Worker])
+	}
+	return m
+}
+
+// saw keeps an event for the history checker.
+func (m *truth) saw(e history.Event) { m.seen = append(m.seen, e) }
+
+// at returns a time that no event has, since the checker puts ends before starts of the same time.
+func (m *truth) at() time.Duration {
+	return time.Duration(m.now)*time.Millisecond + time.Duration(len(m.seen))
 }
 
 // send applies an event and keeps it for a repeat. Contracts, zones and workers are not repeated: their events have no
@@ -82,6 +101,7 @@
 	st := m.running[task]
 	delete(m.running, task)
 	m.used[st.Worker] = m.used[st.Worker].Sub(st.Size)
+	m.saw(history.AttemptEnd{At: m.at(), Task: task, Attempt: st.Attempt, Worker: st.Worker, Outcome: o})
 	id := task[:len(task)-2]
 	events := []Event{TaskEnded{record.End{Task: task, Attempt: st.Attempt, Outcome: o, RanMs: 100}}}
 	if o == record.Finished && m.jobs[id].Kind == record.BatchJob {
@@ -108,6 +128,7 @@
 			}
 			m.running[d.Task], m.attempt[d.Task] = d.Start, d.Attempt
 			m.used[d.Worker] = m.used[d.Worker].Add(d.Size)
+			m.saw(history.AttemptStart{At: m.at(), Task: d.Task, Attempt: d.Attempt, Worker: d.Worker, Size: d.Size})
 			m.send(TaskStarted{d.Start})
 		case EvictTask:
 			if st, ok := m.running[d.Task]; ok && st.Attempt == d.Attempt && !(drop && rapid.Bool().Draw(m.t, "drop")) {
@@ -132,7 +153,7 @@
 		m.t.Fatalf("attempt %d of %s after attempt %d", st.Attempt, st.Task, m.attempt[st.Task])
 	}
 	if !m.used[st.Worker].Add(st.Size).Fits(m.workers[st.Worker]) {
-		m.t.Fatalf("worker %s over-committed: %+v and %+v of %+v", st.Worker, m.used[st.Worker], st.Size, m.workers[st.Worker])
+		m.overCommitted(st)
 	}
 	if !m.up[st.Worker] || m.out[m.zoneOf[st.Worker]] {
 		m.t.Fatalf("start of %s on %s: up %v, zone out %v", st.Task, st.Worker, m.up[st.Worker], m.out[m.zoneOf[st.Worker]])
@@ -147,6 +168,7 @@
 	if _, known := m.workers[id]; !known {
 		m.workers[id] = record.Resources{CPUMilli: 8000, MemoryMB: 16_000, Accelerators: int64(id[1]-'0') % 2 * 2}
 		m.zoneOf[id] = zone
+		m.saw(history.Worker{At: m.at(), ID: id, Zone: zone, Capacity: m.workers[id]})
 	}
 	m.up[id] = true
 	m.s.Apply(m.now, WorkerUp{ID: id, Zone: zone, Rack: "r", Capacity: m.workers[id]})
@@ -282,6 +304,44 @@
 		m.step()
 	}
 	m.settle()
+	if n := m.overCapacity(); n > 0 {
+		t.Fatalf("the history checker found %d commitments beyond capacity", n)
+	}
+}
+
+// overCapacity counts what the history checker reports of capacity.
+func (m *truth) overCapacity() int {
+	n := 0
+	for _, v := range history.Check(m.seen) {
+		if v.Rule == history.OverCapacity {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a property test and a history checker that would not notice a policy that ignores the room of workers.
+func TestMissingRoomCheckIsNoticed(t *testing.T) {
+	for _, mutated := range []bool{false, true} {
+		if mutated {
+			defer rule.Off(rule.Capacity)()
+		}
+		checked, reported := 0, 0
+		for seed := range 40 {
+			rapid.Custom(func(t *rapid.T) bool {
+				m := newTruth(t)
+				m.overCommitted = func(record.Start) { checked++ }
+				for range 60 {
+					m.step()
+				}
+				reported += m.overCapacity()
+				return true
+			}).Example(seed)
+		}
+		t.Logf("room check off %v: %d starts without room found by the property test, %d by the history checker", mutated, checked, reported)
+		assert.Equal(t, checked > 0, mutated)
+		assert.Equal(t, reported > 0, mutated)
+	}
 }
 
 // Guards against over-commitment, a task in two places, a start in a zone that is out, a refusal or start of a job that
