scheduler: wait for lent room while its owner keeps getting some

Cause: The 30 s in which running tasks may free room were counted from when a job was blocked, although its customer got room for other jobs meanwhile.

Change: The time counts from the customer's last start, for at most four times as long. Room that is not expected to be free in time is taken back after ReclaimMs as before.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -63,7 +63,7 @@
 	// ReclaimUrgentMs how long an urgent one waits.
 	ReclaimMs, ReclaimUrgentMs int64
 	// ReclaimWaitMs is how long a task within its guaranteed share that is not urgent may wait for room that running tasks
-	// are expected to free, before lent room is taken back by evictions.
+	// are expected to free, before lent room is taken back by evictions. It counts from the last start of its customer.
 	ReclaimWaitMs int64
 	// KeepMs is how long a task within its guaranteed share waits before the room of a worker is kept for it.
 	KeepMs int64
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -12,6 +12,10 @@
 // reclaimEveryMs is the least time between two tries to take back room for one job.
 const reclaimEveryMs = 250
 
+// maxWaits times ReclaimWaitMs is how long a job is blocked at most before room is taken back although other jobs of its
+// customer get room.
+const maxWaits = 4
+
 // maxReclaimed bounds the workers looked at in one try.
 const maxReclaimed = 16
 
@@ -93,11 +97,14 @@
 	return best
 }
 
-// freesInTime reports whether running tasks are expected to free room for the job before it has waited ReclaimWaitMs and
-// before its latest start, so that nothing need be evicted for it.
+// freesInTime reports whether running tasks are expected to free room for the job within ReclaimWaitMs of when it was
+// blocked or its customer last got room, so that nothing need be evicted for it.
 func (s *State) freesInTime(p *placing, kept bool) bool {
 	j := p.job
-	patience := j.blockedMs + s.cfg.ReclaimWaitMs - p.nowMs
+	patience := max(j.blockedMs, j.cust.startedMs) + s.cfg.ReclaimWaitMs - p.nowMs
+	if p.nowMs-j.blockedMs > maxWaits*s.cfg.ReclaimWaitMs {
+		patience = 0
+	}
 	w := j.nominated
 	if !kept {
 		w = s.soonestFit(p)
