--- a/core/tasks/fold.go
+++ b/core/tasks/fold.go
@@ -200,7 +200,7 @@
 		return fmt.Sprintf("attempt %d does not follow %d", st.Attempt, task.Attempt)
 	case !(record.Resources{}).Fits(st.Size):
 		return "negative size"
-	case !st.Size.Fits(w.Capacity.Sub(w.Committed)):
+	case !st.Size.Fits(w.Capacity.Sub(w.Committed)) && rule.On(rule.Capacity):
 		// The sum of committed and size could overflow, what is free cannot.
 		return "worker " + st.Worker + " has no room"
 	}
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -12,6 +12,10 @@
 // reclaimEveryMs is the least time between two tries to take back room for one job.
 const reclaimEveryMs = 250
 
+// maxWaits times ReclaimWaitMs is how long a job is blocked at most before room is taken back although other jobs of its
+// customer get room.
+const maxWaits = 4
+
 // maxReclaimed bounds the workers looked at in one try.
 const maxReclaimed = 16
 
@@ -69,7 +73,7 @@
 	for i := range min(n, maxReclaimed) {
 		w := s.order[(s.cursor+i)%n]
 		if w.nominee != nil && w.nominee != p.job && p.nowMs < w.nomineeMs || w.probation || !p.size.Fits(w.capacity) ||
-			excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" || excludeAvoided(p, w) != "" {
+			excludeDown(p, w) != "" || excludeZoneOut(p, w) != "" || excludeAvoided(p, w) != "" || excludeAccelerators(p, w) != "" {
 			continue
 		}
 		f(w)
@@ -93,11 +97,14 @@
 	return best
 }
 
-// freesInTime reports whether running tasks are expected to free room for the job before it has waited ReclaimWaitMs and
-// before its latest start, so that nothing need be evicted for it.
+// freesInTime reports whether running tasks are expected to free room for the job within ReclaimWaitMs of when it was
+// blocked or its customer last got room, so that nothing need be evicted for it.
 func (s *State) freesInTime(p *placing, kept bool) bool {
 	j := p.job
-	waitLeft := j.blockedMs + s.cfg.ReclaimWaitMs - p.nowMs
+	waitLeft := max(j.blockedMs, j.cust.startedMs) + s.cfg.ReclaimWaitMs - p.nowMs
+	if p.nowMs-j.blockedMs > maxWaits*s.cfg.ReclaimWaitMs {
+		waitLeft = 0
+	}
 	w := j.nominated
 	if !kept {
 		w = s.soonestFit(p)
