entry: drop idle connections to the earlier run of a side process

Cause: After a side process restarted, the entry sent requests on kept connections to its earlier run. In one rolling shutdown 71 sendings ended with 'read answer: EOF', up to 4 per entry and endpoint. Three in a row ejected the restarted endpoint for a second, the others in the zone filled up, and requests queued there. A request that is not repeatable got an unknown outcome.

Change: A link notes the highest incarnation that a request was sent to, and gives up its idle connections when a higher one follows.

TestRequestsAfterSideRestart fails without the change.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -144,6 +144,7 @@
 	if err != nil {
 		return result{notRun: true, err: err}, route.Failed
 	}
+	l.meant(ep.Incarnation)
 	d := &dispatch{endpoint: ep, link: l, try: e.nextTry()}
 	if !cl.repeatable {
 		if err := l.ensureClock(ctx); err != nil {
--- a/entry/link.go
+++ b/entry/link.go
@@ -62,6 +62,8 @@
 	pings   *httpserver.Pool
 
 	mu sync.Mutex
+	// incarnation is the highest one of the side process that a request was sent to.
+	incarnation uint64
 	// tries holds the sendings in progress.
 	tries   map[string]*sending
 	used    time.Time
@@ -134,6 +136,20 @@
 	l.pings.Close()
 }
 
+// meant notes the run of the side process that the next request is meant for. Idle connections to an earlier run have
+// ended or will: a request sent on one would have an unknown outcome, and three of them ejected an endpoint that had
+// only restarted.
+func (l *link) meant(incarnation uint64) {
+	l.mu.Lock()
+	restarted := incarnation > l.incarnation
+	l.incarnation = max(l.incarnation, incarnation)
+	l.mu.Unlock()
+	if restarted {
+		l.data.AbortIdle()
+		l.pings.AbortIdle()
+	}
+}
+
 // begin notes a sending until the returned function is called, which reports whether its connection went silent.
 func (l *link) begin(try string) func() bool {
 	now := time.Now()
