core/route: count an endpoint as having room only with a whole slot free

Cause: The number of requests that others have at an endpoint fades over a second. An endpoint with 8 of 8 slots in use looked like 7.97 a few milliseconds after its report and still counted as having room, so it was preferred over other zones and requests queued there.

Change: An endpoint has room if one further request fits.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -152,7 +152,7 @@
 		if r.Exclude[e.ID] || ejected[e.ID] {
 			continue
 		}
-		hasRoom := float64(st.inFlight)+st.othersNow(now) < float64(e.Slots)
+		hasRoom := float64(st.inFlight)+st.othersNow(now)+1 <= float64(e.Slots)
 		switch {
 		case s.policy != LeastLoaded:
 			rest = append(rest, e)
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -155,3 +155,18 @@
 	assert.Equal(t, s.Admit(at(0), Arrival{Contract: c, Entries: 1, Caller: "kerbside"}), Denial(""))
 	assert.Equal(t, s.Admit(at(0), Arrival{Contract: c, Entries: 1, Caller: "desk"}), OverConcurrency)
 }
+
+// Guards against a full endpoint that counts as having room because the report of what other entries sent has faded a
+// little, so that requests queue there while other zones have free slots.
+func TestFullEndpointHasNoRoom(t *testing.T) {
+	s := New("zone-0", LeastLoaded)
+	list := candidates(2)
+	s.get(list[0].ID).inFlight = 6
+	s.Report(at(time.Minute), list[0].ID, 8, 0, 0)
+	later := at(time.Minute + loadAge/10)
+	for seed := range uint64(20) {
+		got := s.eligible(later, Request{Candidates: list, Seed: seed})
+		assert.Equal(t, len(got), 1)
+		assert.Equal(t, got[0].ID, list[1].ID)
+	}
+}
