core/route: take an endpoint of unknown latency to be like the others

Cause: An endpoint that an entry had no answer from, and that announced no latency since its restart, counted with a latency near zero. Its score beat every other one, so the slow start had no effect and it drew all requests until its first answer; a log of choices during a rolling shutdown showed scores of 0.00 for such endpoints.

Change: An unknown latency counts as the mean of the known ones among the endpoints to choose from.

Figures: TestUnknownLatency (two endpoints of one zone, the newcomer at half of its ramp, six requests): before, the newcomer got all 6; after, 2, its share by the ramp. go test -race ./core/... passes.

Conclusion: Newcomers ramp up as docs/request-path.md says.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -136,7 +136,8 @@
 	if j >= i {
 		j++
 	}
-	if s.score(now, list[j]) < s.score(now, list[i]) {
+	typical := s.typical(list)
+	if s.score(now, list[j], typical) < s.score(now, list[i], typical) {
 		return list[j]
 	}
 	return list[i]
@@ -194,18 +195,42 @@
 }
 
 // score is the expected cost of a further request. Lower is better.
-func (s *State) score(now clock.Now, e *members.Endpoint) float64 {
+func (s *State) score(now clock.Now, e *members.Endpoint, typical float64) float64 {
 	st := s.get(e.ID)
 	load := float64(st.inFlight) + st.othersNow(now) + st.queueNow(now) + 1
-	latency := st.latency
+	latency := s.latency(e)
 	if latency == 0 {
-		latency = e.Latency.Seconds()
+		latency = typical
 	}
 	since := max(e.Since, st.ready)
 	ramp := min(1, max(slowStartFloor, float64(now.Mono-since)/float64(slowStart)))
 	return load * max(latency, minLatency) / ramp
 }
 
+// latency returns the endpoint's latency as seen here or else as it announced it, in seconds; 0 if neither is known.
+func (s *State) latency(e *members.Endpoint) float64 {
+	if st := s.get(e.ID); st.latency > 0 {
+		return st.latency
+	}
+	return e.Latency.Seconds()
+}
+
+// typical returns the mean of the known latencies, in seconds. Endpoints without one are taken to be like the others:
+// with a latency near zero a restarted endpoint drew all requests until its first answer.
+func (s *State) typical(list []*members.Endpoint) float64 {
+	sum, n := 0.0, 0
+	for _, e := range list {
+		if v := s.latency(e); v > 0 {
+			sum += v
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
 // fade is the weight of a report of the given time.
 func (st *stats) fade(now clock.Now) float64 {
 	return max(0, 1-float64(now.Mono-st.reportedAt)/float64(loadAge))
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -68,7 +68,7 @@
 	assert.Assert(t, s.ejectedNow(at(back), list)[list[0].ID], "a second request while the first one probes")
 	s.Done(at(back), list[0].ID, Answered, time.Millisecond)
 	assert.Assert(t, !s.ejectedNow(at(back), list)[list[0].ID])
-	assert.Assert(t, s.score(at(back), list[0]) > s.score(at(back+slowStart), list[0]))
+	assert.Assert(t, s.score(at(back), list[0], 0) > s.score(at(back+slowStart), list[0], 0))
 }
 
 // Guards against parts that sum up to more than the limit when all entries know the same demands.
@@ -170,3 +170,20 @@
 		assert.Equal(t, got[0].ID, list[1].ID)
 	}
 }
+
+// Guards against an endpoint without an answer so far that draws all requests, because an unknown latency counted as one
+// near zero and outweighed the slow start.
+func TestUnknownLatency(t *testing.T) {
+	s := New("zone-0", LeastLoaded)
+	list := candidates(2)
+	list[1].Zone, list[1].Since = list[0].Zone, time.Minute
+	s.get(list[0].ID).sample(100 * time.Millisecond)
+	now := at(time.Minute + slowStart/2)
+	for seed := range uint64(6) {
+		_, ok := s.Pick(now, Request{Candidates: list, Seed: seed})
+		assert.Assert(t, ok)
+	}
+	// At half of the ramp the newcomer has half the weight: two of six.
+	assert.Equal(t, s.get(list[0].ID).inFlight, 4)
+	assert.Equal(t, s.get(list[1].ID).inFlight, 2)
+}
