bench-state: measure recovery and pauses of folds with kept state

Change: after its conditions, bench-state starts deployments on a log that holds 570 ended jobs of 4 tasks, 2,000 answered requests and 120 contracts, and ten times of that, and measures both. Event 203 reports the pause of folds as pause_us.

--- /dev/null
+++ b/cmd/bench-state/kept.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sync"
+
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/record"
+	"github.com/verbenakeel/verbenakeel/slopes"
+	"github.com/verbenakeel/verbenakeel/testkit/deploy"
+)
+
+// Kept state of a region taken for today's size: a tenth of two days at the users' size in two years. The design page
+// states no number of jobs for today.
+const (
+	keptJobs      = 570
+	tasksPerJob   = 4
+	keptClaims    = 2000
+	keptContracts = 120
+)
+
+// snapshots collects the pauses of folds from the log lines of entries.
+type snapshots struct {
+	mu    sync.Mutex
+	pause map[string]float64
+	bytes map[string]int
+}
+
+// Write implements io.Writer.
+func (s *snapshots) Write(p []byte) (int, error) {
+	for line := range bytes.Lines(p) {
+		var l struct {
+			Event  int    `json:"event"`
+			Stream string `json:"stream"`
+			Bytes  int    `json:"bytes"`
+			Pause  int64  `json:"pause_us"`
+		}
+		if json.Unmarshal(line, &l) == nil && l.Event == logevent.SnapshotWritten.Number {
+			s.mu.Lock()
+			s.pause[l.Stream] = max(s.pause[l.Stream], float64(l.Pause)/1e6)
+			s.bytes[l.Stream] = max(s.bytes[l.Stream], l.Bytes)
+			s.mu.Unlock()
+		}
+	}
+	return len(p), nil
+}
+
+// runKept measures the recovery of an entry and the pauses of folds with kept state of so many times today's size.
+func runKept(a args, factor int) error {
+	ctx := context.Background()
+	dir, err := os.MkdirTemp("", "bench-state")
+	if err != nil {
+		return fmt.Errorf("make a directory for settings: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	mem := memlog.New(memlog.Options{})
+	total := 0
+	for stream, records := range slopes.KeptRecords(factor*keptJobs, tasksPerJob, factor*keptClaims, factor*keptContracts) {
+		for _, rec := range records {
+			data, err := record.Encode(rec)
+			if err != nil {
+				return err
+			}
+			if _, err := mem.Append(ctx, stream, data); err != nil {
+				return err
+			}
+			total++
+		}
+	}
+	seen := &snapshots{pause: make(map[string]float64), bytes: make(map[string]int)}
+	d, err := start(ctx, a, dir, func(o *deploy.Options) {
+		o.Mem, o.Output = mem, seen
+		// Snapshots are written at the rate of all appends, so that the measurement does not wait for them.
+		o.EntrySettings = []deploy.Setting{{Key: "snapshots.appends_per_second", Value: "100"}}
+	})
+	if err != nil {
+		d.Close()
+		return err
+	}
+	defer d.Close()
+	b := &bench{args: a, ctx: ctx, d: d, out: json.NewEncoder(os.Stdout), condition: "healthy"}
+	if err := b.pauses(seen, factor); err != nil {
+		return err
+	}
+	return b.recoveries(factor, total)
+}
+
+// pauses waits until a snapshot of each stream is on the log and prints how long folds waited for its encoding.
+func (b *bench) pauses(seen *snapshots, factor int) error {
+	streams := []string{"config", "sched.midshire", "claims.midshire"}
+	err := deploy.WaitFor(b.ctx, "snapshots of all streams", func() bool {
+		seen.mu.Lock()
+		defer seen.mu.Unlock()
+		return len(seen.pause) == len(streams)
+	})
+	if err != nil {
+		return err
+	}
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	for _, s := range streams {
+		if err := b.print(fmt.Sprintf("pause of folds of %s, kept state x%d", s, factor), seen.bytes[s], seen.pause[s], 0, "s (size: bytes of the snapshot)"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recoveries restarts an entry under each condition, and while the log is down.
+func (b *bench) recoveries(factor, records int) error {
+	down := condition{"log down, state taken from a peer", func() error { return b.d.SetLogFaults(b.ctx, memlog.Faults{Down: true}) }}
+	for _, c := range append(b.conditions(), down) {
+		if err := c.set(); err != nil {
+			return err
+		}
+		b.condition = c.name
+		took, err := b.restart()
+		if err != nil {
+			return fmt.Errorf("%s: %w", c.name, err)
+		}
+		if err := b.print(fmt.Sprintf("recovery of an entry, kept state x%d", factor), records, took.Seconds(), 0, "s (size: records before the start)"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/bench-state/main.go
+++ b/cmd/bench-state/main.go
@@ -56,17 +56,50 @@
 }
 
 func run(a args) error {
+	if err := runConditions(a); err != nil {
+		return err
+	}
+	for _, factor := range []int{1, 10} {
+		if err := runKept(a, factor); err != nil {
+			return fmt.Errorf("kept state, %d times: %w", factor, err)
+		}
+	}
+	return nil
+}
+
+// start starts a deployment with settings files in dir.
+func start(ctx context.Context, a args, dir string, change func(*deploy.Options)) (*deploy.Deployment, error) {
+	opts := deploy.Options{
+		Dir: dir, Region: "midshire", Zones: []string{"midshire-a", "midshire-b", "midshire-c"}, Entries: 3, Instances: a.Instances,
+		Service: "fitcheck", ServiceTime: 5 * time.Millisecond, ZoneDelay: 1500 * time.Microsecond,
+		Log: memlog.Options{AppendsPerSecond: 300},
+	}
+	change(&opts)
+	return deploy.Start(ctx, opts)
+}
+
+// condition is a state of the log under which figures are taken.
+type condition struct {
+	name string
+	set  func() error
+}
+
+func (b *bench) conditions() []condition {
+	return []condition{
+		{"healthy", func() error { return nil }},
+		{"slow log (200 ms a call)", func() error { return b.d.SetLogFaults(b.ctx, memlog.Faults{DelayMs: 200}) }},
+		{"after an outage of 10 s", b.outage},
+	}
+}
+
+func runConditions(a args) error {
 	ctx := context.Background()
 	dir, err := os.MkdirTemp("", "bench-state")
 	if err != nil {
 		return fmt.Errorf("make a directory for settings: %w", err)
 	}
 	defer os.RemoveAll(dir)
-	zones := []string{"midshire-a", "midshire-b", "midshire-c"}
-	d, err := deploy.Start(ctx, deploy.Options{
-		Dir: dir, Region: "midshire", Zones: zones, Entries: 3, Instances: a.Instances, Service: "fitcheck",
-		ServiceTime: 5 * time.Millisecond, ZoneDelay: 1500 * time.Microsecond, Log: memlog.Options{AppendsPerSecond: 300},
-	})
+	d, err := start(ctx, a, dir, func(*deploy.Options) {})
 	if err != nil {
 		d.Close()
 		return err
@@ -76,14 +109,7 @@
 	if _, err := b.change(contract(1)); err != nil {
 		return err
 	}
-	for _, c := range []struct {
-		name string
-		set  func() error
-	}{
-		{"healthy", func() error { return nil }},
-		{"slow log (200 ms a call)", func() error { return d.SetLogFaults(ctx, memlog.Faults{DelayMs: 200}) }},
-		{"after an outage of 10 s", b.outage},
-	} {
+	for _, c := range b.conditions() {
 		if err := c.set(); err != nil {
 			return err
 		}
@@ -287,9 +313,22 @@
 
 // recovery restarts an entry and measures until it is healthy.
 func (b *bench) recovery() error {
+	took, err := b.restart()
+	if err != nil {
+		return err
+	}
+	size, err := b.logSize()
+	if err != nil {
+		return err
+	}
+	return b.print("recovery of an entry, by records on the log", size.records, took.Seconds(), 0, "s")
+}
+
+// restart restarts the last entry and returns the time until it is healthy.
+func (b *bench) restart() (time.Duration, error) {
 	e := b.d.Entries[2]
 	if err := e.Stop(); err != nil {
-		return err
+		return 0, err
 	}
 	// An embedded entry that stopped may still hold open connections.
 	for _, p := range e.Proxies {
@@ -297,14 +336,8 @@
 	}
 	began := time.Now()
 	if err := e.Start(b.ctx); err != nil {
-		return err
-	}
-	if err := b.d.WaitHealthy(b.ctx, e); err != nil {
-		return err
-	}
-	size, err := b.logSize()
-	if err != nil {
-		return err
+		return 0, err
 	}
-	return b.print("recovery of an entry, by records on the log", size.records, time.Since(began).Seconds(), 0, "s")
+	err := b.d.WaitHealthy(b.ctx, e)
+	return time.Since(began), err
 }
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -88,7 +88,7 @@
 
 // writeSnapshot appends the state of a stream in pieces, at the rate that the budget leaves to snapshots.
 func (e *Entry) writeSnapshot(ctx context.Context, kind core.Stream, name string) error {
-	data, offset, err := e.encode(kind)
+	data, offset, pause, err := e.encode(kind)
 	if err != nil {
 		return err
 	}
@@ -106,21 +106,22 @@
 	v.snapshot, v.snapshotMs = max(v.snapshot, offset), wallMs()
 	e.mu.Unlock()
 	e.log.Log(logevent.SnapshotWritten, logevent.Str("stream", name), logevent.Int("offset", offset),
-		logevent.Int("bytes", len(data)), logevent.Int("pieces", len(pieces)))
+		logevent.Int("bytes", len(data)), logevent.Int("pieces", len(pieces)), logevent.Int("pause_us", pause.Microseconds()))
 	return nil
 }
 
-// encode encodes the folded state of a stream, with the offset of the first record that it does not include. Only folds of
-// that stream wait for it: only they change the state, and at the target size requests would wait 0.1 s for the lock.
-func (e *Entry) encode(kind core.Stream) ([]byte, uint64, error) {
+// encode encodes the folded state of a stream, with the offset of the first record that it does not include and the time
+// for which folds waited. Only folds of that stream wait: only they change the state, and at the target size requests would wait 0.1 s for the lock.
+func (e *Entry) encode(kind core.Stream) ([]byte, uint64, time.Duration, error) {
 	e.folding[kind].Lock()
 	defer e.folding[kind].Unlock()
+	began := time.Now()
 	state, offset := e.snapshotState(kind)
 	data, err := snapshotMode.Marshal(state)
 	if err != nil {
-		return nil, 0, fmt.Errorf("encode snapshot: %w", err)
+		return nil, 0, 0, fmt.Errorf("encode snapshot: %w", err)
 	}
-	return data, offset, nil
+	return data, offset, time.Since(began), nil
 }
 
 func (e *Entry) snapshotState(kind core.Stream) (any, uint64) {
@@ -151,7 +152,7 @@
 		if !ok {
 			return nil, 0, 0, errdefs.New(errdefs.Unavailable, "this entry has not read the stream yet", "ask another entry")
 		}
-		data, offset, err := e.encode(kind)
+		data, offset, _, err := e.encode(kind)
 		return data, offset, age, err
 	}
 	return nil, 0, 0, errdefs.Field("stream", fmt.Sprintf("%q is unknown", name), "ask for a stream of this region")
--- a/slopes/kept.go
+++ b/slopes/kept.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// KeptRecords returns, by stream, the records of a region that keeps so many ended jobs, answered requests and contracts.
+func KeptRecords(jobs, tasksPerJob, claims, contracts int) map[string][]*record.Record {
+	return map[string][]*record.Record{
+		streams[0]: contractRecords(new(writer), contracts),
+		streams[1]: jobRecords(new(writer), jobs, tasksPerJob),
+		streams[2]: claimRecords(new(writer), claims),
+	}
+}
+
 // kept measures the memory of an entry, and the time that a new entry needs, against the state that it keeps.
 func (r *runner) kept(ctx context.Context) error {
 	for _, c := range []struct {
--- a/testkit/deploy/deploy.go
+++ b/testkit/deploy/deploy.go
@@ -40,6 +40,8 @@
 	WorkerArgs func(i int) []string
 	// Log configures the log.
 	Log memlog.Options
+	// Mem is the log of an embedded deployment; nil for an empty one.
+	Mem *memlog.Log
 	// ZoneDelay is added each way between processes, ClientDelay each way between callers and entries.
 	ZoneDelay, ClientDelay time.Duration
 	// Group starts separate processes; nil runs all roles embedded.
--- a/testkit/deploy/roles.go
+++ b/testkit/deploy/roles.go
@@ -18,7 +18,9 @@
 const module = "github.com/verbenakeel/verbenakeel/cmd/"
 
 func (d *Deployment) startLog(ctx context.Context) error {
-	d.Mem = memlog.New(d.opts.Log)
+	if d.Mem = d.opts.Mem; d.Mem == nil {
+		d.Mem = memlog.New(d.opts.Log)
+	}
 	n, err := d.newNode(ctx, "log", "", map[string]time.Duration{"http": 0}, func(n *Node) (runner, error) {
 		if d.opts.Group == nil {
 			return embedLog(d.Mem)
