entry: read and write the configuration on a log of its own

Cause: an entry knew one log, so a region that could not reach the log with `config` had no log for its own streams either: jobs and non-repeatable requests were refused and a lost decider was not replaced. Entries of all regions write to `config` under ids that are unique in their region only: of two entries with one id, the older run stopped with event 206.

Change: `platform.config_log` names the log of `config`, by default `platform.log`. Writers to `config` carry the region in their name. While that log cannot be reached nothing starts, as before; accounts of waiting jobs say so, the status shows `config_fresh`, and `inforce` names the region that it speaks for.

--- a/cmd/verbenakeel-entry/main.go
+++ b/cmd/verbenakeel-entry/main.go
@@ -8,7 +8,6 @@
 
 	"github.com/verbenakeel/verbenakeel/daemon"
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform/logclient"
 	"github.com/verbenakeel/verbenakeel/settings"
 )
 
@@ -27,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	e, err := entry.New(set, logclient.New(set.LogURL), os.Stderr)
+	e, err := entry.New(set, entry.LogOf(set), os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/entry/change.go
+++ b/entry/change.go
@@ -134,6 +134,8 @@
 // InForce tells which processes enforce a revision.
 type InForce struct {
 	Revision uint64 `json:"revision"`
+	// Region is the region whose processes are meant. Nothing is known here of other regions.
+	Region string `json:"region"`
 	// Everyone is true when every known process enforces the revision and none is silent.
 	Everyone bool `json:"everyone"`
 	// Behind holds processes that reported an older revision.
@@ -187,7 +189,7 @@
 // inForce compares what every known process reported with a revision. Side processes report by their announcements,
 // entries by their exchange.
 func (e *Entry) inForce(want uint64) InForce {
-	r := InForce{Revision: want, Behind: []string{}, Silent: []string{}}
+	r := InForce{Revision: want, Region: e.set.Region, Behind: []string{}, Silent: []string{}}
 	now := e.now()
 	e.read(func(s *core.State) {
 		if s.Config.Revision < want {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,14 +140,14 @@
 		o.Window = window
 		return o
 	}
-	e.configWriter = stream.NewWriter(e.platform, configStream, named("", submitWindow))
+	e.configWriter = stream.NewWriter(e.platform, configStream, named(e.writerSuffix(core.ConfigStream), submitWindow))
 	// Decisions and submissions have writers of their own, so that a batch never waits for the window of submissions.
 	e.regionWriter = stream.NewWriter(e.platform, e.regionStream(), named("", 0))
 	e.submitWriter = stream.NewWriter(e.platform, e.regionStream(), named("/submit", submitWindow))
 	e.claimWriter = stream.NewWriter(e.platform, e.claimStream(), named("", claimWindow))
 	e.snapshots = make(map[core.Stream]*stream.Writer)
 	for kind, name := range e.streamNames() {
-		o := named("/snapshot", 0)
+		o := named(e.writerSuffix(kind)+"/snapshot", 0)
 		o.Bulk = true
 		e.snapshots[kind] = stream.NewWriter(e.platform, name, o)
 		e.views[kind] = &streamView{}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -169,6 +169,7 @@
 	ok := false
 	age, _ := e.age(core.RegionStream)
 	a.AgeMs = age.Milliseconds()
+	configAge, dated := e.age(core.ConfigStream)
 	e.read(func(s *core.State) {
 		job := s.Region.Jobs[id]
 		if job == nil {
@@ -184,6 +185,8 @@
 			a.Waiting = s.Decider.WaitReason(id)
 			if !s.Authority.Valid(e.now()) || !s.Authority.LogFresh(e.now(), staleAfter) {
 				a.Waiting = "the log does not answer, and nothing starts until it does"
+			} else if !dated || configAge >= staleAfter {
+				a.Waiting = "the log with the configuration does not answer, and nothing starts until it does"
 			}
 		}
 	})
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -172,9 +172,11 @@
 	Acting   bool   `json:"acting"`
 	Witness  string `json:"witness"`
 	LogFresh bool   `json:"log_fresh"`
-	Entries  int    `json:"entries"`
-	Jobs     int    `json:"jobs"`
-	Workers  int    `json:"workers"`
+	// ConfigFresh is false while the log with the configuration does not answer. Nothing starts in the region then.
+	ConfigFresh bool `json:"config_fresh"`
+	Entries     int  `json:"entries"`
+	Jobs        int  `json:"jobs"`
+	Workers     int  `json:"workers"`
 }
 
 func (e *Entry) getStatus(_ context.Context, c *app.RequestContext) {
@@ -182,6 +184,8 @@
 		Entry: e.set.ID, Region: e.set.Region, Zone: e.set.Zone, Ready: e.ready.Load(), Draining: e.draining.Load(),
 		Entries: len(e.peers.live()) + 1,
 	}
+	age, dated := e.age(core.ConfigStream)
+	st.ConfigFresh = dated && age < 2*time.Second
 	e.read(func(s *core.State) {
 		now := e.now()
 		st.Revision = s.Config.Revision
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -137,7 +137,7 @@
 // checkOwnWriter stops the entry when a later run with its id writes to the log: readers drop what this run appends.
 func (e *Entry) checkOwnWriter(f *follower, rec *record.Record) {
 	id, _, _ := strings.Cut(rec.Writer, "/")
-	if id != e.set.ID || rec.Incarnation <= e.incarnation {
+	if id != e.set.ID+e.writerSuffix(f.kind) || rec.Incarnation <= e.incarnation {
 		return
 	}
 	for _, w := range e.writers() {
--- /dev/null
+++ b/integration/regions_test.go
@@ -0,0 +1,166 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/entry"
+	"github.com/verbenakeel/verbenakeel/platform/logclient"
+	"github.com/verbenakeel/verbenakeel/testkit/deploy"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
+)
+
+// regions starts two regions whose processes have the same names: midshire with the log that holds the configuration, and
+// eg-delta with a log of its own beside it.
+func regions(t *testing.T) (common, region *deploy.Deployment) {
+	t.Helper()
+	common = deployment(t, func(o *deploy.Options) { o.Entries, o.Instances = 2, 1 })
+	region = deployment(t, func(o *deploy.Options) {
+		o.Region, o.Zones, o.ConfigLog = "eg-delta", []string{"delta-a", "delta-b", "delta-c"}, common.LogNode.URL("http")
+	})
+	publish(t, common)
+	for _, e := range region.Entries {
+		wait(t, "routing at "+e.Name, func() bool {
+			code, _, err := deploy.Call(t.Context(), http.MethodGet, e.URL("public")+"/fitcheck/ping", nil, nil)
+			return err == nil && code == 200
+		})
+	}
+	return common, region
+}
+
+// cutConfig cuts a region off from the log with the configuration and waits until every entry knows.
+func cutConfig(t *testing.T, d *deploy.Deployment) {
+	t.Helper()
+	for _, p := range d.ConfigLogProxies {
+		p.Cut()
+	}
+	for _, e := range d.Entries {
+		wait(t, "the cut to show at "+e.Name, func() bool { s := status(t, e); return s.Entry != "" && !s.ConfigFresh && s.LogFresh })
+	}
+}
+
+// changedZone changes a zone, which must be accepted, and returns the revision.
+func changedZone(t *testing.T, d *deploy.Deployment, zone string, out bool, base uint64) uint64 {
+	t.Helper()
+	code, body := changeZone(t, d, 0, zone, out, base)
+	assert.Equal(t, code, 200, string(body))
+	var o struct{ Revision uint64 }
+	assert.NilError(t, json.Unmarshal(body, &o))
+	return o.Revision
+}
+
+func recordsOn(t *testing.T, d *deploy.Deployment, stream string) int {
+	t.Helper()
+	page, err := logclient.New(d.LogNode.URL("http")).Read(t.Context(), stream, 1, 10, 0)
+	assert.NilError(t, err)
+	return len(page.Entries)
+}
+
+// Guards against a region that stops serving, loses work or starts tasks in a zone that was taken out while it cannot
+// reach the log with the configuration, and against untrue answers about that configuration. The entries of both regions
+// have the same ids, so it also guards against readers that take their records for those of one writer.
+func TestRegionCutFromConfiguration(t *testing.T) {
+	origin := time.Now()
+	common, region := regions(t)
+	changedZone(t, region, "delta-c", true, 0)
+	changedZone(t, common, "midshire-c", true, 0)
+	changedZone(t, region, "delta-c", false, zoneRevision(t, common, "delta-c"))
+	for d, name := range map[*deploy.Deployment]string{common: "sched.eg-delta", region: "config"} {
+		assert.Equal(t, recordsOn(t, d, name), 0, "%s is on the wrong log", name)
+	}
+	submitLong(t, region.Entries[0], "through", 3, 30*time.Second)
+	wait(t, "tasks to run", func() bool { return runningTasks(t, region) == 3 })
+	cutConfig(t, region)
+
+	out := changedZone(t, common, "delta-b", true, 0)
+	events := []history.Event{history.ZoneState{At: time.Since(origin), Zone: "delta-b", Out: true}}
+	requestsGoOn(t, region)
+	submitLong(t, region.Entries[1], "new", 3, 300*time.Millisecond)
+	acting := region.Entries[deciderOf(t, region)]
+	wait(t, "a true account of why the job waits", func() bool {
+		a, ok := account(t.Context(), acting, "new")
+		return ok && strings.Contains(a.Waiting, "the log with the configuration does not answer")
+	})
+	answersDuringCut(t, region, out)
+	assert.Equal(t, runningTasks(t, region), 3, "nothing starts during the cut, and what ran goes on")
+	a, _ := account(t.Context(), region.Entries[0], "through")
+	for _, task := range a.Tasks {
+		assert.Assert(t, task.Attempt == 1 && task.State.Placed(), "%s was disturbed: %v", task.ID, task.History)
+	}
+
+	for _, p := range region.ConfigLogProxies {
+		p.Restore()
+	}
+	checkTasks(t, region, origin, events, "through", "new")
+	code, body, err := deploy.Call(t.Context(), http.MethodGet, fmt.Sprintf("%s/v1/inforce?revision=%d&wait_ms=30000", region.Entries[1].URL("operator"), out), nil, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, code == 200 && strings.Contains(string(body), `"everyone":true`), string(body))
+}
+
+// requestsGoOn checks that requests of both kinds are served.
+func requestsGoOn(t *testing.T, d *deploy.Deployment) {
+	t.Helper()
+	key := map[string]string{"Idempotency-Key": "during-cut"}
+	var answers []string
+	for _, e := range d.Entries {
+		code, body, err := deploy.Call(t.Context(), http.MethodGet, e.URL("public")+"/fitcheck/ping", nil, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, code, 200, string(body))
+		code, body, err = deploy.Call(t.Context(), http.MethodPost, e.URL("public")+"/fitcheck/clearance", key, []byte("seat"))
+		assert.NilError(t, err)
+		assert.Equal(t, code, 200, string(body))
+		answers = append(answers, string(body))
+	}
+	assert.Equal(t, answers[0], answers[len(answers)-1], "a repeat gets the answer of the first")
+}
+
+// answersDuringCut checks what operators of the region are told.
+func answersDuringCut(t *testing.T, d *deploy.Deployment, elsewhere uint64) {
+	t.Helper()
+	code, body := operate(t, d, 1, `{"id":"in-cut","zone":{"zone":"delta-a","out":true}}`)
+	assert.Assert(t, code == 503 || code == 502 && strings.Contains(string(body), `"outcome":"unknown"`), "%d %s", code, body)
+	code, body, err := deploy.Call(t.Context(), http.MethodGet, d.Entries[0].URL("operator")+"/v1/config/changes/elsewhere", nil, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, code, 503, "nobody can say during the cut: %s", body)
+	var r entry.InForce
+	code, body, err = deploy.Call(t.Context(), http.MethodGet, fmt.Sprintf("%s/v1/inforce?revision=%d", d.Entries[0].URL("operator"), elsewhere), nil, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, code, 200)
+	assert.NilError(t, json.Unmarshal(body, &r))
+	assert.Assert(t, !r.Everyone && r.Region == "eg-delta" && len(r.Behind) > 0, string(body))
+}
+
+// Guards against running work that ends, and a region without a decider, when the decider is lost while the region cannot
+// reach the log with the configuration; and against an entry that cannot start meanwhile although its peers know that.
+func TestDeciderChangeWhileCutFromConfiguration(t *testing.T) {
+	origin := time.Now()
+	_, region := regions(t)
+	submitLong(t, region.Entries[0], "through", 3, 30*time.Second)
+	wait(t, "tasks to run", func() bool { return runningTasks(t, region) == 3 })
+	cutConfig(t, region)
+	first := deciderOf(t, region)
+	assert.NilError(t, region.Entries[first].Process().Kill())
+	second := region.Entries[(first+1)%3]
+	wait(t, "another decider", func() bool {
+		return status(t, second).Acting || status(t, region.Entries[(first+2)%3]).Acting
+	})
+	assert.NilError(t, region.Entries[first].Start(t.Context()))
+	assert.NilError(t, region.WaitHealthy(t.Context(), region.Entries[first]))
+	assert.Assert(t, !status(t, region.Entries[first]).ConfigFresh, "the configuration came from a peer")
+	submitLong(t, region.Entries[first], "new", 1, 300*time.Millisecond)
+	assert.Equal(t, runningTasks(t, region), 3, "nothing starts during the cut, and what ran goes on")
+	for _, p := range region.ConfigLogProxies {
+		p.Restore()
+	}
+	checkTasks(t, region, origin, nil, "through", "new")
+	a, _ := account(t.Context(), region.Entries[0], "through")
+	for _, task := range a.Tasks {
+		assert.Equal(t, task.Attempt, uint32(1), "%s was started again: %v", task.ID, task.History)
+	}
+}
--- a/operator/status.go
+++ b/operator/status.go
@@ -72,9 +72,9 @@
 
 func (v statusView) table(w io.Writer) {
 	fmt.Fprintln(w, "at", timeText(v.AtMs))
-	row(w, "ENTRY", "REGION", "ZONE", "READY", "DRAINING", "REVISION", "LOG FRESH", "DECIDER", "EPOCH", "ACTING", "WITNESS", "JOBS", "WORKERS")
+	row(w, "ENTRY", "REGION", "ZONE", "READY", "DRAINING", "REVISION", "LOG FRESH", "CONFIG FRESH", "DECIDER", "EPOCH", "ACTING", "WITNESS", "JOBS", "WORKERS")
 	for _, s := range v.Entries {
-		row(w, s.Entry, s.Region, s.Zone, s.Ready, s.Draining, s.Revision, s.LogFresh, orDash(s.Decider), s.Epoch, s.Acting, orDash(s.Witness), s.Jobs, s.Workers)
+		row(w, s.Entry, s.Region, s.Zone, s.Ready, s.Draining, s.Revision, s.LogFresh, s.ConfigFresh, orDash(s.Decider), s.Epoch, s.Acting, orDash(s.Witness), s.Jobs, s.Workers)
 	}
 	for _, s := range v.Silent {
 		row(w, s, "no answer")
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -27,6 +27,8 @@
 	Advertise string
 	// LogURL is the base URL of the platform's log service.
 	LogURL string
+	// ConfigLogURL is the base URL of the log that holds the configuration of all regions; LogURL if empty.
+	ConfigLogURL string
 	// Peers are control addresses of other entries of the region.
 	Peers []string
 	// OperatorTokenSHA256 is the hex SHA-256 of the operators' token; empty lets everybody operate.
@@ -72,6 +74,7 @@
 		{"listen", "control", false, address(&e.Control), addr},
 		{"listen", "advertise", false, address(&e.Advertise), addr},
 		{"platform", "log", true, baseURL(&e.LogURL), "write the log's base URL, for example http://10.0.0.2:7000"},
+		{"platform", "config_log", false, baseURL(&e.ConfigLogURL), "write the base URL of the log that holds the configuration, or leave the key out"},
 		{"peers", "entries", false, addressList(&e.Peers), "list control addresses of other entries, separated by commas"},
 		{"operators", "token_sha256", false, hexSum(&e.OperatorTokenSHA256), "give the 64 hex digits of the token's SHA-256"},
 		{"tls", "cert", false, text(&e.TLS.Cert), certRemedy},
@@ -118,6 +121,9 @@
 	}
 	problems = append(problems, checkListeners(e, lines)...)
 	problems = append(problems, checkTLS(e.TLS, lines)...)
+	if e.ConfigLogURL == "" {
+		e.ConfigLogURL = e.LogURL
+	}
 	if e.Advertise == "" {
 		e.Advertise = e.Control
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -39,6 +39,17 @@
 	assert.DeepEqual(t, rows, want)
 }
 
+// Guards against an entry that reads the configuration from nowhere, or from the region's log although another is named.
+func TestConfigLog(t *testing.T) {
+	e, problems := CheckEntry([]byte(goodEntry))
+	assert.Equal(t, len(problems), 0)
+	assert.Equal(t, e.ConfigLogURL, e.LogURL)
+	e, problems = CheckEntry([]byte(goodEntry + "config_log = http://127.0.0.1:2/\n"))
+	assert.Equal(t, len(problems), 0)
+	assert.Equal(t, e.ConfigLogURL, "http://127.0.0.1:2")
+	assert.Equal(t, e.LogURL, "http://127.0.0.1:1")
+}
+
 // Guards against faults that are not found, or that are told without line, key or remedy.
 func TestProblems(t *testing.T) {
 	entry := func(text string) []Problem { _, p := CheckEntry([]byte(text)); return p }
--- a/testkit/deploy/deploy.go
+++ b/testkit/deploy/deploy.go
@@ -42,6 +42,8 @@
 	Log memlog.Options
 	// Mem is the log of an embedded deployment; nil for an empty one.
 	Mem *memlog.Log
+	// ConfigLog is the base URL of another deployment's log, which holds the configuration; empty for the own log.
+	ConfigLog string
 	// ZoneDelay is added each way between processes, ClientDelay each way between callers and entries.
 	ZoneDelay, ClientDelay time.Duration
 	// Group starts separate processes; nil runs all roles embedded.
@@ -88,6 +90,8 @@
 	Instances []*Instance
 	// LogProxies stand between each entry and the log, by entry index.
 	LogProxies []*faultproxy.Proxy
+	// ConfigLogProxies stand between each entry and the log with the configuration, by entry index; none without one.
+	ConfigLogProxies []*faultproxy.Proxy
 }
 
 // Instance is an instance with its roles.
@@ -251,7 +255,7 @@
 			_ = p.Close()
 		}
 	}
-	for _, p := range d.LogProxies {
+	for _, p := range append(d.ConfigLogProxies, d.LogProxies...) {
 		_ = p.Close()
 	}
 	for _, in := range d.Instances {
--- a/testkit/deploy/embed.go
+++ b/testkit/deploy/embed.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform/logclient"
 	"github.com/verbenakeel/verbenakeel/platform/memlog"
 	"github.com/verbenakeel/verbenakeel/platform/workerclient"
 	"github.com/verbenakeel/verbenakeel/record"
@@ -60,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e, err := entry.New(set, logclient.New(set.LogURL), output(out))
+	e, err := entry.New(set, entry.LogOf(set), output(out))
 	if err != nil {
 		return nil, err
 	}
--- a/testkit/deploy/roles.go
+++ b/testkit/deploy/roles.go
@@ -40,6 +40,14 @@
 	}
 	logProxy.SetTarget(d.LogNode.Address("http"))
 	d.LogProxies = append(d.LogProxies, logProxy)
+	if d.opts.ConfigLog != "" {
+		p, err := newProxy(d.opts.ZoneDelay)
+		if err != nil {
+			return err
+		}
+		p.SetTarget(strings.TrimPrefix(d.opts.ConfigLog, "http://"))
+		d.ConfigLogProxies = append(d.ConfigLogProxies, p)
+	}
 	name, zone := fmt.Sprintf("entry-%d", i+1), d.zone(i)
 	listeners := map[string]time.Duration{"public": d.opts.ClientDelay, "operator": 0, "control": d.opts.ZoneDelay}
 	n, err := d.newNode(ctx, name, zone, listeners, func(n *Node) (runner, error) {
@@ -47,6 +55,9 @@
 			{"process.id", name}, {"process.region", d.opts.Region}, {"process.zone", zone},
 			{"listen.advertise", n.Address("control")}, {"platform.log", "http://" + logProxy.Address()},
 		}
+		if d.opts.ConfigLog != "" {
+			keys = append(keys, Setting{"platform.config_log", "http://" + d.ConfigLogProxies[i].Address()})
+		}
 		if i > 0 {
 			keys = append(keys, Setting{"peers.entries", strings.Join(d.controls(), ", ")})
 		}
