--- a/entry/once.go
+++ b/entry/once.go
@@ -122,15 +122,13 @@
 	return found, ok
 }
 
-// logDown reports whether the claims cannot be read, or no stream could be read lately.
+// logDown reports whether the claims cannot be read, or no stream of the region could be read lately. The configuration may
+// be on another log.
 func (e *Entry) logDown() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	newest, now := time.Duration(0), e.now().Mono
-	for _, v := range e.views {
-		newest = max(newest, v.read)
-	}
-	return e.views[core.ClaimStream].down || now-newest > logStale
+	newest := max(e.views[core.ClaimStream].read, e.views[core.RegionStream].read)
+	return e.views[core.ClaimStream].down || e.now().Mono-newest > logStale
 }
 
 // claim appends a claim and reads it back. An error means that the request certainly does not run.
