scheduler: lend room to short work first

The baseline's order of arrival lets the busy customer's short tasks go and leaves a hundred tasks of class `train` unfinished.

Change: The dominant share counts times the expected work of the customer's next task. Guarantees, urgent work and work at risk of its deadline go first as before, and no customer gets nothing, since its share counts.

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -50,7 +50,8 @@
 	// owed is true while the next task is within the customer's guaranteed share.
 	owed   bool
 	atRisk bool
-	share  int64
+	// share is the customer's dominant share times the work of its next task.
+	share int64
 }
 
 type turnHeap []turn
@@ -96,10 +97,16 @@
 		urgent: j.rec.Urgent && (owed || c.urgent < s.cfg.UrgentBeyond),
 		owed:   owed,
 		atRisk: j.rec.DeadlineMs > 0 && j.latestStartMs-s.cfg.RiskMarginMs < nowMs,
-		share:  c.dominantShare(size, fleet),
+		share:  (c.dominantShare(size, fleet) + 1) * taskWork(j, size),
 	}, true
 }
 
+// taskWork is the processor time that a task of the job is expected to take, in quarters of a core second. Lent room goes
+// to short work first: a customer with tasks of a quarter of the work may have four times the share.
+func taskWork(j *job, size record.Resources) int64 {
+	return min(max(size.CPUMilli*(j.expectedRunMs()/1000)/250, 1), 1<<30)
+}
+
 // newRound makes parked jobs due again if room may have appeared since they were parked.
 func (s *State) newRound(c *customer) {
 	if c.roundGen == s.freeGen {
