scheduler: forget the wait of a job that was not tried for long

Cause: A job that was blocked once kept the time although it was not tried for minutes, since others went first or its customer used its whole guarantee.

Change: The wait starts anew when a job finds no room after it was not tried for ReclaimWaitMs.

--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -23,9 +23,11 @@
 // is kept for it, so that small tasks do not take each bit of room that appears; if it still waits and running tasks are
 // not expected to free the room in time, batch work of customers beyond their guaranteed share is evicted there.
 func (s *State) reclaim(nowMs int64, j *job, size record.Resources, owed bool) {
-	if j.blockedMs == 0 {
+	if j.blockedMs == 0 || nowMs-j.askedMs > s.cfg.ReclaimWaitMs {
+		// It was not tried for long, so what it waited was mostly while its customer used its whole guarantee.
 		j.blockedMs = nowMs
 	}
+	j.askedMs = nowMs
 	keep, evict := s.cfg.KeepMs, s.cfg.ReclaimMs
 	if j.rec.Urgent {
 		keep, evict = 0, s.cfg.ReclaimUrgentMs
--- a/scheduler/reclaim_test.go
+++ b/scheduler/reclaim_test.go
@@ -106,3 +106,27 @@
 	cfg := DefaultConfig()
 	assert.Assert(t, evicted >= 100_100+cfg.ReclaimMs && evicted <= 101_000+cfg.ReclaimMs, "%d", evicted)
 }
+
+// Guards against evicting lent work at once for a job that was not tried for long, since its customer needed no room.
+func TestWaitWithoutTriesDoesNotCount(t *testing.T) {
+	s := fleetState(1, "busy")
+	s.Apply(1, ContractChanged{record.Contract{Customer: "owner", MaxTasks: 10, MaxQueued: 10,
+		Guaranteed: record.Resources{CPUMilli: 1000, MemoryMB: 1000}}})
+	long := batchJob("busy", "long", 16)
+	long.RunMs, long.Checkpoint = 600_000, true
+	for _, j := range []record.Job{long, batchJob("owner", "j", 1)} {
+		s.classOf(60_000, &j).measured = minSizeTasks
+	}
+	s.order[0].ramp = maxRamp
+	queue(s, 60_000, long)
+	run(s, 60_000, 61_000)
+	queue(s, 62_000, batchJob("owner", "j", 1))
+	run(s, 62_000, 63_000)
+	evicted := int64(0)
+	for now := int64(200_000); now < 220_000 && evicted == 0; now += 100 {
+		if len(evictions(s.Decide(now))) > 0 {
+			evicted = now
+		}
+	}
+	assert.Assert(t, evicted >= 200_000+DefaultConfig().ReclaimMs && evicted < 212_000, "%d", evicted)
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -58,6 +58,8 @@
 	evictions int
 	// blockedMs is since when the job finds no room although it is owed some; 0 if it is not blocked.
 	blockedMs int64
+	// askedMs is when it found no room last although it is owed some.
+	askedMs int64
 	// nominated is the worker on which room is kept for the job; reclaimMs is when tasks were last evicted for it.
 	nominated          *worker
 	reclaimMs, triedMs int64
