scheduler: lower the limit on harm from 0.60 to 0.55

Change: HarmLimitMilli is 550. Two tasks of a class that adds 0.30 are no longer put beside one service at its usual load.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -114,7 +114,7 @@
 		ReportMaxAgeMs:   60_000,
 		ReportHalfMs:     10_000,
 		ReportStaleMs:    10_000,
-		HarmLimitMilli:   600,
+		HarmLimitMilli:   550,
 		HarmWaitMs:       300_000,
 		HotMilli:         1_000,
 		CalmMilli:        600,
