Test an outage of the log while a new decider recovers

Cause: two faults at once, and again during the recovery, were covered by the model only.

Change: TestLogDownWhileDeciderRecovers kills the decider and takes the log away before and right after the next claim, restarts the dead entry in the outage, lets the log answer for a moment, and goes on with a slow log that loses replies.

--- /dev/null
+++ b/integration/fault_twice_test.go
@@ -0,0 +1,69 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/testkit/deploy"
+)
+
+// Guards against work that is lost or runs twice when the log goes down while a new decider recovers, and again while the
+// next one does. In the first round the log is lost before anybody claims, in the second one right after the claim.
+func TestLogDownWhileDeciderRecovers(t *testing.T) {
+	t.Parallel()
+	origin := time.Now()
+	d := deployment(t, func(o *deploy.Options) {
+		// A new decider waits for authority_max where the old witness died too.
+		o.EntrySettings = append(quickSettings[1:2:2], deploy.Setting{Key: "times.authority_max", Value: "10s"}, deploy.Setting{Key: "times.task_lease", Value: "6s"})
+	})
+	publish(t, d)
+	var jobs []string
+	for round := range 2 {
+		old := deciderOf(t, d)
+		other := (old + 1) % len(d.Entries)
+		epoch := status(t, d.Entries[old]).Epoch
+		jobs = append(jobs, fmt.Sprintf("long%d", round), fmt.Sprintf("queued%d", round))
+		submitLong(t, d.Entries[other], jobs[len(jobs)-2], 3, 12*time.Second)
+		submitLong(t, d.Entries[other], jobs[len(jobs)-1], 60, 300*time.Millisecond)
+		wait(t, "tasks to run", func() bool { return runningTasks(t, d) >= 3 })
+		assert.NilError(t, d.Entries[old].Process().Kill())
+		if round > 0 {
+			waitForClaim(t, d, old, epoch)
+		}
+		assert.NilError(t, d.SetLogFaults(t.Context(), memlog.Faults{Down: true}))
+		// The leases of 6 s end in the outage unless a new decider renews them by its witness.
+		time.Sleep(8 * time.Second)
+		// The old decider comes back as a new run that knows nothing but what its peers tell it.
+		assert.NilError(t, d.Entries[old].Start(t.Context()))
+		assert.NilError(t, d.WaitHealthy(t.Context(), d.Entries[old]))
+		// The log answers for a moment only, and then it is slow.
+		assert.NilError(t, d.SetLogFaults(t.Context(), memlog.Faults{}))
+		time.Sleep(300 * time.Millisecond)
+		assert.NilError(t, d.SetLogFaults(t.Context(), memlog.Faults{Down: true}))
+		time.Sleep(time.Second)
+		assert.NilError(t, d.SetLogFaults(t.Context(), memlog.Faults{DelayMs: 200, LoseReplies: 5}))
+		successor(t, d, -1, epoch)
+	}
+	assert.NilError(t, d.SetLogFaults(t.Context(), memlog.Faults{}))
+	checkTasks(t, d, origin, nil, jobs...)
+}
+
+// waitForClaim waits until an entry that lives knows a newer epoch.
+func waitForClaim(t *testing.T, d *deploy.Deployment, dead int, epoch uint64) {
+	t.Helper()
+	wait(t, "a claim", func() bool {
+		for i, e := range d.Entries {
+			if i == dead {
+				continue
+			}
+			if s, ok := tryStatus(t, e); ok && s.Epoch > epoch {
+				return true
+			}
+		}
+		return false
+	})
+}
