Show that a false "not run" of a side process is noticed

Cause: no run switched off the rule behind invariant 6, so nothing showed that a check would fail without it.

Change: with ignoreSent a side process marks every failed sending as not run. TestCheckerSeesFalseNotRun sends a request to an endpoint that takes it and closes the connection, and expects the checker's report in that case only.

Conclusion: the check of invariant 6 fails when the rule is removed.

--- a/side/data.go
+++ b/side/data.go
@@ -82,11 +82,12 @@
 	}
 	began := time.Now()
 	ans, err := s.pass(ctx, c, a)
-	s.endStart(a, ans, neverSent(err))
+	refused := neverSent(err) || (s.ignoreSent && err != nil)
+	s.endStart(a, ans, refused)
 	s.leave(time.Since(began), err)
 	s.load(c)
 	switch {
-	case neverSent(err):
+	case refused:
 		s.notRun(c, refusedDown)
 	case err != nil:
 		c.Response.Header.Set(control.HeaderOutcome, "unknown")
--- /dev/null
+++ b/side/notrun_test.go
@@ -0,0 +1,37 @@
+package side
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/control"
+	"github.com/verbenakeel/verbenakeel/testkit/history"
+)
+
+// Shows that the checker reports a refusal that says "not run" after the request was passed on, when the rule that only a
+// request never sent is refused is switched off. The endpoint takes the request and closes the connection.
+func TestCheckerSeesFalseNotRun(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		var hits atomic.Int64
+		s := startSide(t, rawEndpoint(t, "", &hits), func(s *Side) { s.ignoreSent = off })
+		rec := new(history.Recorder)
+		rec.Add(history.Request{ID: "r1"})
+		resp, _ := send(t, s, map[string]string{control.HeaderRepeatable: "false"})
+		answer := history.Answer{At: time.Hour, ID: "r1", Verdict: history.Unknown, Status: resp.StatusCode}
+		if resp.Header.Get(control.HeaderNotRun) == "true" {
+			answer.Verdict = history.NotRun
+		}
+		assert.Equal(t, hits.Load(), int64(1))
+		rec.Add(history.Execution{At: time.Second, ID: "r1", Endpoint: "instance-01"}, answer)
+		found := history.Check(rec.Events())
+		if !off {
+			assert.Equal(t, len(found), 0, "%v", found)
+			continue
+		}
+		assert.Equal(t, len(found), 1)
+		assert.Equal(t, found[0].Rule, history.NotRunExecuted)
+	}
+}
--- a/side/side.go
+++ b/side/side.go
@@ -81,8 +81,9 @@
 	metrics *metrics
 	// keys are for encrypted connections with entries; nil without TLS.
 	keys *tlsconf.Keys
-	// ignoreStarts switches off the refusal of second starts, for the test that shows that it is needed.
-	ignoreStarts bool
+	// ignoreStarts switches off the refusal of second starts, and ignoreSent the rule that only a request that was never
+	// sent is refused as not run, for the tests that show that they are needed.
+	ignoreStarts, ignoreSent bool
 }
 
 // New binds the listener of a side process. worker may be nil if the instance has none.
