Tie the id of an instance to its certificate

Cause: with mutual TLS a certificate of the role side could announce and poll for any instance.

Change: a certificate with URI names verbenakeel://instance/ID acts for these instances only. Entries refuse announcements and polls for others with an error of kind unauthorized and log event 106. Certificates without such a name keep their rights, so that a deployment can change over. A URI name was chosen, because a DNS name could be taken for an address.

Conclusion: an instance's key no longer speaks for others. Messages between entries are not tied to an id yet.

--- a/entry/control.go
+++ b/entry/control.go
@@ -27,7 +27,7 @@
 	e.control.Use(e.countControl)
 	srv := control.NewEntryServer(&controlServer{e})
 	e.control.GET(waitPath+"*job", e.getWait)
-	e.control.Any(srv.PathPrefix()+"*method", adaptor.HertzHandler(srv))
+	e.control.Any(srv.PathPrefix()+"*method", withInstances(adaptor.HertzHandler(srv)))
 }
 
 // controlServer serves the messages of the system's own processes.
@@ -36,11 +36,14 @@
 var _ control.Entry = (*controlServer)(nil)
 
 // Announce implements control.Entry.
-func (s *controlServer) Announce(_ context.Context, r *control.AnnounceRequest) (*control.AnnounceResponse, error) {
+func (s *controlServer) Announce(ctx context.Context, r *control.AnnounceRequest) (*control.AnnounceResponse, error) {
 	if r.Process == nil || r.Process.Id == "" {
 		return nil, twirp.RequiredArgumentError("process.id")
 	}
 	e := s.e
+	if err := e.checkInstance(ctx, r.Process.Id); err != nil {
+		return nil, err
+	}
 	next := e.nextHeartbeat()
 	resp := &control.AnnounceResponse{NextHeartbeatMs: uint32(next.Milliseconds()), Peers: e.peerList()}
 	a := announcement(r)
@@ -82,6 +85,9 @@
 		return nil, twirp.RequiredArgumentError("process.id and capacity")
 	}
 	e := s.e
+	if err := e.checkInstance(ctx, r.Process.Id); err != nil {
+		return nil, err
+	}
 	poll := pollOf(r)
 	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxWait)
 	e.waitForNews(ctx, poll, wait)
--- a/httpserver/tls.go
+++ b/httpserver/tls.go
@@ -74,3 +74,12 @@
 	}
 	return tlsconf.PeerName(t.ConnectionState())
 }
+
+// PeerInstances returns the instances that the certificate of a request's connection names; none without TLS.
+func PeerInstances(c *app.RequestContext) []string {
+	t, ok := c.GetConn().(network.ConnTLSer)
+	if !ok {
+		return nil
+	}
+	return tlsconf.Instances(t.ConnectionState())
+}
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -73,6 +73,7 @@
 	RequestServed     = define(705, zerolog.DebugLevel, "the endpoint served a request")
 	KeysReloaded      = define(104, zerolog.InfoLevel, "certificate, key and authorities reloaded")
 	KeysUnreadable    = define(105, zerolog.ErrorLevel, "certificate, key or authorities cannot be read; the old ones stay in use")
+	InstanceRefused   = define(106, zerolog.WarnLevel, "a message was refused because the certificate names another instance")
 )
 
 // Logger writes numbered events.
--- a/testkit/testca/testca.go
+++ b/testkit/testca/testca.go
@@ -49,6 +49,11 @@
 // Issue writes a certificate of the role and its key to dir, with the authorities that its holder accepts, and returns
 // the files. until is when the certificate ends.
 func (ca *CA) Issue(dir, name string, role tlsconf.Role, until time.Time, accepts ...*CA) (tlsconf.Files, error) {
+	return ca.IssueFor(dir, name, role, until, nil, accepts...)
+}
+
+// IssueFor is Issue for a certificate that names instances.
+func (ca *CA) IssueFor(dir, name string, role tlsconf.Role, until time.Time, instances []string, accepts ...*CA) (tlsconf.Files, error) {
 	files := tlsconf.Files{
 		Cert: filepath.Join(dir, name+".crt"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, name+".ca"),
 	}
@@ -65,6 +70,9 @@
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: until, KeyUsage: x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	}
+	for _, id := range instances {
+		template.URIs = append(template.URIs, tlsconf.InstanceURI(id))
+	}
 	der, err := x509.CreateCertificate(rand.Reader, template, ca.cert, &key.PublicKey, ca.key)
 	if err != nil {
 		return files, fmt.Errorf("make certificate: %w", err)
--- a/tlsconf/tlsconf.go
+++ b/tlsconf/tlsconf.go
@@ -9,8 +9,10 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"net/url"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -202,3 +204,38 @@
 	}
 	return state.PeerCertificates[0].Subject.CommonName
 }
+
+// instanceScheme and instanceHost begin the URI name by which a certificate names an instance:
+// verbenakeel://instance/ID.
+const (
+	instanceScheme = "verbenakeel"
+	instanceHost   = "instance"
+)
+
+// InstanceURI returns the URI name of an instance for its certificate.
+func InstanceURI(id string) *url.URL {
+	return &url.URL{Scheme: instanceScheme, Host: instanceHost, Path: "/" + id}
+}
+
+// Instances returns the instances that a verified peer's certificate names; none means that it is not tied to any.
+func Instances(state tls.ConnectionState) []string {
+	if len(state.PeerCertificates) == 0 {
+		return nil
+	}
+	var list []string
+	for _, u := range state.PeerCertificates[0].URIs {
+		if u.Scheme == instanceScheme && u.Host == instanceHost {
+			list = append(list, strings.TrimPrefix(u.Path, "/"))
+		}
+	}
+	return list
+}
+
+// CheckInstance returns an error of kind Unauthorized if a certificate that names instances does not name this one.
+func CheckInstance(named []string, id string) error {
+	if len(named) == 0 || slices.Contains(named, id) {
+		return nil
+	}
+	return errdefs.New(errdefs.Unauthorized, fmt.Sprintf("the certificate names instance %s, not %s", strings.Join(named, ", "), id),
+		"issue one whose URI name is "+InstanceURI(id).String())
+}
--- a/tlsconf/tlsconf_test.go
+++ b/tlsconf/tlsconf_test.go
@@ -156,3 +156,11 @@
 		assert.Assert(t, is.Contains(err.Error(), c.text))
 	}
 }
+
+// Guards against certificates that name an instance and act for another one.
+func TestCheckInstance(t *testing.T) {
+	assert.NilError(t, tlsconf.CheckInstance(nil, "instance-02"))
+	assert.NilError(t, tlsconf.CheckInstance([]string{"instance-01", "instance-02"}, "instance-02"))
+	err := tlsconf.CheckInstance([]string{"instance-01"}, "instance-02")
+	assert.Equal(t, errdefs.KindOf(err), errdefs.Unauthorized)
+}
