Show that new work at a leaving endpoint is noticed

Cause: the history had no event for invariant 8, so no check rested on it and none was shown to fail.

Change: the history takes the begin of an endpoint's shutdown and reports requests that begin there more than 3 s later.

Tests with real processes do not add the event yet.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/core/clock"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 )
 
 // Refusal is why a request was not let in. Such a request certainly did not run.
@@ -66,7 +67,7 @@
 // Arrive asks for a slot until the deadline.
 func (s *State) Arrive(now clock.Now, id uint64, deadline time.Duration) (Admission, Refusal) {
 	switch {
-	case s.draining:
+	case s.draining && rule.On(rule.Leave):
 		return Refuse, Draining
 	case deadline <= now.Mono:
 		return Refuse, TooLate
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -1,4 +1,4 @@
-// Package rule names the rules that the invariants of leases, authority and configuration rest on. Tests switch a rule
+// Package rule names the rules that the invariants of leases, authority, configuration and shutdowns rest on. Tests switch a rule
 // off to show that the history checker and the model check notice. Nothing else may do so.
 package rule
 
@@ -19,6 +19,8 @@
 	Presume
 	// Permit makes a decider check the zone and the age of its configuration before it permits a start.
 	Permit
+	// Leave makes a leaving endpoint refuse new work.
+	Leave
 
 	count
 )
--- a/testkit/history/check.go
+++ b/testkit/history/check.go
@@ -18,6 +18,8 @@
 	ExecutedTwice Rule = "non-repeatable request executed more than once"
 	// NotRunExecuted means that a request was executed and its refusal said "not run".
 	NotRunExecuted Rule = "refusal says not run, but the request was executed"
+	// WorkAtLeaving means that a request began at an endpoint more than LeavingLimit after it began to leave.
+	WorkAtLeaving Rule = "new work at a leaving endpoint"
 	// AnswerNotWhole means that the body does not match the endpoint's checksum.
 	AnswerNotWhole Rule = "answer is not whole"
 	// AnswerOfOther means that a caller got the answer to another request.
@@ -51,6 +53,9 @@
 // ZoneLimit is the longest time from an order to take a zone out to the last start there.
 const ZoneLimit = 3 * time.Second
 
+// LeavingLimit is the longest time from the begin of an endpoint's shutdown to the last new work there.
+const LeavingLimit = 3 * time.Second
+
 // Violation is one breach of an invariant.
 type Violation struct {
 	// Rule is the invariant.
@@ -121,6 +126,8 @@
 		c.requests.answers = append(c.requests.answers, e)
 	case Execution:
 		c.execution(e)
+	case EndpointLeaving:
+		c.requests.leaving[e.Endpoint] = e
 	case Worker:
 		c.tasks.workers[e.ID] = e
 	case AttemptStart:
--- a/testkit/history/event.go
+++ b/testkit/history/event.go
@@ -65,6 +65,14 @@
 	Endpoint string
 }
 
+// EndpointLeaving says that an endpoint began a graceful shutdown that was not cancelled later.
+type EndpointLeaving struct {
+	// At is when the order was accepted, or the process was told to end.
+	At time.Duration
+	// Endpoint is the endpoint as executions name it.
+	Endpoint string
+}
+
 // Worker introduces a worker or changes its capacity.
 type Worker struct {
 	// At is when the worker had this capacity first.
@@ -215,21 +223,22 @@
 	Process string
 }
 
-func (e Request) at() time.Duration        { return e.At }
-func (e Answer) at() time.Duration         { return e.At }
-func (e Execution) at() time.Duration      { return e.At }
-func (e Worker) at() time.Duration         { return e.At }
-func (e AttemptStart) at() time.Duration   { return e.At }
-func (e AttemptEnd) at() time.Duration     { return e.At }
-func (e Commitment) at() time.Duration     { return e.At }
-func (e ZoneState) at() time.Duration      { return e.At }
-func (e JobAccepted) at() time.Duration    { return e.At }
-func (e JobState) at() time.Duration       { return e.At }
-func (e RevisionSeen) at() time.Duration   { return e.At }
-func (e ChangeAccepted) at() time.Duration { return e.At }
-func (e ChangeDecided) at() time.Duration  { return e.At }
-func (e RecordApplied) at() time.Duration  { return e.At }
-func (e ProcessGone) at() time.Duration    { return e.At }
+func (e Request) at() time.Duration         { return e.At }
+func (e Answer) at() time.Duration          { return e.At }
+func (e Execution) at() time.Duration       { return e.At }
+func (e EndpointLeaving) at() time.Duration { return e.At }
+func (e Worker) at() time.Duration          { return e.At }
+func (e AttemptStart) at() time.Duration    { return e.At }
+func (e AttemptEnd) at() time.Duration      { return e.At }
+func (e Commitment) at() time.Duration      { return e.At }
+func (e ZoneState) at() time.Duration       { return e.At }
+func (e JobAccepted) at() time.Duration     { return e.At }
+func (e JobState) at() time.Duration        { return e.At }
+func (e RevisionSeen) at() time.Duration    { return e.At }
+func (e ChangeAccepted) at() time.Duration  { return e.At }
+func (e ChangeDecided) at() time.Duration   { return e.At }
+func (e RecordApplied) at() time.Duration   { return e.At }
+func (e ProcessGone) at() time.Duration     { return e.At }
 
 // Recorder collects events from many goroutines. The zero value is ready for use.
 type Recorder struct {
--- a/testkit/history/requests.go
+++ b/testkit/history/requests.go
@@ -9,10 +9,11 @@
 	// executedKey holds the first execution of each key.
 	executedKey map[string]Execution
 	answers     []Answer
+	leaving     map[string]EndpointLeaving
 }
 
 func newRequests() requests {
-	return requests{map[string]Request{}, map[string]Execution{}, map[string]Execution{}, nil}
+	return requests{map[string]Request{}, map[string]Execution{}, map[string]Execution{}, nil, map[string]EndpointLeaving{}}
 }
 
 func (c *checker) request(e Request) {
@@ -23,6 +24,9 @@
 }
 
 func (c *checker) execution(e Execution) {
+	if left, ok := c.requests.leaving[e.Endpoint]; ok && e.At > left.At+LeavingLimit {
+		c.report(WorkAtLeaving, e.At, e.Endpoint, "request %s began, the endpoint is leaving since %v", e.ID, left.At)
+	}
 	if _, ok := c.requests.executedID[e.ID]; !ok {
 		c.requests.executedID[e.ID] = e
 	}
