Show that a request cut off by a shutdown is noticed

Change: the history reports a request without a whole answer at an endpoint that is leaving. The wait of a side process for requests in progress can be switched off in internal/rule; TestCheckerSeesCutOffByShutdown expects the report in that case only.

Entries have no such switch.

--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -21,6 +21,8 @@
 	Permit
 	// Leave makes a leaving endpoint refuse new work.
 	Leave
+	// Finish makes a process that shuts down wait for requests in progress.
+	Finish
 
 	count
 )
--- a/side/data_test.go
+++ b/side/data_test.go
@@ -53,6 +53,14 @@
 
 // startSide runs a side process before the endpoint and waits until it takes requests.
 func startSide(t *testing.T, endpoint string, change func(*Side)) *Side {
+	t.Helper()
+	s, stop := startSideUntil(t, endpoint, change)
+	t.Cleanup(func() { assert.NilError(t, stop()) })
+	return s
+}
+
+// startSideUntil is startSide for a test that stops the side process itself.
+func startSideUntil(t *testing.T, endpoint string, change func(*Side)) (*Side, func() error) {
 	t.Helper()
 	set := settings.DefaultSide()
 	set.ID, set.Service, set.EndpointURL, set.Entries = "instance-01", "fitcheck", endpoint, []string{"127.0.0.1:1"}
@@ -64,10 +72,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-done)
-	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -76,7 +80,10 @@
 		}
 		return poll.Continue("the endpoint is not up")
 	}, poll.WithTimeout(time.Minute))
-	return s
+	return s, func() error {
+		cancel()
+		return <-done
+	}
 }
 
 func send(t *testing.T, s *Side, header map[string]string) (*http.Response, string) {
--- a/side/leaving_test.go
+++ b/side/leaving_test.go
@@ -1,6 +1,9 @@
 package side
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,3 +46,69 @@
 		})
 	}
 }
+
+// Shows that the checker reports a request that a graceful shutdown cuts off when the rule that the side process waits
+// for requests in progress is switched off.
+func TestCheckerSeesCutOffByShutdown(t *testing.T) {
+	for name, off := range map[string]bool{"in force": false, "off": true} {
+		t.Run(name, func(t *testing.T) {
+			if off {
+				t.Cleanup(rule.Off(rule.Finish))
+			}
+			began, release := make(chan struct{}), make(chan struct{})
+			endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/clearance" {
+					close(began)
+					<-release
+				}
+			}))
+			t.Cleanup(endpoint.Close)
+			s, stop := startSideUntil(t, endpoint.URL, nil)
+			rec := new(history.Recorder)
+			rec.Add(history.Request{ID: "r1"}, history.EndpointLeaving{At: 2, Endpoint: "instance-01"})
+			answered := make(chan history.Verdict, 1)
+			go func() {
+				req, _ := http.NewRequest(http.MethodPost, "http://"+s.DataAddress()+"/clearance", strings.NewReader("seat"))
+				req.Header.Set(control.HeaderRequestID, "r1")
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil || resp.StatusCode != 200 {
+					answered <- history.Unknown
+					return
+				}
+				_ = resp.Body.Close()
+				answered <- history.Answered
+			}()
+			<-began
+			rec.Add(history.Execution{At: 1, ID: "r1", Endpoint: "instance-01"})
+			stopped := make(chan error, 1)
+			go func() { stopped <- stop() }()
+			verdict := history.Unknown
+			if off {
+				verdict = <-answered
+				close(release)
+			} else {
+				for !s.isDraining() {
+					time.Sleep(time.Millisecond)
+				}
+				close(release)
+				verdict = <-answered
+			}
+			err := <-stopped
+			rec.Add(history.Answer{At: 3, ID: "r1", Verdict: verdict, EchoID: "r1"})
+			found := history.Check(rec.Events())
+			if !off {
+				assert.NilError(t, err)
+				assert.Equal(t, len(found), 0, "%v", found)
+				return
+			}
+			assert.Equal(t, len(found), 1)
+			assert.Equal(t, found[0].Rule, history.CutOff)
+		})
+	}
+}
+
+func (s *Side) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slots.Draining()
+}
--- a/side/side.go
+++ b/side/side.go
@@ -15,6 +15,7 @@
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/slots"
 	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
@@ -133,7 +134,11 @@
 	serve, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	served := make(chan error, 1)
-	go func() { served <- s.data.Serve(serve, 0) }()
+	grace := time.Duration(0)
+	if !rule.On(rule.Finish) {
+		grace = time.Millisecond
+	}
+	go func() { served <- s.data.Serve(serve, grace) }()
 	if s.set.Service != "" {
 		run(s.announceAll)
 		run(s.watchEndpoint)
@@ -172,7 +177,7 @@
 	s.mu.Unlock()
 	s.kickAnnounce()
 	limit := time.Now().Add(noticeMax)
-	for s.inProgress() || (!s.allTold() && time.Now().Before(limit)) {
+	for (s.inProgress() && rule.On(rule.Finish)) || (!s.allTold() && time.Now().Before(limit)) {
 		time.Sleep(drainPoll)
 	}
 	s.log.Log(logevent.Drained)
--- a/testkit/history/check.go
+++ b/testkit/history/check.go
@@ -20,6 +20,9 @@
 	NotRunExecuted Rule = "refusal says not run, but the request was executed"
 	// WorkAtLeaving means that a request began at an endpoint more than LeavingLimit after it began to leave.
 	WorkAtLeaving Rule = "new work at a leaving endpoint"
+	// CutOff means that a request at a leaving endpoint got no whole answer. A test that also breaks connections or ends
+	// processes otherwise does not introduce the endpoint as leaving.
+	CutOff Rule = "request in progress was cut off by a graceful shutdown"
 	// AnswerNotWhole means that the body does not match the endpoint's checksum.
 	AnswerNotWhole Rule = "answer is not whole"
 	// AnswerOfOther means that a caller got the answer to another request.
--- a/testkit/history/requests.go
+++ b/testkit/history/requests.go
@@ -54,6 +54,11 @@
 			if e, ok := c.requests.executedID[a.ID]; ok {
 				c.report(NotRunExecuted, a.At, a.ID, "executed at %s at %v", e.Endpoint, e.At)
 			}
+		case Unknown:
+			e, ran := c.requests.executedID[a.ID]
+			if left, ok := c.requests.leaving[e.Endpoint]; ran && ok && a.At >= left.At {
+				c.report(CutOff, a.At, a.ID, "in progress at %s, which is leaving since %v", e.Endpoint, left.At)
+			}
 		case Answered:
 			c.answered(request, a, first)
 		}
