tlsconf: say what binds a side process to instances

Cause: the package comment named the common name only, which is not checked against the id of a process.

Change: one sentence on URI names.

Conclusion: the comment agrees with the code.

--- a/tlsconf/tlsconf.go
+++ b/tlsconf/tlsconf.go
@@ -1,6 +1,7 @@
 // Package tlsconf sets up mutual TLS between processes and towards operators. Certificates name roles rather than
 // addresses, because instances are replaced at any time and are known by IP numbers only: the organizational unit of
-// the subject is entry, side or operator, and the common name is the id of the process or the name of the operator.
+// the subject is entry, side or operator, and the common name is the id of the process or the name of the operator. URI
+// names bind a side process to instances.
 // Changed files are used for new connections without a restart.
 package tlsconf
 
