--- a/entry/control.go
+++ b/entry/control.go
@@ -31,7 +31,7 @@
 	e.control.Use(e.countControl)
 	srv := control.NewEntryServer(&controlServer{e})
 	e.control.GET(waitPath+"*job", e.getWait)
-	e.control.Any(srv.PathPrefix()+"*method", adaptor.HertzHandler(srv))
+	e.control.Any(srv.PathPrefix()+"*method", withInstances(adaptor.HertzHandler(srv)))
 }
 
 // controlServer serves the messages of the system's own processes.
@@ -40,11 +40,14 @@
 var _ control.Entry = (*controlServer)(nil)
 
 // Announce implements control.Entry.
-func (s *controlServer) Announce(_ context.Context, r *control.AnnounceRequest) (*control.AnnounceResponse, error) {
+func (s *controlServer) Announce(ctx context.Context, r *control.AnnounceRequest) (*control.AnnounceResponse, error) {
 	if r.Process == nil || r.Process.Id == "" {
 		return nil, twirp.RequiredArgumentError("process.id")
 	}
 	e := s.e
+	if err := e.checkInstance(ctx, r.Process.Id); err != nil {
+		return nil, err
+	}
 	next, early := e.nextHeartbeat(), e.announcesEarly(r.Process.Id)
 	resp := &control.AnnounceResponse{NextHeartbeatMs: uint32(next.Milliseconds()), Peers: e.peerList()}
 	a := announcement(r)
@@ -86,6 +89,9 @@
 		return nil, twirp.RequiredArgumentError("process.id and capacity")
 	}
 	e := s.e
+	if err := e.checkInstance(ctx, r.Process.Id); err != nil {
+		return nil, err
+	}
 	poll := pollOf(r)
 	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxWait)
 	poll, err := e.waitForNews(ctx, poll, wait)
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -1,5 +1,5 @@
-// Package rule names the rules that the invariants of leases, authority, capacity and configuration rest on. Tests switch a rule
-// off to show that the history checker and the model check notice. Nothing else may do so.
+// Package rule names the rules that the invariants of leases, authority, capacity, configuration and shutdowns rest on. Tests
+// switch a rule off to show that the history checker and the model check notice. Nothing else may do so.
 package rule
 
 // Rule is one rule.
@@ -21,6 +21,10 @@
 	Permit
 	// Capacity makes the policy place a task only where it fits, and readers void a start beyond a worker's capacity.
 	Capacity
+	// Leave makes a leaving endpoint refuse new work.
+	Leave
+	// Finish makes a process that shuts down wait for requests in progress.
+	Finish
 
 	count
 )
--- a/side/side.go
+++ b/side/side.go
@@ -16,6 +16,7 @@
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/slots"
 	"github.com/verbenakeel/verbenakeel/httpserver"
+	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
@@ -82,8 +83,9 @@
 	metrics *metrics
 	// keys are for encrypted connections with entries; nil without TLS.
 	keys *tlsconf.Keys
-	// ignoreStarts switches off the refusal of second starts, for the test that shows that it is needed.
-	ignoreStarts bool
+	// ignoreStarts switches off the refusal of second starts, and ignoreSent the rule that only a request that was never
+	// sent is refused as not run, for the tests that show that they are needed.
+	ignoreStarts, ignoreSent bool
 }
 
 // New binds the listener of a side process. worker may be nil if the instance has none.
@@ -133,7 +135,11 @@
 	serve, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	served := make(chan error, 1)
-	go func() { served <- s.data.Serve(serve, 0) }()
+	grace := time.Duration(0)
+	if !rule.On(rule.Finish) {
+		grace = time.Millisecond
+	}
+	go func() { served <- s.data.Serve(serve, grace) }()
 	if s.set.Service != "" {
 		run(s.announceAll)
 		run(s.watchEndpoint)
@@ -172,7 +178,7 @@
 	s.mu.Unlock()
 	s.kickAnnounce()
 	limit := time.Now().Add(noticeMax)
-	for s.inProgress() || (!s.allTold() && time.Now().Before(limit)) {
+	for (s.inProgress() && rule.On(rule.Finish)) || (!s.allTold() && time.Now().Before(limit)) {
 		time.Sleep(drainPoll)
 	}
 	s.log.Log(logevent.Drained)
--- a/testkit/history/requests.go
+++ b/testkit/history/requests.go
@@ -9,10 +9,11 @@
 	// executedKey holds the first execution of each key.
 	executedKey map[string]Execution
 	answers     []Answer
+	leaving     map[string]EndpointLeaving
 }
 
 func newRequests() requests {
-	return requests{map[string]Request{}, map[string]Execution{}, map[string]Execution{}, nil}
+	return requests{map[string]Request{}, map[string]Execution{}, map[string]Execution{}, nil, map[string]EndpointLeaving{}}
 }
 
 func (c *checker) request(e Request) {
@@ -23,6 +24,9 @@
 }
 
 func (c *checker) execution(e Execution) {
+	if left, ok := c.requests.leaving[e.Endpoint]; ok && e.At > left.At+LeavingLimit {
+		c.report(WorkAtLeaving, e.At, e.Endpoint, "request %s began, the endpoint is leaving since %v", e.ID, left.At)
+	}
 	if _, ok := c.requests.executedID[e.ID]; !ok {
 		c.requests.executedID[e.ID] = e
 	}
@@ -50,6 +54,11 @@
 			if e, ok := c.requests.executedID[a.ID]; ok {
 				c.report(NotRunExecuted, a.At, a.ID, "executed at %s at %v", e.Endpoint, e.At)
 			}
+		case Unknown:
+			e, ran := c.requests.executedID[a.ID]
+			if left, ok := c.requests.leaving[e.Endpoint]; ran && ok && a.At >= left.At {
+				c.report(CutOff, a.At, a.ID, "in progress at %s, which is leaving since %v", e.Endpoint, left.At)
+			}
 		case Answered:
 			c.answered(request, a, first)
 		}
