--- a/.ci/freeze.sh
+++ b/.ci/freeze.sh
@@ -7,14 +7,18 @@
 shift 2
 setsid "$@" &
 session=$!
-signal_session() {
-	ps -eo pid=,sid= | awk -v s="$session" '$2 == s { print $1 }' | xargs -r kill "-$1" 2>/dev/null
+# running prints the processes of the session that are not stopped.
+running() {
+	ps -eo pid=,sid=,stat= | awk -v s="$session" '$2 == s && $3 !~ /^T/ { print $1 }'
 }
-trap 'signal_session CONT; signal_session TERM' INT TERM
+frozen_now=
+trap 'kill -CONT $frozen_now 2>/dev/null; kill $(running) 2>/dev/null' INT TERM
 while kill -0 "$session" 2>/dev/null; do
 	sleep "$run"
-	signal_session STOP
+	# Processes that the test itself has stopped are left alone, or the thaw would wake them.
+	frozen_now=$(running)
+	kill -STOP $frozen_now 2>/dev/null
 	sleep "$frozen"
-	signal_session CONT
+	kill -CONT $frozen_now 2>/dev/null
 done
 wait "$session"
