integration: give tests with a lease of 6 s polls of 2 s

Cause: TestAllKilledWithWorkers and TestLogDownWhileDeciderRecovers failed at their start: polls now wait 3 s by default, and a lease must be at least three polls, so the entries refused the settings.

Change: these tests set poll_every to 2 s. Their leases stay.

Conclusion: the check of settings did its work.

--- a/integration/fault_recover_test.go
+++ b/integration/fault_recover_test.go
@@ -104,7 +104,7 @@
 	t.Parallel()
 	origin := time.Now()
 	d := deployment(t, func(o *deploy.Options) {
-		o.EntrySettings = append(quickSettings[:1:1], deploy.Setting{Key: "snapshots.every_records", Value: "10"}, deploy.Setting{Key: "times.task_lease", Value: "6s"})
+		o.EntrySettings = append(quickSettings[:1:1], deploy.Setting{Key: "snapshots.every_records", Value: "10"}, deploy.Setting{Key: "times.task_lease", Value: "6s"}, deploy.Setting{Key: "times.poll_every", Value: "2s"})
 		o.Log.KeepRecords = 40
 	})
 	publish(t, d)
--- a/integration/fault_twice_test.go
+++ b/integration/fault_twice_test.go
@@ -18,7 +18,7 @@
 	origin := time.Now()
 	d := deployment(t, func(o *deploy.Options) {
 		// A new decider waits for authority_max where the old witness died too.
-		o.EntrySettings = append(quickSettings[1:2:2], deploy.Setting{Key: "times.authority_max", Value: "10s"}, deploy.Setting{Key: "times.task_lease", Value: "6s"})
+		o.EntrySettings = append(quickSettings[1:2:2], deploy.Setting{Key: "times.authority_max", Value: "10s"}, deploy.Setting{Key: "times.task_lease", Value: "6s"}, deploy.Setting{Key: "times.poll_every", Value: "2s"})
 	})
 	publish(t, d)
 	var jobs []string
