decider: end the hold of a zone with the record that brings it back

Cause: TestRegionCutFromConfiguration failed: one of three tasks ran when three were expected. A zone was taken out and brought back within a second, but the hold sent with the order lasted its 30 s. A task placed there waited for 27 s, and the others had ended by the time the test looked. Entries now name their holds in each exchange, so holds of others were renewed too.

Change: an accepted record that brings a zone back ends its holds, at every entry. A hold named by a peer that has not read that record yet is ignored, by the revision that the peer reports.

Figures: TestZoneBackEndsHold and the addition to TestHoldReachesEntryThatStartsLater cover both; TestRegionCut passes.

Conclusion: a zone that is back takes work at once. A hold for a later order may be ended by the record of an earlier return; permits still need the record, which bounds the last start at 3 s.

--- a/core/decider/state.go
+++ b/core/decider/state.go
@@ -129,8 +129,15 @@
 // closed reports whether no permit is given for the zone until a record brings it back.
 func (s *State) closed(zone string) bool { return s.conf.ZoneOut(zone) && rule.On(rule.Permit) }
 
-// ConfigChanged passes accepted changes to the policy.
+// ConfigChanged passes accepted changes to the policy. A record that brings a zone back ends holds of it: they were sent for
+// an order that came before.
 func (s *State) ConfigChanged(now clock.Now, outcomes []config.Outcome) {
+	for _, o := range outcomes {
+		if z := o.Change.Zone; z != nil && !z.Out && o.Status == config.Accepted {
+			delete(s.holds, z.Zone)
+			delete(s.ownHolds, z.Zone)
+		}
+	}
 	if s.policy == nil {
 		return
 	}
--- a/core/decider/zone_test.go
+++ b/core/decider/zone_test.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,3 +66,25 @@
 		assert.Equal(t, string(region.Tasks["c/j#0"].State), "queued")
 	}
 }
+
+// Guards against a zone that is back in service and stays held until the hold of the order before it has passed, also at
+// entries that do not decide.
+func TestZoneBackEndsHold(t *testing.T) {
+	conf := config.New()
+	s := New(DefaultConfig(), scheduler.DefaultConfig(), authority.New(authority.DefaultConfig(), "e", 1), tasks.New(), conf)
+	now := clock.Now{Mono: time.Second, WallMs: 1}
+	s.ConfigRead(now.Mono)
+	change := func(seq, base uint64, out bool) {
+		rec := record.Record{Writer: "e", Incarnation: 1, Seq: seq, Config: []record.ConfigChange{{ID: fmt.Sprint(seq), Base: base, Zone: &record.ZoneChange{Zone: "z", Out: out}}}}
+		s.ConfigChanged(now, conf.Fold(seq, &rec))
+	}
+	assert.Assert(t, s.mayStart(now, "z"))
+	s.Hold(now, "z", 30*time.Second, false)
+	change(1, 0, true)
+	assert.Assert(t, !s.mayStart(now, "z"))
+	change(2, 0, false)
+	assert.Assert(t, !s.mayStart(now, "z"), "a change that lost ends nothing")
+	change(3, 1, false)
+	assert.Assert(t, s.mayStart(now, "z"))
+	assert.Equal(t, len(s.OwnHolds(now)), 0)
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -54,7 +54,7 @@
 		e.rpc.CloseIdleConnections()
 		return
 	}
-	e.takeHolds(r.Holds)
+	e.takeHolds(r.Holds, r.Revision)
 	e.raise(r.SupersededBy)
 	if p := r.Process; p != nil && p.Id != e.set.ID {
 		e.heardPeer(peer{id: p.Id, incarnation: p.Incarnation, zone: p.Zone, address: address, revision: r.Revision}, 0, 0)
@@ -97,7 +97,7 @@
 	}
 	// Endpoints and holds have an order of their own, so that late ones do no harm.
 	e.takeMembers(r.Members)
-	e.takeHolds(r.Holds)
+	e.takeHolds(r.Holds, r.Revision)
 	if !v.late && v.supersededBy == 0 {
 		e.mu.Lock()
 		e.state.Route.PeerUsed(e.now(), p.Id, useOf(r.Rate))
@@ -139,9 +139,17 @@
 }
 
 // takeHolds takes holds that a peer was asked for. An entry that started since, or that the hold did not reach, learns of
-// it here.
-func (e *Entry) takeHolds(list []*control.ZoneHold) {
+// it here. The hold of a peer that has not read yet that the zone is back is over.
+func (e *Entry) takeHolds(list []*control.ZoneHold, revision uint64) {
 	for _, h := range list {
+		over := false
+		e.read(func(s *core.State) {
+			z := s.Config.Zones[h.Zone]
+			over = z != nil && !z.Zone.Out && z.Revision > revision
+		})
+		if over {
+			continue
+		}
 		d := time.Duration(h.RemainingMs) * time.Millisecond
 		for _, eff := range e.step(core.ZoneHeld{Zone: h.Zone, Duration: d, Relayed: true}) {
 			if _, ok := eff.(core.HoldBegan); ok {
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -121,6 +121,15 @@
 	b, _ := runEntry(t, "entry-2", log, asIs, a.ControlAddress())
 	eventually(t, "the hold at the new entry", func() bool { return held(b, "midshire-b") })
 	assert.Assert(t, !held(b, "midshire-c"))
+	for i, out := range []string{"true", "false"} {
+		status, body := post(t, "http://"+b.OperatorAddress()+"/v1/config", "", "", fmt.Sprintf(`{"base":%d,"zone":{"zone":"midshire-d","out":%s}}`, i, out))
+		assert.Equal(t, status, 200, string(body))
+	}
+	over := []*control.ZoneHold{{Zone: "midshire-d", RemainingMs: 20_000}}
+	b.takeHolds(over, b.revision()-1)
+	assert.Assert(t, !held(b, "midshire-d"), "the sender has not read that the zone is back")
+	b.takeHolds(over, b.revision())
+	assert.Assert(t, held(b, "midshire-d"))
 	assert.Equal(t, len(a.ownHolds()), 1)
 	assert.Equal(t, len(b.ownHolds()), 0, "a hold learned from a peer is not passed on")
 }
