integration: run four tests that mostly wait beside others

Cause: the integration tests took 379 s, of which four tests that wait for leases and outages took about 180 s one after the other.

Change: they run in parallel with the other tests of that kind, each with its own deployment. What they check is unchanged.

--- a/integration/regions_test.go
+++ b/integration/regions_test.go
@@ -66,6 +66,7 @@
 // reach the log with the configuration, and against untrue answers about that configuration. The entries of both regions
 // have the same ids, so it also guards against readers that take their records for those of one writer.
 func TestRegionCutFromConfiguration(t *testing.T) {
+	t.Parallel()
 	origin := time.Now()
 	common, region := regions(t)
 	changedZone(t, region, "delta-c", true, 0)
@@ -139,6 +140,7 @@
 // Guards against running work that ends, and a region without a decider, when the decider is lost while the region cannot
 // reach the log with the configuration; and against an entry that cannot start meanwhile although its peers know that.
 func TestDeciderChangeWhileCutFromConfiguration(t *testing.T) {
+	t.Parallel()
 	origin := time.Now()
 	_, region := regions(t)
 	submitLong(t, region.Entries[0], "through", 3, 30*time.Second)
--- a/integration/state_test.go
+++ b/integration/state_test.go
@@ -106,6 +106,7 @@
 // Guards against running work that stops in an outage of the log, untrue answers meanwhile, and a decider change that
 // is slow or runs a task twice.
 func TestStateLogOutage(t *testing.T) {
+	t.Parallel()
 	origin := time.Now()
 	d := deployment(t, func(o *deploy.Options) { o.EntrySettings = quickSettings })
 	publish(t, d)
@@ -152,6 +153,7 @@
 // Guards against state, running tasks or queued jobs that are lost, and tasks that run twice, when all processes of the
 // system are killed at once and again during recovery, and old records have expired.
 func TestStateAllKilled(t *testing.T) {
+	t.Parallel()
 	origin := time.Now()
 	d := deployment(t, func(o *deploy.Options) {
 		o.EntrySettings = append(quickSettings[:1:1], deploy.Setting{Key: "snapshots.every_records", Value: "10"})
