--- a/cmd/bench-requests/added.go
+++ b/cmd/bench-requests/added.go
@@ -16,8 +16,8 @@
 
 	"github.com/verbenakeel/verbenakeel/daemon"
 	"github.com/verbenakeel/verbenakeel/entry"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/httpserver"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 	"github.com/verbenakeel/verbenakeel/testkit/faultproxy"
 	"github.com/verbenakeel/verbenakeel/testkit/launch"
--- a/cmd/bench-requests/policies.go
+++ b/cmd/bench-requests/policies.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 	"github.com/verbenakeel/verbenakeel/testkit/faultproxy"
 	"github.com/verbenakeel/verbenakeel/testkit/history"
--- a/cmd/bench-state/kept.go
+++ b/cmd/bench-state/kept.go
@@ -8,8 +8,8 @@
 	"os"
 	"sync"
 
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/logevent"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/slopes"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
--- a/cmd/bench-state/main.go
+++ b/cmd/bench-state/main.go
@@ -13,7 +13,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/standin"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 )
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -8,7 +8,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/verbenakeel/verbenakeel/daemon"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/standin"
 )
--- a/cmd/verbenakeel-side/main.go
+++ b/cmd/verbenakeel-side/main.go
@@ -7,8 +7,8 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/verbenakeel/verbenakeel/daemon"
-	"github.com/verbenakeel/verbenakeel/platform"
-	"github.com/verbenakeel/verbenakeel/platform/workerclient"
+	"github.com/verbenakeel/verbenakeel/external"
+	"github.com/verbenakeel/verbenakeel/external/workerclient"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/side"
 )
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	var worker platform.Worker
+	var worker external.Worker
 	if set.WorkerURL != "" {
 		worker = workerclient.New(set.WorkerURL)
 	}
--- a/core/decider/digest_test.go
+++ b/core/decider/digest_test.go
@@ -15,7 +15,7 @@
 	"github.com/verbenakeel/verbenakeel/core/decider"
 	"github.com/verbenakeel/verbenakeel/core/holder"
 	"github.com/verbenakeel/verbenakeel/errdefs"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
 	_ "github.com/verbenakeel/verbenakeel/testkit/fixedseed"
@@ -90,11 +90,11 @@
 	return id + "#0"
 }
 
-func (r *rig) status() platform.WorkerStatus {
-	s := platform.WorkerStatus{NowMs: r.now.Mono.Milliseconds(), Epoch: r.epoch}
-	for set, state := range map[*map[string]uint32]platform.TaskState{&r.running: platform.TaskRunning, &r.ended: platform.TaskEnded} {
+func (r *rig) status() external.WorkerStatus {
+	s := external.WorkerStatus{NowMs: r.now.Mono.Milliseconds(), Epoch: r.epoch}
+	for set, state := range map[*map[string]uint32]external.TaskState{&r.running: external.TaskRunning, &r.ended: external.TaskEnded} {
 		for id, n := range *set {
-			s.Tasks = append(s.Tasks, platform.TaskStatus{TaskSpec: platform.TaskSpec{Task: id, Attempt: n}, State: state})
+			s.Tasks = append(s.Tasks, external.TaskStatus{TaskSpec: external.TaskSpec{Task: id, Attempt: n}, State: state})
 		}
 	}
 	return s
--- a/core/decider/report.go
+++ b/core/decider/report.go
@@ -4,7 +4,7 @@
 	"sort"
 
 	"github.com/verbenakeel/verbenakeel/core/holder"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 )
 
 // known is what a decider remembers of a run of a side process, so that polls can leave it out.
@@ -12,7 +12,7 @@
 	// incarnation is the run that it is of; 0 until a poll with the whole list was taken.
 	incarnation uint64
 	// samples holds the newest measurement of each attempt that was measured.
-	samples map[string]platform.TaskUsage
+	samples map[string]external.TaskUsage
 }
 
 // resolveHeld returns the poll with its list of running attempts. A digest stands for the list if this decider took a
@@ -64,9 +64,9 @@
 
 // resolveUsage remembers the measurements of a poll and returns all of them, those that the poll left out included. It
 // returns false if measurements were left out that this decider does not know: what is missing says nothing.
-func resolveUsage(c *contact, p Poll) ([]platform.TaskUsage, bool) {
+func resolveUsage(c *contact, p Poll) ([]external.TaskUsage, bool) {
 	if !p.UsagePartial {
-		c.known.samples = make(map[string]platform.TaskUsage, len(p.Usage))
+		c.known.samples = make(map[string]external.TaskUsage, len(p.Usage))
 	}
 	if c.known.samples == nil {
 		return nil, false
@@ -84,7 +84,7 @@
 	if holder.Digest(all) != p.UsageDigest && !c.pruneSamples(p) {
 		return p.Usage, false
 	}
-	list := make([]platform.TaskUsage, 0, len(c.known.samples))
+	list := make([]external.TaskUsage, 0, len(c.known.samples))
 	for _, u := range c.known.samples {
 		u.AgeMs = p.UsageAgeMs
 		list = append(list, u)
--- a/core/decider/report_test.go
+++ b/core/decider/report_test.go
@@ -7,18 +7,18 @@
 	"pgregory.net/rapid"
 
 	"github.com/verbenakeel/verbenakeel/core/holder"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
-func drawUsage(t *rapid.T, n int) []platform.TaskUsage {
+func drawUsage(t *rapid.T, n int) []external.TaskUsage {
 	age := rapid.Int64Range(0, 3).Draw(t, "age")
-	var list []platform.TaskUsage
+	var list []external.TaskUsage
 	for i := range n {
 		if !rapid.Bool().Draw(t, "measured") {
 			continue
 		}
-		u := platform.TaskUsage{
+		u := external.TaskUsage{
 			Task: fmt.Sprint(i), Attempt: rapid.Uint32Range(1, 2).Draw(t, "attempt"), AgeMs: age,
 			Used:       record.Resources{CPUMilli: rapid.SampledFrom([]int64{0, 1000, 1040, 1080, 2000}).Draw(t, "cpu")},
 			SpeedMilli: rapid.SampledFrom([]int64{0, 500, 1000}).Draw(t, "speed"),
@@ -31,11 +31,11 @@
 	return list
 }
 
-func checkUsage(t *rapid.T, got, want []platform.TaskUsage) {
+func checkUsage(t *rapid.T, got, want []external.TaskUsage) {
 	if len(got) != len(want) {
 		t.Fatalf("got measurements %+v, want %+v", got, want)
 	}
-	byTask := make(map[string]platform.TaskUsage)
+	byTask := make(map[string]external.TaskUsage)
 	for _, u := range got {
 		byTask[u.Task] = u
 	}
@@ -58,10 +58,10 @@
 			if rapid.IntRange(0, 7).Draw(t, "new decider") == 0 {
 				c, epoch = new(contact), epoch+1
 			}
-			status := platform.WorkerStatus{NowMs: int64(i) * 3000, Usage: drawUsage(t, 4)}
+			status := external.WorkerStatus{NowMs: int64(i) * 3000, Usage: drawUsage(t, 4)}
 			for _, u := range status.Usage {
-				status.Tasks = append(status.Tasks, platform.TaskStatus{
-					TaskSpec: platform.TaskSpec{Task: u.Task, Attempt: u.Attempt}, State: platform.TaskRunning,
+				status.Tasks = append(status.Tasks, external.TaskStatus{
+					TaskSpec: external.TaskSpec{Task: u.Task, Attempt: u.Attempt}, State: external.TaskRunning,
 				})
 			}
 			p := side.Begin(status)
--- a/core/decider/sync.go
+++ b/core/decider/sync.go
@@ -8,8 +8,8 @@
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/internal/rule"
-	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
 )
@@ -26,7 +26,7 @@
 	WantStarts  bool
 	Held        []holder.Renewal
 	Ended       []record.End
-	Usage       []platform.TaskUsage
+	Usage       []external.TaskUsage
 	// HeldByDigest is true if HeldDigest stands for Held.
 	HeldByDigest bool
 	HeldDigest   uint64
@@ -273,9 +273,9 @@
 	return p.Sequence > c.overAt
 }
 
-func (s *State) spec(t *tasks.Task) platform.TaskSpec {
+func (s *State) spec(t *tasks.Task) external.TaskSpec {
 	job := s.region.Jobs[t.Job].Spec
-	return platform.TaskSpec{
+	return external.TaskSpec{
 		Task: t.ID, Attempt: t.Attempt, Customer: job.Customer, Kind: job.Kind, Size: t.Size,
 		CheckpointMs: t.CheckpointMs, RunMs: job.RunMs, Command: job.Command,
 	}
--- a/core/holder/holder.go
+++ b/core/holder/holder.go
@@ -5,8 +5,8 @@
 package holder
 
 import (
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/internal/rule"
-	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -15,7 +15,7 @@
 	// Sequence identifies the poll.
 	Sequence uint64
 	// Status is the worker's report at the time of the poll.
-	Status platform.WorkerStatus
+	Status external.WorkerStatus
 }
 
 // Order acts on one attempt.
@@ -51,7 +51,7 @@
 	LeaseMs        int64
 	ServiceLeaseMs int64
 	PermitMs       int64
-	Starts         []platform.TaskSpec
+	Starts         []external.TaskSpec
 	Orders         []Order
 	Renewed        []Renewal
 	Acknowledged   []Renewal
@@ -66,10 +66,10 @@
 type Effects struct {
 	// Epoch is passed with Renew, also if no lease is renewed, so that the worker refuses older deciders.
 	Epoch  uint64
-	Renew  []platform.Lease
+	Renew  []external.Lease
 	Forget []Renewal
 	Orders []Order
-	Start  []platform.TaskSpec
+	Start  []external.TaskSpec
 	// Vanished holds attempts that were started before and that the worker no longer has. Their end must be reported.
 	Vanished []Renewal
 	// Refused says why the reply was ignored; empty if it was taken.
@@ -102,7 +102,7 @@
 func (s *State) Sequence() uint64 { return s.sequence }
 
 // Begin opens a poll.
-func (s *State) Begin(status platform.WorkerStatus) Poll {
+func (s *State) Begin(status external.WorkerStatus) Poll {
 	s.sequence++
 	s.outstanding = s.sequence
 	s.epoch = max(s.epoch, status.Epoch)
@@ -112,7 +112,7 @@
 	return Poll{s.sequence, status}
 }
 
-func (s *State) see(t platform.TaskSpec) {
+func (s *State) see(t external.TaskSpec) {
 	s.newest[t.Task] = max(s.newest[t.Task], t.Attempt)
 	s.epoch = max(s.epoch, t.Epoch)
 	s.services[t.Task] = t.Kind == record.ServiceJob
@@ -134,7 +134,7 @@
 		renewed = HeldOf(p.Status)
 	}
 	for _, l := range renewed {
-		e.Renew = append(e.Renew, platform.Lease{Task: l.Task, Attempt: l.Attempt, ExpiresMs: s.expiry(p, r, l.Task)})
+		e.Renew = append(e.Renew, external.Lease{Task: l.Task, Attempt: l.Attempt, ExpiresMs: s.expiry(p, r, l.Task)})
 	}
 	for _, t := range r.Starts {
 		if t.Attempt <= s.newest[t.Task] {
--- a/core/holder/report.go
+++ b/core/holder/report.go
@@ -1,7 +1,7 @@
 package holder
 
 import (
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 )
 
 // Limits of the measurements that a poll leaves out.
@@ -20,7 +20,7 @@
 	HeldDigest uint64
 	// Usage holds measurements: all of them, or if UsagePartial those that moved. The others are as the decider knows
 	// them and as old as UsageAgeMs, and UsageDigest is the digest of all attempts measured.
-	Usage        []platform.TaskUsage
+	Usage        []external.TaskUsage
 	UsagePartial bool
 	UsageAgeMs   int64
 	UsageDigest  uint64
@@ -28,16 +28,16 @@
 
 // sample is a measurement that the decider has.
 type sample struct {
-	platform.TaskUsage
+	external.TaskUsage
 	// sentMs is the worker's clock when it was sent.
 	sentMs int64
 }
 
 // HeldOf returns the attempts that run by a worker's status.
-func HeldOf(status platform.WorkerStatus) []Renewal {
+func HeldOf(status external.WorkerStatus) []Renewal {
 	var held []Renewal
 	for _, t := range status.Tasks {
-		if t.State == platform.TaskRunning {
+		if t.State == external.TaskRunning {
 			held = append(held, Renewal{t.Task, t.Attempt})
 		}
 	}
@@ -72,7 +72,7 @@
 }
 
 // commonAge returns the age of all measurements, or false if they differ.
-func commonAge(list []platform.TaskUsage) (int64, bool) {
+func commonAge(list []external.TaskUsage) (int64, bool) {
 	for _, u := range list {
 		if u.AgeMs != list[0].AgeMs {
 			return 0, false
@@ -84,7 +84,7 @@
 	return list[0].AgeMs, true
 }
 
-func moved(old, u platform.TaskUsage) bool {
+func moved(old, u external.TaskUsage) bool {
 	return old.Attempt != u.Attempt || far(old.Used.CPUMilli, u.Used.CPUMilli) || far(old.Used.MemoryMB, u.Used.MemoryMB) ||
 		far(old.Used.Accelerators, u.Used.Accelerators) || far(old.SpeedMilli, u.SpeedMilli) || far(old.LatencyP99Us, u.LatencyP99Us)
 }
--- a/core/holder/report_test.go
+++ b/core/holder/report_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 	_ "github.com/verbenakeel/verbenakeel/testkit/fixedseed"
 )
@@ -36,14 +36,14 @@
 	})
 }
 
-func usage(speed int64) []platform.TaskUsage {
-	return []platform.TaskUsage{{Task: "a", Attempt: 1, AgeMs: 500, Used: record.Resources{CPUMilli: 1000, MemoryMB: 100}, SpeedMilli: speed}}
+func usage(speed int64) []external.TaskUsage {
+	return []external.TaskUsage{{Task: "a", Attempt: 1, AgeMs: 500, Used: record.Resources{CPUMilli: 1000, MemoryMB: 100}, SpeedMilli: speed}}
 }
 
-func statusOf(nowMs int64, u []platform.TaskUsage) platform.WorkerStatus {
-	return platform.WorkerStatus{
+func statusOf(nowMs int64, u []external.TaskUsage) external.WorkerStatus {
+	return external.WorkerStatus{
 		NowMs: nowMs, Usage: u,
-		Tasks: []platform.TaskStatus{{TaskSpec: platform.TaskSpec{Task: "a", Attempt: 1}, State: platform.TaskRunning}},
+		Tasks: []external.TaskStatus{{TaskSpec: external.TaskSpec{Task: "a", Attempt: 1}, State: external.TaskRunning}},
 	}
 }
 
@@ -92,7 +92,7 @@
 	p := s.Begin(statusOf(0, usage(1000)))
 	s.Report(p)
 	s.Receive(p, Reply{Epoch: 1, Sequence: p.Sequence, HeldKnown: true, UsageKnown: true})
-	r := s.Report(s.Begin(statusOf(1000, append(usage(1000), platform.TaskUsage{Task: "b", Attempt: 1, AgeMs: 900}))))
+	r := s.Report(s.Begin(statusOf(1000, append(usage(1000), external.TaskUsage{Task: "b", Attempt: 1, AgeMs: 900}))))
 	assert.Equal(t, r.UsagePartial, false)
 	assert.Equal(t, len(r.Usage), 2)
 }
@@ -102,7 +102,7 @@
 func TestRenewedAllCoversThePollOnly(t *testing.T) {
 	s := New()
 	status := statusOf(1000, nil)
-	status.Tasks = append(status.Tasks, platform.TaskStatus{TaskSpec: platform.TaskSpec{Task: "b", Attempt: 2}, State: platform.TaskEnded})
+	status.Tasks = append(status.Tasks, external.TaskStatus{TaskSpec: external.TaskSpec{Task: "b", Attempt: 2}, State: external.TaskEnded})
 	p := s.Begin(status)
 	assert.Equal(t, s.Report(p).ByDigest, false)
 	old, late := p, Reply{Epoch: 1, Sequence: p.Sequence, LeaseMs: 10_000, RenewedAll: true, HeldKnown: true}
@@ -111,7 +111,7 @@
 	assert.Assert(t, s.Receive(old, late).Refused != "", "a late reply renews nothing")
 	late.Sequence = p.Sequence
 	e := s.Receive(p, late)
-	assert.DeepEqual(t, e.Renew, []platform.Lease{{Task: "a", Attempt: 1, ExpiresMs: 11_000}})
+	assert.DeepEqual(t, e.Renew, []external.Lease{{Task: "a", Attempt: 1, ExpiresMs: 11_000}})
 	assert.Assert(t, s.Receive(p, late).Refused != "", "a repeated reply renews nothing")
 	r := s.Report(s.Begin(status))
 	assert.Equal(t, r.ByDigest, true)
--- a/core/modelcheck/worker_test.go
+++ b/core/modelcheck/worker_test.go
@@ -8,8 +8,8 @@
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/decider"
 	"github.com/verbenakeel/verbenakeel/core/holder"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/internal/rule"
-	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/testkit/history"
 )
@@ -20,7 +20,7 @@
 type workerNode struct {
 	*node
 	w     *world
-	tasks map[string]*platform.TaskStatus
+	tasks map[string]*external.TaskStatus
 	from  map[string]time.Duration
 	epoch uint64
 }
@@ -40,7 +40,7 @@
 func (k *workerNode) advance() {
 	for _, id := range k.ids() {
 		t := k.tasks[id]
-		if t.State != platform.TaskRunning {
+		if t.State != external.TaskRunning {
 			continue
 		}
 		done := k.from[id] + time.Duration(t.RunMs-t.CheckpointMs)*time.Millisecond
@@ -55,15 +55,15 @@
 	}
 }
 
-func (k *workerNode) end(t *platform.TaskStatus, outcome record.Outcome, local time.Duration) {
-	t.State, t.Outcome = platform.TaskEnded, outcome
+func (k *workerNode) end(t *external.TaskStatus, outcome record.Outcome, local time.Duration) {
+	t.State, t.Outcome = external.TaskEnded, outcome
 	t.SavedMs = t.CheckpointMs + (local - k.from[t.Task]).Milliseconds()
 	at := min(k.w.now, k.trueTime(local))
 	k.w.note(history.AttemptEnd{At: at, Task: t.Task, Attempt: t.Attempt, Worker: k.id, Outcome: outcome})
 }
 
 func (k *workerNode) endNow(task string, attempt uint32, outcome record.Outcome) {
-	if t := k.tasks[task]; t != nil && t.Attempt == attempt && t.State == platform.TaskRunning {
+	if t := k.tasks[task]; t != nil && t.Attempt == attempt && t.State == external.TaskRunning {
 		k.end(t, outcome, k.local(k.w.now))
 	}
 }
@@ -77,27 +77,27 @@
 	return true
 }
 
-func (k *workerNode) startTask(spec platform.TaskSpec) bool {
+func (k *workerNode) startTask(spec external.TaskSpec) bool {
 	old := k.tasks[spec.Task]
 	switch {
 	case !k.fence(spec.Epoch):
 		return false
 	case old != nil && old.Attempt == spec.Attempt:
 		return true
-	case old != nil && (old.Attempt > spec.Attempt || old.State == platform.TaskRunning):
+	case old != nil && (old.Attempt > spec.Attempt || old.State == external.TaskRunning):
 		return false
 	case k.nowMs() >= spec.StartByMs:
 		return false
 	}
-	k.tasks[spec.Task] = &platform.TaskStatus{TaskSpec: spec, State: platform.TaskRunning}
+	k.tasks[spec.Task] = &external.TaskStatus{TaskSpec: spec, State: external.TaskRunning}
 	k.from[spec.Task] = k.local(k.w.now)
 	k.w.note(history.AttemptStart{At: k.w.now, Task: spec.Task, Attempt: spec.Attempt, Worker: k.id, Size: spec.Size})
 	return true
 }
 
-func (k *workerNode) status() platform.WorkerStatus {
+func (k *workerNode) status() external.WorkerStatus {
 	k.advance()
-	s := platform.WorkerStatus{NowMs: k.nowMs(), Capacity: capacity, Epoch: k.epoch}
+	s := external.WorkerStatus{NowMs: k.nowMs(), Capacity: capacity, Epoch: k.epoch}
 	for _, id := range k.ids() {
 		s.Tasks = append(s.Tasks, *k.tasks[id])
 	}
@@ -112,7 +112,7 @@
 	}
 	k.run++
 	k.start, k.pausedUntil, k.epoch = k.w.now, 0, 0
-	k.tasks, k.from = map[string]*platform.TaskStatus{}, map[string]time.Duration{}
+	k.tasks, k.from = map[string]*external.TaskStatus{}, map[string]time.Duration{}
 }
 
 // sideNode is the side process beside a worker.
@@ -130,7 +130,7 @@
 }
 
 func (w *world) addWorker(i int, zone string) {
-	k := &workerNode{node: &node{id: fmt.Sprintf("w%d", i), rate: w.rate()}, w: w, tasks: map[string]*platform.TaskStatus{}, from: map[string]time.Duration{}}
+	k := &workerNode{node: &node{id: fmt.Sprintf("w%d", i), rate: w.rate()}, w: w, tasks: map[string]*external.TaskStatus{}, from: map[string]time.Duration{}}
 	s := &sideNode{node: &node{id: fmt.Sprintf("s%d", i), rate: 1}, w: w, worker: k, zone: zone}
 	w.sides = append(w.sides, s)
 	w.note(history.Worker{At: 0, ID: k.id, Zone: zone, Capacity: capacity})
@@ -193,7 +193,7 @@
 	poll.Held, poll.HeldByDigest, poll.HeldDigest = r.Held, r.ByDigest, r.HeldDigest
 	poll.Usage, poll.UsagePartial, poll.UsageAgeMs, poll.UsageDigest = r.Usage, r.UsagePartial, r.UsageAgeMs, r.UsageDigest
 	for _, t := range p.Status.Tasks {
-		if t.State == platform.TaskRunning {
+		if t.State == external.TaskRunning {
 			continue
 		}
 		poll.Ended = append(poll.Ended, record.End{Task: t.Task, Attempt: t.Attempt, Outcome: t.Outcome, CheckpointMs: t.SavedMs})
@@ -243,12 +243,12 @@
 }
 
 // carryOut applies effects at the worker and returns the starts that it refused.
-func (s *sideNode) carryOut(e holder.Effects) []platform.TaskSpec {
+func (s *sideNode) carryOut(e holder.Effects) []external.TaskSpec {
 	k := s.worker
 	k.advance()
 	if k.fence(e.Epoch) {
 		for _, l := range e.Renew {
-			if t := k.tasks[l.Task]; t != nil && t.Attempt == l.Attempt && t.State == platform.TaskRunning {
+			if t := k.tasks[l.Task]; t != nil && t.Attempt == l.Attempt && t.State == external.TaskRunning {
 				t.ExpiresMs = max(t.ExpiresMs, l.ExpiresMs)
 			}
 		}
@@ -261,14 +261,14 @@
 			k.endNow(o.Task, o.Attempt, record.Checkpointed)
 		}
 	}
-	var failed []platform.TaskSpec
+	var failed []external.TaskSpec
 	for _, t := range e.Start {
 		if !k.startTask(t) {
 			failed = append(failed, t)
 		}
 	}
 	for _, f := range e.Forget {
-		if t := k.tasks[f.Task]; t != nil && t.Attempt == f.Attempt && t.State == platform.TaskEnded {
+		if t := k.tasks[f.Task]; t != nil && t.Attempt == f.Attempt && t.State == external.TaskEnded {
 			delete(k.tasks, f.Task)
 		}
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 	"github.com/verbenakeel/verbenakeel/testkit/history"
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -11,7 +11,7 @@
 
 	"github.com/verbenakeel/verbenakeel/core/config"
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/standin"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
@@ -318,7 +318,7 @@
 		}
 		s.report.history.Add(history.Execution{At: s.at(e.StartNs), ID: e.RequestID, Key: key, Endpoint: e.Endpoint})
 	}
-	var status platform.WorkerStatus
+	var status external.WorkerStatus
 	if err := fetch(ctx, in.Worker.URL("http")+"/status", &status); err != nil {
 		return err
 	}
--- a/entry/behind_test.go
+++ b/entry/behind_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 )
 
 // idleSide is a side process that announces only when it is nudged.
--- a/entry/control.go
+++ b/entry/control.go
@@ -16,8 +16,8 @@
 	"github.com/verbenakeel/verbenakeel/core/holder"
 	"github.com/verbenakeel/verbenakeel/core/members"
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/logevent"
-	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -142,7 +142,7 @@
 	return resp, nil
 }
 
-func startOrder(t platform.TaskSpec) *control.StartOrder {
+func startOrder(t external.TaskSpec) *control.StartOrder {
 	return &control.StartOrder{
 		Task: t.Task, Attempt: t.Attempt, Customer: t.Customer, Kind: string(t.Kind),
 		Resources: &control.Resources{
@@ -171,7 +171,7 @@
 		})
 	}
 	for _, u := range r.Usage {
-		p.Usage = append(p.Usage, platform.TaskUsage{
+		p.Usage = append(p.Usage, external.TaskUsage{
 			Task: u.Task, Attempt: u.Attempt, AgeMs: int64(u.AgeMs),
 			Used:       record.Resources{CPUMilli: int64(u.CpuMilli), MemoryMB: int64(u.MemoryMb)},
 			SpeedMilli: int64(u.SpeedMilli), LatencyP99Us: int64(u.LatencyP99Us),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,10 +17,10 @@
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/config"
 	"github.com/verbenakeel/verbenakeel/core/route"
+	"github.com/verbenakeel/verbenakeel/external"
+	"github.com/verbenakeel/verbenakeel/external/stream"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
-	"github.com/verbenakeel/verbenakeel/platform"
-	"github.com/verbenakeel/verbenakeel/platform/stream"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
 	"github.com/verbenakeel/verbenakeel/settings"
@@ -62,7 +62,7 @@
 	// waiters holds the newest withheld poll of each worker.
 	waiters map[string]*waiter
 
-	platform     platform.Log
+	platform     external.Log
 	configWriter *stream.Writer
 	regionWriter *stream.Writer
 	submitWriter *stream.Writer
@@ -114,7 +114,7 @@
 }
 
 // New binds the listeners of an entry. Nothing is served before Run.
-func New(set settings.Entry, log platform.Log, out io.Writer) (*Entry, error) {
+func New(set settings.Entry, log external.Log, out io.Writer) (*Entry, error) {
 	start := time.Now()
 	e := &Entry{
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), incarnation: uint64(start.UnixMilli()), start: start,
@@ -371,5 +371,5 @@
 	if err == nil {
 		_ = e.waitFor(ctx, func(s *core.State) bool { return s.Region.Next > offset })
 	}
-	e.step(core.BatchSettled{Dropped: errors.Is(err, platform.ErrNotAppended)})
+	e.step(core.BatchSettled{Dropped: errors.Is(err, external.ErrNotAppended)})
 }
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -13,7 +13,7 @@
 	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/members"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/settings"
 )
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -15,9 +15,9 @@
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/external"
+	"github.com/verbenakeel/verbenakeel/external/stream"
 	"github.com/verbenakeel/verbenakeel/httpserver"
-	"github.com/verbenakeel/verbenakeel/platform"
-	"github.com/verbenakeel/verbenakeel/platform/stream"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -112,7 +112,7 @@
 		void = writers[w.ID()].Incarnation > e.incarnation
 	})
 	if void {
-		return fmt.Errorf("another run of entry %s writes to the log: %w", e.set.ID, platform.ErrNotAppended)
+		return fmt.Errorf("another run of entry %s writes to the log: %w", e.set.ID, external.ErrNotAppended)
 	}
 	return nil
 }
@@ -169,7 +169,7 @@
 
 // writeNotRecorded tells a customer or operator truly whether something may still take effect.
 func (e *Entry) writeNotRecorded(c *app.RequestContext, err error, what, ask string) {
-	if errors.Is(err, platform.ErrNotAppended) {
+	if errors.Is(err, external.ErrNotAppended) {
 		e.refuse(c, errdefs.New(errdefs.Unavailable, "the log does not take records, so the "+what+" was not accepted",
 			"try again after Retry-After"), true)
 		return
--- a/entry/jobs_test.go
+++ b/entry/jobs_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/verbenakeel/verbenakeel/core/tasks"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/httpserver"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
 )
 
 // jobsContract has the token "nilewater-token".
--- a/entry/logs.go
+++ b/entry/logs.go
@@ -5,18 +5,18 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/core"
-	"github.com/verbenakeel/verbenakeel/platform"
-	"github.com/verbenakeel/verbenakeel/platform/logclient"
+	"github.com/verbenakeel/verbenakeel/external"
+	"github.com/verbenakeel/verbenakeel/external/logclient"
 	"github.com/verbenakeel/verbenakeel/settings"
 )
 
 // logs is the log service of the region together with the one that holds the configuration of all regions.
-type logs struct{ region, config platform.Log }
+type logs struct{ region, config external.Log }
 
-var _ platform.Log = logs{}
+var _ external.Log = logs{}
 
 // LogOf returns the log that the settings name: stream config on platform.config_log, all others on platform.log.
-func LogOf(set settings.Entry) platform.Log {
+func LogOf(set settings.Entry) external.Log {
 	region := logclient.New(set.LogURL)
 	if set.ConfigLogURL == "" || set.ConfigLogURL == set.LogURL {
 		return region
@@ -24,20 +24,20 @@
 	return logs{region: region, config: logclient.New(set.ConfigLogURL)}
 }
 
-func (l logs) of(stream string) platform.Log {
+func (l logs) of(stream string) external.Log {
 	if stream == configStream {
 		return l.config
 	}
 	return l.region
 }
 
-// Append implements platform.Log.
+// Append implements external.Log.
 func (l logs) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	return l.of(stream).Append(ctx, stream, data)
 }
 
-// Read implements platform.Log.
-func (l logs) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Page, error) {
+// Read implements external.Log.
+func (l logs) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (external.Page, error) {
 	return l.of(stream).Read(ctx, stream, from, max, wait)
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -9,7 +9,7 @@
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/core/route"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/telemetry"
 )
@@ -29,7 +29,7 @@
 }
 
 // newMetrics sets up the instruments and wraps the log so that its calls are counted.
-func (e *Entry) newMetrics(log platform.Log) error {
+func (e *Entry) newMetrics(log external.Log) error {
 	r, err := telemetry.New()
 	if err != nil {
 		return err
--- a/entry/once.go
+++ b/entry/once.go
@@ -14,9 +14,9 @@
 	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/core/lifecycle"
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
-	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -145,7 +145,7 @@
 		err = e.waitFor(ctx, func(s *core.State) bool { return s.Claims.Next > offset })
 	}
 	if err != nil {
-		if !errors.Is(err, platform.ErrNotAppended) {
+		if !errors.Is(err, external.ErrNotAppended) {
 			// The claim may still reach the log. This entry never runs it, and says so on the log.
 			go e.keepAnswer(cl, nonce, result{notRun: true, err: err})
 		}
--- a/entry/reads.go
+++ b/entry/reads.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/core"
-	"github.com/verbenakeel/verbenakeel/platform"
-	"github.com/verbenakeel/verbenakeel/platform/stream"
+	"github.com/verbenakeel/verbenakeel/external"
+	"github.com/verbenakeel/verbenakeel/external/stream"
 )
 
 // Waits of reads for new records. A read returns as soon as there is one, so a wait bounds only how old the date of the
@@ -28,7 +28,7 @@
 
 // reads paces the reads of one stream.
 type reads struct {
-	platform.Log
+	external.Log
 	// longest is the wait that the follower assumes for its timeout, idle the wait of the next read if nothing is urgent.
 	longest time.Duration
 	idle    func() time.Duration
@@ -110,8 +110,8 @@
 	return max(0, most-r.lag)
 }
 
-// Read implements platform.Log. The wait asked for is replaced.
-func (r *reads) Read(ctx context.Context, name string, from uint64, limit int, _ time.Duration) (platform.Page, error) {
+// Read implements external.Log. The wait asked for is replaced.
+func (r *reads) Read(ctx context.Context, name string, from uint64, limit int, _ time.Duration) (external.Page, error) {
 	wait := r.idle()
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/entry/reads_test.go
+++ b/entry/reads_test.go
@@ -9,29 +9,29 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/core"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/settings"
 )
 
 // quietLog has no records: its reads wait as long as they may. A silent one does not answer at all.
 type quietLog struct {
-	platform.Log
+	external.Log
 	waits  []time.Duration
 	silent bool
 	// delay is added to every read.
 	delay time.Duration
 }
 
-func (l *quietLog) Read(ctx context.Context, _ string, _ uint64, _ int, wait time.Duration) (platform.Page, error) {
+func (l *quietLog) Read(ctx context.Context, _ string, _ uint64, _ int, wait time.Duration) (external.Page, error) {
 	l.waits = append(l.waits, wait)
 	if l.silent {
 		wait = time.Hour
 	}
 	select {
 	case <-time.After(wait + l.delay):
-		return platform.Page{First: 1, Next: 1}, nil
+		return external.Page{First: 1, Next: 1}, nil
 	case <-ctx.Done():
-		return platform.Page{}, ctx.Err()
+		return external.Page{}, ctx.Err()
 	}
 }
 
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/verbenakeel/verbenakeel/control"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/testkit/history"
--- a/entry/restart_test.go
+++ b/entry/restart_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/control"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 )
 
 // Guards against requests that are sent on kept connections to the earlier run of a side process that restarted. Their
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -10,8 +10,8 @@
 	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core"
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/external/stream"
 	"github.com/verbenakeel/verbenakeel/logevent"
-	"github.com/verbenakeel/verbenakeel/platform/stream"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -14,8 +14,8 @@
 	"github.com/verbenakeel/verbenakeel/core/config"
 	"github.com/verbenakeel/verbenakeel/core/tasks"
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/external/stream"
 	"github.com/verbenakeel/verbenakeel/logevent"
-	"github.com/verbenakeel/verbenakeel/platform/stream"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
--- a/platform/platform.go
+++ b/external/external.go
@@ -1,5 +1,5 @@
-// Package platform defines what verbenakeel needs from the platform: an append-only log and workers.
-package platform
+// Package external defines what verbenakeel needs from the platform: an append-only log and workers.
+package external
 
 import (
 	"context"
--- a/platform/logclient/logclient.go
+++ b/external/logclient/logclient.go
@@ -13,19 +13,19 @@
 	"net/url"
 	"time"
 
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 )
 
 // maxReply bounds one page in bytes.
 const maxReply = 64 << 20
 
-// Client is a platform.Log over HTTP.
+// Client is a external.Log over HTTP.
 type Client struct {
 	base string
 	http *http.Client
 }
 
-var _ platform.Log = (*Client)(nil)
+var _ external.Log = (*Client)(nil)
 
 // New returns a client of the log at the base URL.
 func New(base string) *Client {
@@ -49,11 +49,11 @@
 	Next    uint64   `json:"next"`
 }
 
-// Append implements platform.Log.
+// Append implements external.Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(stream, ""), bytes.NewReader(data))
 	if err != nil {
-		return 0, fmt.Errorf("append to %s: %w: %w", stream, platform.ErrNotAppended, err)
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, external.ErrNotAppended, err)
 	}
 	// A POST with this header set to nil is never repeated by the transport on a broken connection.
 	req.GetBody = nil
@@ -65,13 +65,13 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	switch {
 	case resp.StatusCode == http.StatusServiceUnavailable || refused(resp.StatusCode):
-		return 0, fmt.Errorf("append to %s: %w: %s", stream, platform.ErrNotAppended, body)
+		return 0, fmt.Errorf("append to %s: %w: %s", stream, external.ErrNotAppended, body)
 	case err != nil || resp.StatusCode != http.StatusOK:
-		return 0, fmt.Errorf("append to %s: %w", stream, platform.ErrOutcomeUnknown)
+		return 0, fmt.Errorf("append to %s: %w", stream, external.ErrOutcomeUnknown)
 	}
 	var a Appended
 	if err := json.Unmarshal(body, &a); err != nil {
-		return 0, fmt.Errorf("append to %s: %w: %w", stream, platform.ErrOutcomeUnknown, err)
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, external.ErrOutcomeUnknown, err)
 	}
 	return a.Offset, nil
 }
@@ -85,41 +85,41 @@
 func appendError(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return platform.ErrNotAppended
+		return external.ErrNotAppended
 	}
-	return platform.ErrOutcomeUnknown
+	return external.ErrOutcomeUnknown
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Page, error) {
+// Read implements external.Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (external.Page, error) {
 	query := fmt.Sprintf("?from=%d&max=%d&wait_ms=%d", from, max, wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream, query), nil)
 	if err != nil {
-		return platform.Page{}, fmt.Errorf("read %s: %w: %w", stream, platform.ErrLogDown, err)
+		return external.Page{}, fmt.Errorf("read %s: %w: %w", stream, external.ErrLogDown, err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return platform.Page{}, fmt.Errorf("read %s: %w: %w", stream, platform.ErrLogDown, err)
+		return external.Page{}, fmt.Errorf("read %s: %w: %w", stream, external.ErrLogDown, err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if err != nil || (resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone) {
-		return platform.Page{}, fmt.Errorf("read %s: %w: status %d", stream, platform.ErrLogDown, resp.StatusCode)
+		return external.Page{}, fmt.Errorf("read %s: %w: status %d", stream, external.ErrLogDown, resp.StatusCode)
 	}
 	return decodePage(stream, from, resp.StatusCode, body)
 }
 
-func decodePage(stream string, from uint64, status int, body []byte) (platform.Page, error) {
+func decodePage(stream string, from uint64, status int, body []byte) (external.Page, error) {
 	var p Page
 	if err := json.Unmarshal(body, &p); err != nil || len(p.Offsets) != len(p.Records) {
-		return platform.Page{}, fmt.Errorf("read %s: %w: the reply is malformed", stream, platform.ErrLogDown)
+		return external.Page{}, fmt.Errorf("read %s: %w: the reply is malformed", stream, external.ErrLogDown)
 	}
-	page := platform.Page{First: p.First, Next: p.Next}
+	page := external.Page{First: p.First, Next: p.Next}
 	for i, offset := range p.Offsets {
-		page.Entries = append(page.Entries, platform.Entry{Offset: offset, Data: p.Records[i]})
+		page.Entries = append(page.Entries, external.Entry{Offset: offset, Data: p.Records[i]})
 	}
 	if status == http.StatusGone {
-		return page, fmt.Errorf("read %s from %d: %w", stream, from, platform.ErrOffsetExpired)
+		return page, fmt.Errorf("read %s from %d: %w", stream, from, external.ErrOffsetExpired)
 	}
 	return page, nil
 }
--- a/platform/memlog/memlog.go
+++ b/external/memlog/memlog.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 )
 
 // Options are the limits of the log.
@@ -33,7 +33,7 @@
 }
 
 type kept struct {
-	platform.Entry
+	external.Entry
 	at time.Time
 }
 
@@ -44,7 +44,7 @@
 	grown   chan struct{}
 }
 
-// Log is an in-memory platform.Log.
+// Log is an in-memory external.Log.
 type Log struct {
 	opts    Options
 	limiter *rate.Limiter
@@ -54,7 +54,7 @@
 	streams map[string]*streamState
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ external.Log = (*Log)(nil)
 
 // New returns an empty log.
 func New(opts Options) *Log {
@@ -72,39 +72,39 @@
 	l.faults = f
 }
 
-// Append implements platform.Log.
+// Append implements external.Log.
 func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	if err := l.enter(ctx); err != nil {
-		return 0, fmt.Errorf("append to %s: %w: %w", stream, platform.ErrNotAppended, err)
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, external.ErrNotAppended, err)
 	}
 	if l.limiter != nil {
 		if err := l.limiter.Wait(ctx); err != nil {
-			return 0, fmt.Errorf("append to %s: %w: %w", stream, platform.ErrNotAppended, err)
+			return 0, fmt.Errorf("append to %s: %w: %w", stream, external.ErrNotAppended, err)
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return 0, fmt.Errorf("append to %s: %w", stream, platform.ErrNotAppended)
+		return 0, fmt.Errorf("append to %s: %w", stream, external.ErrNotAppended)
 	}
 	s := l.stream(stream)
 	offset := s.next
-	s.entries = append(s.entries, kept{platform.Entry{Offset: offset, Data: data}, time.Now()})
+	s.entries = append(s.entries, kept{external.Entry{Offset: offset, Data: data}, time.Now()})
 	s.next++
 	close(s.grown)
 	s.grown = make(chan struct{})
 	l.expire(s)
 	if l.faults.LoseReplies > 0 {
 		l.faults.LoseReplies--
-		return 0, fmt.Errorf("append to %s: %w", stream, platform.ErrOutcomeUnknown)
+		return 0, fmt.Errorf("append to %s: %w", stream, external.ErrOutcomeUnknown)
 	}
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Page, error) {
+// Read implements external.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (external.Page, error) {
 	if err := l.enter(ctx); err != nil {
-		return platform.Page{}, fmt.Errorf("read %s: %w: %w", stream, platform.ErrLogDown, err)
+		return external.Page{}, fmt.Errorf("read %s: %w: %w", stream, external.ErrLogDown, err)
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -119,22 +119,22 @@
 			page, _, err := l.readNow(stream, from, max)
 			return page, err
 		case <-ctx.Done():
-			return platform.Page{}, fmt.Errorf("read %s: %w: %w", stream, platform.ErrLogDown, ctx.Err())
+			return external.Page{}, fmt.Errorf("read %s: %w: %w", stream, external.ErrLogDown, ctx.Err())
 		}
 	}
 }
 
-func (l *Log) readNow(stream string, from uint64, max int) (platform.Page, <-chan struct{}, error) {
+func (l *Log) readNow(stream string, from uint64, max int) (external.Page, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return platform.Page{}, nil, fmt.Errorf("read %s: %w", stream, platform.ErrLogDown)
+		return external.Page{}, nil, fmt.Errorf("read %s: %w", stream, external.ErrLogDown)
 	}
 	s := l.stream(stream)
 	l.expire(s)
-	page := platform.Page{First: s.first, Next: s.next}
+	page := external.Page{First: s.first, Next: s.next}
 	if from < s.first {
-		return page, nil, fmt.Errorf("read %s from %d: %w", stream, from, platform.ErrOffsetExpired)
+		return page, nil, fmt.Errorf("read %s from %d: %w", stream, from, external.ErrOffsetExpired)
 	}
 	for i := from - s.first; i < uint64(len(s.entries)) && len(page.Entries) < max; i++ {
 		page.Entries = append(page.Entries, s.entries[i].Entry)
@@ -148,7 +148,7 @@
 	f := l.faults
 	l.mu.Unlock()
 	if f.Down {
-		return platform.ErrLogDown
+		return external.ErrLogDown
 	}
 	if f.DelayMs == 0 {
 		return nil
--- a/platform/stream/follower.go
+++ b/external/stream/follower.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -51,7 +51,7 @@
 // follower reads one stream. After a failed read it asks for fewer records and waits longer, so that it also gets past
 // records that are larger than usual, or a log that is slow.
 type follower struct {
-	log     platform.Log
+	log     external.Log
 	stream  string
 	opts    FollowOptions
 	h       Handler
@@ -61,7 +61,7 @@
 
 // Follow reads the stream from where the handler's state ends and hands every record to h until ctx ends. It returns an
 // error only for a record that it cannot read safely.
-func Follow(ctx context.Context, log platform.Log, stream string, opts FollowOptions, h Handler) error {
+func Follow(ctx context.Context, log external.Log, stream string, opts FollowOptions, h Handler) error {
 	f := &follower{log: log, stream: stream, opts: opts, h: h, size: opts.PageSize, timeout: opts.Timeout}
 	b := newBackOff(readPause)
 	for ctx.Err() == nil {
@@ -89,19 +89,19 @@
 func (f *follower) once(ctx context.Context) error {
 	sentAt, from := time.Now(), f.h.Next()
 	page, err := f.read(ctx, from)
-	if errors.Is(err, platform.ErrOffsetExpired) {
+	if errors.Is(err, external.ErrOffsetExpired) {
 		return f.restore(ctx, page)
 	}
 	if err != nil {
 		return err
 	}
 	if page.Next < from {
-		return fmt.Errorf("stream %s ends at %d, but records up to %d were read: %w", f.stream, page.Next, from, platform.ErrLogDown)
+		return fmt.Errorf("stream %s ends at %d, but records up to %d were read: %w", f.stream, page.Next, from, external.ErrLogDown)
 	}
 	next := from
 	for _, e := range page.Entries {
 		if e.Offset != next {
-			return fmt.Errorf("stream %s: offset %d follows %d: %w", f.stream, e.Offset, next, platform.ErrLogDown)
+			return fmt.Errorf("stream %s: offset %d follows %d: %w", f.stream, e.Offset, next, external.ErrLogDown)
 		}
 		rec, err := record.Decode(e.Data)
 		switch {
@@ -120,11 +120,11 @@
 	return nil
 }
 
-func (f *follower) read(ctx context.Context, from uint64) (platform.Page, error) {
+func (f *follower) read(ctx context.Context, from uint64) (external.Page, error) {
 	timed, cancel := context.WithTimeout(ctx, f.opts.Wait+f.timeout)
 	defer cancel()
 	page, err := f.log.Read(timed, f.stream, from, f.size, f.opts.Wait)
-	if err != nil && !errors.Is(err, platform.ErrOffsetExpired) {
+	if err != nil && !errors.Is(err, external.ErrOffsetExpired) {
 		f.size = max(1, f.size/4)
 		f.timeout = min(2*f.timeout, max(f.opts.MaxTimeout, f.opts.Timeout))
 		return page, err
@@ -136,7 +136,7 @@
 
 // restore scans the kept records for the newest whole snapshot and hands it over. The state stays as it is if there is
 // none: records between it and the oldest kept one are missing.
-func (f *follower) restore(ctx context.Context, page platform.Page) error {
+func (f *follower) restore(ctx context.Context, page external.Page) error {
 	var pieces Assembler
 	for from := page.First; from < page.Next; {
 		p, err := f.read(ctx, from)
@@ -160,7 +160,7 @@
 	}
 	offset, state, ok := pieces.Newest()
 	if !ok || offset < page.First {
-		return fmt.Errorf("stream %s: no whole snapshot among the kept records: %w", f.stream, platform.ErrOffsetExpired)
+		return fmt.Errorf("stream %s: no whole snapshot among the kept records: %w", f.stream, external.ErrOffsetExpired)
 	}
 	if err := f.h.Restore(offset, state); err != nil {
 		return fmt.Errorf("restore %s: %w", f.stream, err)
--- a/platform/stream/stream_test.go
+++ b/external/stream/stream_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
-	"github.com/verbenakeel/verbenakeel/platform"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -21,7 +21,7 @@
 
 func (hungLog) Append(ctx context.Context, _ string, _ []byte) (uint64, error) {
 	<-ctx.Done()
-	return 0, platform.ErrOutcomeUnknown
+	return 0, external.ErrOutcomeUnknown
 }
 
 func options() WriterOptions {
@@ -113,7 +113,7 @@
 		log.SetFaults(memlog.Faults{Down: true})
 		began := time.Now()
 		_, err := down.Write(ctx, submit("a"))
-		assert.Assert(t, errors.Is(err, platform.ErrNotAppended), "%v", err)
+		assert.Assert(t, errors.Is(err, external.ErrNotAppended), "%v", err)
 		assert.Equal(t, time.Since(began), time.Duration(0))
 
 		hung := NewWriter(hungLog{log}, "s", options())
@@ -123,27 +123,27 @@
 		defer cancel()
 		results.Go(func() {
 			_, err := hung.Write(first, submit("b"))
-			assert.Check(t, errors.Is(err, platform.ErrOutcomeUnknown), "%v", err)
+			assert.Check(t, errors.Is(err, external.ErrOutcomeUnknown), "%v", err)
 		})
 		results.Go(func() {
 			time.Sleep(time.Second)
 			waiting, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 			defer cancel()
 			_, err := hung.Write(waiting, submit("c"))
-			assert.Check(t, errors.Is(err, platform.ErrNotAppended), "waiting behind the unknown record: %v", err)
+			assert.Check(t, errors.Is(err, external.ErrNotAppended), "waiting behind the unknown record: %v", err)
 		})
 		results.Go(func() {
 			time.Sleep(4 * time.Second)
 			began := time.Now()
 			_, err := hung.Write(ctx, submit("d"))
-			assert.Check(t, errors.Is(err, platform.ErrNotAppended), "%v", err)
+			assert.Check(t, errors.Is(err, external.ErrNotAppended), "%v", err)
 			assert.Check(t, time.Since(began) == 0)
 		})
 		results.Wait()
 		stop()
 		synctest.Wait()
 		_, err = hung.Write(t.Context(), submit("e"))
-		assert.Assert(t, errors.Is(err, platform.ErrNotAppended), "after the writer stopped: %v", err)
+		assert.Assert(t, errors.Is(err, external.ErrNotAppended), "after the writer stopped: %v", err)
 	})
 }
 
@@ -152,7 +152,7 @@
 	w := NewWriter(memlog.New(memlog.Options{}), "s", options())
 	w.Supersede()
 	_, err := w.Write(t.Context(), submit("a"))
-	assert.Assert(t, errors.Is(err, platform.ErrNotAppended))
+	assert.Assert(t, errors.Is(err, external.ErrNotAppended))
 }
 
 // Guards against a reader that goes on from records that are kept although older ones are missing.
@@ -188,13 +188,13 @@
 // slowLog needs time for each record of a page.
 type slowLog struct{ *memlog.Log }
 
-func (l slowLog) Read(ctx context.Context, s string, from uint64, n int, wait time.Duration) (platform.Page, error) {
+func (l slowLog) Read(ctx context.Context, s string, from uint64, n int, wait time.Duration) (external.Page, error) {
 	page, err := l.Log.Read(ctx, s, from, n, wait)
 	select {
 	case <-time.After(time.Duration(len(page.Entries)) * 2 * time.Second):
 		return page, err
 	case <-ctx.Done():
-		return platform.Page{}, platform.ErrLogDown
+		return external.Page{}, external.ErrLogDown
 	}
 }
 
--- a/platform/stream/writer.go
+++ b/external/stream/writer.go
@@ -11,7 +11,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -77,7 +77,7 @@
 // Writer groups parts of records and appends them with one append in flight, so that sequence numbers reach the log in
 // order.
 type Writer struct {
-	log    platform.Log
+	log    external.Log
 	stream string
 	opts   WriterOptions
 	queue  chan *part
@@ -91,7 +91,7 @@
 }
 
 // NewWriter returns a writer. Run must be running for writes to proceed.
-func NewWriter(log platform.Log, stream string, opts WriterOptions) *Writer {
+func NewWriter(log external.Log, stream string, opts WriterOptions) *Writer {
 	return &Writer{log: log, stream: stream, opts: opts, queue: make(chan *part, maxPending), closed: make(chan struct{})}
 }
 
@@ -111,7 +111,7 @@
 	if !p.single() {
 		data, err := record.Encode(&rec)
 		if err != nil {
-			return 0, fmt.Errorf("write to %s: %w: %w", w.stream, platform.ErrNotAppended, err)
+			return 0, fmt.Errorf("write to %s: %w: %w", w.stream, external.ErrNotAppended, err)
 		}
 		p.size = len(data)
 	}
@@ -143,19 +143,19 @@
 }
 
 func (w *Writer) notAppended(reason string) error {
-	return fmt.Errorf("write to %s: %s: %w", w.stream, reason, platform.ErrNotAppended)
+	return fmt.Errorf("write to %s: %s: %w", w.stream, reason, external.ErrNotAppended)
 }
 
 // withdraw takes a part back that is not in a record yet. One that is has an unknown outcome unless it settled just now.
 func (w *Writer) withdraw(p *part, cause error) (uint64, error) {
 	if p.state.CompareAndSwap(partWaiting, partWithdrawn) {
-		return 0, fmt.Errorf("write to %s: %w: %w", w.stream, platform.ErrNotAppended, cause)
+		return 0, fmt.Errorf("write to %s: %w: %w", w.stream, external.ErrNotAppended, cause)
 	}
 	select {
 	case r := <-p.done:
 		return r.offset, r.err
 	default:
-		return 0, fmt.Errorf("write to %s: %w: %w", w.stream, platform.ErrOutcomeUnknown, cause)
+		return 0, fmt.Errorf("write to %s: %w: %w", w.stream, external.ErrOutcomeUnknown, cause)
 	}
 }
 
@@ -251,7 +251,7 @@
 	rec.Writer, rec.Incarnation, rec.AtMs = w.opts.ID, w.opts.Incarnation, w.opts.WallMs()
 	data, err := record.Encode(rec)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrNotAppended, err)
+		return 0, fmt.Errorf("%w: %w", external.ErrNotAppended, err)
 	}
 	if err := w.opts.Budget.wait(ctx, w.opts.Bulk); err != nil {
 		return 0, w.notAppended(err.Error())
@@ -270,7 +270,7 @@
 			w.mu.Unlock()
 			return offset, nil
 		}
-		if !errors.Is(err, platform.ErrNotAppended) {
+		if !errors.Is(err, external.ErrNotAppended) {
 			w.unknownSince.CompareAndSwap(0, time.Now().UnixNano())
 		}
 		if w.unknownSince.Load() == 0 {
@@ -279,7 +279,7 @@
 		select {
 		case <-time.After(b.NextBackOff()):
 		case <-ctx.Done():
-			return 0, fmt.Errorf("append to %s: %w: %w", w.stream, platform.ErrOutcomeUnknown, ctx.Err())
+			return 0, fmt.Errorf("append to %s: %w: %w", w.stream, external.ErrOutcomeUnknown, ctx.Err())
 		}
 	}
 }
--- a/platform/workerclient/workerclient.go
+++ b/external/workerclient/workerclient.go
@@ -11,19 +11,19 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 )
 
 // maxReply bounds a reply of the worker in bytes.
 const maxReply = 8 << 20
 
-// Client is a platform.Worker over HTTP.
+// Client is a external.Worker over HTTP.
 type Client struct {
 	base string
 	http *http.Client
 }
 
-var _ platform.Worker = (*Client)(nil)
+var _ external.Worker = (*Client)(nil)
 
 // New returns a client of the worker at the base URL.
 func New(base string) *Client {
@@ -41,42 +41,42 @@
 // Renewal extends leases in requests.
 type Renewal struct {
 	Epoch  uint64           `json:"epoch"`
-	Leases []platform.Lease `json:"leases"`
+	Leases []external.Lease `json:"leases"`
 }
 
-// Status implements platform.Worker.
-func (c *Client) Status(ctx context.Context) (platform.WorkerStatus, error) {
-	var s platform.WorkerStatus
+// Status implements external.Worker.
+func (c *Client) Status(ctx context.Context) (external.WorkerStatus, error) {
+	var s external.WorkerStatus
 	err := c.call(ctx, http.MethodGet, "/status", nil, &s)
 	return s, err
 }
 
-// Start implements platform.Worker.
-func (c *Client) Start(ctx context.Context, spec platform.TaskSpec) error {
+// Start implements external.Worker.
+func (c *Client) Start(ctx context.Context, spec external.TaskSpec) error {
 	return c.call(ctx, http.MethodPost, "/start", spec, nil)
 }
 
-// Renew implements platform.Worker.
-func (c *Client) Renew(ctx context.Context, epoch uint64, leases []platform.Lease) error {
+// Renew implements external.Worker.
+func (c *Client) Renew(ctx context.Context, epoch uint64, leases []external.Lease) error {
 	return c.call(ctx, http.MethodPost, "/renew", Renewal{Epoch: epoch, Leases: leases}, nil)
 }
 
-// Checkpoint implements platform.Worker.
+// Checkpoint implements external.Worker.
 func (c *Client) Checkpoint(ctx context.Context, task string, attempt uint32, reason string) error {
 	return c.call(ctx, http.MethodPost, "/checkpoint", Attempt{Task: task, Attempt: attempt, Reason: reason}, nil)
 }
 
-// Stop implements platform.Worker.
+// Stop implements external.Worker.
 func (c *Client) Stop(ctx context.Context, task string, attempt uint32, reason string) error {
 	return c.call(ctx, http.MethodPost, "/stop", Attempt{Task: task, Attempt: attempt, Reason: reason}, nil)
 }
 
-// Throttle implements platform.Worker.
+// Throttle implements external.Worker.
 func (c *Client) Throttle(ctx context.Context, task string, attempt uint32, shareMilli int64) error {
 	return c.call(ctx, http.MethodPost, "/throttle", Attempt{Task: task, Attempt: attempt, ShareMilli: shareMilli}, nil)
 }
 
-// Forget implements platform.Worker.
+// Forget implements external.Worker.
 func (c *Client) Forget(ctx context.Context, task string, attempt uint32) error {
 	return c.call(ctx, http.MethodPost, "/forget", Attempt{Task: task, Attempt: attempt}, nil)
 }
--- a/integration/fault_pause_test.go
+++ b/integration/fault_pause_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform/logclient"
+	"github.com/verbenakeel/verbenakeel/external/logclient"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 )
--- a/integration/fault_recover_test.go
+++ b/integration/fault_recover_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 	"github.com/verbenakeel/verbenakeel/testkit/history"
--- a/integration/fault_replies_test.go
+++ b/integration/fault_replies_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/httpserver"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 )
 
--- a/integration/fault_twice_test.go
+++ b/integration/fault_twice_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 )
 
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 	"github.com/verbenakeel/verbenakeel/testkit/launch"
 )
--- a/integration/request_once_test.go
+++ b/integration/request_once_test.go
@@ -8,8 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/httpserver"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 	"github.com/verbenakeel/verbenakeel/testkit/faultproxy"
 	"github.com/verbenakeel/verbenakeel/testkit/history"
--- a/integration/state_test.go
+++ b/integration/state_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/standin"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
--- a/side/side.go
+++ b/side/side.go
@@ -15,10 +15,10 @@
 	"github.com/verbenakeel/verbenakeel/core/claims"
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/slots"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/internal/rule"
 	"github.com/verbenakeel/verbenakeel/logevent"
-	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/telemetry"
 	"github.com/verbenakeel/verbenakeel/tlsconf"
@@ -49,7 +49,7 @@
 	endpoint *httpserver.Pool
 	once     *httpserver.Pool
 	rpc      *http.Client
-	worker   platform.Worker
+	worker   external.Worker
 
 	mu          sync.Mutex
 	incarnation uint64
@@ -89,7 +89,7 @@
 }
 
 // New binds the listener of a side process. worker may be nil if the instance has none.
-func New(set settings.Side, worker platform.Worker, out io.Writer) (*Side, error) {
+func New(set settings.Side, worker external.Worker, out io.Writer) (*Side, error) {
 	start := time.Now()
 	s := &Side{
 		set: set, log: logevent.New(out, set.LogLevel, set.ID), start: start, worker: worker,
--- a/side/sync.go
+++ b/side/sync.go
@@ -6,8 +6,8 @@
 
 	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core/holder"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/logevent"
-	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -89,7 +89,7 @@
 	return true
 }
 
-func (y *syncer) status(ctx context.Context) (platform.WorkerStatus, error) {
+func (y *syncer) status(ctx context.Context) (external.WorkerStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
 	defer cancel()
 	return y.s.worker.Status(ctx)
@@ -151,7 +151,7 @@
 func (y *syncer) watchEnds(ctx context.Context, p holder.Poll) bool {
 	running := make(map[holder.Renewal]bool)
 	for _, t := range p.Status.Tasks {
-		if t.State == platform.TaskRunning {
+		if t.State == external.TaskRunning {
 			running[holder.Renewal{Task: t.Task, Attempt: t.Attempt}] = true
 		}
 	}
@@ -171,7 +171,7 @@
 			continue
 		}
 		for _, s := range status.Tasks {
-			if s.State != platform.TaskRunning && running[holder.Renewal{Task: s.Task, Attempt: s.Attempt}] {
+			if s.State != external.TaskRunning && running[holder.Renewal{Task: s.Task, Attempt: s.Attempt}] {
 				return true
 			}
 		}
@@ -195,7 +195,7 @@
 		r.Held = append(r.Held, &control.HeldTask{Task: h.Task, Attempt: h.Attempt})
 	}
 	for _, t := range p.Status.Tasks {
-		if t.State == platform.TaskRunning {
+		if t.State == external.TaskRunning {
 			continue
 		}
 		r.Ended = append(r.Ended, &control.EndedTask{
@@ -228,7 +228,7 @@
 		HeldKnown: resp.HeldKnown, UsageKnown: resp.UsageKnown,
 	}
 	for _, t := range resp.Starts {
-		spec := platform.TaskSpec{
+		spec := external.TaskSpec{
 			Task: t.Task, Attempt: t.Attempt, Customer: t.Customer, Kind: record.JobKind(t.Kind),
 			CheckpointMs: int64(t.CheckpointMs), RunMs: int64(t.RunMs), Command: t.Command,
 		}
--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/verbenakeel/verbenakeel/control"
 	"github.com/verbenakeel/verbenakeel/core/holder"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/standin"
@@ -53,7 +53,7 @@
 	s, err := New(set, worker, io.Discard)
 	assert.NilError(t, err)
 	s.rpc = &http.Client{}
-	assert.NilError(t, worker.Start(t.Context(), platform.TaskSpec{Task: "c/j#0", Attempt: 1, Epoch: 1, ExpiresMs: 60_000, StartByMs: 60_000}))
+	assert.NilError(t, worker.Start(t.Context(), external.TaskSpec{Task: "c/j#0", Attempt: 1, Epoch: 1, ExpiresMs: 60_000, StartByMs: 60_000}))
 	y := &syncer{s: s, state: holder.New(), wait: 3 * time.Second}
 	for _, step := range []struct {
 		name          string
--- a/slopes/kept.go
+++ b/slopes/kept.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/core/claims"
-	"github.com/verbenakeel/verbenakeel/platform/logclient"
+	"github.com/verbenakeel/verbenakeel/external/logclient"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 )
--- a/slopes/loaded.go
+++ b/slopes/loaded.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform/logclient"
+	"github.com/verbenakeel/verbenakeel/external/logclient"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/testkit/deploy"
 	"github.com/verbenakeel/verbenakeel/testkit/load"
--- a/slopes/region.go
+++ b/slopes/region.go
@@ -11,7 +11,7 @@
 	"github.com/verbenakeel/verbenakeel/core/clock"
 	"github.com/verbenakeel/verbenakeel/core/decider"
 	"github.com/verbenakeel/verbenakeel/core/holder"
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/scheduler"
 )
@@ -212,7 +212,7 @@
 	for id, a := range h.held {
 		p.Held = append(p.Held, holder.Renewal{Task: id, Attempt: a.n})
 		if withUsage {
-			p.Usage = append(p.Usage, platform.TaskUsage{Task: id, Attempt: a.n, AgeMs: usageAge, Used: a.size, SpeedMilli: 1000})
+			p.Usage = append(p.Usage, external.TaskUsage{Task: id, Attempt: a.n, AgeMs: usageAge, Used: a.size, SpeedMilli: 1000})
 		}
 	}
 	sort.Slice(p.Held, func(i, j int) bool { return p.Held[i].Task < p.Held[j].Task })
--- a/standin/log.go
+++ b/standin/log.go
@@ -11,10 +11,10 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/verbenakeel/verbenakeel/external"
+	"github.com/verbenakeel/verbenakeel/external/logclient"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/httpserver"
-	"github.com/verbenakeel/verbenakeel/platform"
-	"github.com/verbenakeel/verbenakeel/platform/logclient"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
 )
 
 // LogServer serves a memlog.Log over HTTP.
@@ -43,7 +43,7 @@
 	switch {
 	case err == nil:
 		httpserver.JSON(c, 200, logclient.Appended{Offset: offset})
-	case errors.Is(err, platform.ErrNotAppended):
+	case errors.Is(err, external.ErrNotAppended):
 		c.String(503, err.Error())
 	default:
 		// A reply that was lost is shown by a closed connection.
@@ -62,7 +62,7 @@
 	}
 	page, err := s.log.Read(ctx, c.Param("stream"), from, limit, time.Duration(wait)*time.Millisecond)
 	status := 200
-	if errors.Is(err, platform.ErrOffsetExpired) {
+	if errors.Is(err, external.ErrOffsetExpired) {
 		status = 410
 	} else if err != nil {
 		c.String(503, err.Error())
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/internal/rule"
-	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -43,7 +43,7 @@
 
 // attempt is one attempt on the worker.
 type attempt struct {
-	platform.TaskStatus
+	external.TaskStatus
 	startedMs int64
 	movedMs   int64
 	share     int64
@@ -91,7 +91,7 @@
 	history []TaskEvent
 }
 
-var _ platform.Worker = (*Worker)(nil)
+var _ external.Worker = (*Worker)(nil)
 
 // NewWorker returns an empty worker.
 func NewWorker(opts WorkerOptions) *Worker {
@@ -123,12 +123,12 @@
 func (w *Worker) advance() {
 	now := w.nowMs()
 	for _, a := range w.tasks {
-		if a.State == platform.TaskRunning && now >= a.ExpiresMs {
+		if a.State == external.TaskRunning && now >= a.ExpiresMs {
 			w.finish(a, record.Lapsed, "the lease ended")
 		}
 	}
 	for _, a := range w.tasks {
-		if a.State == platform.TaskRunning {
+		if a.State == external.TaskRunning {
 			w.move(a, now)
 		}
 	}
@@ -156,7 +156,7 @@
 func (w *Worker) speed(a *attempt) int64 {
 	noise := int64(0)
 	for _, o := range w.tasks {
-		if o != a && o.State == platform.TaskRunning {
+		if o != a && o.State == external.TaskRunning {
 			noise += o.params.noise * o.share / 1000
 		}
 	}
@@ -164,7 +164,7 @@
 }
 
 func (w *Worker) finish(a *attempt, outcome record.Outcome, reason string) {
-	a.State, a.Outcome, a.Reason = platform.TaskEnded, outcome, reason
+	a.State, a.Outcome, a.Reason = external.TaskEnded, outcome, reason
 	if outcome == record.Checkpointed || outcome == record.Lapsed {
 		a.SavedMs = a.ProgressMs
 	}
@@ -190,16 +190,16 @@
 	return append([]TaskEvent{}, w.history...)
 }
 
-// Status implements platform.Worker.
-func (w *Worker) Status(context.Context) (platform.WorkerStatus, error) {
+// Status implements external.Worker.
+func (w *Worker) Status(context.Context) (external.WorkerStatus, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	s := platform.WorkerStatus{NowMs: w.nowMs(), Capacity: w.opts.Capacity, Epoch: w.epoch}
+	s := external.WorkerStatus{NowMs: w.nowMs(), Capacity: w.opts.Capacity, Epoch: w.epoch}
 	for _, a := range w.tasks {
 		s.Tasks = append(s.Tasks, a.TaskStatus)
-		if a.State == platform.TaskRunning {
-			s.Usage = append(s.Usage, platform.TaskUsage{
+		if a.State == external.TaskRunning {
+			s.Usage = append(s.Usage, external.TaskUsage{
 				Task: a.Task, Attempt: a.Attempt, AgeMs: w.opts.UsageLag.Milliseconds(), Used: a.Size, SpeedMilli: w.speed(a),
 			})
 		}
@@ -207,8 +207,8 @@
 	return s, nil
 }
 
-// Start implements platform.Worker.
-func (w *Worker) Start(_ context.Context, spec platform.TaskSpec) error {
+// Start implements external.Worker.
+func (w *Worker) Start(_ context.Context, spec external.TaskSpec) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
@@ -220,14 +220,14 @@
 		if old.Attempt == spec.Attempt {
 			return nil
 		}
-		if old.Attempt > spec.Attempt || old.State == platform.TaskRunning {
+		if old.Attempt > spec.Attempt || old.State == external.TaskRunning {
 			return errdefs.New(errdefs.Refused, fmt.Sprintf("attempt %d is here", old.Attempt), "stop it first")
 		}
 	}
 	if now >= spec.StartByMs {
 		return errdefs.New(errdefs.Refused, "the permit has ended", "ask the decider again")
 	}
-	a := &attempt{TaskStatus: platform.TaskStatus{TaskSpec: spec, State: platform.TaskRunning}, share: 1000, params: parseParams(spec.Command)}
+	a := &attempt{TaskStatus: external.TaskStatus{TaskSpec: spec, State: external.TaskRunning}, share: 1000, params: parseParams(spec.Command)}
 	a.startedMs, a.movedMs = now, now
 	a.ProgressMs, a.SavedMs = spec.CheckpointMs, spec.CheckpointMs
 	w.tasks[spec.Task] = a
@@ -235,8 +235,8 @@
 	return nil
 }
 
-// Renew implements platform.Worker.
-func (w *Worker) Renew(_ context.Context, epoch uint64, leases []platform.Lease) error {
+// Renew implements external.Worker.
+func (w *Worker) Renew(_ context.Context, epoch uint64, leases []external.Lease) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
@@ -260,12 +260,12 @@
 	return nil
 }
 
-// Checkpoint implements platform.Worker.
+// Checkpoint implements external.Worker.
 func (w *Worker) Checkpoint(_ context.Context, task string, n uint32, reason string) error {
 	return w.endNow(task, n, record.Checkpointed, reason)
 }
 
-// Stop implements platform.Worker.
+// Stop implements external.Worker.
 func (w *Worker) Stop(_ context.Context, task string, n uint32, reason string) error {
 	return w.endNow(task, n, record.Stopped, reason)
 }
@@ -274,13 +274,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	if a := w.tasks[task]; a != nil && a.Attempt == n && a.State == platform.TaskRunning {
+	if a := w.tasks[task]; a != nil && a.Attempt == n && a.State == external.TaskRunning {
 		w.finish(a, outcome, reason)
 	}
 	return nil
 }
 
-// Throttle implements platform.Worker.
+// Throttle implements external.Worker.
 func (w *Worker) Throttle(_ context.Context, task string, n uint32, shareMilli int64) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -290,11 +290,11 @@
 	return nil
 }
 
-// Forget implements platform.Worker.
+// Forget implements external.Worker.
 func (w *Worker) Forget(_ context.Context, task string, n uint32) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if a := w.tasks[task]; a != nil && a.Attempt == n && a.State == platform.TaskEnded {
+	if a := w.tasks[task]; a != nil && a.Attempt == n && a.State == external.TaskEnded {
 		delete(w.tasks, task)
 	}
 	return nil
--- a/standin/workerserver.go
+++ b/standin/workerserver.go
@@ -6,8 +6,8 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/verbenakeel/verbenakeel/external/workerclient"
 	"github.com/verbenakeel/verbenakeel/httpserver"
-	"github.com/verbenakeel/verbenakeel/platform/workerclient"
 )
 
 // WorkerServer serves a Worker over HTTP.
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -6,12 +6,12 @@
 	"sync"
 	"time"
 
-	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/external"
 )
 
 // Log counts the calls to a platform's log and remembers when each stream was read.
 type Log struct {
-	platform.Log
+	external.Log
 	appends Histogram
 
 	mu   sync.Mutex
@@ -19,17 +19,17 @@
 }
 
 // NewLog wraps a log.
-func NewLog(log platform.Log, appends Histogram) *Log {
+func NewLog(log external.Log, appends Histogram) *Log {
 	return &Log{Log: log, appends: appends, read: make(map[string]time.Time)}
 }
 
-// Append implements platform.Log.
+// Append implements external.Log.
 func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	start := time.Now()
 	offset, err := l.Log.Append(ctx, stream, data)
 	outcome := "appended"
 	switch {
-	case errors.Is(err, platform.ErrNotAppended):
+	case errors.Is(err, external.ErrNotAppended):
 		outcome = "not_appended"
 	case err != nil:
 		outcome = "unknown"
@@ -38,8 +38,8 @@
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements external.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (external.Page, error) {
 	sent := time.Now()
 	page, err := l.Log.Read(ctx, stream, from, limit, wait)
 	if err == nil {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
+	"github.com/verbenakeel/verbenakeel/external"
 	"github.com/verbenakeel/verbenakeel/internal/doctable"
-	"github.com/verbenakeel/verbenakeel/platform"
 )
 
 // Guards against metrics that are missing from the catalogue page, or described there differently.
@@ -71,14 +71,14 @@
 }
 
 // failing is a log whose reads fail.
-type failing struct{ platform.Log }
+type failing struct{ external.Log }
 
-func (failing) Read(context.Context, string, uint64, int, time.Duration) (platform.Page, error) {
-	return platform.Page{}, platform.ErrLogDown
+func (failing) Read(context.Context, string, uint64, int, time.Duration) (external.Page, error) {
+	return external.Page{}, external.ErrLogDown
 }
 
 func (failing) Append(context.Context, string, []byte) (uint64, error) {
-	return 0, platform.ErrOutcomeUnknown
+	return 0, external.ErrOutcomeUnknown
 }
 
 // Guards against a failed read that makes the log look fresh.
@@ -89,8 +89,8 @@
 	assert.NilError(t, err)
 	l := NewLog(failing{}, h)
 	_, err = l.Read(t.Context(), "config", 1, 1, 0)
-	assert.Assert(t, errors.Is(err, platform.ErrLogDown))
+	assert.Assert(t, errors.Is(err, external.ErrLogDown))
 	assert.Equal(t, len(l.Ages()), 0)
 	_, err = l.Append(t.Context(), "config", nil)
-	assert.Assert(t, errors.Is(err, platform.ErrOutcomeUnknown))
+	assert.Assert(t, errors.Is(err, external.ErrOutcomeUnknown))
 }
--- a/testkit/deploy/deploy.go
+++ b/testkit/deploy/deploy.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/testkit/faultproxy"
 	"github.com/verbenakeel/verbenakeel/testkit/launch"
 )
--- a/testkit/deploy/embed.go
+++ b/testkit/deploy/embed.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/entry"
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
-	"github.com/verbenakeel/verbenakeel/platform/workerclient"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
+	"github.com/verbenakeel/verbenakeel/external/workerclient"
 	"github.com/verbenakeel/verbenakeel/record"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/side"
--- a/testkit/deploy/roles.go
+++ b/testkit/deploy/roles.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/verbenakeel/verbenakeel/platform/memlog"
+	"github.com/verbenakeel/verbenakeel/external/memlog"
 	"github.com/verbenakeel/verbenakeel/testkit/launch"
 )
 
