--- /dev/null
+++ b/cmd/verbenakeel-fleet/main.go
@@ -0,0 +1,138 @@
+// Command verbenakeel-fleet runs an entry or a side process on the users' platform.
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/verbenakeel/verbenakeel/daemon"
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/fleet/entry"
+	"github.com/verbenakeel/verbenakeel/fleet/side"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/telemetry"
+)
+
+type roleArgs struct {
+	Settings string `arg:"--settings" help:"INI file with the settings; by default the one that the platform names"`
+}
+
+type args struct {
+	Entry *roleArgs `arg:"subcommand:entry" help:"run an entry"`
+	Side  *roleArgs `arg:"subcommand:side" help:"run the side process of a worker"`
+}
+
+// Description implements arg.Described.
+func (args) Description() string { return "Runs a process of verbenakeel on the users' platform." }
+
+const (
+	// memoryShare is the part of the memory limit at which the garbage collector works harder.
+	memoryShare = 0.6
+	// gcPercent lets the heap grow by half between collections: memory at its peak has a price, and heaps are small.
+	gcPercent = 50
+)
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	switch {
+	case a.Entry != nil:
+		daemon.Exit(run(a.Entry.Settings, true))
+	case a.Side != nil:
+		daemon.Exit(run(a.Side.Settings, false))
+	default:
+		p.Fail("name a role: entry or side")
+	}
+}
+
+func run(path string, isEntry bool) error {
+	path = platform.SettingsPath(path)
+	set, err := settings.LoadFleet(path, isEntry)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(float64(set.MemoryMB) * memoryShare * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
+	queue := logevent.NewQueue(os.Stdout, func(n uint64) []byte {
+		return logevent.Line(set.Instance, logevent.LinesDropped, logevent.Int("lines", n))
+	})
+	defer queue.Close()
+	log := logevent.New(queue, set.LogLevel, set.Instance)
+	registry, err := telemetry.New()
+	if err != nil {
+		return err
+	}
+	if err := registry.Gauges([]*telemetry.Desc{telemetry.FleetDropped}, func(observe telemetry.Set) {
+		observe(telemetry.FleetDropped, float64(queue.Dropped()))
+	}); err != nil {
+		return err
+	}
+	if err := serveMetrics(set.Metrics, registry); err != nil {
+		return err
+	}
+	ctx, stop := daemon.Context()
+	defer stop()
+	go watchSettings(ctx, path, isEntry, set, log)
+	store := platform.NewStore(set.Store)
+	if isEntry {
+		m, err := entry.NewMeters(registry)
+		if err != nil {
+			return err
+		}
+		e, err := entry.New(set, store, log, m)
+		if err != nil {
+			return err
+		}
+		return e.Run(ctx)
+	}
+	m, err := side.NewMeters(registry)
+	if err != nil {
+		return err
+	}
+	s, err := side.New(set, store, log, m)
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
+
+// serveMetrics serves metrics if an address is set.
+func serveMetrics(address string, registry *telemetry.Registry) error {
+	if address == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("serve metrics: %w", errdefs.New(errdefs.Unavailable, err.Error(), "choose a free address in the settings"))
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", registry.Handler())
+	go func() { _ = http.Serve(ln, mux) }()
+	return nil
+}
+
+// describe lists the settings that differ.
+func describe(a, b settings.Fleet) string {
+	var changes []string
+	if a.LogLevel != b.LogLevel {
+		changes = append(changes, "log_level")
+	}
+	if a.Bounds != b.Bounds {
+		changes = append(changes, "bounds")
+	}
+	if a.Store != b.Store || a.Adviser != b.Adviser {
+		changes = append(changes, "services")
+	}
+	if len(changes) == 0 {
+		return "nothing that is used has changed"
+	}
+	return strings.Join(changes, ", ") + " changed; in force from the next start on"
+}
--- /dev/null
+++ b/fleet/bounds/bounds.go
@@ -0,0 +1,59 @@
+// Package bounds derives the times of the system from the bounds in the settings.
+package bounds
+
+import "time"
+
+// Bounds are the figures of a deployment. Later fields follow from the earlier ones by Derive.
+type Bounds struct {
+	// HoldMax is the longest lease that workers grant.
+	HoldMax time.Duration
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// Stop is the longest time that a stop of a run takes.
+	Stop time.Duration
+	// GangWait is how long members of a gang wait for each other.
+	GangWait time.Duration
+	// Harm is how long a task that serves may be over its target.
+	Harm time.Duration
+	// Notice is how long a lasting task may take to be at work.
+	Notice time.Duration
+	// Status is how long the state of an ended job is kept.
+	Status time.Duration
+	// FarFactor is how much longer a task takes away from its rack.
+	FarFactor float64
+	// Checkpoint is the work between two checkpoints, Restore the time to resume from one.
+	Checkpoint, Restore time.Duration
+	// Visible is how old the length of a queue may be.
+	Visible time.Duration
+
+	// Lease is how long a worker may go on without word of a decider.
+	Lease time.Duration
+	// Lead is how long a decider may act without word of the store.
+	Lead time.Duration
+	// ClaimAfter is the silence of the decider after which another entry claims.
+	ClaimAfter time.Duration
+}
+
+const (
+	// shareOfHold is the part of the longest lease that is used, so that a renewal that is late by a third does no harm.
+	shareOfHold = 0.66
+	// leaseLeast and leaseMost bound the lease: it outlives two lost pings and a change of the decider, and work on an
+	// instance that is gone is back before a user misses it.
+	leaseLeast = 1500 * time.Millisecond
+	leaseMost  = 4 * time.Second
+	// leadMost bounds the time without the store. Together with the lease it outlives an outage of 9 s.
+	leadMost = 5 * time.Second
+	// claimAfter is three signs of life and one slow answer of the store.
+	claimAfter = 1800 * time.Millisecond
+)
+
+// ClockSlack is how much longer a lease may last on a worker's slow clock: 2%, and the granularity of timers.
+func ClockSlack(lease time.Duration) time.Duration { return lease/50 + 100*time.Millisecond }
+
+// Derive returns b with the derived fields set.
+func (b Bounds) Derive() Bounds {
+	b.Lease = min(max(time.Duration(float64(b.HoldMax)*shareOfHold), leaseLeast), leaseMost)
+	b.Lead = leadMost
+	b.ClaimAfter = claimAfter
+	return b
+}
--- /dev/null
+++ b/fleet/dispatch/place.go
@@ -0,0 +1,357 @@
+package dispatch
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+)
+
+const (
+	// lateFactor times its objective is how late a job may end and still be worth something.
+	lateFactor = 3
+	// fillerBesideServing is the cost of putting a filler beside tasks that serve, in shares of its duration.
+	fillerBesideServing = 0.5
+	// fillerLeast is the least share of its demand that a filler must be able to get.
+	fillerLeast = 0.5
+	// avoidCost is the cost of the worker on which a task failed last, in shares of its duration.
+	avoidCost = 4.0
+	// roomWeight is the cost of a full worker against an empty one, in shares of a task's duration. Spread work suffers
+	// less when an instance is lost.
+	roomWeight = 0.2
+)
+
+// rank orders stages: priority first, then those that can still be on time, then by slack.
+type rank struct {
+	priority, lateness int
+	slackMs            int64
+}
+
+func (a rank) before(b rank) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if a.lateness != b.lateness {
+		return a.lateness < b.lateness
+	}
+	return a.slackMs < b.slackMs
+}
+
+func (s *State) rank(st *stage) rank {
+	j := st.job
+	spent := s.now.BootMs - max(st.dueMs, j.dueMs)
+	slack := j.objectiveMs - spent - j.tailMs[st.index]
+	r := rank{priority: s.queue(j).Priority, slackMs: slack}
+	switch {
+	case st.step.Lasting:
+	case slack < -(lateFactor-1)*j.objectiveMs:
+		r.lateness = 2
+	case slack < 0:
+		// Among late ones the shortest first: it ends most of them.
+		r.lateness, r.slackMs = 1, j.tailMs[st.index]
+	}
+	return r
+}
+
+// place starts waiting tasks where there is room.
+func (s *State) place() {
+	s.placePending = false
+	type candidate struct {
+		st *stage
+		rank
+	}
+	var list []candidate
+	kept := s.stages[:0]
+	for _, st := range s.stages {
+		if st.job.state.Final() || st.done == len(st.tasks) {
+			continue
+		}
+		kept = append(kept, st)
+		if st.idle > 0 && st.ready(s.now.BootMs) {
+			list = append(list, candidate{st, s.rank(st)})
+		}
+	}
+	clear(s.stages[len(kept):])
+	s.stages = kept
+	sort.SliceStable(list, func(i, k int) bool { return list[i].before(list[k].rank) })
+	for _, c := range list {
+		s.placeStage(c.st)
+	}
+}
+
+// placeStage places the waiting tasks of a stage.
+func (s *State) placeStage(st *stage) {
+	if s.queue(st.job).Advice != nil && !s.advised(st) {
+		return
+	}
+	if st.step.Gang {
+		s.placeGang(st)
+		return
+	}
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.phase != waiting || s.now.BootMs < t.notBeforeMs {
+			continue
+		}
+		w := s.choose(t, nil)
+		if w == nil {
+			return // the other tasks are of the same size
+		}
+		s.start(t, w, t.run+1)
+	}
+}
+
+// start commits a run; it is ordered once it is on record.
+func (s *State) start(t *task, w *worker, run int) {
+	t.run = run
+	t.phase = starting
+	t.recorded = false
+	s.commit(t, w)
+	t.stage.job.begun = true
+	s.starts = append(s.starts, t)
+	if w.health.streak >= failuresToQuarantine {
+		w.health.trial = true
+	}
+	s.touch(t.stage.job)
+	s.noteTask(NoteStart, t, fmt.Sprintf("slack %d ms, %d mCPU and %d MB free before", s.rank(t.stage).slackMs,
+		w.info.CPU-w.cpu+t.stage.step.CPU, w.info.MemMB-w.mem+t.stage.step.MemMB))
+}
+
+// placeGang places all tasks of a gang or none.
+func (s *State) placeGang(st *stage) {
+	for i := range st.tasks {
+		if st.tasks[i].phase != waiting {
+			return
+		}
+	}
+	run := st.gangRun
+	for i := range st.tasks {
+		run = max(run, st.tasks[i].run)
+	}
+	racks := []string{""}
+	if st.step.RackLocal {
+		racks = append(s.racks(), "")
+	}
+	for _, rack := range racks {
+		if s.tryGang(st, run+1, rack) {
+			st.gangRun = run + 1
+			return
+		}
+	}
+}
+
+// tryGang places a gang on the workers of one rack, or on any if rack is empty.
+func (s *State) tryGang(st *stage, run int, rack string) bool {
+	placed := make([]*worker, 0, len(st.tasks))
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		w := s.chooseIn(t, nil, rack)
+		if w == nil {
+			break
+		}
+		s.commit(t, w)
+		placed = append(placed, w)
+	}
+	// The trial commitments are taken back before the real ones, which also record the starts.
+	for i := range placed {
+		t := &st.tasks[i]
+		t.phase = starting
+		s.release(t)
+	}
+	if len(placed) < len(st.tasks) {
+		return false
+	}
+	for i, w := range placed {
+		s.start(&st.tasks[i], w, run)
+	}
+	return true
+}
+
+// racks returns the racks in the order of their names.
+func (s *State) racks() []string {
+	var racks []string
+	for _, w := range s.order {
+		if w.rack != "" {
+			racks = append(racks, w.rack)
+		}
+	}
+	sort.Strings(racks)
+	kept := racks[:0]
+	for i, r := range racks {
+		if i == 0 || r != racks[i-1] {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+// choose returns the best worker with room for the task, or nil. It passes over not.
+func (s *State) choose(t *task, not *worker) *worker { return s.chooseIn(t, not, "") }
+
+func (s *State) chooseIn(t *task, not *worker, rack string) *worker {
+	var best *worker
+	bestCost := 0.0
+	for _, w := range s.order {
+		if w == not || rack != "" && w.rack != rack || !s.takesWork(w) || !s.fits(t, w) {
+			continue
+		}
+		if cost := s.cost(t, w); best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// takesWork reports whether the worker may get new work.
+func (s *State) takesWork(w *worker) bool {
+	return w.connected && w.listed && w.info != nil && !w.info.Draining && !w.leaving && len(w.strangers) == 0 &&
+		!s.evac[w.info.Zone] && w.silentMs < silentMs && s.now.BootMs-w.heardMs < silentMs && w.health.usable(s.now.BootMs)
+}
+
+// fits reports whether the worker has room for the task and is allowed to run it.
+func (s *State) fits(t *task, w *worker) bool {
+	st := t.stage.step
+	q := s.queue(t.stage.job)
+	if q.Service != w.info.Service || w.mem+st.MemMB > w.info.MemMB || w.gpu+st.GPU > w.info.GPU {
+		return false
+	}
+	if st.Requires != "" && !hasLabel(w, st.Requires) {
+		return false
+	}
+	if q.Advice != nil {
+		tk, ok := t.stage.tickets[w.instance]
+		if !ok || tk.life != w.info.Life || s.now.BootMs >= tk.untilMs {
+			return false
+		}
+	}
+	if st.MaxPerWorker > 0 && s.beside(t, w) >= st.MaxPerWorker {
+		return false
+	}
+	if st.Filler {
+		return float64(w.info.CPU-w.cpu-w.fillCPU) >= fillerLeast*float64(st.CPU)
+	}
+	return w.cpu+st.CPU <= w.info.CPU
+}
+
+func hasLabel(w *worker, label string) bool {
+	for _, l := range w.info.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// beside counts tasks of the same stage on the worker.
+func (s *State) beside(t *task, w *worker) int {
+	n := 0
+	for o := range w.tasks {
+		if o.stage == t.stage && o != t {
+			n++
+		}
+	}
+	return n
+}
+
+// cost is the expected duration on the worker in units of that on a sound one nearby, and what speaks against it.
+func (s *State) cost(t *task, w *worker) float64 {
+	st := t.stage.step
+	c := w.health.slowness()
+	if st.Rack != "" && st.Rack != w.rack {
+		c *= s.bounds.FarFactor
+	}
+	if t.avoid == w.instance {
+		c += avoidCost
+	}
+	cpu := float64(max(w.info.CPU, 1))
+	if st.Filler {
+		free := float64(w.info.CPU - w.cpu - w.fillCPU)
+		if free < float64(st.CPU) {
+			c *= float64(st.CPU) / max(free, 1)
+		}
+		c += fillerBesideServing * float64(w.serving)
+		if w.pace < fullPace {
+			c *= 100 / float64(max(w.pace, 5))
+		}
+	}
+	if st.TargetMs > 0 {
+		c += fillerBesideServing * float64(w.fillCPU) / cpu * 4
+	}
+	return c + roomWeight*float64(w.cpu+w.fillCPU)/cpu
+}
+
+// advised reports whether the stage has tickets, and asks the adviser for them if it has none.
+func (s *State) advised(st *stage) bool {
+	valid := 0
+	for instance, tk := range st.tickets {
+		w := s.workers[instance]
+		if w != nil && w.info != nil && w.info.Life == tk.life && s.now.BootMs < tk.untilMs {
+			valid++
+		}
+	}
+	if valid > 0 && s.now.BootMs-st.askedMs < askAgainMs {
+		return true
+	}
+	if s.now.BootMs-st.askedMs >= askAgainMs {
+		s.ask(st)
+	}
+	return valid > 0
+}
+
+const (
+	// askAgainMs is the time after which the adviser is asked again for a step that still has waiting tasks.
+	askAgainMs = 1000
+	// askMost is the number of workers that one question may name.
+	askMost = 100
+)
+
+// ask asks the adviser about the workers that could run a step.
+func (s *State) ask(st *stage) {
+	q := Question{Step: st.stepName(), Workers: map[string]string{}}
+	for _, w := range s.order {
+		if len(q.Workers) < askMost && s.takesWork(w) && w.info.Service == s.queue(st.job).Service &&
+			(st.step.Requires == "" || hasLabel(w, st.step.Requires)) {
+			q.Workers[w.info.Life.ID] = w.instance
+		}
+	}
+	if len(q.Workers) == 0 {
+		return
+	}
+	st.askedMs = s.now.BootMs
+	s.out.Questions = append(s.out.Questions, q)
+}
+
+// Advised is the adviser's answer.
+type Advised struct {
+	// Step is the step of the question.
+	Step string
+	// Tickets maps instances to permissions; ids tells the life that each is for.
+	Tickets map[string]string
+	// IDs maps instances to the ids of workers that the permissions are for.
+	IDs map[string]string
+	// ValidMs is how long they are valid.
+	ValidMs int64
+}
+
+// ticketSlackMs is taken off the validity of a ticket for the way to the worker.
+const ticketSlackMs = 300
+
+func (e Advised) apply(s *State) {
+	n, ok := work.ParseTaskName(e.Step + ".0")
+	if !ok || s.jobs[n.Job] == nil {
+		return
+	}
+	st := s.jobs[n.Job].stage(n.Occurrence, n.Step)
+	if st == nil {
+		return
+	}
+	st.tickets = map[string]ticket{}
+	for instance, text := range e.Tickets {
+		w := s.workers[instance]
+		if w == nil || w.info == nil || w.info.Life.ID != e.IDs[instance] {
+			continue
+		}
+		st.tickets[instance] = ticket{life: w.info.Life, text: text, untilMs: s.now.BootMs + e.ValidMs - ticketSlackMs}
+	}
+	s.placePending = true
+}
--- /dev/null
+++ b/fleet/entry/election.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/settings"
+)
+
+const (
+	// electEvery is the time between looks at the election.
+	electEvery = 100 * time.Millisecond
+	// smallDelayMs is how much longer an entry without a processor of its own waits than one with a whole core: the
+	// larger entries decide.
+	smallDelayMs = 700
+	// spreadMs spreads the claims of entries of one size; a claim takes 10 ms.
+	spreadMs = 150
+	// producer names the decider to the store, which fences by its epochs.
+	producer = "decider"
+)
+
+// election decides when this entry claims. It judges the decider by its records in the store alone, so a cut between
+// entries changes nothing.
+type election struct {
+	instance string
+	// waitMs is the silence of the decider after which this entry claims, handoverMs that after it resigned.
+	waitMs, handoverMs int64
+
+	mu sync.Mutex
+	// newest is the newest claim on record; nil before the first one.
+	newest *work.Claim
+	// signMs is when the last record of a decider was read, or when reading began to work again.
+	signMs int64
+	// quietMs is when a read last found the end without a record.
+	quietMs int64
+	// nonce is that of this entry's last claim, 0 if it made none.
+	nonce uint64
+}
+
+func newElection(set settings.Fleet) *election {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(set.Instance))
+	spread := int64(h.Sum32() % spreadMs)
+	small := int64((1 - min(set.Cores, 1)) * smallDelayMs)
+	return &election{instance: set.Instance, waitMs: set.Bounds.ClaimAfter.Milliseconds() + small + spread,
+		handoverMs: small/4 + spread, signMs: clock.BootMs()}
+}
+
+// records notes records of a decider and reports whether another entry's claim is new.
+func (e *election) records(now int64, claim *work.Claim) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.signMs = now
+	if claim == nil || e.newest != nil && claim.Epoch < e.newest.Epoch {
+		return false
+	}
+	seen := (e.newest == nil || e.newest.Epoch != claim.Epoch) && claim.Instance != e.instance
+	e.newest = claim
+	return seen
+}
+
+// quiet notes that a read found the end without a record.
+func (e *election) quiet(now int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.quietMs = now
+}
+
+// storeLost notes a failed read. The silence of a decider counts only while the store answers.
+func (e *election) storeLost() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.signMs = clock.BootMs()
+}
+
+// due reports whether this entry should claim, and with which epoch.
+func (e *election) due() (uint64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wait := e.waitMs
+	if e.newest != nil && e.newest.Resigned {
+		wait = e.handoverMs
+	}
+	if e.quietMs == 0 || e.quietMs-e.signMs < wait {
+		return 0, false
+	}
+	if e.newest == nil {
+		return 1, true
+	}
+	return e.newest.Epoch + 1, true
+}
+
+// won returns the newest claim on record if it is the last one of this entry.
+func (e *election) won() *work.Claim {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.newest == nil || e.nonce == 0 || e.newest.Nonce != e.nonce || e.newest.Resigned {
+		return nil
+	}
+	return e.newest
+}
+
+// firstSeq is the number of the append of a claim. Two claims with one epoch must not have one number, or the store
+// takes the second for a repeat of the first and answers both alike.
+func firstSeq(c *work.Claim) uint64 { return c.Nonce >> 32 }
+
+// entered forgets the claim with which this entry began to decide, so that it counts once.
+func (e *election) entered() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nonce = 0
+}
+
+// elect claims when the decider is gone, and decides until another entry has claimed.
+func (e *Entry) elect(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, electEvery)
+		if e.stopping.Load() {
+			return
+		}
+		if epoch, due := e.election.due(); due {
+			e.claim(ctx, epoch)
+		}
+		if claim := e.election.won(); claim != nil {
+			e.decide(ctx, claim)
+		}
+	}
+}
+
+// claim appends a claim under the condition that everything on record was read.
+func (e *Entry) claim(ctx context.Context, epoch uint64) {
+	next, loaded := e.sched.position()
+	if !loaded {
+		return
+	}
+	claim := &work.Claim{Epoch: epoch, Instance: e.set.Instance, Nonce: rand.Uint64() | 1}
+	e.election.mu.Lock()
+	e.election.nonce = claim.Nonce
+	e.election.mu.Unlock()
+	got, err := e.store.Append(ctx, work.Append{Topic: work.TopicSchedule, Producer: producer, Epoch: epoch, Seq: firstSeq(claim),
+		Conditional: true, ExpectedEnd: next, Records: []work.Record{{Key: work.KeyClaim, Value: work.Encode(claim)}}})
+	if err == nil {
+		e.sched.skipTo(got.End)
+		e.election.records(clock.BootMs(), claim)
+		return
+	}
+	if !errors.Is(err, work.ErrConditionFailed) {
+		e.log.Log(logevent.ClaimFailed, logevent.Int("epoch", epoch), logevent.Err(err))
+	}
+	// Another entry may have claimed, or the answer was lost: the records tell. The silence counts anew.
+	e.election.storeLost()
+}
--- /dev/null
+++ b/fleet/entry/follow.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/logevent"
+)
+
+const (
+	// followRetry is the pause after a failed read.
+	followRetry = 250 * time.Millisecond
+	// followWait is how long the store is asked to wait for a record. It bounds how long a connection that went silent
+	// goes unnoticed.
+	followWait = 900 * time.Millisecond
+)
+
+// follower keeps up with a topic. It reads the newest record of each key first.
+type follower struct {
+	topic string
+	store work.Store
+	log   logevent.Logger
+	// gather is the pause after a read that brought records, so that a busy topic takes few reads.
+	gather time.Duration
+	// apply takes records in their order.
+	apply func([]work.Record)
+	// quiet is called after a read that reached the end without a record, failed after one that failed.
+	quiet, failed func()
+
+	// reading serializes reads; next is guarded by it.
+	reading sync.Mutex
+	next    int64
+	loaded  bool
+
+	mu sync.Mutex
+	// okMs is when the last answered read was sent; lostMs since when reads fail, 0 if they don't.
+	okMs, lostMs int64
+	attempts     int
+	paused       bool
+	// eager is true while records are wanted at once.
+	eager bool
+}
+
+// run follows the topic until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.isPaused() {
+			sleep(ctx, followRetry)
+			continue
+		}
+		n, err := f.read(ctx, followWait)
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
+			sleep(ctx, followRetry)
+		case n > 0:
+			sleep(ctx, f.pauseAfter())
+		}
+	}
+}
+
+// pause stops or resumes following: a decider knows its own records.
+func (f *follower) pause(paused bool) {
+	f.mu.Lock()
+	f.paused = paused
+	f.mu.Unlock()
+}
+
+// setGather says whether reads may gather records.
+func (f *follower) setGather(gather bool) {
+	f.mu.Lock()
+	f.eager = !gather
+	f.mu.Unlock()
+}
+
+func (f *follower) pauseAfter() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.eager {
+		return 0
+	}
+	return f.gather
+}
+
+func (f *follower) isPaused() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paused
+}
+
+// read reads once and returns the number of records.
+func (f *follower) read(ctx context.Context, wait time.Duration) (int, error) {
+	f.reading.Lock()
+	defer f.reading.Unlock()
+	sent := clock.BootMs()
+	page, err := f.fetch(ctx, wait)
+	if err != nil {
+		f.note(sent, err)
+		return 0, err
+	}
+	f.next = page.Next
+	f.note(sent, nil)
+	if len(page.Records) > 0 {
+		f.apply(page.Records)
+	} else if page.Next >= page.End && f.quiet != nil {
+		f.quiet()
+	}
+	return len(page.Records), nil
+}
+
+// fetch returns the next records, or the newest of each key at first and after records have expired.
+func (f *follower) fetch(ctx context.Context, wait time.Duration) (work.Page, error) {
+	if f.loaded {
+		page, err := f.store.Read(ctx, f.topic, f.next, wait)
+		if !errors.Is(err, work.ErrExpired) {
+			return page, err
+		}
+		f.log.Log(logevent.RecordsExpired, logevent.Str("topic", f.topic), logevent.Int("offset", f.next))
+	}
+	page, err := f.store.Newest(ctx, f.topic)
+	if err == nil {
+		f.loaded = true
+	}
+	return page, err
+}
+
+// refresh reads to the end of the topic.
+func (f *follower) refresh(ctx context.Context) error {
+	for {
+		n, err := f.read(ctx, 0)
+		if err != nil || n == 0 {
+			return err
+		}
+	}
+}
+
+// skipTo moves on to an offset up to which the records are known.
+func (f *follower) skipTo(next int64) {
+	f.reading.Lock()
+	f.next = max(f.next, next)
+	f.reading.Unlock()
+	f.mu.Lock()
+	f.okMs = clock.BootMs()
+	f.mu.Unlock()
+}
+
+// position returns the offset that is read next and whether the topic was read at all.
+func (f *follower) position() (int64, bool) {
+	f.reading.Lock()
+	defer f.reading.Unlock()
+	return f.next, f.loaded
+}
+
+// note logs the first failure of a series and its end.
+func (f *follower) note(sent int64, err error) {
+	f.mu.Lock()
+	lost, attempts := f.lostMs, f.attempts
+	if err == nil {
+		f.okMs, f.lostMs, f.attempts = sent, 0, 0
+	} else {
+		f.attempts++
+		if f.lostMs == 0 {
+			f.lostMs = sent
+		}
+	}
+	f.mu.Unlock()
+	switch {
+	case err != nil:
+		if lost == 0 {
+			f.log.Log(logevent.StoreLost, logevent.Str("topic", f.topic), logevent.Err(err))
+		}
+		if f.failed != nil {
+			f.failed()
+		}
+	case lost != 0:
+		f.log.Log(logevent.StoreBack, logevent.Str("topic", f.topic), logevent.Int("away_ms", clock.BootMs()-lost), logevent.Int("attempts", attempts))
+	}
+}
+
+// ageMs returns the time since the last answered read was sent.
+func (f *follower) ageMs() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return clock.BootMs() - f.okMs
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/fleet/entry/metrics.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/telemetry"
+)
+
+// Meters are the metrics of an entry.
+type Meters struct {
+	request   telemetry.Histogram
+	store     telemetry.Histogram
+	decisions telemetry.Counter
+	deciding  atomic.Bool
+}
+
+// NewMeters returns the metrics of an entry.
+func NewMeters(r *telemetry.Registry) (*Meters, error) {
+	m := &Meters{}
+	var err error
+	if m.request, err = r.Histogram(telemetry.FleetRequests); err != nil {
+		return nil, err
+	}
+	if m.store, err = r.Histogram(telemetry.FleetStore); err != nil {
+		return nil, err
+	}
+	if m.decisions, err = r.Counter(telemetry.FleetDecisions); err != nil {
+		return nil, err
+	}
+	err = r.Gauges([]*telemetry.Desc{telemetry.FleetDeciding}, func(set telemetry.Set) {
+		value := 0.0
+		if m.deciding.Load() {
+			value = 1
+		}
+		set(telemetry.FleetDeciding, value)
+	})
+	return m, err
+}
+
+// decided counts a decision.
+func (m *Meters) decided(ev logevent.Event) { m.decisions.Add(1, strconv.Itoa(ev.Number)) }
+
+// timed returns a store whose calls are recorded.
+func (m *Meters) timed(s work.Store) work.Store { return &timedStore{s, m} }
+
+type timedStore struct {
+	store  work.Store
+	meters *Meters
+}
+
+func (t *timedStore) record(call string, began time.Time, err error) {
+	outcome := "done"
+	switch {
+	case err == nil:
+	case work.NotDone(err):
+		outcome = "refused"
+	default:
+		outcome = "unknown"
+	}
+	t.meters.store.Record(time.Since(began), call, outcome)
+}
+
+func (t *timedStore) Append(ctx context.Context, a work.Append) (work.Appended, error) {
+	began := time.Now()
+	got, err := t.store.Append(ctx, a)
+	t.record("append", began, err)
+	return got, err
+}
+
+func (t *timedStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (work.Page, error) {
+	began := time.Now()
+	got, err := t.store.Read(ctx, topic, from, wait)
+	t.record("read", began, err)
+	return got, err
+}
+
+func (t *timedStore) Newest(ctx context.Context, topic string) (work.Page, error) {
+	began := time.Now()
+	got, err := t.store.Newest(ctx, topic)
+	t.record("newest", began, err)
+	return got, err
+}
--- /dev/null
+++ b/fleet/side/metrics.go
@@ -0,0 +1,32 @@
+package side
+
+import (
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/telemetry"
+)
+
+// Meters are the metrics of a side process.
+type Meters struct {
+	lease telemetry.Histogram
+	lost  telemetry.Counter
+}
+
+// NewMeters returns the metrics of a side process.
+func NewMeters(r *telemetry.Registry) (*Meters, error) {
+	lease, err := r.Histogram(telemetry.FleetDeciderAge)
+	if err != nil {
+		return nil, err
+	}
+	lost, err := r.Counter(telemetry.FleetUnanswered)
+	if err != nil {
+		return nil, err
+	}
+	return &Meters{lease, lost}, nil
+}
+
+// heard records the age of the report that a decider answered.
+func (m *Meters) heard(ageMs int64) { m.lease.Record(time.Duration(ageMs) * time.Millisecond) }
+
+// unanswered counts a call to the worker without an answer.
+func (m *Meters) unanswered(call string) { m.lost.Add(1, call) }
--- /dev/null
+++ b/fleet/work/work.go
@@ -0,0 +1,332 @@
+// Package work defines queues, jobs and their progress as the system sees them, and what is kept of them in the store.
+package work
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/verbenakeel/verbenakeel/errdefs"
+)
+
+// Limits of a submission.
+const (
+	// maxSpec bounds a spec in bytes; the platform's page names it.
+	maxSpec = 4000
+	// maxSteps and maxTasks bound a job, so that one record of its progress fits the store's limit of 256 KB.
+	maxSteps = 64
+	maxTasks = 8000
+	// maxSize bounds each size of a task, so that sums cannot overflow.
+	maxSize = 1 << 40
+)
+
+// Queue is a queue of jobs.
+type Queue struct {
+	Name string `cbor:"1,keyasint"`
+	// Host and Prefix select the queue of a request.
+	Host   string `cbor:"-"`
+	Prefix string `cbor:"-"`
+	// Service names the workers that run its tasks.
+	Service string `cbor:"2,keyasint"`
+	// Priority 0 goes first.
+	Priority int `cbor:"3,keyasint"`
+	// Attempts is how often a task may fail.
+	Attempts int `cbor:"4,keyasint"`
+	// Stretch times the longest chain of work, and TargetMs more, is the objective.
+	Stretch  float64 `cbor:"5,keyasint"`
+	TargetMs int64   `cbor:"6,keyasint"`
+	// TimeoutMs bounds the time of a request.
+	TimeoutMs int64 `cbor:"-"`
+	// Advice is set if only workers named by the adviser may run its steps.
+	Advice *Advice `cbor:"7,keyasint,omitempty"`
+}
+
+// Advice describes the adviser of a queue.
+type Advice struct {
+	// ValidMs is how long a ticket is valid.
+	ValidMs int64 `cbor:"1,keyasint"`
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Name string
+	// Spare means that its instances are off.
+	Spare bool
+}
+
+// Config is a configuration.
+type Config struct {
+	// Version rises with each change.
+	Version  int64
+	Queues   []Queue
+	Services map[string]Service
+	// MaxBody bounds the body of a request in bytes.
+	MaxBody int
+}
+
+// OperatorChange is a change that the operator wrote to the store.
+type OperatorChange interface{ operatorChange() }
+
+// ConfigChanged carries a new configuration.
+type ConfigChanged struct{ Config *Config }
+
+// ZoneEvacuated takes an availability zone out of service or brings it back.
+type ZoneEvacuated struct {
+	Zone      string
+	Evacuated bool
+}
+
+// WaveRequested asks for the upkeep of instances.
+type WaveRequested struct {
+	Number    int64
+	Instances []string
+	// Cap is how many may be down at once.
+	Cap int
+	// Duration is the time that the wave may take.
+	Duration time.Duration
+}
+
+func (ConfigChanged) operatorChange() {}
+func (ZoneEvacuated) operatorChange() {}
+func (WaveRequested) operatorChange() {}
+
+// Step is a step of a job.
+type Step struct {
+	// Count is the number of its tasks.
+	Count int `cbor:"1,keyasint"`
+	// CPU is in thousandths of a core, MemMB in MB, GPU in accelerators, for each task.
+	CPU   int64 `cbor:"2,keyasint,omitempty"`
+	MemMB int64 `cbor:"3,keyasint,omitempty"`
+	GPU   int64 `cbor:"4,keyasint,omitempty"`
+	// EstMs is a rough estimate of a task's duration in milliseconds.
+	EstMs int64 `cbor:"5,keyasint,omitempty"`
+	// DependsOn lists steps whose tasks must all be done first.
+	DependsOn      []int `cbor:"6,keyasint,omitempty"`
+	Checkpointable bool  `cbor:"7,keyasint,omitempty"`
+	// Gang means that tasks work only together.
+	Gang bool `cbor:"8,keyasint,omitempty"`
+	// RackLocal means that the tasks are slower on more than one rack.
+	RackLocal bool `cbor:"9,keyasint,omitempty"`
+	// Requires is a label that the worker must have.
+	Requires string `cbor:"10,keyasint,omitempty"`
+	// Rack is where the data is; elsewhere the tasks are slower.
+	Rack string `cbor:"11,keyasint,omitempty"`
+	// MaxPerWorker bounds the tasks of the step on one worker; 0 means no bound.
+	MaxPerWorker int  `cbor:"12,keyasint,omitempty"`
+	Speculative  bool `cbor:"13,keyasint,omitempty"`
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool `cbor:"14,keyasint,omitempty"`
+	// Image names what the tasks run.
+	Image string `cbor:"15,keyasint,omitempty"`
+	// TargetMs bounds the tail of the response times of a task that serves; 0 for others.
+	TargetMs int64 `cbor:"16,keyasint,omitempty"`
+	// Filler tasks use only processor time that others leave unused.
+	Filler bool `cbor:"17,keyasint,omitempty"`
+	// MayMiss is how many tasks may be away at once by the system's own actions.
+	MayMiss int `cbor:"18,keyasint,omitempty"`
+}
+
+// Job is an accepted job.
+type Job struct {
+	ID    string `cbor:"1,keyasint"`
+	Queue Queue  `cbor:"2,keyasint"`
+	Spec  string `cbor:"3,keyasint"`
+	Steps []Step `cbor:"4,keyasint"`
+	// Repeat is the number of occurrences of a timed job; 0 for others. Occurrence k is due at StartAtMs + k x IntervalMs,
+	// in Unix milliseconds.
+	Repeat     int   `cbor:"5,keyasint,omitempty"`
+	StartAtMs  int64 `cbor:"6,keyasint,omitempty"`
+	IntervalMs int64 `cbor:"7,keyasint,omitempty"`
+	// AcceptedMs is the wall clock of the entry that took it, in Unix milliseconds. Only the order of work rests on it.
+	AcceptedMs int64 `cbor:"8,keyasint"`
+}
+
+// Occurrences returns how often the steps run.
+func (j *Job) Occurrences() int { return max(j.Repeat, 1) }
+
+// Lasting reports whether the job runs until it is cancelled.
+func (j *Job) Lasting() bool {
+	for i := range j.Steps {
+		if j.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+var jobID = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
+
+// ValidID reports whether id can name a job.
+func ValidID(id string) bool { return jobID.MatchString(id) }
+
+// Check returns an error that names the field at fault.
+func Check(j *Job) error {
+	if len(j.Spec) > maxSpec {
+		return errdefs.Field("spec", fmt.Sprintf("has %d bytes", len(j.Spec)), fmt.Sprintf("send at most %d", maxSpec))
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+		return errdefs.Field("steps", fmt.Sprintf("has %d entries", len(j.Steps)), fmt.Sprintf("send 1 to %d", maxSteps))
+	}
+	if j.Repeat < 0 || j.IntervalMs < 0 || j.StartAtMs < 0 {
+		return errdefs.Field("repeat", "is negative", "send numbers from 0 on")
+	}
+	tasks := 0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		name := fmt.Sprintf("steps[%d]", i)
+		if s.Count < 1 || s.Count > maxTasks {
+			return errdefs.Field(name+".count", strconv.Itoa(s.Count), fmt.Sprintf("send 1 to %d", maxTasks))
+		}
+		for _, v := range []int64{s.CPU, s.MemMB, s.GPU, s.EstMs, s.TargetMs, int64(s.MaxPerWorker), int64(s.MayMiss)} {
+			if v < 0 || v > maxSize {
+				return errdefs.Field(name, "has a size out of range", "send numbers from 0 on")
+			}
+		}
+		for _, d := range s.DependsOn {
+			if d < 0 || d >= i {
+				return errdefs.Field(name+".depends_on", strconv.Itoa(d), "name earlier steps")
+			}
+		}
+		tasks += s.Count
+	}
+	if tasks > maxTasks {
+		return errdefs.Field("steps", fmt.Sprintf("have %d tasks", tasks), fmt.Sprintf("send at most %d", maxTasks))
+	}
+	return nil
+}
+
+// TaskName names a task of a job. Occurrence is 0 for a job that is not repeated.
+type TaskName struct {
+	Job                     string
+	Occurrence, Step, Index int
+}
+
+// String returns the name as workers know it.
+func (n TaskName) String() string {
+	b := make([]byte, 0, len(n.Job)+16)
+	b = append(b, n.Job...)
+	for _, v := range [...]int{n.Occurrence, n.Step, n.Index} {
+		b = strconv.AppendInt(append(b, '.'), int64(v), 10)
+	}
+	return string(b)
+}
+
+// ParseTaskName parses the name of a task.
+func ParseTaskName(s string) (TaskName, bool) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskName{}, false
+	}
+	n := TaskName{Job: parts[0]}
+	for i, into := range []*int{&n.Occurrence, &n.Step, &n.Index} {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return TaskName{}, false
+		}
+		*into = v
+	}
+	return n, true
+}
+
+// JobState is the state of a job.
+type JobState uint8
+
+// States of jobs.
+const (
+	Queued JobState = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// String returns the state's name.
+func (s JobState) String() string {
+	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+}
+
+// Final reports whether the state never changes again.
+func (s JobState) Final() bool { return s >= Completed }
+
+// Progress is what is kept of a job's progress.
+type Progress struct {
+	State JobState `cbor:"1,keyasint"`
+	// Workers names the instances that Tasks refer to.
+	Workers []string `cbor:"2,keyasint,omitempty"`
+	// Stages holds the steps that began, of each occurrence.
+	Stages []StageProgress `cbor:"3,keyasint,omitempty"`
+}
+
+// Unfinished reports whether a run may still be at work.
+func (p *Progress) Unfinished() bool {
+	for _, st := range p.Stages {
+		for _, t := range st.Tasks {
+			if t.Worker > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// StageProgress is the progress of a step of one occurrence.
+type StageProgress struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	// Done has a bit for each task that is done.
+	Done []byte
+	// Tasks holds the tasks that were started or failed and are not done.
+	Tasks []TaskProgress
+}
+
+// TaskProgress is what is kept of a task that is not done.
+type TaskProgress struct {
+	_     struct{} `cbor:",toarray"`
+	Index int
+	// Run is the number of its last start, Fails how often it failed.
+	Run, Fails int
+	// Worker is one more than the place of the instance in Workers on which Run may be at work; 0 if it has ended.
+	Worker int
+	// Checkpoint is the newest known checkpoint.
+	Checkpoint string
+}
+
+// Claim is a decider's claim.
+type Claim struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+	// Instance is the entry that decides.
+	Instance string `cbor:"2,keyasint"`
+	// Nonce tells claims of one entry apart.
+	Nonce uint64 `cbor:"3,keyasint"`
+	// Resigned means that the entry has stopped deciding and another may claim at once.
+	Resigned bool `cbor:"4,keyasint,omitempty"`
+}
+
+// SideAddress is where a side process can be reached.
+type SideAddress struct {
+	Instance string `cbor:"1,keyasint"`
+	Address  string `cbor:"2,keyasint"`
+	Zone     string `cbor:"3,keyasint"`
+}
+
+// Encode returns the stored form of v, which is one of this package's types.
+func Encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", v, err))
+	}
+	return data
+}
+
+// Decode reads the stored form into v.
+func Decode(data []byte, v any) error {
+	if err := cbor.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, errdefs.New(errdefs.Incompatible, err.Error(), "upgrade this process"))
+	}
+	return nil
+}
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -2,6 +2,7 @@
 package logevent
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/rs/zerolog"
@@ -74,6 +75,46 @@
 	RequestServed     = define(705, zerolog.DebugLevel, "the endpoint served a request")
 	KeysReloaded      = define(104, zerolog.InfoLevel, "certificate, key and authorities reloaded")
 	KeysUnreadable    = define(105, zerolog.ErrorLevel, "certificate, key or authorities cannot be read; the old ones stay in use")
+	LinesDropped      = define(107, zerolog.WarnLevel, "log lines were dropped because their reader was too slow")
+	SettingsReloaded  = define(108, zerolog.InfoLevel, "settings read again")
+	SettingsInvalid   = define(109, zerolog.ErrorLevel, "changed settings are invalid; the old ones stay in use")
+	StoreLost         = define(800, zerolog.WarnLevel, "the store does not answer")
+	StoreBack         = define(801, zerolog.InfoLevel, "the store answers again")
+	RecordsExpired    = define(802, zerolog.WarnLevel, "records had expired; the newest of each key were read")
+	RecordUnreadable  = define(803, zerolog.WarnLevel, "a record of the store cannot be read and was skipped")
+	ConfigInForce     = define(810, zerolog.InfoLevel, "configuration in force")
+	ZoneTakenOut      = define(811, zerolog.InfoLevel, "availability zone taken out of service or brought back")
+	Claimed           = define(820, zerolog.InfoLevel, "this entry decides now")
+	ClaimLost         = define(821, zerolog.InfoLevel, "this entry does not decide any more")
+	ClaimFailed       = define(822, zerolog.WarnLevel, "the claim to decide failed")
+	DeciderSeen       = define(823, zerolog.InfoLevel, "another entry decides")
+	SideLinked        = define(824, zerolog.InfoLevel, "connection to a side process opened")
+	SideUnlinked      = define(825, zerolog.WarnLevel, "connection to a side process ended")
+	JobAccepted       = define(830, zerolog.InfoLevel, "job accepted")
+	JobRefused        = define(831, zerolog.InfoLevel, "job refused; it does not run")
+	JobUnknown        = define(832, zerolog.WarnLevel, "it is unknown whether the job was stored")
+	JobCancelled      = define(833, zerolog.InfoLevel, "cancellation of a job")
+	JobTaken          = define(840, zerolog.InfoLevel, "the decider took a job")
+	JobOver           = define(841, zerolog.InfoLevel, "a job is over")
+	TaskStart         = define(842, zerolog.InfoLevel, "start of a task decided")
+	TaskStop          = define(843, zerolog.InfoLevel, "stop of a run decided")
+	TaskEnd           = define(844, zerolog.InfoLevel, "end of a run noted")
+	TaskRequeued      = define(845, zerolog.WarnLevel, "a run is gone; its task waits again")
+	TaskRefused       = define(846, zerolog.WarnLevel, "a worker refused a run")
+	WorkerUp          = define(847, zerolog.InfoLevel, "a worker has started")
+	WorkerDown        = define(848, zerolog.WarnLevel, "a worker is leaving or out of reach")
+	WorkerQuarantined = define(849, zerolog.WarnLevel, "a worker gets no work for a while")
+	PaceChanged       = define(850, zerolog.InfoLevel, "pace of work that fills changed")
+	AdviserLost       = define(851, zerolog.WarnLevel, "the adviser does not answer")
+	WorkerLife        = define(860, zerolog.InfoLevel, "the worker of this instance registered")
+	WorkerLeft        = define(861, zerolog.InfoLevel, "the worker of this instance drains or leaves")
+	WorkerSilent      = define(862, zerolog.WarnLevel, "the worker of this instance does not answer")
+	WorkerAnswers     = define(863, zerolog.InfoLevel, "the worker of this instance answers again")
+	HeartbeatRefused  = define(864, zerolog.WarnLevel, "a heartbeat was not taken")
+	DeciderLinked     = define(865, zerolog.InfoLevel, "a decider connected")
+	DeciderUnlinked   = define(866, zerolog.WarnLevel, "the connection of the decider ended")
+	StartAnswered     = define(867, zerolog.InfoLevel, "the worker answered a start")
+	StartUnanswered   = define(868, zerolog.WarnLevel, "the worker did not answer a start")
 	InstanceRefused   = define(106, zerolog.WarnLevel, "a message was refused because the certificate names another instance")
 )
 
@@ -91,6 +132,13 @@
 	return Logger{zerolog.New(w).Level(l).With().Timestamp().Str("process", id).Logger()}
 }
 
+// Line returns an event as a line, for writers that report on themselves.
+func Line(id string, e Event, fields ...Field) []byte {
+	var b bytes.Buffer
+	New(&b, "debug", id).Log(e, fields...)
+	return b.Bytes()
+}
+
 // Nop returns a logger that writes nothing.
 func Nop() Logger { return Logger{zerolog.Nop()} }
 
--- /dev/null
+++ b/settings/fleet.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/fleet/bounds"
+)
+
+// Fleet holds the settings of a process on the users' platform.
+type Fleet struct {
+	// Instance, Zone and Region say where the process runs.
+	Instance, Zone, Region string
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// MemoryMB and Cores bound what the process may use; Cores is the share of one core.
+	MemoryMB int
+	Cores    float64
+	// Public takes requests of callers, Ready questions of the balancer; both are empty at side processes.
+	Public, Ready string
+	// Control takes heartbeats of the worker; empty at entries.
+	Control string
+	// Peer takes connections of the decider, Metrics serves metrics.
+	Peer, Metrics string
+	// Store is the address of the platform's log, Adviser that of the adviser; Adviser may be empty.
+	Store, Adviser string
+	// Worker is the address of the worker on this instance and Service what it runs; empty at entries.
+	Worker, Service string
+	// Bounds are the deployment's bounds with the times that follow from them.
+	Bounds bounds.Bounds
+}
+
+// DefaultFleet returns the defaults. Those of bounds are the platform's usual figures.
+func DefaultFleet() Fleet {
+	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
+		HoldMax: 6 * time.Second, Grace: 6 * time.Second, Stop: 200 * time.Millisecond, GangWait: 3 * time.Second,
+		Harm: 4 * time.Second, Notice: 4500 * time.Millisecond, Status: 120 * time.Second, FarFactor: 1.5,
+		Checkpoint: time.Second, Restore: 600 * time.Millisecond, Visible: 3 * time.Second}}
+}
+
+func (f *Fleet) keys(entry bool) []key {
+	const addr = "write an IP number and a port, for example 10.0.0.5:8080"
+	span := func(into *time.Duration) value { return optional(duration(into, 0, time.Hour)) }
+	const spanRemedy = "write a duration, for example 3000ms"
+	b := &f.Bounds
+	return []key{
+		{"process", "instance", true, text(&f.Instance), "name the instance"},
+		{"process", "zone", true, text(&f.Zone), "name the availability zone, for example midshire-a"},
+		{"process", "region", false, optional(text(&f.Region)), "name the region, for example midshire"},
+		{"process", "log_level", false, oneOf(&f.LogLevel, "debug", "info", "warn", "error"), "use debug, info, warn or error"},
+		{"limits", "memory_mb", false, number(&f.MemoryMB, 16, 1<<20), "write a number of MB"},
+		{"limits", "cores", false, fraction(&f.Cores, 0.01, 1024), "write a number of cores, for example 0.25"},
+		{"listen", "public", entry, optional(address(&f.Public)), addr},
+		{"listen", "ready", entry, optional(address(&f.Ready)), addr},
+		{"listen", "control", !entry, optional(address(&f.Control)), addr},
+		{"listen", "peer", true, address(&f.Peer), addr},
+		{"listen", "metrics", false, optional(address(&f.Metrics)), addr},
+		{"services", "store", true, address(&f.Store), addr},
+		{"services", "adviser", false, optional(address(&f.Adviser)), addr},
+		{"worker", "address", !entry, optional(address(&f.Worker)), addr},
+		{"worker", "service", !entry, optional(text(&f.Service)), "name the service of the worker"},
+		{"bounds", "hold_max", false, span(&b.HoldMax), spanRemedy},
+		{"bounds", "grace", false, span(&b.Grace), spanRemedy},
+		{"bounds", "stop", false, span(&b.Stop), spanRemedy},
+		{"bounds", "gang_wait", false, span(&b.GangWait), spanRemedy},
+		{"bounds", "harm", false, span(&b.Harm), spanRemedy},
+		{"bounds", "notice", false, span(&b.Notice), spanRemedy},
+		{"bounds", "status", false, span(&b.Status), spanRemedy},
+		{"bounds", "far_factor", false, optional(fraction(&b.FarFactor, 1, 1000)), "write a factor, for example 1.5"},
+		{"bounds", "checkpoint", false, span(&b.Checkpoint), spanRemedy},
+		{"bounds", "restore", false, span(&b.Restore), spanRemedy},
+		{"bounds", "visible", false, span(&b.Visible), spanRemedy},
+	}
+}
+
+// optional accepts a key without a value and keeps the default: a template leaves values empty that a deployment lacks.
+func optional(v value) value {
+	set := v.set
+	v.set = func(text string) error {
+		// A duration whose number is missing consists of its unit.
+		if text == "" || text == "ms" || text == "s" {
+			return nil
+		}
+		return set(text)
+	}
+	return v
+}
+
+func fraction(into *float64, low, high float64) value {
+	return value{fmt.Sprint(*into), fmt.Sprintf("%g to %g", low, high), func(text string) error {
+		var v float64
+		if _, err := fmt.Sscanf(text, "%g", &v); err != nil {
+			return fmt.Errorf("%q is not a number", text)
+		}
+		if v < low || v > high {
+			return fmt.Errorf("%g is outside %g to %g", v, low, high)
+		}
+		*into = v
+		return nil
+	}}
+}
+
+// CheckFleet parses and checks the settings of an entry or a side process on the users' platform.
+func CheckFleet(data []byte, entry bool) (Fleet, []Problem) {
+	f := DefaultFleet()
+	problems := check(data, f.keys(entry))
+	if entry && f.Public == "" {
+		problems = append(problems, Problem{Key: "listen.public", Message: "is empty", Remedy: "write the address for callers"})
+	}
+	if !entry && (f.Control == "" || f.Worker == "") {
+		problems = append(problems, Problem{Key: "worker.address", Message: "the worker or the address for its heartbeats is missing",
+			Remedy: "set listen.control and worker.address"})
+	}
+	f.Bounds = f.Bounds.Derive()
+	return f, problems
+}
+
+// LoadFleet reads the settings of a process on the users' platform. Its error lists every problem.
+func LoadFleet(path string, entry bool) (Fleet, error) {
+	data, err := read(path)
+	if err != nil {
+		return Fleet{}, err
+	}
+	f, problems := CheckFleet(data, entry)
+	return f, asError(path, problems)
+}
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -104,3 +104,17 @@
 	ControlBytes  = define(CounterKind, BothRoles, "control_bytes_total", "bytes of message bodies between processes, heartbeats included; direction is sent or received", "message", "direction")
 	ProcessesInfo = define(GaugeKind, BothRoles, "process_info", "1, with the id, the availability zone and the incarnation of the process", "process", "zone", "incarnation")
 )
+
+// Metrics of the processes on the users' platform.
+var (
+	FleetDeciderAge = define(HistogramKind, SideRole, "decider_answer_age_seconds",
+		"age of a report when the decider's answer to it arrives; the lease of the worker shrinks by it")
+	FleetUnanswered = define(CounterKind, SideRole, "worker_calls_unanswered_total", "calls to the worker without an answer", "call")
+	FleetRequests   = define(HistogramKind, EntryRole, "job_request_duration_seconds",
+		"time of requests of callers; outcome is the status", "call", "outcome")
+	FleetStore = define(HistogramKind, EntryRole, "store_call_duration_seconds",
+		"time of calls to the store; outcome is done, refused or unknown", "call", "outcome")
+	FleetDecisions = define(CounterKind, EntryRole, "decisions_total", "decisions of this decider", "kind")
+	FleetDeciding  = define(GaugeKind, EntryRole, "deciding", "1 while this entry decides")
+	FleetDropped   = define(GaugeKind, BothRoles, "log_lines_dropped", "log lines dropped since the start")
+)
