Keep serving tasks together and learn which images press them

Cause: fillers were slowed down on all 11 workers at once, because serving tasks stood on each of them; fit-report waited 14 s in the middle. A long poll held the lock of a follower, so claims and fresh looks waited up to 0.9 s for it.

Change: serving tasks are packed; the effect of a filler's image on a serving image is learned by normalized least mean squares and decides where fillers go and which of them are slowed down. Followers read without the lock. The decider writes an account of the fleet every 2 s.

Ruled out: memory (half of it committed) and processor time of the decider (0.02 cores).

--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -102,7 +102,7 @@
 	st := &stage{job: j, step: &j.def.Steps[index], occurrence: occurrence, index: index, dueMs: s.occurrenceDue(j, occurrence)}
 	st.tasks = make([]task, st.step.Count)
 	for i := range st.tasks {
-		st.tasks[i] = task{stage: st, index: i, pace: fullPace}
+		st.tasks[i] = task{stage: st, index: i, pace: fullPace, pacedTo: fullPace}
 	}
 	st.idle = len(st.tasks)
 	j.stages = append(j.stages, st)
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -10,10 +10,13 @@
 const (
 	// lateFactor times its objective is how late a job may end and still be worth something.
 	lateFactor = 3
-	// fillerBesideServing is the cost of putting a filler beside tasks that serve, in shares of its duration.
-	fillerBesideServing = 0.5
+	// pressCost is the cost of a filler's expected effect on the worst serving task, in shares of its duration.
+	pressCost = 2.0
 	// fillerLeast is the least share of its demand that a filler must be able to get.
-	fillerLeast = 0.5
+	fillerLeast = 0.8
+	// packWeight is the cost of an empty worker against a full one for a task that serves: serving tasks are kept
+	// together, so that fillers find workers where they press nobody.
+	packWeight = 1.5
 	// avoidCost is the cost of the worker on which a task failed last, in shares of its duration.
 	avoidCost = 4.0
 	// roomWeight is the cost of a full worker against an empty one, in shares of a task's duration. Spread work suffers
@@ -228,7 +231,7 @@
 		return false
 	}
 	if st.Filler {
-		return float64(w.info.CPU-w.cpu-w.fillCPU) >= fillerLeast*float64(st.CPU)
+		return float64(w.info.CPU-w.cpu-w.fillCPU) >= fillerLeast*float64(st.CPU) && (w.serving == 0 || s.pressed(t, w) <= tailHigh)
 	}
 	return w.cpu+st.CPU <= w.info.CPU
 }
@@ -269,13 +272,12 @@
 		if free < float64(st.CPU) {
 			c *= float64(st.CPU) / max(free, 1)
 		}
-		c += fillerBesideServing * float64(w.serving)
-		if w.pace < fullPace {
-			c *= 100 / float64(max(w.pace, 5))
+		if w.serving > 0 {
+			c += pressCost * s.pressed(t, w)
 		}
 	}
 	if st.TargetMs > 0 {
-		c += fillerBesideServing * float64(w.fillCPU) / cpu * 4
+		return c + packWeight*(1-float64(w.cpu)/cpu)
 	}
 	return c + roomWeight*float64(w.cpu+w.fillCPU)/cpu
 }
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -103,8 +103,11 @@
 	movedMs   int64
 	// load is the tail latency of a task that serves.
 	load int64
-	// pace is the share at which a filler was told to work.
-	pace int
+	// baseTail is the tail that a serving task is expected to have without fillers, as a share of its target.
+	baseTail float64
+	// pace is the share at which a filler is to work, pacedTo the one that it was told, slowedMs when it was slowed down.
+	pace, pacedTo int
+	slowedMs      int64
 	// avoid is the instance on which it failed last.
 	avoid string
 	// notBeforeMs delays the next start.
@@ -134,6 +137,7 @@
 	workers  map[string]*worker
 	order    []*worker // workers in the order of their instances, so that decisions do not depend on map order
 	evac     map[string]bool
+	press    pressures
 	stages   []*stage // stages that have waiting tasks
 
 	dirty   []*job
@@ -208,7 +212,7 @@
 func New(b bounds.Bounds, epoch uint64, now Now) *State {
 	return &State{bounds: b, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, over: map[string]int64{},
 		queues: map[string]work.Queue{}, sends: map[string]map[string]bool{}, services: map[string]work.Service{},
-		workers: map[string]*worker{}, evac: map[string]bool{}, forgets: map[string]bool{}}
+		workers: map[string]*worker{}, evac: map[string]bool{}, press: pressures{}, forgets: map[string]bool{}}
 }
 
 // Event is something that the decider reacts to.
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -46,8 +46,7 @@
 	// serving counts tasks with a target for their response times.
 	serving int
 	health  health
-	// pace is the share at which fillers work here.
-	pace    int
+	// pacedMs is when the pace of a filler was changed last.
 	pacedMs int64
 }
 
@@ -57,7 +56,7 @@
 	if w := s.workers[instance]; w != nil {
 		return w
 	}
-	w := &worker{instance: instance, tasks: map[*task]struct{}{}, strangers: map[string]int{}, pace: fullPace, heardMs: s.now.BootMs}
+	w := &worker{instance: instance, tasks: map[*task]struct{}{}, strangers: map[string]int{}, heardMs: s.now.BootMs}
 	lease := s.bounds.Lease
 	w.goneByMs = s.claimedMs + (s.bounds.Lead + lease + bounds.ClockSlack(lease)).Milliseconds()
 	s.workers[instance] = w
@@ -109,7 +108,8 @@
 		t.phase = waiting
 		t.stage.idle++
 	}
-	t.orderNumber, t.recorded, t.startedMs, t.percent, t.load, t.pace, t.stopSentMs = 0, false, 0, 0, 0, fullPace, 0
+	t.orderNumber, t.recorded, t.startedMs, t.percent, t.load, t.stopSentMs = 0, false, 0, 0, 0, 0
+	t.pace, t.pacedTo, t.baseTail = fullPace, fullPace, 0
 	s.placePending = true
 	s.touch(t.stage.job)
 }
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -25,6 +25,8 @@
 	eventQueue = 4096
 	// eventsAtOnce bounds the events between two placements.
 	eventsAtOnce = 256
+	// summaryEvery is the time between two accounts of the fleet in the log.
+	summaryEvery = 2 * time.Second
 	// resignTimeout bounds the record with which a decider that shuts down makes way.
 	resignTimeout = 400 * time.Millisecond
 )
@@ -153,6 +155,8 @@
 	defer d.closeSides()
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	summary := time.NewTicker(summaryEvery)
+	defer summary.Stop()
 	for !d.lost && d.ctx.Err() == nil {
 		select {
 		case <-d.ctx.Done():
@@ -162,11 +166,22 @@
 			d.step(dispatch.Place{})
 		case <-ticker.C:
 			d.step(dispatch.Tick{})
+		case <-summary.C:
+			d.summarize()
 		}
 		d.flush()
 	}
 }
 
+// summarize writes an account of the fleet.
+func (d *decider) summarize() {
+	m := d.state.Summarize()
+	d.entry.log.Log(logevent.FleetState, logevent.Int("jobs", m.Jobs), logevent.Int("at_work", m.At), logevent.Int("waiting_lasting", m.WaitingLasting),
+		logevent.Int("waiting_fillers", m.WaitingFillers), logevent.Int("waiting_others", m.WaitingOthers), logevent.Int("workers", m.Workers),
+		logevent.Int("cpu", m.CPU), logevent.Int("cpu_committed", m.Committed), logevent.Int("cpu_fillers", m.Fillers),
+		logevent.Int("mem_mb", m.MemMB), logevent.Int("mem_committed", m.MemCommitted), logevent.Int("paced", m.Paced))
+}
+
 // drain carries out events that are waiting already.
 func (d *decider) drain() {
 	for range eventsAtOnce {
--- a/fleet/entry/follow.go
+++ b/fleet/entry/follow.go
@@ -31,10 +31,11 @@
 	// quiet is called after a read that reached the end without a record, failed after one that failed.
 	quiet, failed func()
 
-	// reading serializes reads; next is guarded by it.
-	reading sync.Mutex
-	next    int64
-	loaded  bool
+	// applying serializes what was read: a look at the store on behalf of a caller goes on beside the follower's read,
+	// which waits at the store. next and loaded are guarded by it.
+	applying sync.Mutex
+	next     int64
+	loaded   bool
 
 	mu sync.Mutex
 	// okMs is when the last answered read was sent; lostMs since when reads fail, 0 if they don't.
@@ -92,40 +93,52 @@
 	return f.paused
 }
 
-// read reads once and returns the number of records.
+// read reads once and returns the number of new records.
 func (f *follower) read(ctx context.Context, wait time.Duration) (int, error) {
-	f.reading.Lock()
-	defer f.reading.Unlock()
 	sent := clock.BootMs()
-	page, err := f.fetch(ctx, wait)
+	from, loaded := f.position()
+	page, err := f.fetch(ctx, from, loaded, wait)
+	f.note(sent, err)
 	if err != nil {
-		f.note(sent, err)
 		return 0, err
 	}
-	f.next = page.Next
-	f.note(sent, nil)
-	if len(page.Records) > 0 {
-		f.apply(page.Records)
-	} else if page.Next >= page.End && f.quiet != nil {
+	return f.take(page), nil
+}
+
+// take applies a page but for records that are known by now, and returns the number of the others.
+func (f *follower) take(page work.Page) int {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	records := page.Records
+	if f.loaded {
+		for len(records) > 0 && records[0].Offset < f.next {
+			records = records[1:]
+		}
+	}
+	f.loaded = true
+	atEnd := page.Next >= page.End && page.Next >= f.next
+	f.next = max(f.next, page.Next)
+	if len(records) > 0 {
+		f.apply(records)
+	} else if atEnd && f.quiet != nil {
 		f.quiet()
 	}
-	return len(page.Records), nil
+	return len(records)
 }
 
 // fetch returns the next records, or the newest of each key at first and after records have expired.
-func (f *follower) fetch(ctx context.Context, wait time.Duration) (work.Page, error) {
-	if f.loaded {
-		page, err := f.store.Read(ctx, f.topic, f.next, wait)
+func (f *follower) fetch(ctx context.Context, from int64, loaded bool, wait time.Duration) (work.Page, error) {
+	if loaded {
+		page, err := f.store.Read(ctx, f.topic, from, wait)
 		if !errors.Is(err, work.ErrExpired) {
 			return page, err
 		}
-		f.log.Log(logevent.RecordsExpired, logevent.Str("topic", f.topic), logevent.Int("offset", f.next))
-	}
-	page, err := f.store.Newest(ctx, f.topic)
-	if err == nil {
-		f.loaded = true
+		f.log.Log(logevent.RecordsExpired, logevent.Str("topic", f.topic), logevent.Int("offset", from))
+		f.applying.Lock()
+		f.loaded = false
+		f.applying.Unlock()
 	}
-	return page, err
+	return f.store.Newest(ctx, f.topic)
 }
 
 // refresh reads to the end of the topic.
@@ -140,9 +153,9 @@
 
 // skipTo moves on to an offset up to which the records are known.
 func (f *follower) skipTo(next int64) {
-	f.reading.Lock()
+	f.applying.Lock()
 	f.next = max(f.next, next)
-	f.reading.Unlock()
+	f.applying.Unlock()
 	f.mu.Lock()
 	f.okMs = clock.BootMs()
 	f.mu.Unlock()
@@ -150,8 +163,8 @@
 
 // position returns the offset that is read next and whether the topic was read at all.
 func (f *follower) position() (int64, bool) {
-	f.reading.Lock()
-	defer f.reading.Unlock()
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	return f.next, f.loaded
 }
 
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -106,6 +106,7 @@
 	WorkerQuarantined = define(849, zerolog.WarnLevel, "a worker gets no work for a while")
 	PaceChanged       = define(850, zerolog.InfoLevel, "pace of work that fills changed")
 	AdviserLost       = define(851, zerolog.WarnLevel, "the adviser does not answer")
+	FleetState        = define(852, zerolog.InfoLevel, "state of the fleet")
 	WorkerLife        = define(860, zerolog.InfoLevel, "the worker of this instance registered")
 	WorkerLeft        = define(861, zerolog.InfoLevel, "the worker of this instance drains or leaves")
 	WorkerSilent      = define(862, zerolog.WarnLevel, "the worker of this instance does not answer")
--- a/logevent/queue.go
+++ b/logevent/queue.go
@@ -10,8 +10,8 @@
 const (
 	// queueLines is the number of lines that wait for a slow reader. At 300 bytes a line that is 0.6 MB.
 	queueLines = 2048
-	// flushBytes is how much is written at once.
-	flushBytes = 16 << 10
+	// flushBytes is how much is written at once: a pipe takes that much whole.
+	flushBytes = 4 << 10
 	// flushEvery is the longest time that a line waits for others, so that a burst takes few writes.
 	flushEvery = 20 * time.Millisecond
 	// closeWait bounds the wait for a blocked reader at the end of the process.
