Model interference as a queue, by the load of a job and pairs of images

Change: fleet/dispatch/interference.go learns loads and pressures; paces follow from them before a target is missed; fillers may use half of what serving tasks have; jobs are ordered by the rule of Moore and Hodgson; a job of fillers with nothing at work for long gets a place beside others. A serving task over its target narrows the allowance, and after 0.4 of harm_ms fillers beside it stand still.

--- a/fleet/bounds/bounds.go
+++ b/fleet/bounds/bounds.go
@@ -23,6 +23,8 @@
 	FarFactor float64
 	// Checkpoint is the work between two checkpoints, Restore the time to resume from one.
 	Checkpoint, Restore time.Duration
+	// Finish is the time after which every job must have something at work if there is room.
+	Finish time.Duration
 	// Visible is how old the length of a queue may be.
 	Visible time.Duration
 
--- a/fleet/dispatch/interference.go
+++ b/fleet/dispatch/interference.go
@@ -1,129 +1,255 @@
 package dispatch
 
 const (
-	// pressUnknown is the effect of a filler of an unknown image on a serving task, as a share of its target for a whole
-	// worker's processors. It is cautious enough that one filler more does not push a calm task over its target.
-	pressUnknown = 1.5
-	// learnRate is the share of an error of prediction that is corrected at once.
-	learnRate = 0.25
-	// baseRate is that for the tail of a task without fillers, which swings with its load.
-	baseRate = 0.35
-	// aloneRate is that where nothing fills, so the measured tail is the task's own.
-	aloneRate = 0.6
-	// pressMost bounds an effect.
-	pressMost = 60
+	// pressUnknown is the pressure of a filler whose image was not met beside a serving image yet.
+	pressUnknown = 1.0
+	// pressMost bounds a pressure.
+	pressMost = 12.0
+	// learnRate is the share of an error of prediction that is corrected by one report.
+	learnRate = 0.4
+	// learnLeast is the least sum of squared shares of fillers from which something is learned: below it the error of
+	// the tails, which are whole milliseconds, is larger than the effect.
+	learnLeast = 0.0008
+	// usualTargetFactor is how many times its idle tail the target of a serving task is taken to be at first.
+	usualTargetFactor = 5
+	// loadRate is the share of the newest measurement in what is taken for the load of a job.
+	loadRate = 0.6
+	// loadFreshMs is how long the load measured on tasks that nobody presses stands for the other tasks of the job.
+	loadFreshMs = 900
+	// loadUnknown is the load that a job is taken to have before it was measured.
+	loadUnknown = 0.6
+	// peakKeepMs is how long a peak of the load is reckoned with.
+	peakKeepMs = 15_000
+	// loadMost bounds a measured load.
+	loadMost = 0.98
+	// ahead is the time in seconds over which a rising load is extrapolated: a report and a change of pace take as long.
+	ahead = 0.8
+	// tailMargin is the part of its target that the tail of a serving task is held to.
+	tailMargin = 0.82
 )
 
-// pair is a filler's image beside a serving task's.
+// pair is a filler's image beside a serving image.
 type pair struct{ fills, serves string }
 
-// pressures holds what is learned of how much fillers of one image lengthen the tail of serving tasks of another:
-// the increase, as a share of the target, for each share of the worker's processors that the filler may use. It is
-// learned by normalized least mean squares from every report.
-type pressures map[pair]float64
+// interference holds what is learned of how fillers slow down tasks that serve. A serving task is taken for a queue: at
+// load r its tail is t/(1-r), with its idle tail t. Fillers beside it make its work take s times as long, which gives
+// t*s/(1-r*s). s grows with the share of the worker's processors that a filler uses, times a pressure that depends on the
+// two images. Pressures are learned by normalized least mean squares (Widrow and Hoff, 1960).
+type interference struct {
+	pressure map[pair]float64
+	// idle holds the shortest tail seen of an image, in milliseconds.
+	idle map[string]float64
+}
+
+func newInterference() interference {
+	return interference{pressure: map[pair]float64{}, idle: map[string]float64{}}
+}
 
-func (p pressures) coefficient(f, t *task) float64 {
-	if v, ok := p[pair{f.stage.step.Image, t.stage.step.Image}]; ok {
+// of returns the pressure of a filler on a serving task.
+func (in *interference) of(f, t *task) float64 {
+	if v, ok := in.pressure[pair{f.stage.step.Image, t.stage.step.Image}]; ok {
 		return v
 	}
 	return pressUnknown
 }
 
-// share is the part of the worker's processors that a filler demands.
+// share is the part of a worker's processors that a filler asks for.
 func share(f *task, w *worker) float64 {
 	return float64(f.stage.step.CPU) / float64(max(w.info.CPU, 1))
 }
 
-// full returns the expected effect of a filler at full pace on a serving task, 0 without one.
-func (p pressures) full(f, t *task, w *worker) float64 {
-	if t == nil {
-		return 0
+// effect is what a filler at full pace adds to s of a serving task.
+func (in *interference) effect(f, t *task, w *worker) float64 { return in.of(f, t) * share(f, w) }
+
+// idleTail returns the tail of a serving task without load, in milliseconds.
+func (in *interference) idleTail(t *task) float64 {
+	usual := float64(t.stage.step.TargetMs) / usualTargetFactor
+	if seen, ok := in.idle[t.stage.step.Image]; ok {
+		return min(seen, usual)
 	}
-	return p.coefficient(f, t) * share(f, w)
+	return usual
 }
 
-// on returns the expected effect of a filler at its pace.
-func (p pressures) on(f, t *task, w *worker) float64 {
-	return p.full(f, t, w) * float64(f.pace) / fullPace
+// load is the measured load of the tasks of a lasting job, which share their users.
+type load struct {
+	now, slope float64
+	atMs       int64
+	peak       float64
+	peakMs     int64
+	// freshMs is when it was measured last on a task that nobody pressed.
+	freshMs int64
 }
 
-// atWork reports whether a task serves now.
-func (t *task) atWork() bool {
-	return t.stage.step.TargetMs > 0 && t.phase == running && t.percent >= 100
+// measure takes a new measurement.
+func (l *load) measure(nowMs int64, r float64) {
+	r = min(max(r, 0), loadMost)
+	if l.atMs == 0 {
+		l.now, l.atMs, l.peak, l.peakMs = r, nowMs, r, nowMs
+		return
+	}
+	next := l.now + loadRate*(r-l.now)
+	if gap := float64(nowMs-l.atMs) / 1000; gap > 0.1 {
+		l.slope += loadRate * ((next-l.now)/gap - l.slope)
+	}
+	l.now, l.atMs = next, nowMs
+	if next >= l.peak || nowMs-l.peakMs > peakKeepMs {
+		l.peak, l.peakMs = next, nowMs
+	}
 }
 
-// tail is the measured tail as a share of the target.
-func (t *task) tail() float64 { return float64(t.load) / float64(t.stage.step.TargetMs) }
+// soon returns the load that is to be reckoned with until the next change of pace.
+func (l *load) soon() float64 {
+	if l.atMs == 0 {
+		return loadUnknown
+	}
+	return l.now + max(l.slope, 0)*ahead
+}
 
-// learnAlone notes the tails of serving tasks on a worker without fillers.
-func (s *State) learnAlone(w *worker) {
-	for t := range w.tasks {
-		if t.atWork() {
-			t.baseTail += aloneRate * (t.tail() - t.baseTail)
-		}
+// high returns the highest load of late.
+func (l *load) high() float64 {
+	if l.atMs == 0 {
+		return loadUnknown
 	}
+	return max(l.peak, l.now)
+}
+
+// atWork reports whether a task serves now.
+func (t *task) atWork() bool {
+	return t.stage.step.TargetMs > 0 && t.phase == running && t.percent >= 100 && t.load > 0
 }
 
-// learnTails corrects what is known of pressures and returns the serving task with the longest tail.
-func (s *State) learnTails(w *worker, fillers []*task) (*task, float64) {
-	var worst *task
-	longest := 0.0
+// learn learns from a report on a worker.
+func (s *State) learn(w *worker, fillers []*task) {
+	var pressed []*task
 	for _, t := range w.sorted() {
 		if !t.atWork() {
 			continue
 		}
-		s.learnTail(t, w, fillers)
-		if tail := t.tail(); worst == nil || tail > longest {
-			worst, longest = t, tail
+		image := t.stage.step.Image
+		if seen, ok := s.interference.idle[image]; !ok || float64(t.load) < seen {
+			s.interference.idle[image] = float64(t.load)
 		}
+		t.watch(s.now.BootMs)
+		if anyAtWork(fillers) {
+			pressed = append(pressed, t)
+			continue
+		}
+		idle := s.interference.idleTail(t)
+		t.stage.job.load.measure(s.now.BootMs, 1-idle/float64(t.load))
+		t.stage.job.load.freshMs = s.now.BootMs
+	}
+	for _, t := range pressed {
+		s.learnPressed(t, w, fillers)
 	}
-	return worst, longest
 }
 
-func (s *State) learnTail(t *task, w *worker, fillers []*task) {
-	predicted, norm := t.baseTail, 0.0
+// anyAtWork reports whether a filler used processors lately.
+func anyAtWork(fillers []*task) bool {
 	for _, f := range fillers {
-		predicted += s.press.on(f, t, w)
-		x := share(f, w) * float64(f.pace) / fullPace
+		if f.load > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// learnPressed corrects the pressures on one serving task if the load of its job is known from others, and the load if
+// it is not.
+func (s *State) learnPressed(t *task, w *worker, fillers []*task) {
+	in, l := &s.interference, &t.stage.job.load
+	slowdown, norm := 1.0, 0.0
+	for _, f := range fillers {
+		x := float64(f.load) / float64(max(w.info.CPU, 1))
+		slowdown += in.of(f, t) * x
 		norm += x * x
 	}
-	miss := t.tail() - predicted
-	t.baseTail = max(t.baseTail+baseRate*miss*baseShare(norm), 0)
-	if norm == 0 {
+	idle, tail := in.idleTail(t), float64(t.load)
+	if s.now.BootMs-l.freshMs > loadFreshMs {
+		l.measure(s.now.BootMs, (1-idle*slowdown/tail)/slowdown)
+		return
+	}
+	if norm < learnLeast {
 		return
 	}
+	miss := tail/(idle+l.now*tail) - slowdown
 	for _, f := range fillers {
-		x := share(f, w) * float64(f.pace) / fullPace
-		k := s.press.coefficient(f, t) + learnRate*miss*x/norm
-		s.press[pair{f.stage.step.Image, t.stage.step.Image}] = min(max(k, 0), pressMost)
+		x := float64(f.load) / float64(max(w.info.CPU, 1))
+		k := in.of(f, t) + learnRate*miss*x/norm
+		in.pressure[pair{f.stage.step.Image, t.stage.step.Image}] = min(max(k, 0), pressMost)
 	}
 }
 
-// baseShare is the part of an error that is put down to the task's own load: all of it without fillers.
-func baseShare(norm float64) float64 {
-	if norm == 0 {
-		return 1
-	}
-	return 0.5
+// allowance returns how much fillers may add to s of a serving task at a load so that its tail meets its target.
+func (in *interference) allowance(t *task, load float64) float64 {
+	tail := tailMargin * float64(t.stage.step.TargetMs)
+	return max(tail/(in.idleTail(t)+load*tail)-1, 0)
 }
 
-// pressed returns the longest tail that serving tasks on the worker are expected to have with one filler more.
-func (s *State) pressed(f *task, w *worker) float64 {
-	longest := 0.0
+// paceOf returns the share of full pace at which a filler more could work on a worker, averaged over the swing of the
+// loads there: halfway between now and the peak.
+func (s *State) paceOf(f *task, w *worker) float64 {
+	low := 1.0
 	for t := range w.tasks {
-		if t.stage.step.TargetMs == 0 {
+		if t.stage.step.TargetMs == 0 || t.phase == stopping {
 			continue
 		}
-		tail := max(t.baseTail, tailAssumed) + s.press.full(f, t, w)
+		own := s.interference.effect(f, t, w)
+		if own < negligible {
+			continue
+		}
+		sum := own
 		for o := range w.tasks {
-			if o.stage.step.Filler {
-				tail += s.press.on(o, t, w)
+			if o.stage.step.Filler && o != f {
+				sum += s.interference.effect(o, t, w)
 			}
 		}
-		longest = max(longest, tail)
+		l := &t.stage.job.load
+		atNow, atPeak := s.interference.allowance(t, l.soon())/sum, s.interference.allowance(t, l.high())/sum
+		low = min(low, (min(atNow, 1)+min(atPeak, 1))/2)
+	}
+	return low
+}
+
+const (
+	// guardCut is the factor by which a serving task over its target narrows what fillers may add, whatever the model
+	// says, at each report.
+	guardCut = 0.5
+	// guardRise is the factor by which the allowance widens again at each report within the target.
+	guardRise = 1.6
+	// guardLeast is the narrowest allowance.
+	guardLeast = 0.1
+)
+
+// watch narrows or widens the allowance of a serving task by its measured tail: an error of the model must not keep it
+// over its target.
+func (t *task) watch(now int64) {
+	if t.load > t.stage.step.TargetMs {
+		if t.overMs == 0 {
+			t.overMs = now
+		}
+		t.narrow = max(t.allowed()*guardCut, guardLeast)
+		return
+	}
+	t.overMs = 0
+	t.narrow = min(t.allowed()*guardRise, 1)
+}
+
+// harmed reports whether a serving task was over its target for so long that whatever fills beside it must stand still.
+func (s *State) harmed(t *task) bool {
+	return t.overMs > 0 && s.now.BootMs-t.overMs > int64(harmShare*float64(s.bounds.Harm.Milliseconds()))
+}
+
+// harmShare is the part of the time for which a serving task may be over its target after which fillers stand still. A
+// change of pace shows in its tail a second later.
+const harmShare = 0.4
+
+// allowed is the part of the model's allowance that fillers may use.
+func (t *task) allowed() float64 {
+	if t.narrow == 0 {
+		return 1
 	}
-	return longest
+	return t.narrow
 }
 
-// tailAssumed is the tail of a task without fillers that is reckoned with at least, since its load swings.
-const tailAssumed = 0.25
+// negligible is an effect that is within the error of measurement.
+const negligible = 0.01
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -3,20 +3,24 @@
 import (
 	"fmt"
 	"sort"
+	"time"
 
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
 const (
-	// lateFactor times its objective is how late a job may end and still be worth something.
-	lateFactor = 3
-	// pressCost is the cost of a filler's expected effect on the worst serving task, in shares of its duration.
-	pressCost = 2.0
+	// fillerPaceLeast is the least pace at which a filler is placed.
+	fillerPaceLeast = 0.4
 	// fillerLeast is the least share of its demand that a filler must be able to get.
 	fillerLeast = 0.8
+	// servingUse is the part of their processors that serving tasks use.
+	servingUse = 0.5
 	// packWeight is the cost of an empty worker against a full one for a task that serves: serving tasks are kept
 	// together, so that fillers find workers where they press nobody.
 	packWeight = 1.5
+	// mixWeight is the cost of a worker on which only other images serve, for a task that serves: fillers that press one
+	// image alone find more workers if each has few images.
+	mixWeight = 1.0
 	// avoidCost is the cost of the worker on which a task failed last, in shares of its duration.
 	avoidCost = 4.0
 	// roomWeight is the cost of a full worker against an empty one, in shares of a task's duration. Spread work suffers
@@ -24,61 +28,35 @@
 	roomWeight = 0.2
 )
 
-// rank orders stages: priority first, then those that can still be on time, then by slack.
-type rank struct {
-	priority, lateness int
-	slackMs            int64
-}
-
-func (a rank) before(b rank) bool {
-	if a.priority != b.priority {
-		return a.priority < b.priority
-	}
-	if a.lateness != b.lateness {
-		return a.lateness < b.lateness
-	}
-	return a.slackMs < b.slackMs
-}
-
-func (s *State) rank(st *stage) rank {
-	j := st.job
-	spent := s.now.BootMs - max(st.dueMs, j.dueMs)
-	slack := j.objectiveMs - spent - j.tailMs[st.index]
-	r := rank{priority: s.queue(j).Priority, slackMs: slack}
-	switch {
-	case st.step.Lasting:
-	case slack < -(lateFactor-1)*j.objectiveMs:
-		r.lateness = 2
-	case slack < 0:
-		// Among late ones the shortest first: it ends most of them.
-		r.lateness, r.slackMs = 1, j.tailMs[st.index]
-	}
-	return r
-}
-
 // place starts waiting tasks where there is room.
 func (s *State) place() {
 	s.placePending = false
-	type candidate struct {
-		st *stage
-		rank
-	}
-	var list []candidate
+	var list []*stage
+	var jobs []*job
+	listed := map[*job]bool{}
 	kept := s.stages[:0]
 	for _, st := range s.stages {
 		if st.job.state.Final() || st.done == len(st.tasks) {
 			continue
 		}
 		kept = append(kept, st)
+		if !listed[st.job] {
+			listed[st.job] = true
+			jobs = append(jobs, st.job)
+		}
 		if st.idle > 0 && st.ready(s.now.BootMs) {
-			list = append(list, candidate{st, s.rank(st)})
+			list = append(list, st)
 		}
 	}
 	clear(s.stages[len(kept):])
 	s.stages = kept
-	sort.SliceStable(list, func(i, k int) bool { return list[i].before(list[k].rank) })
-	for _, c := range list {
-		s.placeStage(c.st)
+	if len(list) == 0 {
+		return
+	}
+	order := s.standings(jobs)
+	sort.SliceStable(list, func(i, k int) bool { return order[list[i].job].before(order[list[k].job]) })
+	for _, st := range list {
+		s.placeStage(st)
 	}
 }
 
@@ -97,6 +75,9 @@
 			continue
 		}
 		w := s.choose(t, nil)
+		if w == nil && s.starved(st) {
+			w = s.chooseCrowded(t)
+		}
 		if w == nil {
 			return // the other tasks are of the same size
 		}
@@ -104,6 +85,35 @@
 	}
 }
 
+// starved reports whether a job of fillers has had nothing at work for so long that it gets a place beside others.
+// Fillers share the processors, so each of them gets on.
+func (s *State) starved(st *stage) bool {
+	j := st.job
+	if !st.step.Filler || j.active > 0 {
+		return false
+	}
+	return s.now.BootMs-max(j.activeMs, st.dueMs, j.dueMs) > (s.bounds.Finish - starvedMargin).Milliseconds()
+}
+
+// starvedMargin is taken off the time after which every job must have something at work.
+const starvedMargin = 5 * time.Second
+
+// chooseCrowded returns the worker with room in its memory on which one filler more presses least, or nil.
+func (s *State) chooseCrowded(t *task) *worker {
+	var best *worker
+	bestCost := 0.0
+	for _, w := range s.order {
+		if !s.takesWork(w) || !s.allowed(t, w) {
+			continue
+		}
+		cost := -s.paceOf(t, w) + float64(w.cpu+w.fillCPU)/float64(max(w.info.CPU, 1))
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
 // start commits a run; it is ordered once it is on record.
 func (s *State) start(t *task, w *worker, run int) {
 	t.run = run
@@ -116,7 +126,7 @@
 		w.health.trial = true
 	}
 	s.touch(t.stage.job)
-	s.noteTask(NoteStart, t, fmt.Sprintf("slack %d ms, %d mCPU and %d MB free before", s.rank(t.stage).slackMs,
+	s.noteTask(NoteStart, t, fmt.Sprintf("objective in %d ms, %d mCPU and %d MB free before", t.stage.job.deadline()-s.now.BootMs,
 		w.info.CPU-w.cpu+t.stage.step.CPU, w.info.MemMB-w.mem+t.stage.step.MemMB))
 }
 
@@ -213,6 +223,37 @@
 
 // fits reports whether the worker has room for the task and is allowed to run it.
 func (s *State) fits(t *task, w *worker) bool {
+	if !s.allowed(t, w) {
+		return false
+	}
+	st := t.stage.step
+	if st.Filler {
+		return w.unused() >= fillerLeast*float64(st.CPU) && s.paceOf(t, w) >= fillerPaceLeast
+	}
+	return w.cpu+st.CPU <= w.info.CPU
+}
+
+// otherImages is the part of the serving tasks on a worker that have another image.
+func (w *worker) otherImages(t *task) float64 {
+	other, all := 0, 0
+	for o := range w.tasks {
+		if o.stage.step.TargetMs > 0 {
+			all++
+			if o.stage.step.Image != t.stage.step.Image {
+				other++
+			}
+		}
+	}
+	return float64(other) / float64(max(all, 1))
+}
+
+// unused is the processor room that fillers are expected to find on a worker, in thousandths of a core.
+func (w *worker) unused() float64 {
+	return float64(w.info.CPU-w.cpu-w.fillCPU) + (1-servingUse)*float64(w.servingCPU)
+}
+
+// allowed reports whether the worker may run the task, leaving aside processors.
+func (s *State) allowed(t *task, w *worker) bool {
 	st := t.stage.step
 	q := s.queue(t.stage.job)
 	if q.Service != w.info.Service || w.mem+st.MemMB > w.info.MemMB || w.gpu+st.GPU > w.info.GPU {
@@ -227,13 +268,7 @@
 			return false
 		}
 	}
-	if st.MaxPerWorker > 0 && s.beside(t, w) >= st.MaxPerWorker {
-		return false
-	}
-	if st.Filler {
-		return float64(w.info.CPU-w.cpu-w.fillCPU) >= fillerLeast*float64(st.CPU) && (w.serving == 0 || s.pressed(t, w) <= tailHigh)
-	}
-	return w.cpu+st.CPU <= w.info.CPU
+	return st.MaxPerWorker == 0 || s.beside(t, w) < st.MaxPerWorker
 }
 
 func hasLabel(w *worker, label string) bool {
@@ -268,16 +303,14 @@
 	}
 	cpu := float64(max(w.info.CPU, 1))
 	if st.Filler {
-		free := float64(w.info.CPU - w.cpu - w.fillCPU)
+		free := w.unused()
 		if free < float64(st.CPU) {
 			c *= float64(st.CPU) / max(free, 1)
 		}
-		if w.serving > 0 {
-			c += pressCost * s.pressed(t, w)
-		}
+		c /= max(s.paceOf(t, w), 0.05)
 	}
 	if st.TargetMs > 0 {
-		return c + packWeight*(1-float64(w.cpu)/cpu)
+		return c + packWeight*(1-float64(w.cpu)/cpu) + mixWeight*w.otherImages(t)
 	}
 	return c + roomWeight*float64(w.cpu+w.fillCPU)/cpu
 }
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -48,11 +48,14 @@
 	stages      []*stage
 	// opened is the number of occurrences whose stages exist, finished of those that are done.
 	opened, finished int
-	// active is the number of tasks with a run that may be at work.
-	active int
+	// active is the number of tasks with a run that may be at work, activeMs when there was one last.
+	active   int
+	activeMs int64
 	// begun is true once a task was started.
 	begun bool
 	dirty bool
+	// load is the load of the tasks of a lasting job.
+	load load
 	// tailMs holds, for each step, the expected time from its start to the end of the job.
 	tailMs []int64
 }
@@ -103,8 +106,10 @@
 	movedMs   int64
 	// load is the tail latency of a task that serves.
 	load int64
-	// baseTail is the tail that a serving task is expected to have without fillers, as a share of its target.
-	baseTail float64
+	// narrow is the part of the model's allowance that fillers may use beside a serving task; 0 stands for all of it.
+	narrow float64
+	// overMs is since when a serving task is over its target; 0 if it is not.
+	overMs int64
 	// pace is the share at which a filler is to work, pacedTo the one that it was told, slowedMs when it was slowed down.
 	pace, pacedTo int
 	slowedMs      int64
@@ -129,16 +134,16 @@
 	// claimedMs is when this decider claimed. Grants of the one before may last for Lead and Lease from then.
 	claimedMs int64
 
-	jobs     map[string]*job
-	over     map[string]int64 // jobs that are over, with the time at which they were found so
-	queues   map[string]work.Queue
-	sends    map[string]map[string]bool // services that any configuration sent a queue to
-	services map[string]work.Service
-	workers  map[string]*worker
-	order    []*worker // workers in the order of their instances, so that decisions do not depend on map order
-	evac     map[string]bool
-	press    pressures
-	stages   []*stage // stages that have waiting tasks
+	jobs         map[string]*job
+	over         map[string]int64 // jobs that are over, with the time at which they were found so
+	queues       map[string]work.Queue
+	sends        map[string]map[string]bool // services that any configuration sent a queue to
+	services     map[string]work.Service
+	workers      map[string]*worker
+	order        []*worker // workers in the order of their instances, so that decisions do not depend on map order
+	evac         map[string]bool
+	interference interference
+	stages       []*stage // stages that have waiting tasks
 
 	dirty   []*job
 	drops   []work.Record
@@ -212,7 +217,7 @@
 func New(b bounds.Bounds, epoch uint64, now Now) *State {
 	return &State{bounds: b, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, over: map[string]int64{},
 		queues: map[string]work.Queue{}, sends: map[string]map[string]bool{}, services: map[string]work.Service{},
-		workers: map[string]*worker{}, evac: map[string]bool{}, press: pressures{}, forgets: map[string]bool{}}
+		workers: map[string]*worker{}, evac: map[string]bool{}, interference: newInterference(), forgets: map[string]bool{}}
 }
 
 // Event is something that the decider reacts to.
--- a/fleet/dispatch/summary.go
+++ b/fleet/dispatch/summary.go
@@ -11,6 +11,9 @@
 	Workers int
 	// CPU, Committed and Fillers are in thousandths of a core, on workers that take work.
 	CPU, Committed, Fillers int64
+	// FillersUsed is the processor use of fillers that work at full pace and were measured, FillersWant what they asked
+	// for, OthersUsed and OthersWant those of other tasks that end.
+	FillersUsed, FillersWant, OthersUsed, OthersWant int64
 	// MemMB and MemCommitted are in MB.
 	MemMB, MemCommitted int64
 	// Paced counts fillers that are slowed down.
@@ -32,9 +35,7 @@
 		m.MemMB += w.info.MemMB
 		m.MemCommitted += w.mem
 		for t := range w.tasks {
-			if t.pace < fullPace {
-				m.Paced++
-			}
+			m.measure(t)
 		}
 	}
 	for _, st := range s.stages {
@@ -52,3 +53,19 @@
 	}
 	return m
 }
+
+// measure adds the measured processor use of a task.
+func (m *Summary) measure(t *task) {
+	step := t.stage.step
+	switch {
+	case t.pace < fullPace:
+		m.Paced++
+	case t.phase != running || step.TargetMs > 0 || t.load == 0:
+	case step.Filler:
+		m.FillersUsed += t.load
+		m.FillersWant += step.CPU
+	default:
+		m.OthersUsed += t.load
+		m.OthersWant += step.CPU
+	}
+}
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -43,11 +43,10 @@
 	strangers map[string]int
 	// cpu, mem and gpu are committed; fillCPU is the demand of fillers, which is not.
 	cpu, mem, gpu, fillCPU int64
-	// serving counts tasks with a target for their response times.
-	serving int
-	health  health
-	// pacedMs is when the pace of a filler was changed last.
-	pacedMs int64
+	// serving counts tasks with a target for their response times, servingCPU is what is committed for them.
+	serving    int
+	servingCPU int64
+	health     health
 }
 
 // worker returns the worker of an instance, which it makes if needed. An unknown one may have been told to work by the
@@ -81,6 +80,7 @@
 	w.gpu += st.GPU
 	if st.TargetMs > 0 {
 		w.serving++
+		w.servingCPU += st.CPU
 	}
 }
 
@@ -93,6 +93,7 @@
 	t.on = nil
 	delete(w.tasks, t)
 	t.stage.job.active--
+	t.stage.job.activeMs = s.now.BootMs
 	st := t.stage.step
 	if st.Filler {
 		w.fillCPU -= st.CPU
@@ -103,13 +104,14 @@
 	w.gpu -= st.GPU
 	if st.TargetMs > 0 {
 		w.serving--
+		w.servingCPU -= st.CPU
 	}
 	if t.phase != done {
 		t.phase = waiting
 		t.stage.idle++
 	}
 	t.orderNumber, t.recorded, t.startedMs, t.percent, t.load, t.stopSentMs = 0, false, 0, 0, 0, 0
-	t.pace, t.pacedTo, t.baseTail = fullPace, fullPace, 0
+	t.pace, t.pacedTo, t.narrow, t.overMs = fullPace, fullPace, 0, 0
 	s.placePending = true
 	s.touch(t.stage.job)
 }
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -179,6 +179,7 @@
 	d.entry.log.Log(logevent.FleetState, logevent.Int("jobs", m.Jobs), logevent.Int("at_work", m.At), logevent.Int("waiting_lasting", m.WaitingLasting),
 		logevent.Int("waiting_fillers", m.WaitingFillers), logevent.Int("waiting_others", m.WaitingOthers), logevent.Int("workers", m.Workers),
 		logevent.Int("cpu", m.CPU), logevent.Int("cpu_committed", m.Committed), logevent.Int("cpu_fillers", m.Fillers),
+		logevent.Int("fillers_used", m.FillersUsed), logevent.Int("fillers_want", m.FillersWant), logevent.Int("others_used", m.OthersUsed), logevent.Int("others_want", m.OthersWant),
 		logevent.Int("mem_mb", m.MemMB), logevent.Int("mem_committed", m.MemCommitted), logevent.Int("paced", m.Paced))
 }
 
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -35,7 +35,7 @@
 	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
 		HoldMax: 6 * time.Second, Grace: 6 * time.Second, Stop: 200 * time.Millisecond, GangWait: 3 * time.Second,
 		Harm: 4 * time.Second, Notice: 4500 * time.Millisecond, Status: 120 * time.Second, FarFactor: 1.5,
-		Checkpoint: time.Second, Restore: 600 * time.Millisecond, Visible: 3 * time.Second}}
+		Checkpoint: time.Second, Restore: 600 * time.Millisecond, Visible: 3 * time.Second, Finish: 14 * time.Second}}
 }
 
 func (f *Fleet) keys(entry bool) []key {
@@ -69,6 +69,7 @@
 		{"bounds", "far_factor", false, optional(fraction(&b.FarFactor, 1, 1000)), "write a factor, for example 1.5"},
 		{"bounds", "checkpoint", false, span(&b.Checkpoint), spanRemedy},
 		{"bounds", "restore", false, span(&b.Restore), spanRemedy},
+		{"bounds", "finish", false, span(&b.Finish), spanRemedy},
 		{"bounds", "visible", false, span(&b.Visible), spanRemedy},
 	}
 }
