Leave the verdict on an unanswered start to the worker's lists

Ruled out: a forgotten end (ends are kept until they are on record) and a change of decider (none took place).

Change: after an unanswered attempt nothing is reported as refused. The run is stopped until the worker answers, and the lists that follow tell what became of it. Records that a decider appended itself are applied in the follower's order.

Conclusion: only lists and definite refusals free a task.

--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -396,6 +396,7 @@
 			continue
 		}
 		s.noteTask(NoteRequeued, t, "its worker does not list it")
+		t.avoid = w.instance
 		s.ended(t)
 	}
 	s.stopStrangers(w)
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -293,8 +293,7 @@
 		f := d.flying
 		d.flying = nil
 		d.confirmedMs = sent
-		d.entry.view.applyProgress(f.append.Records)
-		d.entry.sched.skipTo(got.End)
+		d.entry.sched.own(f.append.Records, got.End)
 		d.step(dispatch.Committed{Batch: f.batch})
 	case errors.Is(err, work.ErrFenced), errors.Is(err, work.ErrSequence):
 		d.entry.log.Log(logevent.ClaimLost, logevent.Int("epoch", d.epoch), logevent.Err(err))
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -147,8 +147,7 @@
 	got, err := e.store.Append(ctx, work.Append{Topic: work.TopicSchedule, Producer: producer, Epoch: epoch, Seq: firstSeq(claim),
 		Conditional: true, ExpectedEnd: next, Records: []work.Record{{Key: work.KeyClaim, Value: work.Encode(claim)}}})
 	if err == nil {
-		e.sched.skipTo(got.End)
-		e.election.records(clock.BootMs(), claim)
+		e.sched.own([]work.Record{{Key: work.KeyClaim, Value: work.Encode(claim)}}, got.End)
 		return
 	}
 	if !errors.Is(err, work.ErrConditionFailed) {
--- a/fleet/entry/follow.go
+++ b/fleet/entry/follow.go
@@ -151,10 +151,14 @@
 	}
 }
 
-// skipTo moves on to an offset up to which the records are known.
-func (f *follower) skipTo(next int64) {
+// own applies records that this entry appended itself, up to their end. A read on its way may return them again and is
+// passed over.
+func (f *follower) own(records []work.Record, end int64) {
 	f.applying.Lock()
-	f.next = max(f.next, next)
+	if end > f.next {
+		f.apply(records)
+		f.next = end
+	}
 	f.applying.Unlock()
 	f.mu.Lock()
 	f.okMs = clock.BootMs()
--- a/fleet/side/life.go
+++ b/fleet/side/life.go
@@ -300,13 +300,15 @@
 	}
 	l.side.log.Log(logevent.StartAnswered, logevent.Str("task", o.Task), logevent.Int("run", o.Run),
 		logevent.Int("took_ms", clock.BootMs()-began), logevent.Str("outcome", reason), logevent.Err(err))
-	if unanswered && reason != link.ReasonOld {
-		// It may be carried out later, unless a stop of the run is answered first.
-		if !l.stopUntilAnswered(ctx, fence, link.Stop{Task: o.Task, Run: o.Run}) {
-			return
-		}
+	if !unanswered {
+		l.finish(ctx, c, number, &link.Refusal{Task: o.Task, Run: o.Run, Reason: reason})
+		return
+	}
+	// An attempt without an answer may have been carried out, and the run may even have ended. Only the lists tell,
+	// once no attempt can be carried out any more: that is after a stop of the run was answered.
+	if reason == link.ReasonOld || l.stopUntilAnswered(ctx, fence, link.Stop{Task: o.Task, Run: o.Run}) {
+		l.finish(ctx, c, number, nil)
 	}
-	l.finish(ctx, c, number, &link.Refusal{Task: o.Task, Run: o.Run, Reason: reason})
 }
 
 // stopUntilAnswered repeats a stop until the worker has answered it.
--- /dev/null
+++ b/fleet/side/life_test.go
@@ -0,0 +1,355 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
+	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/telemetry"
+)
+
+// fakeWorker is a worker that speaks the platform's wire. Its fields are guarded by mu.
+type fakeWorker struct {
+	mu sync.Mutex
+	// mute makes starts take effect without an answer; silent makes nothing answer.
+	mute, silent bool
+	// refuse is the reason with which starts are refused; empty if they are not.
+	refuse  string
+	running map[string]int
+	ended   [][]any
+	stopped map[string]int
+	calls   []string
+	fences  []uint64
+	// deadline is that of the last hold.
+	deadline int64
+	seen     int64
+	done     chan struct{}
+}
+
+func newFakeWorker() *fakeWorker {
+	return &fakeWorker{running: map[string]int{}, stopped: map[string]int{}, done: make(chan struct{})}
+}
+
+const fakeClock = 1_000_000
+
+func (f *fakeWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Task       string `json:"task"`
+		Run        int    `json:"run"`
+		Fence      uint64 `json:"fence"`
+		DeadlineMs int64  `json:"deadline_ms"`
+		SeenUpto   int64  `json:"seen_upto"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	f.mu.Lock()
+	f.calls = append(f.calls, r.URL.Path)
+	f.fences = append(f.fences, body.Fence)
+	answer, hang := f.carryOut(r.URL.Path, body.Task, body.Run, body.DeadlineMs, body.SeenUpto)
+	f.mu.Unlock()
+	if hang {
+		select {
+		case <-r.Context().Done():
+		case <-f.done:
+		}
+		return
+	}
+	if answer["reason"] != nil {
+		w.WriteHeader(http.StatusConflict)
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (f *fakeWorker) carryOut(path, task string, run int, deadline, seen int64) (map[string]any, bool) {
+	answer := map[string]any{"clock_ms": fakeClock}
+	switch {
+	case f.silent:
+		return nil, true
+	case strings.HasSuffix(path, "run-start"):
+		if f.refuse != "" {
+			answer["reason"] = f.refuse
+			return answer, false
+		}
+		if f.stopped[task] >= run {
+			answer["reason"] = "old"
+			return answer, false
+		}
+		f.running[task] = run
+		return answer, f.mute
+	case strings.HasSuffix(path, "run-stop"):
+		f.stopped[task] = run
+		if f.running[task] == run {
+			delete(f.running, task)
+			f.ended = append(f.ended, []any{len(f.ended) + 1, task, run, "stopped", ""})
+		}
+	case strings.HasSuffix(path, "hold"):
+		f.deadline, f.seen = max(f.deadline, deadline), max(f.seen, seen)
+		rows := [][]any{}
+		for t, r := range f.running {
+			rows = append(rows, []any{t, r, "", 10, 0})
+		}
+		ends := [][]any{}
+		for _, e := range f.ended {
+			if int64(e[0].(int)) > f.seen {
+				ends = append(ends, e)
+			}
+		}
+		answer["running"], answer["ended"] = rows, ends
+	}
+	return answer, false
+}
+
+// finish ends a run as done.
+func (f *fakeWorker) finish(task string, run int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running, task)
+	f.stopped[task] = run
+	f.ended = append(f.ended, []any{len(f.ended) + 1, task, run, "done", ""})
+}
+
+// nullStore takes every append.
+type nullStore struct{}
+
+func (nullStore) Append(context.Context, work.Append) (work.Appended, error) {
+	return work.Appended{}, nil
+}
+func (nullStore) Read(context.Context, string, int64, time.Duration) (work.Page, error) {
+	return work.Page{}, nil
+}
+func (nullStore) Newest(context.Context, string) (work.Page, error) { return work.Page{}, nil }
+
+// rig is a side process with a fake worker and a connection of a decider.
+type rig struct {
+	t      *testing.T
+	side   *Side
+	worker *fakeWorker
+	conn   net.Conn
+	life   link.Life
+	mu     sync.Mutex
+	got    []link.Report
+}
+
+const service = "fitcheck"
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	worker := newFakeWorker()
+	server := httptest.NewServer(worker)
+	set := settings.DefaultFleet()
+	set.Instance, set.Zone, set.Service = "side-1", "a", service
+	set.Worker = strings.TrimPrefix(server.URL, "http://")
+	set.Control, set.Peer = "127.0.0.1:0", "127.0.0.1:0"
+	set.Bounds = set.Bounds.Derive()
+	registry, err := telemetry.New()
+	assert.NilError(t, err)
+	m, err := NewMeters(registry)
+	assert.NilError(t, err)
+	s, err := New(set, nullStore{}, logevent.Nop(), m)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		s.mu.Lock()
+		if s.life != nil {
+			s.life.cancel()
+		}
+		s.mu.Unlock()
+		close(worker.done)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return &rig{t: t, side: s, worker: worker, life: link.Life{ID: "i-1", BornMs: 1000}}
+}
+
+// register sends a heartbeat of a life.
+func (r *rig) register(life link.Life, seq int64, draining bool) {
+	r.side.register(&link.Worker{Life: life, Service: service, Zone: "a", Address: r.side.set.Worker, CPU: 16000, MemMB: 64000, Seq: seq, Draining: draining})
+}
+
+// connect opens a decider's connection and answers reports.
+func (r *rig) connect(epoch uint64) {
+	r.t.Helper()
+	conn, err := net.Dial("tcp", r.side.peer.Addr().String())
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = conn.Close() })
+	r.conn = conn
+	assert.NilError(r.t, link.WriteMessage(conn, link.Hello{Epoch: epoch, Entry: "entry-1"}))
+	assert.NilError(r.t, link.WriteMessage(conn, link.Orders{Fence: epoch << 16}))
+	go func() {
+		for {
+			var rep link.Report
+			if err := link.ReadMessage(conn, &rep); err != nil {
+				return
+			}
+			r.mu.Lock()
+			r.got = append(r.got, rep)
+			_ = link.WriteMessage(conn, link.Orders{Answered: rep.SentMs})
+			r.mu.Unlock()
+		}
+	}()
+}
+
+func (r *rig) order(o link.Orders) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	assert.NilError(r.t, link.WriteMessage(r.conn, o))
+}
+
+// await waits for a report that fits.
+func (r *rig) await(what string, fits func(*link.Report) bool) link.Report {
+	r.t.Helper()
+	var found link.Report
+	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for i := range r.got {
+			if fits(&r.got[i]) {
+				found = r.got[i]
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no report %s among %d", what, len(r.got))
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	return found
+}
+
+const task = "0011223344556677.0.0.0"
+
+// Guards against a start without an answer being reported as refused: the run may have been carried out and may even
+// have ended as done, and the decider would start the task once more (TWICE on trouble-1 of nws-puddle-grown).
+func TestUnansweredStartIsNotRefused(t *testing.T) {
+	r := newRig(t)
+	r.register(r.life, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.worker.mu.Lock()
+	r.worker.mute = true
+	r.worker.mu.Unlock()
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Life: r.life, Starts: []link.Start{{Task: task, Run: 1, Spec: "x"}}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.worker.mu.Lock()
+		defer r.worker.mu.Unlock()
+		if r.worker.running[task] == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not started")
+	}, poll.WithTimeout(30*time.Second))
+	r.worker.finish(task, 1)
+	rep := r.await("with the orders done", func(rep *link.Report) bool { return rep.Listed && rep.OrdersDone >= 1 })
+	assert.Equal(t, len(rep.Runs), 0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ends := 0
+	for _, rep := range r.got {
+		assert.Equal(t, len(rep.Refusals), 0, "a start that may have run was reported as refused: %v", rep.Refusals)
+		for _, e := range rep.Ends {
+			assert.Equal(t, e.How, link.Done)
+			ends++
+		}
+	}
+	assert.Equal(t, ends, 1, "the end of the run was reported %d times on one connection", ends)
+}
+
+// Guards against a definite refusal being lost: the task would wait for lists that never name it.
+func TestRefusedStartIsReported(t *testing.T) {
+	r := newRig(t)
+	r.register(r.life, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed })
+	r.worker.mu.Lock()
+	r.worker.refuse = "room"
+	r.worker.mu.Unlock()
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Life: r.life, Starts: []link.Start{{Task: task, Run: 1}}})
+	rep := r.await("with a refusal", func(rep *link.Report) bool { return len(rep.Refusals) > 0 })
+	assert.DeepEqual(t, rep.Refusals, []link.Refusal{{Task: task, Run: 1, Reason: link.ReasonRoom}})
+}
+
+// Guards against orders for a life of the worker that has ended being carried out by the next one.
+func TestOrdersForAnEarlierLifeAreRefused(t *testing.T) {
+	r := newRig(t)
+	r.register(r.life, 5, false)
+	r.connect(1)
+	r.await("of the first life", func(rep *link.Report) bool { return rep.Worker != nil && rep.Worker.Life == r.life })
+	second := link.Life{ID: r.life.ID, BornMs: r.life.BornMs + 1}
+	r.register(second, 1, false)
+	r.await("of the second life", func(rep *link.Report) bool { return rep.Worker != nil && rep.Worker.Life == second })
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Life: r.life, Starts: []link.Start{{Task: task, Run: 1}}})
+	rep := r.await("with a refusal", func(rep *link.Report) bool { return len(rep.Refusals) > 0 })
+	assert.Equal(t, rep.Refusals[0].Reason, link.ReasonGone)
+	r.register(r.life, 9, false)
+	r.side.mu.Lock()
+	defer r.side.mu.Unlock()
+	assert.Equal(t, r.side.life.info.Life, second, "a late heartbeat of an earlier life replaced the later one")
+}
+
+// Guards against a decider that was replaced renewing leases or giving orders.
+func TestOlderDeciderIsTurnedAway(t *testing.T) {
+	r := newRig(t)
+	r.register(r.life, 1, false)
+	r.connect(7)
+	r.await("of the newer decider", func(rep *link.Report) bool { return rep.Epoch == 7 })
+	conn, err := net.Dial("tcp", r.side.peer.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, link.WriteMessage(conn, link.Hello{Epoch: 6, Entry: "entry-2"}))
+	var rep link.Report
+	assert.NilError(t, link.ReadMessage(conn, &rep))
+	assert.Equal(t, rep.Epoch, uint64(7))
+	assert.ErrorContains(t, link.ReadMessage(conn, &rep), "EOF")
+}
+
+// Guards against a lease that is counted from the arrival of the decider's word instead of the report that it answers.
+func TestLeaseCountsFromTheReport(t *testing.T) {
+	r := newRig(t)
+	r.register(r.life, 1, false)
+	r.connect(1)
+	first := r.await("at all", func(rep *link.Report) bool { return rep.Worker != nil })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.side.mu.Lock()
+		defer r.side.mu.Unlock()
+		if r.side.leaseEndMs > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no lease")
+	}, poll.WithTimeout(30*time.Second))
+	r.side.mu.Lock()
+	defer r.side.mu.Unlock()
+	lease := r.side.set.Bounds.Lease.Milliseconds()
+	assert.Assert(t, r.side.leaseEndMs >= first.SentMs+lease)
+	assert.Assert(t, r.side.leaseEndMs <= clock.BootMs()+lease)
+}
+
+// Guards against lists being taken for complete while the worker has not answered an order before them.
+func TestTrackerWaitsForAllOrders(t *testing.T) {
+	var tr tracker
+	tr.add(1, 2)
+	tr.add(2, 0)
+	tr.add(3, 1)
+	assert.Equal(t, tr.done(), uint64(0))
+	tr.finish(1)
+	assert.Equal(t, tr.done(), uint64(0))
+	tr.finish(3)
+	assert.Equal(t, tr.done(), uint64(0))
+	tr.finish(1)
+	assert.Equal(t, tr.done(), uint64(3))
+}
