Play the decider against a model of workers, and mend what it finds

Cause: the new reducer had no tests. A model of workers, side processes and the store in virtual time, with faults drawn from seeds, found five faults at once: - a report that was sent before an answer reached the side process shortened the time for which the decider waits for a lost worker's lease: a task ran twice; - a run that was given up, failed unseen and was listed later did not count as a failed attempt; - a start that was taken back before it was on record stayed counted as at work once its task was done otherwise; - the one task that tries a worker after its quarantine blocked it for good if its run ended neither done nor failed; - a task that stood still was restarted without end after the same short time.

Change: reports name the newest answer received; failed runs are kept by number; starts that are not on record are taken back in any phase; the trial ends with its run; the time allowed to a task that stood still doubles.

Ruled out: two findings were of the model: gangs ended one by one, and lasting jobs left no room at the end of a play. The model now ends gangs together and cancels lasting jobs at the end, so the check that every job ends stays as strict.

Conclusion: the model is kept as the first test of any change to fleet/dispatch.

--- /dev/null
+++ b/fleet/dispatch/dispatch_test.go
@@ -0,0 +1,291 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+)
+
+// submit hands a job in.
+func (w *world) submit(j *work.Job) {
+	if j.Queue.Name == "" {
+		j.Queue = work.Queue{Name: "q", Service: "app", Priority: 1, Attempts: 3, Stretch: 2, TargetMs: 1000}
+	}
+	j.AcceptedMs = w.at().WallMs
+	w.jobs[j.ID] = j
+	w.offer(j.ID)
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+// randomJob draws a job of one or two steps.
+func (w *world) randomJob(n int) *work.Job {
+	j := &work.Job{ID: jobID(n)}
+	steps := 1 + w.rng.IntN(2)
+	for i := range steps {
+		s := work.Step{Count: 1 + w.rng.IntN(5), CPU: int64(200 + w.rng.IntN(1200)), MemMB: 100, EstMs: int64(300 + w.rng.IntN(1500))}
+		if i > 0 {
+			s.DependsOn = []int{i - 1}
+		}
+		switch w.rng.IntN(6) {
+		case 0:
+			s.Filler = true
+		case 1:
+			s.MaxPerWorker = 1
+		case 2:
+			s.Gang, s.Count = true, 1+w.rng.IntN(3)
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	if w.rng.IntN(8) == 0 {
+		j.Steps = []work.Step{{Count: 2, CPU: 500, MemMB: 100, EstMs: 400, Lasting: true, TargetMs: 50, Image: "s"}}
+	}
+	return j
+}
+
+// Guards against a task that runs twice at a time or after its end was taken note of, starts before the steps it
+// depends on, starts after its attempts or after its job's cancelling, and against a worker over its capacity: under
+// changes of the decider at any moment, cuts, restarts of workers under their old id, late and refused starts.
+func TestWorldNeverBreaksARule(t *testing.T) {
+	seeds := uint64(150)
+	if testing.Short() {
+		seeds = 10
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 4)
+			n := 0
+			for w.now < 100_000+40_000 {
+				if w.rng.IntN(15) == 0 {
+					n++
+					w.submit(w.randomJob(n))
+				}
+				if n > 0 && w.rng.IntN(120) == 0 {
+					id := jobID(1 + w.rng.IntN(n))
+					if _, ok := w.cancels[id]; !ok {
+						w.cancels[id] = w.now
+						w.step(JobCancelled{ID: id})
+					}
+				}
+				w.advance()
+			}
+			w.calm = true
+			// Lasting jobs make room at the end, so that every other job can end.
+			for i := 1; i <= n; i++ {
+				if id := jobID(i); w.jobs[id].Lasting() && i%4 != 0 {
+					w.cancels[id] = w.now
+					w.step(JobCancelled{ID: id})
+				}
+			}
+			for range 2400 {
+				w.advance()
+			}
+			w.checkEnds(n)
+		})
+	}
+}
+
+// checkEnds checks that every job that can end has ended, and how.
+func (w *world) checkEnds(n int) {
+	for i := 1; i <= n; i++ {
+		id := jobID(i)
+		var p work.Progress
+		if data := w.stored[id]; data != nil {
+			assert.NilError(w.t, work.Decode(data, &p))
+		}
+		_, cancelled := w.cancels[id]
+		switch {
+		case w.jobs[id].Lasting() && !cancelled:
+			assert.Equal(w.t, p.State, work.Running, "lasting job %s", id)
+		case cancelled:
+			assert.Assert(w.t, p.State.Final(), "cancelled job %s is %s", id, p.State)
+		default:
+			assert.Assert(w.t, p.State == work.Completed || p.State == work.Failed, "job %s is %s", id, p.State)
+		}
+		if p.State == work.Completed {
+			for si, s := range w.jobs[id].Steps {
+				for k := range s.Count {
+					name := work.TaskName{Job: id, Step: si, Index: k}.String()
+					assert.Assert(w.t, w.done[name], "job %s is completed without %s", id, name)
+				}
+			}
+		}
+		assert.Assert(w.t, !p.State.Final() || !p.Unfinished(), "job %s is over with runs on record", id)
+	}
+}
+
+// settleWorld lets the workers connect.
+func settleWorld(t *testing.T, workers int) *world {
+	w := newWorld(t, 1, workers)
+	w.calm = true
+	for range 40 {
+		w.advance()
+	}
+	return w
+}
+
+// Guards against fillers being kept off a worker by what its serving tasks were promised and do not use: fit-report
+// earned a tenth of its worth on days whose serving tasks had taken nine tenths of the processors.
+func TestFillersUseWhatServingTasksLeave(t *testing.T) {
+	w := settleWorld(t, 2)
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 4, CPU: 2000, MemMB: 10, EstMs: 400, Lasting: true, TargetMs: 50, Image: "s"}}})
+	for range 20 {
+		w.advance()
+	}
+	w.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 2, CPU: 1000, MemMB: 10, EstMs: 60_000, Filler: true, Image: "f"}}})
+	for range 20 {
+		w.advance()
+	}
+	assert.Equal(t, w.state.jobs[jobID(2)].active, 2)
+}
+
+// Guards against a late job of fillers having nothing at work for good while others come and go.
+func TestStarvedFillersGetAPlace(t *testing.T) {
+	w := settleWorld(t, 1)
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 8, CPU: 3000, MemMB: 10, EstMs: 600_000, Filler: true, Image: "f"}}})
+	w.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 8, CPU: 3000, MemMB: 10, EstMs: 900_000, Filler: true, Image: "f"}}})
+	for range int(w.bounds.Finish.Milliseconds()/stepMs) + 40 {
+		w.advance()
+	}
+	assert.Assert(t, w.state.jobs[jobID(1)].active > 0)
+	assert.Assert(t, w.state.jobs[jobID(2)].active > 0)
+}
+
+// Guards against one large job making several smaller ones late: the rule of Moore and Hodgson lets it make way.
+func TestLargeJobMakesWay(t *testing.T) {
+	w := settleWorld(t, 1)
+	s := w.state
+	mk := func(n int, count int, est int64) *job {
+		d := &work.Job{ID: jobID(n), Queue: work.Queue{Name: "q", Service: "app", Priority: 1, Attempts: 3, Stretch: 2, TargetMs: 500},
+			Steps: []work.Step{{Count: count, CPU: 1000, EstMs: est}}, AcceptedMs: w.at().WallMs}
+		s.Step(w.at(), JobSubmitted{Job: d})
+		return s.jobs[d.ID]
+	}
+	large, small1, small2 := mk(1, 40, 1500), mk(2, 4, 1600), mk(3, 4, 1700)
+	got := s.standings([]*job{large, small1, small2})
+	assert.Equal(t, got[large].late, crowdedOut)
+	assert.Equal(t, got[small1].late, onTime)
+	assert.Equal(t, got[small2].late, onTime)
+}
+
+// Guards against a serving task staying over its target beside fillers (HARM): after 0.4 of the bound they stand still,
+// whatever the model expects.
+func TestFillersStandStillBesideAHarmedTask(t *testing.T) {
+	w := settleWorld(t, 1)
+	s, sw := w.state, w.workers[0]
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 1000, EstMs: 400, Lasting: true, TargetMs: 50, Image: "s"}}})
+	w.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 2, CPU: 1000, EstMs: 600_000, Filler: true, Image: "f"}}})
+	for range 20 {
+		w.advance()
+	}
+	serving, filler := &s.jobs[jobID(1)].stages[0].tasks[0], &s.jobs[jobID(2)].stages[0].tasks[0]
+	s.interference.pressure[pair{"f", "s"}] = 0 // the model is wrong
+	for range int(w.bounds.Harm.Milliseconds()/stepMs) / 2 {
+		w.now += stepMs
+		info := sw.info
+		s.Step(w.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: sw.sideFence, OrdersDone: sw.ordersDone,
+			LeaseLeftMs: 4000, Runs: []link.Run{{Task: serving.name().String(), Run: serving.run, Percent: 100, Load: 300},
+				{Task: filler.name().String(), Run: filler.run, Percent: 50, Load: 0}}}})
+	}
+	assert.Equal(t, filler.pace, 0)
+}
+
+// Guards against pressures that are not told apart by pairs of images.
+func TestPressureIsLearnedByPair(t *testing.T) {
+	w := settleWorld(t, 2)
+	s := w.state
+	serve := &work.Step{Count: 1, CPU: 1000, TargetMs: 50, Lasting: true, Image: "s"}
+	j := &job{def: &work.Job{ID: jobID(9), Steps: []work.Step{*serve}}}
+	worker := s.order[0]
+	st := &task{stage: &stage{job: j, step: serve}, phase: running, percent: 100}
+	heavy := &task{stage: &stage{job: j, step: &work.Step{CPU: 1000, Filler: true, Image: "heavy"}}, phase: running, pace: fullPace, load: 900}
+	light := &task{stage: &stage{job: j, step: &work.Step{CPU: 1000, Filler: true, Image: "light"}}, phase: running, pace: fullPace, load: 900}
+	const idle, load = 10.0, 0.4
+	s.interference.idle["s"] = idle
+	for i := range 60 {
+		s.now.BootMs += 450
+		j.load.measure(s.now.BootMs, load)
+		j.load.freshMs = s.now.BootMs
+		f, pressure := heavy, 3.0
+		if i%2 == 0 {
+			f, pressure = light, 0.0
+		}
+		slowdown := 1 + pressure*float64(f.load)/float64(worker.info.CPU)
+		st.load = int64(idle * slowdown / (1 - load*slowdown))
+		s.learnPressed(st, worker, []*task{f})
+	}
+	assert.Assert(t, s.interference.of(heavy, st) > 2.5, "heavy: %g", s.interference.of(heavy, st))
+	assert.Assert(t, s.interference.of(light, st) < 0.4, "light: %g", s.interference.of(light, st))
+}
+
+// Guards against a decider that counts a disconnected worker as empty before its lease has ended.
+func TestTasksOfALostWorkerWaitForItsLease(t *testing.T) {
+	w := settleWorld(t, 2)
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 1000, EstMs: 600_000}}})
+	for range 20 {
+		w.advance()
+	}
+	tk := &w.state.jobs[jobID(1)].stages[0].tasks[0]
+	first := tk.on
+	for _, sw := range w.workers {
+		if sw.instance == first.instance {
+			sw.connected, sw.awayUntil = false, 1<<60
+			w.step(SideLost{Instance: sw.instance})
+		}
+	}
+	lost := w.now
+	for tk.on == first && w.now < lost+20_000 {
+		w.advance()
+	}
+	waited := w.now - lost
+	assert.Assert(t, waited >= w.bounds.Lease.Milliseconds()-200, "given up after %d ms", waited)
+	assert.Assert(t, waited <= w.bounds.Lease.Milliseconds()+500, "given up after %d ms", waited)
+}
+
+// Guards against starts in an availability zone that is out of service, and on a worker that drains.
+func TestNoStartsWhereWorkIsNotWanted(t *testing.T) {
+	w := settleWorld(t, 2)
+	for _, sw := range w.workers {
+		sw.info.Zone = "a"
+	}
+	w.workers[1].info.Zone = "b"
+	w.workers[1].info.Draining, w.workers[1].info.RemainingMs = true, 100
+	for range 10 {
+		w.advance()
+	}
+	w.step(ZoneEvacuated{Zone: "a", Evacuated: true})
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 2, CPU: 100, EstMs: 500}}})
+	for range 40 {
+		w.advance()
+	}
+	assert.Equal(t, w.state.jobs[jobID(1)].active, 0)
+	w.step(ZoneEvacuated{Zone: "a", Evacuated: false})
+	for range 4 {
+		w.advance()
+	}
+	assert.Equal(t, w.state.jobs[jobID(1)].active, 2)
+}
+
+// Guards against progress that a later decider cannot read.
+func TestProgressSurvivesItsStoredForm(t *testing.T) {
+	w := settleWorld(t, 3)
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 9, CPU: 700, EstMs: 900}, {Count: 3, CPU: 100, EstMs: 900, DependsOn: []int{0}}}})
+	for range 30 {
+		w.advance()
+	}
+	before := w.state.jobs[jobID(1)].progress()
+	w.stored[jobID(1)] = work.Encode(before)
+	w.elect()
+	after := w.state.jobs[jobID(1)].progress()
+	assert.DeepEqual(t, before.State, after.State)
+	assert.Equal(t, len(before.Stages), len(after.Stages))
+	for i := range before.Stages {
+		assert.DeepEqual(t, before.Stages[i].Done, after.Stages[i].Done)
+		assert.Equal(t, len(before.Stages[i].Tasks), len(after.Stages[i].Tasks))
+	}
+}
--- a/fleet/dispatch/health.go
+++ b/fleet/dispatch/health.go
@@ -20,6 +20,8 @@
 	stuckMs = 1500
 	// stuckFillerMs is that of a filler, which may lack processor time for a while.
 	stuckFillerMs = 5000
+	// maxStallShift bounds the doubling of the time that a task may stand still.
+	maxStallShift = 4
 	// moveGain is how many times longer the rest of a run must take than a fresh one elsewhere before it is moved.
 	moveGain = 1.6
 	// moveLeastMs is the least time that a move must gain.
@@ -30,26 +32,32 @@
 type health struct {
 	// streak counts failures since the last success.
 	streak int
-	// untilMs is when the quarantine ends; trial is true while one task tries the worker.
+	// untilMs is when the quarantine ends; trial is the task that tries the worker after it, nil if there is none.
 	untilMs int64
-	trial   bool
+	trial   *task
 	fullMs  int64
 	// slow is how many times longer runs take here than estimated; 0 if unknown.
 	slow float64
 }
 
 func (h *health) succeeded(now int64, t *task) {
-	h.streak, h.trial, h.untilMs = 0, false, 0
+	h.streak, h.trial, h.untilMs = 0, nil, 0
 	if t.startedMs > 0 && !t.stage.step.Filler {
 		h.learn(float64(now-t.startedMs) / float64(est(t.stage.step)))
 	}
 }
 
-func (h *health) failed(now int64, _ *task) {
+func (h *health) failed(now int64, t *task) {
 	h.streak++
-	if h.streak >= failuresToQuarantine || h.trial {
+	if h.streak >= failuresToQuarantine || h.trial == t {
 		h.untilMs = now + quarantineMs
-		h.trial = false
+	}
+}
+
+// released notes that a task's run has ended, however it did.
+func (h *health) released(t *task) {
+	if h.trial == t {
+		h.trial = nil
 	}
 }
 
@@ -67,7 +75,7 @@
 }
 
 // usable reports whether the worker may get work.
-func (h *health) usable(now int64) bool { return now >= h.untilMs && now >= h.fullMs && !h.trial }
+func (h *health) usable(now int64) bool { return now >= h.untilMs && now >= h.fullMs && h.trial == nil }
 
 // slowness returns how many times longer than elsewhere a run takes, at least 1. Small differences are within the error
 // of estimates.
@@ -91,6 +99,7 @@
 		if s.stuck(w, t) {
 			stuck++
 			t.avoid = w.instance
+			t.stalls++
 			s.stop(t, fmt.Sprintf("it stood at %d%% for %d ms", t.percent, s.now.BootMs-t.movedMs))
 			continue
 		}
@@ -118,7 +127,8 @@
 		}
 		limit = s.bounds.Notice.Milliseconds()
 	}
-	limit = max(limit, est(step)/8)
+	// A task that stood still before may just be slow to show progress: it gets more time at each try.
+	limit = max(limit, est(step)/8) << min(t.stalls, maxStallShift)
 	if w.heardMs-t.movedMs < limit {
 		return false
 	}
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -209,7 +209,7 @@
 			if t.on == nil && (t.run == 0 || j.state.Final()) {
 				continue
 			}
-			tp := work.TaskProgress{Index: i, Run: t.run, Fails: t.fails, Checkpoint: t.checkpoint}
+			tp := work.TaskProgress{Index: i, Run: t.run, Failed: t.failed, Checkpoint: t.checkpoint}
 			if t.on != nil {
 				if refs[t.on.instance] == 0 {
 					p.Workers = append(p.Workers, t.on.instance)
@@ -255,7 +255,7 @@
 }
 
 func (s *State) restoreTask(t *task, tp work.TaskProgress, workers []string) {
-	t.run, t.fails, t.checkpoint = tp.Run, tp.Fails, tp.Checkpoint
+	t.run, t.failed, t.checkpoint = tp.Run, tp.Failed, tp.Checkpoint
 	t.stage.gangRun = max(t.stage.gangRun, tp.Run)
 	if tp.Worker <= 0 || tp.Worker > len(workers) {
 		return
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -123,7 +123,7 @@
 	t.stage.job.begun = true
 	s.starts = append(s.starts, t)
 	if w.health.streak >= failuresToQuarantine {
-		w.health.trial = true
+		w.health.trial = t
 	}
 	s.touch(t.stage.job)
 	s.noteTask(NoteStart, t, fmt.Sprintf("objective in %d ms, %d mCPU and %d MB free before", t.stage.job.deadline()-s.now.BootMs,
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -88,10 +88,12 @@
 
 // task is one task of a stage.
 type task struct {
-	stage      *stage
-	index      int
-	phase      phase
-	run, fails int
+	stage *stage
+	index int
+	phase phase
+	run   int
+	// failed holds the numbers of the runs that failed.
+	failed []int
 	// on is the worker on which run may be at work; nil if it is known to have ended.
 	on         *worker
 	checkpoint string
@@ -104,7 +106,9 @@
 	startedMs int64
 	percent   int
 	movedMs   int64
-	// load is the tail latency of a task that serves.
+	// stalls counts runs that were stopped because they stood still.
+	stalls int
+	// load is the tail latency of a task that serves, and the processor use of others.
 	load int64
 	// narrow is the part of the model's allowance that fillers may use beside a serving task; 0 stands for all of it.
 	narrow float64
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/verbenakeel/verbenakeel/fleet/bounds"
@@ -37,6 +38,8 @@
 	seenEnd, forget int64
 	// heardMs is when the last report came, goneByMs when everything on it has ended unless it is renewed.
 	heardMs, goneByMs int64
+	// answered is the newest report on this connection whose answer renewed the lease.
+	answered int64
 	// tasks holds the tasks whose run may be at work here.
 	tasks map[*task]struct{}
 	// strangers holds runs at work that belong to no task.
@@ -92,6 +95,7 @@
 	}
 	t.on = nil
 	delete(w.tasks, t)
+	w.health.released(t)
 	t.stage.job.active--
 	t.stage.job.activeMs = s.now.BootMs
 	st := t.stage.step
@@ -121,7 +125,7 @@
 
 func (e SideConnected) apply(s *State) {
 	w := s.worker(e.Instance)
-	w.connected, w.listed, w.orders, w.heardMs = true, false, 0, s.now.BootMs
+	w.connected, w.listed, w.orders, w.heardMs, w.answered = true, false, 0, s.now.BootMs, 0
 	for t := range w.tasks {
 		t.orderNumber = 0
 	}
@@ -146,11 +150,16 @@
 }
 
 // Granted means that a report was answered, which renews the lease of the worker.
-type Granted struct{ Instance string }
+type Granted struct {
+	Instance string
+	// SentMs is that of the report.
+	SentMs int64
+}
 
 func (e Granted) apply(s *State) {
 	w := s.worker(e.Instance)
 	lease := s.bounds.Lease
+	w.answered = max(w.answered, e.SentMs)
 	w.goneByMs = max(w.goneByMs, s.now.BootMs+(lease+bounds.ClockSlack(lease)).Milliseconds())
 }
 
@@ -163,8 +172,11 @@
 func (e Reported) apply(s *State) {
 	w, r := s.worker(e.Instance), e.Report
 	w.heardMs = s.now.BootMs
-	if r.Worker == nil {
+	if r.Answered >= w.answered {
+		// Without an answer on its way the side process knows how long the lease can last.
 		w.goneByMs = min(w.goneByMs, s.now.BootMs+r.LeaseLeftMs)
+	}
+	if r.Worker == nil {
 		return
 	}
 	if w.info == nil || w.info.Life != r.Worker.Life {
@@ -175,7 +187,6 @@
 			Reason: fmt.Sprintf("draining %t, leaving %t, %d ms left", r.Worker.Draining, r.Leaving, r.Worker.RemainingMs)})
 	}
 	w.info, w.leaving, w.silentMs = r.Worker, r.Leaving, r.SilentMs
-	w.goneByMs = min(w.goneByMs, s.now.BootMs+r.LeaseLeftMs)
 	s.takeEnds(w, r.Ends)
 	s.takeRefusals(w, r.Refusals)
 	if r.Listed && r.Fence == s.fence(w) {
@@ -275,6 +286,9 @@
 		return
 	}
 	if !current {
+		if e.How == link.Failed {
+			s.countFailure(w, t, e.Run)
+		}
 		return
 	}
 	if e.Checkpoint != "" {
@@ -320,23 +334,34 @@
 	s.settle(st.job)
 }
 
-// taskFailed counts a failed attempt. A gang fails as a whole.
+// taskFailed notes that the current run of a task has failed.
 func (s *State) taskFailed(w *worker, t *task) {
-	st := t.stage
 	w.health.failed(s.now.BootMs, t)
 	t.avoid = w.instance
-	fails := t.fails + 1
-	t.fails = fails
+	s.ended(t)
+	s.countFailure(w, t, t.run)
+}
+
+// countFailure counts a failed run once, also one that was given up before its end was seen. A gang fails as a whole.
+func (s *State) countFailure(w *worker, t *task, run int) {
+	st := t.stage
+	if t.phase == done || st.job.state.Final() || slices.Contains(t.failed, run) {
+		return
+	}
+	t.failed = append(t.failed, run)
+	s.touch(st.job)
+	fails := len(t.failed)
 	if st.step.Gang {
-		fails = 0
+		runs := map[int]bool{}
 		for i := range st.tasks {
-			st.tasks[i].fails = max(st.tasks[i].fails, t.fails)
-			fails = max(fails, st.tasks[i].fails)
+			for _, r := range st.tasks[i].failed {
+				runs[r] = true
+			}
 		}
+		fails = len(runs)
 	}
-	s.ended(t)
-	if !st.step.Lasting && fails >= s.queue(st.job).Attempts && !st.job.state.Final() {
-		s.finish(st.job, work.Failed, fmt.Sprintf("task %s failed %d times, last on %s", t.name(), fails, w.instance))
+	if !st.step.Lasting && fails >= s.queue(st.job).Attempts {
+		s.finish(st.job, work.Failed, fmt.Sprintf("task %s failed in runs %v, last on %s", t.name(), t.failed, w.instance))
 	}
 }
 
@@ -437,7 +462,7 @@
 	if t.on == nil || t.phase == stopping {
 		return
 	}
-	if t.phase == starting && !t.recorded {
+	if !t.recorded {
 		// It was never ordered: Committed passes over it.
 		s.release(t)
 		return
@@ -479,7 +504,7 @@
 		if w.connected && w.listed && w.silentMs < silentMs && t.phase != stopping {
 			continue // it answers; its lists tell what has lapsed
 		}
-		if t.phase == starting && !t.recorded {
+		if !t.recorded {
 			continue
 		}
 		s.noteTask(NoteRequeued, t, "its lease has ended")
--- /dev/null
+++ b/fleet/dispatch/world_test.go
@@ -0,0 +1,487 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/fleet/bounds"
+	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+)
+
+// world plays the decider's reducer against workers, side processes and a store, all of them in virtual time, with
+// faults drawn from a seed. It checks what must never happen while it runs.
+type world struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    int64
+	bounds bounds.Bounds
+	state  *State
+	epoch  uint64
+
+	workers []*simWorker
+	// stored holds the progress of jobs on record, flying the batch that is on its way to the store.
+	stored   map[string][]byte
+	flying   *Batch
+	flyingAt int64
+	jobs     map[string]*work.Job
+	cancels  map[string]int64
+	// noted holds tasks whose end as done the workers were told to forget.
+	noted map[string]bool
+	// done holds tasks that a worker ended as done.
+	done map[string]bool
+	// fails holds failed runs that a decider was told of.
+	fails map[string]bool
+	// calm turns faults off, for the end of a play.
+	calm bool
+	// late holds starts that are carried out later.
+	late []lateStart
+}
+
+type lateStart struct {
+	at       int64
+	worker   *simWorker
+	life     link.Life
+	start    link.Start
+	fence    uint64
+	deadline int64
+}
+
+// simWorker is a worker and its side process.
+type simWorker struct {
+	instance  string
+	info      link.Worker
+	clockBase int64
+	runs      map[string]*simRun
+	ends      []link.End
+	number    int64
+	forgotten int64
+	fence     uint64
+	blocked   map[string]int
+
+	connected  bool
+	awayUntil  int64
+	ordersDone uint64
+	leaseEnd   int64
+	heldUntil  int64
+	// sideFence is the highest fence that the side process was sent.
+	sideFence uint64
+	refusals  []link.Refusal
+	answered  int64
+}
+
+type simRun struct {
+	run             int
+	beganAt, endsAt int64
+	how             link.How
+	lease           int64
+}
+
+// percent is how far a run is; 100 for one that lasts.
+func (r *simRun) percent(now int64) int {
+	if r.endsAt == lasts {
+		return 100
+	}
+	return int(min(100*(now-r.beganAt)/(r.endsAt-r.beganAt), 100))
+}
+
+const (
+	// stepMs is the time between two steps of a play.
+	stepMs = 50
+	// lasts is the end of a run that lasts.
+	lasts = 1 << 60
+)
+
+func newWorld(t *testing.T, seed uint64, workers int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, jobs: map[string]*work.Job{},
+		cancels: map[string]int64{}, noted: map[string]bool{}, done: map[string]bool{}, fails: map[string]bool{}}
+	w.bounds = bounds.Bounds{HoldMax: 6 * time.Second, Stop: 200 * time.Millisecond, GangWait: 3 * time.Second, Harm: 4 * time.Second,
+		Notice: 4500 * time.Millisecond, Status: 120 * time.Second, FarFactor: 1.5, Checkpoint: time.Second,
+		Restore: 600 * time.Millisecond, Finish: 14 * time.Second}.Derive()
+	for i := range workers {
+		sw := &simWorker{instance: fmt.Sprintf("side-%d", i)}
+		w.born(sw)
+		w.workers = append(w.workers, sw)
+	}
+	w.elect()
+	return w
+}
+
+// born starts a new life of a worker.
+func (w *world) born(sw *simWorker) {
+	zone := string(rune('a' + w.rng.IntN(3)))
+	sw.info = link.Worker{Life: link.Life{ID: "i-" + sw.instance, BornMs: w.now}, Service: "app", Zone: zone, CPU: 4000, MemMB: 16000,
+		Labels: []string{"a", fmt.Sprintf("r%s-1", "1")}}
+	sw.runs, sw.ends, sw.number, sw.forgotten, sw.fence, sw.blocked = map[string]*simRun{}, nil, 0, 0, 0, map[string]int{}
+	sw.heldUntil = 0
+}
+
+func (w *world) at() Now { return Now{BootMs: w.now, WallMs: w.now + 1_700_000_000_000} }
+
+// elect starts a new decider from what is on record.
+func (w *world) elect() {
+	w.epoch++
+	w.flying = nil
+	w.state = New(w.bounds, w.epoch, w.at())
+	for _, sw := range w.workers {
+		sw.connected = false
+	}
+	w.step(ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
+	ids := make([]string, 0, len(w.jobs))
+	for id := range w.jobs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		w.offer(id)
+	}
+}
+
+// offer tells the decider of a job.
+func (w *world) offer(id string) {
+	var p *work.Progress
+	if data := w.stored[id]; data != nil {
+		p = &work.Progress{}
+		if err := work.Decode(data, p); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	w.step(JobSubmitted{Job: w.jobs[id], Progress: p})
+	if _, ok := w.cancels[id]; ok {
+		w.step(JobCancelled{ID: id})
+	}
+}
+
+// step applies an event and carries out the orders that follow.
+func (w *world) step(e Event) {
+	eff := w.state.Step(w.at(), e)
+	for _, o := range eff.Orders {
+		for _, sw := range w.workers {
+			if sw.instance == o.Instance && sw.connected {
+				w.carryOut(sw, o.Orders)
+			}
+		}
+	}
+}
+
+func (w *world) carryOut(sw *simWorker, o link.Orders) {
+	sw.sideFence = max(sw.sideFence, o.Fence)
+	if o.Number == 0 {
+		return
+	}
+	sw.ordersDone = o.Number
+	if o.Life != sw.info.Life {
+		for _, st := range o.Starts {
+			sw.refusals = append(sw.refusals, link.Refusal{Task: st.Task, Run: st.Run, Reason: link.ReasonGone})
+		}
+		return
+	}
+	if o.Forget > sw.forgotten {
+		for _, e := range sw.ends {
+			if e.Number > sw.forgotten && e.Number <= o.Forget && e.How == link.Done {
+				w.noted[e.Task] = true
+			}
+		}
+		sw.forgotten = o.Forget
+	}
+	for _, st := range o.Starts {
+		w.orderStart(sw, st, o.Fence)
+	}
+	for _, st := range o.Stops {
+		w.stopRun(sw, st, o.Fence)
+	}
+}
+
+// orderStart carries a start out at once, late, or not at all.
+func (w *world) orderStart(sw *simWorker, st link.Start, fence uint64) {
+	deadline := sw.leaseEnd
+	switch {
+	case !w.calm && w.rng.IntN(20) == 0:
+		// No answer: the side process stops the run until the worker answers, and the call is carried out later.
+		w.late = append(w.late, lateStart{w.now + 2000 + int64(w.rng.IntN(8000)), sw, sw.info.Life, st, fence, deadline})
+		w.stopRun(sw, link.Stop{Task: st.Task, Run: st.Run}, fence)
+	case !w.calm && w.rng.IntN(25) == 0:
+		sw.refusals = append(sw.refusals, link.Refusal{Task: st.Task, Run: st.Run, Reason: link.ReasonRoom})
+	case deadline-w.now < 600:
+		sw.refusals = append(sw.refusals, link.Refusal{Task: st.Task, Run: st.Run, Reason: link.ReasonLate})
+	default:
+		w.startRun(sw, st, fence, deadline)
+	}
+}
+
+func (w *world) stopRun(sw *simWorker, st link.Stop, fence uint64) {
+	if fence < sw.fence {
+		return
+	}
+	sw.fence = fence
+	sw.blocked[st.Task] = max(sw.blocked[st.Task], st.Run)
+	if r := sw.runs[st.Task]; r != nil && r.run <= st.Run {
+		w.end(sw, st.Task, link.Stopped)
+	}
+}
+
+func (w *world) end(sw *simWorker, name string, how link.How) {
+	r := sw.runs[name]
+	delete(sw.runs, name)
+	sw.number++
+	sw.blocked[name] = max(sw.blocked[name], r.run)
+	sw.ends = append(sw.ends, link.End{Number: sw.number, Task: name, Run: r.run, How: how})
+}
+
+// startRun starts a run and checks that it may start.
+func (w *world) startRun(sw *simWorker, st link.Start, fence uint64, deadline int64) {
+	if fence < sw.fence || st.Run <= sw.blocked[st.Task] || deadline <= w.now || sw.runs[st.Task] != nil {
+		return
+	}
+	sw.fence = fence
+	name, ok := work.ParseTaskName(st.Task)
+	if !ok || w.jobs[name.Job] == nil {
+		w.t.Fatalf("a task that nobody asked for was started: %s", st.Task)
+	}
+	j := w.jobs[name.Job]
+	step := &j.Steps[name.Step]
+	if w.noted[st.Task] {
+		w.t.Fatalf("%d: %s run %d started after its end as done was taken note of", w.now, st.Task, st.Run)
+	}
+	for _, other := range w.workers {
+		if r := other.runs[st.Task]; r != nil {
+			w.t.Fatalf("%d: %s run %d started on %s while run %d works on %s", w.now, st.Task, st.Run, sw.instance, r.run, other.instance)
+		}
+	}
+	failures := 0
+	for run := range st.Run {
+		if w.fails[fmt.Sprint(st.Task, run)] {
+			failures++
+		}
+	}
+	if !step.Lasting && failures >= j.Queue.Attempts {
+		w.t.Fatalf("%d: %s started after %d failures", w.now, st.Task, failures)
+	}
+	for _, d := range step.DependsOn {
+		for i := range j.Steps[d].Count {
+			before := work.TaskName{Job: j.ID, Occurrence: name.Occurrence, Step: d, Index: i}.String()
+			if !w.done[before] {
+				w.t.Fatalf("%d: %s started before %s was done", w.now, st.Task, before)
+			}
+		}
+	}
+	if at, ok := w.cancels[j.ID]; ok && w.now-at > 3000 {
+		w.t.Fatalf("%d: %s started %d ms after its cancellation", w.now, st.Task, w.now-at)
+	}
+	used := step.CPU
+	for n := range sw.runs {
+		o, _ := work.ParseTaskName(n)
+		if os := &w.jobs[o.Job].Steps[o.Step]; !os.Filler {
+			used += os.CPU
+		}
+	}
+	if !step.Filler && used > sw.info.CPU {
+		w.t.Fatalf("%d: %s brings %s to %d of %d", w.now, st.Task, sw.instance, used, sw.info.CPU)
+	}
+	r := &simRun{run: st.Run, lease: deadline, how: link.Done, beganAt: w.now, endsAt: w.now + step.EstMs/2 + w.rng.Int64N(step.EstMs)}
+	if step.Lasting {
+		r.endsAt = lasts
+	}
+	if w.rng.IntN(15) == 0 {
+		r.how = link.Failed
+	}
+	sw.runs[st.Task] = r
+}
+
+// advance lets a step of time pass.
+func (w *world) advance() {
+	w.now += stepMs
+	w.lateStarts()
+	for _, sw := range w.workers {
+		w.work(sw)
+		w.disturb(sw)
+		w.report(sw)
+	}
+	w.step(Place{})
+	if w.now%100 == 0 {
+		w.step(Tick{})
+	}
+	w.storeBatch()
+	if !w.calm && w.rng.IntN(600) == 0 {
+		w.changeDecider()
+	}
+}
+
+func (w *world) lateStarts() {
+	kept := w.late[:0]
+	for _, l := range w.late {
+		if w.now < l.at {
+			kept = append(kept, l)
+			continue
+		}
+		if l.life == l.worker.info.Life {
+			w.startRun(l.worker, l.start, l.fence, l.deadline)
+		}
+	}
+	w.late = kept
+}
+
+// work ends runs that are finished or whose lease has ended, in the order of their names.
+func (w *world) work(sw *simWorker) {
+	names := make([]string, 0, len(sw.runs))
+	for n := range sw.runs {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		r := sw.runs[n]
+		if r == nil {
+			continue // ended with its gang
+		}
+		name, _ := work.ParseTaskName(n)
+		gang := w.jobs[name.Job].Steps[name.Step].Gang
+		switch {
+		case r.lease <= w.now:
+			w.end(sw, n, link.Lapsed)
+			if gang {
+				w.endGang(name, r.run, link.Broken)
+			}
+		case r.endsAt > w.now:
+		case gang && w.members(name, r.run) < w.jobs[name.Job].Steps[name.Step].Count:
+			if w.now-r.endsAt > w.bounds.GangWait.Milliseconds() {
+				w.end(sw, n, link.Alone)
+			}
+		case gang && r.how == link.Done:
+			w.endGang(name, r.run, link.Done)
+		default:
+			if r.how == link.Done {
+				w.done[n] = true
+			}
+			w.end(sw, n, r.how)
+			if gang {
+				w.endGang(name, r.run, link.Broken)
+			}
+		}
+	}
+}
+
+// members counts the members of a gang's run that are at work.
+func (w *world) members(name work.TaskName, run int) int {
+	n := 0
+	for _, sw := range w.workers {
+		for other, r := range sw.runs {
+			o, _ := work.ParseTaskName(other)
+			if o.Job == name.Job && o.Occurrence == name.Occurrence && o.Step == name.Step && r.run == run {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// endGang ends all members of a gang's run that are at work. One end as done stands for all.
+func (w *world) endGang(name work.TaskName, run int, how link.How) {
+	for i := range w.jobs[name.Job].Steps[name.Step].Count {
+		name.Index = i
+		if how == link.Done {
+			w.done[name.String()] = true
+		}
+		for _, sw := range w.workers {
+			if r := sw.runs[name.String()]; r != nil && r.run == run {
+				w.end(sw, name.String(), how)
+			}
+		}
+	}
+}
+
+// disturb cuts side processes off, and restarts workers.
+func (w *world) disturb(sw *simWorker) {
+	if !w.calm && w.rng.IntN(400) == 0 {
+		if sw.connected {
+			sw.connected = false
+			w.step(SideLost{Instance: sw.instance})
+		}
+		sw.awayUntil = w.now + int64(w.rng.IntN(9000))
+	}
+	if !w.calm && w.rng.IntN(1500) == 0 {
+		w.born(sw)
+	}
+	if !sw.connected && w.now >= sw.awayUntil {
+		sw.connected, sw.ordersDone, sw.refusals, sw.answered = true, 0, nil, 0
+		w.step(SideConnected{Instance: sw.instance})
+	}
+}
+
+// report sends what the worker lists, and renews its lease with the answer.
+func (w *world) report(sw *simWorker) {
+	if !sw.connected || w.rng.IntN(3) > 0 {
+		return
+	}
+	sw.fence = max(sw.fence, sw.sideFence)
+	for _, r := range sw.runs {
+		r.lease = max(r.lease, sw.leaseEnd)
+	}
+	sw.heldUntil = max(sw.heldUntil, sw.leaseEnd)
+	info := sw.info
+	rep := &link.Report{SentMs: w.now, Worker: &info, Listed: true, OrdersDone: sw.ordersDone, Fence: sw.sideFence,
+		Refusals: sw.refusals, Answered: sw.answered, LeaseLeftMs: max(sw.heldUntil+100-w.now, 0)}
+	sw.refusals = nil
+	names := make([]string, 0, len(sw.runs))
+	for n := range sw.runs {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		rep.Runs = append(rep.Runs, link.Run{Task: n, Run: sw.runs[n].run, Percent: sw.runs[n].percent(w.now)})
+	}
+	for _, e := range sw.ends {
+		if e.Number > sw.forgotten {
+			rep.Ends = append(rep.Ends, e)
+			if e.How == link.Failed {
+				w.fails[fmt.Sprint(e.Task, e.Run)] = true
+			}
+		}
+	}
+	w.step(Reported{Instance: sw.instance, Report: rep})
+	w.step(Granted{Instance: sw.instance, SentMs: w.now})
+	sw.answered = w.now
+	sw.leaseEnd = w.now + w.bounds.Lease.Milliseconds()
+}
+
+// storeBatch stores what was decided after a while.
+func (w *world) storeBatch() {
+	if w.flying != nil {
+		if w.now >= w.flyingAt {
+			b := w.flying
+			w.flying = nil
+			w.record(b)
+			w.step(Committed{Batch: b})
+		}
+		return
+	}
+	if b := w.state.Collect(); !b.Empty() {
+		w.flying, w.flyingAt = b, w.now+stepMs*int64(1+w.rng.IntN(2))
+		if !w.calm && w.rng.IntN(40) == 0 {
+			w.flyingAt += 3000
+		}
+	}
+}
+
+func (w *world) record(b *Batch) {
+	for _, r := range b.Schedule {
+		if id, ok := strings.CutPrefix(r.Key, work.PrefixProgress); ok {
+			w.stored[id] = r.Value
+		}
+	}
+}
+
+// changeDecider replaces the decider. The batch on its way may or may not have been stored.
+func (w *world) changeDecider() {
+	if w.flying != nil && w.rng.IntN(2) == 0 {
+		w.record(w.flying)
+	}
+	w.now += int64(w.rng.IntN(40)) * stepMs
+	for _, sw := range w.workers {
+		w.work(sw)
+	}
+	w.elect()
+}
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -429,6 +429,6 @@
 	if !d.authority() {
 		return
 	}
-	d.step(dispatch.Granted{Instance: s.instance})
+	d.step(dispatch.Granted{Instance: s.instance, SentMs: r.SentMs})
 	s.send(link.Orders{Answered: r.SentMs})
 }
--- a/fleet/entry/sides.go
+++ b/fleet/entry/sides.go
@@ -187,6 +187,6 @@
 		s.d.lost = true
 		return
 	}
-	s.d.authorityFor(s, r)
 	s.d.step(dispatch.Reported{Instance: s.instance, Report: r})
+	s.d.authorityFor(s, r)
 }
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -173,6 +173,9 @@
 	// LeaseLeftMs is the time after which nothing of this life can be at work unless the lease is renewed. It bounds
 	// what a worker that does not answer may still do.
 	LeaseLeftMs int64 `cbor:"9,keyasint"`
+	// Answered is the newest Orders.Answered that was received on this connection. An answer on its way makes
+	// LeaseLeftMs too short.
+	Answered int64 `cbor:"13,keyasint,omitempty"`
 	// SilentMs is for how long the worker has not answered.
 	SilentMs int64 `cbor:"10,keyasint,omitempty"`
 	// Epoch is the highest epoch that the side process has met.
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -125,6 +125,8 @@
 	// reported is the highest end of the current life that was sent on this connection.
 	reported int64
 	reportMs int64
+	// answered is the newest report that the decider answered on this connection.
+	answered int64
 }
 
 func (c *connection) close() { _ = c.conn.Close() }
@@ -213,6 +215,7 @@
 		return
 	}
 	if o.Answered > 0 {
+		c.answered = max(c.answered, o.Answered)
 		s.leaseEndMs = max(s.leaseEndMs, o.Answered+s.set.Bounds.Lease.Milliseconds())
 		s.meters.heard(clock.BootMs() - o.Answered)
 	}
@@ -268,7 +271,7 @@
 		return
 	}
 	now := clock.BootMs()
-	r := link.Report{SentMs: now, Epoch: s.epoch, LeaseLeftMs: s.leaseLeft(now)}
+	r := link.Report{SentMs: now, Epoch: s.epoch, LeaseLeftMs: s.leaseLeft(now), Answered: c.answered}
 	if s.life != nil {
 		info := s.life.info
 		r.Worker, r.Leaving = &info, s.life.leaving
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -288,8 +288,10 @@
 type TaskProgress struct {
 	_     struct{} `cbor:",toarray"`
 	Index int
-	// Run is the number of its last start, Fails how often it failed.
-	Run, Fails int
+	// Run is the number of its last start.
+	Run int
+	// Failed holds the numbers of the runs that failed.
+	Failed []int
 	// Worker is one more than the place of the instance in Workers on which Run may be at work; 0 if it has ended.
 	Worker int
 	// Checkpoint is the newest known checkpoint.
