--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -46,8 +46,8 @@
 	dueMs       int64
 	objectiveMs int64
 	stages      []*stage
-	// opened is the number of occurrences whose stages exist, finished of those that are done.
-	opened, finished int
+	// opened is the number of occurrences whose stages exist.
+	opened int
 	// active is the number of tasks with a run that may be at work, activeMs when there was one last.
 	active   int
 	activeMs int64
--- a/fleet/dispatch/world_test.go
+++ b/fleet/dispatch/world_test.go
@@ -55,7 +55,6 @@
 type simWorker struct {
 	instance  string
 	info      link.Worker
-	clockBase int64
 	runs      map[string]*simRun
 	ends      []link.End
 	number    int64
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -76,7 +76,7 @@
 		e.setDecider(nil)
 		e.meters.deciding.Store(false)
 		e.sched.pause(false)
-		e.election.storeLost()
+		e.election.storeLost(clock.BootMs())
 		e.log.Log(logevent.ClaimLost, logevent.Int("epoch", epoch))
 	}()
 	if !d.load() {
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -74,10 +74,10 @@
 }
 
 // storeLost notes a failed read. The silence of a decider counts only while the store answers.
-func (e *election) storeLost() {
+func (e *election) storeLost(now int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.signMs = clock.BootMs()
+	e.signMs = now
 }
 
 // due reports whether this entry should claim, and with which epoch.
@@ -154,5 +154,5 @@
 		e.log.Log(logevent.ClaimFailed, logevent.Int("epoch", epoch), logevent.Err(err))
 	}
 	// Another entry may have claimed, or the answer was lost: the records tell. The silence counts anew.
-	e.election.storeLost()
+	e.election.storeLost(clock.BootMs())
 }
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -80,7 +80,7 @@
 	e.election = newElection(set)
 	e.jobs = &follower{topic: work.TopicJobs, store: e.store, log: log, gather: gatherJobs, apply: e.view.applyJobs}
 	e.sched = &follower{topic: work.TopicSchedule, store: e.store, log: log, gather: gatherSchedule, apply: e.applySchedule,
-		quiet: e.scheduleQuiet, failed: e.election.storeLost}
+		quiet: e.scheduleQuiet, failed: func() { e.election.storeLost(clock.BootMs()) }}
 	e.op = &follower{topic: platform.TopicOperator, store: e.store, log: log, apply: e.applyOperator}
 	e.sides = &follower{topic: work.TopicSides, store: e.store, log: log, apply: e.applySides}
 	public.NoRoute(e.servePublic)
--- /dev/null
+++ b/fleet/entry/entry_test.go
@@ -0,0 +1,319 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/verbenakeel/verbenakeel/fleet/side"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
+	"github.com/verbenakeel/verbenakeel/platform/platformtest"
+	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/telemetry"
+)
+
+const testConfig = `{"version":1,"routes":[{"name":"q","host":"h.example","path_prefix":"/p/","timeout_ms":3000,"target_latency_ms":250,` +
+	`"priority":0,"service":"s","attempts":2,"stretch":1.5}],"services":[{"name":"s"}],"limits":{"max_body_bytes":4096}}`
+
+// site is a store, workers with side processes, and entries, in one program.
+type site struct {
+	t     *testing.T
+	store *platformtest.Store
+	addr  string
+
+	mu    sync.Mutex
+	fault platformtest.Fault
+	// only restricts the fault to a path; empty means all.
+	only string
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: platformtest.NewStore()}
+	s.store.Fault = func(path string) platformtest.Fault {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.only != "" && s.only != path {
+			return platformtest.None
+		}
+		return s.fault
+	}
+	server := httptest.NewServer(s.store)
+	s.addr = strings.TrimPrefix(server.URL, "http://")
+	t.Cleanup(func() {
+		s.store.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	s.store.Put(platform.TopicOperator, "config", []byte(testConfig))
+	return s
+}
+
+func (s *site) setFault(f platformtest.Fault, only string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault, s.only = f, only
+}
+
+func (s *site) settings(name string) settings.Fleet {
+	set := settings.DefaultFleet()
+	set.Instance, set.Zone, set.Service = name, "a", "s"
+	set.Public, set.Ready, set.Control, set.Peer, set.Store = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", s.addr
+	set.Bounds = set.Bounds.Derive()
+	return set
+}
+
+// entry starts an entry and returns it with a function that ends it.
+func (s *site) entry(name string) (*Entry, func()) {
+	s.t.Helper()
+	registry, err := telemetry.New()
+	assert.NilError(s.t, err)
+	m, err := NewMeters(registry)
+	assert.NilError(s.t, err)
+	e, err := New(s.settings(name), platform.NewStore(s.addr), logevent.Nop(), m)
+	assert.NilError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = e.Run(ctx)
+	}()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		<-ended
+	})
+	s.t.Cleanup(stop)
+	s.until("the configuration", func() bool { return e.config.Load() != nil })
+	return e, stop
+}
+
+func (s *site) until(what string, ok func() bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting for %s", what)
+	}, poll.WithTimeout(60*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// call sends a request to an entry.
+func (s *site) call(e *Entry, method, path, body string) (int, string, http.Header) {
+	s.t.Helper()
+	req, err := http.NewRequest(method, "http://"+e.public.Address()+path, bytes.NewReader([]byte(body)))
+	assert.NilError(s.t, err)
+	req.Host = "h.example"
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(s.t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(s.t, err)
+	return resp.StatusCode, string(data), resp.Header
+}
+
+const (
+	jobPath = "/p/00112233445566aa"
+	jobBody = `{"spec":"x","steps":[{"count":2,"cpu":100,"mem_mb":10,"est_ms":300}]}`
+)
+
+// Guards against "not run" being said of a submission that was or may have been stored.
+func TestRefusalOfASubmissionIsTrue(t *testing.T) {
+	s := newSite(t)
+	e, _ := s.entry("entry-1")
+	s.setFault(platformtest.Busy, "/-/log-append")
+	status, _, header := s.call(e, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, header.Get("Retry-After"), "1")
+	assert.Equal(t, len(s.store.Keys(work.TopicJobs)), 0)
+	s.setFault(platformtest.LoseAnswer, "/-/log-append")
+	status, _, _ = s.call(e, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusGatewayTimeout)
+	assert.Equal(t, len(s.store.Keys(work.TopicJobs)), 1)
+	s.setFault(platformtest.None, "")
+	status, _, _ = s.call(e, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// Guards against answers that differ between entries, or do not follow the rules for jobs that never existed.
+func TestQuestionsAboutJobs(t *testing.T) {
+	s := newSite(t)
+	a, _ := s.entry("entry-1")
+	b, _ := s.entry("entry-2")
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{http.MethodGet, jobPath, "", http.StatusGone},
+		{http.MethodDelete, jobPath, "", http.StatusGone},
+		{http.MethodPost, "/p/xyz", jobBody, http.StatusBadRequest},
+		{http.MethodPost, jobPath, "{", http.StatusBadRequest},
+		{http.MethodPost, jobPath, `{"spec":"` + strings.Repeat("x", 5000) + `"}`, http.StatusRequestEntityTooLarge},
+		{http.MethodPost, "/other/00112233445566aa", jobBody, http.StatusNotFound},
+		{http.MethodPut, jobPath, jobBody, http.StatusMethodNotAllowed},
+	} {
+		status, body, _ := s.call(a, c.method, c.path, c.body)
+		assert.Equal(t, status, c.want, "%s %s: %s", c.method, c.path, body)
+	}
+	status, _, _ := s.call(a, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusOK)
+	// The other entry has not read it yet: it must look before it denies the job.
+	status, body, _ := s.call(b, http.MethodGet, jobPath, "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, `{"state":"queued"}`)
+	status, body, _ = s.call(b, http.MethodGet, "/p/", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, `{"pending":1}`)
+	status, _, _ = s.call(b, http.MethodDelete, jobPath, "")
+	assert.Equal(t, status, http.StatusOK)
+	status, body, _ = s.call(b, http.MethodGet, jobPath, "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.Contains(body, "cancelled") || strings.Contains(body, "queued"), body)
+	s.setFault(platformtest.Busy, "")
+	status, _, _ = s.call(b, http.MethodGet, "/p/00112233445566ab", "")
+	assert.Equal(t, status, http.StatusServiceUnavailable, "a job was denied although the store cannot be asked")
+}
+
+// deciders counts the entries that decide.
+func deciders(entries ...*Entry) int {
+	n := 0
+	for _, e := range entries {
+		if e.currentDecider() != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against two entries that decide in one epoch: the store takes claims with equal numbers for repeats.
+func TestOneEntryDecides(t *testing.T) {
+	s := newSite(t)
+	var entries []*Entry
+	for i := range 3 {
+		e, _ := s.entry(fmt.Sprintf("entry-%d", i))
+		entries = append(entries, e)
+	}
+	s.until("a decider", func() bool { return deciders(entries...) > 0 })
+	for range 50 {
+		time.Sleep(10 * time.Millisecond)
+		assert.Assert(t, deciders(entries...) <= 1, "%d entries decide", deciders(entries...))
+	}
+	epochs := map[uint64]string{}
+	page, err := platform.NewStore(s.addr).Read(context.Background(), work.TopicSchedule, 0, 0)
+	assert.NilError(t, err)
+	for _, r := range page.Records {
+		var c work.Claim
+		assert.NilError(t, work.Decode(r.Value, &c))
+		assert.Assert(t, epochs[c.Epoch] == "" || epochs[c.Epoch] == c.Instance, "epoch %d has two deciders", c.Epoch)
+		epochs[c.Epoch] = c.Instance
+	}
+}
+
+// worker starts a worker with its side process.
+func (s *site) worker(name string) *platformtest.Worker {
+	s.t.Helper()
+	w := platformtest.NewWorker()
+	server := httptest.NewServer(w)
+	set := s.settings(name)
+	set.Worker = strings.TrimPrefix(server.URL, "http://")
+	registry, err := telemetry.New()
+	assert.NilError(s.t, err)
+	m, err := side.NewMeters(registry)
+	assert.NilError(s.t, err)
+	sd, err := side.New(set, platform.NewStore(s.addr), logevent.Nop(), m)
+	assert.NilError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = sd.Run(ctx)
+	}()
+	s.t.Cleanup(func() {
+		cancel()
+		<-ended
+		w.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	beat := fmt.Sprintf(`{"service":"s","addr":%q,"zone":"a","state":"ready","capacity":{"cpu":4000,"mem_mb":8000,"gpu":0},"labels":["a","r1-1"],"seq":1,"born":5}`, set.Worker)
+	resp, err := http.Post("http://"+sd.ControlAddress()+"/-/Instances.Heartbeat/i-"+name, "application/json", strings.NewReader(beat))
+	assert.NilError(s.t, err)
+	_ = resp.Body.Close()
+	assert.Equal(s.t, resp.StatusCode, http.StatusOK)
+	return w
+}
+
+// running returns the tasks at work on the worker.
+func running(w *platformtest.Worker) []string {
+	w.Lock()
+	defer w.Unlock()
+	var names []string
+	for n := range w.Running {
+		names = append(names, n)
+	}
+	return names
+}
+
+// Guards against a job that is lost on its way from the caller to a worker and back, and against one that a change of
+// the decider in the middle of its work starts anew or forgets.
+func TestJobOutlivesItsDecider(t *testing.T) {
+	s := newSite(t)
+	first, stopFirst := s.entry("entry-1")
+	w := s.worker("side-1")
+	s.until("a decider", func() bool { return deciders(first) == 1 })
+	status, _, _ := s.call(first, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusOK)
+	s.until("both tasks at work", func() bool { return len(running(w)) == 2 })
+	second, _ := s.entry("entry-2")
+	names := running(w)
+	w.Finish(names[0], 1)
+	stopFirst()
+	s.until("the second decider", func() bool { return deciders(second) == 1 })
+	w.Finish(names[1], 1)
+	s.until("the job's end", func() bool {
+		_, body, _ := s.call(second, http.MethodGet, jobPath, "")
+		return body == `{"state":"completed"}`
+	})
+	starts := 0
+	w.Lock()
+	for _, c := range w.Calls {
+		if strings.HasSuffix(c, "start") {
+			starts++
+		}
+	}
+	w.Unlock()
+	assert.Equal(t, starts, 2, "a task was started again")
+}
+
+// Guards against an entry that claims because the store does not answer it: the decider may be well.
+func TestOutageIsNoReasonToClaim(t *testing.T) {
+	set := settings.DefaultFleet()
+	set.Instance, set.Bounds = "e", set.Bounds.Derive()
+	el := newElection(set)
+	now := el.signMs
+	el.records(now, &work.Claim{Epoch: 3, Instance: "other"})
+	el.quiet(now + el.waitMs - 1)
+	_, due := el.due()
+	assert.Assert(t, !due)
+	el.quiet(now + el.waitMs)
+	epoch, due := el.due()
+	assert.Assert(t, due)
+	assert.Equal(t, epoch, uint64(4))
+	el.storeLost(now + el.waitMs)
+	_, due = el.due()
+	assert.Assert(t, !due, "silence before an outage counted")
+	el.records(el.signMs, &work.Claim{Epoch: 3, Instance: "other", Resigned: true})
+	el.quiet(el.signMs + el.handoverMs)
+	_, due = el.due()
+	assert.Assert(t, due, "a decider that resigned was waited for")
+}
--- a/fleet/side/life_test.go
+++ b/fleet/side/life_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -18,109 +16,11 @@
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform/platformtest"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/telemetry"
 )
 
-// fakeWorker is a worker that speaks the platform's wire. Its fields are guarded by mu.
-type fakeWorker struct {
-	mu sync.Mutex
-	// mute makes starts take effect without an answer; silent makes nothing answer.
-	mute, silent bool
-	// refuse is the reason with which starts are refused; empty if they are not.
-	refuse  string
-	running map[string]int
-	ended   [][]any
-	stopped map[string]int
-	calls   []string
-	fences  []uint64
-	// deadline is that of the last hold.
-	deadline int64
-	seen     int64
-	done     chan struct{}
-}
-
-func newFakeWorker() *fakeWorker {
-	return &fakeWorker{running: map[string]int{}, stopped: map[string]int{}, done: make(chan struct{})}
-}
-
-const fakeClock = 1_000_000
-
-func (f *fakeWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Task       string `json:"task"`
-		Run        int    `json:"run"`
-		Fence      uint64 `json:"fence"`
-		DeadlineMs int64  `json:"deadline_ms"`
-		SeenUpto   int64  `json:"seen_upto"`
-	}
-	_ = json.NewDecoder(r.Body).Decode(&body)
-	f.mu.Lock()
-	f.calls = append(f.calls, r.URL.Path)
-	f.fences = append(f.fences, body.Fence)
-	answer, hang := f.carryOut(r.URL.Path, body.Task, body.Run, body.DeadlineMs, body.SeenUpto)
-	f.mu.Unlock()
-	if hang {
-		select {
-		case <-r.Context().Done():
-		case <-f.done:
-		}
-		return
-	}
-	if answer["reason"] != nil {
-		w.WriteHeader(http.StatusConflict)
-	}
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
-func (f *fakeWorker) carryOut(path, task string, run int, deadline, seen int64) (map[string]any, bool) {
-	answer := map[string]any{"clock_ms": fakeClock}
-	switch {
-	case f.silent:
-		return nil, true
-	case strings.HasSuffix(path, "run-start"):
-		if f.refuse != "" {
-			answer["reason"] = f.refuse
-			return answer, false
-		}
-		if f.stopped[task] >= run {
-			answer["reason"] = "old"
-			return answer, false
-		}
-		f.running[task] = run
-		return answer, f.mute
-	case strings.HasSuffix(path, "run-stop"):
-		f.stopped[task] = run
-		if f.running[task] == run {
-			delete(f.running, task)
-			f.ended = append(f.ended, []any{len(f.ended) + 1, task, run, "stopped", ""})
-		}
-	case strings.HasSuffix(path, "hold"):
-		f.deadline, f.seen = max(f.deadline, deadline), max(f.seen, seen)
-		rows := [][]any{}
-		for t, r := range f.running {
-			rows = append(rows, []any{t, r, "", 10, 0})
-		}
-		ends := [][]any{}
-		for _, e := range f.ended {
-			if int64(e[0].(int)) > f.seen {
-				ends = append(ends, e)
-			}
-		}
-		answer["running"], answer["ended"] = rows, ends
-	}
-	return answer, false
-}
-
-// finish ends a run as done.
-func (f *fakeWorker) finish(task string, run int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.running, task)
-	f.stopped[task] = run
-	f.ended = append(f.ended, []any{len(f.ended) + 1, task, run, "done", ""})
-}
-
 // nullStore takes every append.
 type nullStore struct{}
 
@@ -136,7 +36,7 @@
 type rig struct {
 	t      *testing.T
 	side   *Side
-	worker *fakeWorker
+	worker *platformtest.Worker
 	conn   net.Conn
 	life   link.Life
 	mu     sync.Mutex
@@ -147,7 +47,7 @@
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	worker := newFakeWorker()
+	worker := platformtest.NewWorker()
 	server := httptest.NewServer(worker)
 	set := settings.DefaultFleet()
 	set.Instance, set.Zone, set.Service = "side-1", "a", service
@@ -174,7 +74,7 @@
 			s.life.cancel()
 		}
 		s.mu.Unlock()
-		close(worker.done)
+		worker.Close()
 		server.CloseClientConnections()
 		server.Close()
 	})
@@ -242,19 +142,19 @@
 	r.register(r.life, 1, false)
 	r.connect(1)
 	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
-	r.worker.mu.Lock()
-	r.worker.mute = true
-	r.worker.mu.Unlock()
+	r.worker.Lock()
+	r.worker.Mute = true
+	r.worker.Unlock()
 	r.order(link.Orders{Number: 1, Fence: 1 << 16, Life: r.life, Starts: []link.Start{{Task: task, Run: 1, Spec: "x"}}})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		r.worker.mu.Lock()
-		defer r.worker.mu.Unlock()
-		if r.worker.running[task] == 1 {
+		r.worker.Lock()
+		defer r.worker.Unlock()
+		if r.worker.Running[task] == 1 {
 			return poll.Success()
 		}
 		return poll.Continue("not started")
 	}, poll.WithTimeout(30*time.Second))
-	r.worker.finish(task, 1)
+	r.worker.Finish(task, 1)
 	rep := r.await("with the orders done", func(rep *link.Report) bool { return rep.Listed && rep.OrdersDone >= 1 })
 	assert.Equal(t, len(rep.Runs), 0)
 	r.mu.Lock()
@@ -276,9 +176,9 @@
 	r.register(r.life, 1, false)
 	r.connect(1)
 	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed })
-	r.worker.mu.Lock()
-	r.worker.refuse = "room"
-	r.worker.mu.Unlock()
+	r.worker.Lock()
+	r.worker.Refuse = "room"
+	r.worker.Unlock()
 	r.order(link.Orders{Number: 1, Fence: 1 << 16, Life: r.life, Starts: []link.Start{{Task: task, Run: 1}}})
 	rep := r.await("with a refusal", func(rep *link.Report) bool { return len(rep.Refusals) > 0 })
 	assert.DeepEqual(t, rep.Refusals, []link.Refusal{{Task: task, Run: 1, Reason: link.ReasonRoom}})
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -66,6 +66,9 @@
 	return s, nil
 }
 
+// ControlAddress returns the bound address for heartbeats.
+func (s *Side) ControlAddress() string { return s.control.Address() }
+
 // Run serves until ctx ends. The worker's lease outlives a restart of this process.
 func (s *Side) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -85,7 +88,7 @@
 
 // publish writes the address of this process to the store, where deciders find it.
 func (s *Side) publish(ctx context.Context) {
-	value := work.Encode(work.SideAddress{Instance: s.set.Instance, Address: s.set.Peer, Zone: s.set.Zone})
+	value := work.Encode(work.SideAddress{Instance: s.set.Instance, Address: s.peer.Addr().String(), Zone: s.set.Zone})
 	rec := work.Record{Key: s.set.Instance, Value: value}
 	lost := false
 	for ctx.Err() == nil {
