Call the store through another entry while it refuses this one, and claim sooner

Entries that the store refused answered 503 for 9 s although others were served. After the loss of all processes the first claim came 2.4 s after their start, when half of the leases had ended.

Change: an entry makes its calls to the store through another one while the store refuses it; one call in 1.5 s tries directly. A decider that is silent for 0.7 s is asked whether it decides: one that was restarted, or whose address refuses connections, is not waited for. The first claim of all and one after this process's own last run wait for nobody.

Ruled out: a shorter silence before a claim without asking; the store decides who wins, but each change of decider costs running work a pause.

--- a/fleet/bounds/bounds.go
+++ b/fleet/bounds/bounds.go
@@ -46,7 +46,7 @@
 	// leadMost bounds the time without the store. Together with the lease it outlives an outage of 9 s.
 	leadMost = 5 * time.Second
 	// claimAfter is three signs of life and one slow answer of the store.
-	claimAfter = 1800 * time.Millisecond
+	claimAfter = 1600 * time.Millisecond
 )
 
 // ClockSlack is how much longer a lease may last on a worker's slow clock: 2%, and the granularity of timers.
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -20,7 +20,7 @@
 	// appendRetry is the pause after an append that failed.
 	appendRetry = 150 * time.Millisecond
 	// signEvery is the time without a record after which the decider shows that it is alive.
-	signEvery = 600 * time.Millisecond
+	signEvery = 400 * time.Millisecond
 	// eventQueue bounds events that wait for the decider.
 	eventQueue = 4096
 	// eventsAtOnce bounds the events between two placements.
@@ -70,11 +70,11 @@
 	d.state = dispatch.New(e.set.Bounds, epoch, d.now())
 	e.election.entered()
 	e.log.Log(logevent.Claimed, logevent.Int("epoch", epoch))
-	e.meters.deciding.Store(true)
+	e.deciding.Store(epoch)
 	e.sched.pause(true)
 	defer func() {
 		e.setDecider(nil)
-		e.meters.deciding.Store(false)
+		e.deciding.Store(0)
 		e.sched.pause(false)
 		e.election.storeLost(clock.BootMs())
 		e.log.Log(logevent.ClaimLost, logevent.Int("epoch", epoch))
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
+	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/settings"
@@ -22,6 +23,8 @@
 	smallDelayMs = 700
 	// spreadMs spreads the claims of entries of one size; a claim takes 10 ms.
 	spreadMs = 150
+	// suspectMs is the silence after which the decider is asked whether it decides; it shows signs of life more often.
+	suspectMs = 700
 	// producer names the decider to the store, which fences by its epochs.
 	producer = "decider"
 )
@@ -40,6 +43,9 @@
 	signMs int64
 	// quietMs is when a read last found the end without a record.
 	quietMs int64
+	// goneEpoch is the epoch of a decider that is known not to decide any more, asked that in which it was asked last.
+	goneEpoch uint64
+	askedMs   int64
 	// nonce is that of this entry's last claim, 0 if it made none.
 	nonce uint64
 }
@@ -85,7 +91,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	wait := e.waitMs
-	if e.newest != nil && e.newest.Resigned {
+	if e.newest == nil || e.newest.Resigned || e.newest.Epoch == e.goneEpoch || e.newest.Instance == e.instance {
+		// Nobody decides: there was no decider yet, it made way, it is known to be gone, or it was this process's last run.
 		wait = e.handoverMs
 	}
 	if e.quietMs == 0 || e.quietMs-e.signMs < wait {
@@ -107,6 +114,40 @@
 	return e.newest
 }
 
+// suspect returns the newest claim if its decider has been silent for long enough to be asked whether it decides.
+func (e *election) suspect(now int64) *work.Claim {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.newest == nil || e.newest.Instance == e.instance || e.newest.Resigned || e.newest.Epoch == e.goneEpoch {
+		return nil
+	}
+	if now-e.signMs < suspectMs || now-e.askedMs < suspectMs {
+		return nil
+	}
+	e.askedMs = now
+	return e.newest
+}
+
+// gone notes that the decider of an epoch does not decide any more.
+func (e *election) gone(epoch uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.goneEpoch = max(e.goneEpoch, epoch)
+}
+
+// askDecider asks a silent decider whether it decides. One that was restarted says no, and where no process listens
+// there is none. No answer says nothing: it may be cut off from this entry alone.
+func (e *Entry) askDecider(ctx context.Context, claim *work.Claim) {
+	a, ok := e.relay.peerAt(claim.Instance)
+	if !ok {
+		return
+	}
+	reply, err := callPeer(ctx, a.Address, link.PeerCall{}, 0)
+	if errors.Is(err, errNoEntry) || err == nil && reply.Deciding != claim.Epoch {
+		e.election.gone(claim.Epoch)
+	}
+}
+
 // firstSeq is the number of the append of a claim. Two claims with one epoch must not have one number, or the store
 // takes the second for a repeat of the first and answers both alike.
 func firstSeq(c *work.Claim) uint64 { return c.Nonce >> 32 }
@@ -125,6 +166,9 @@
 		if e.stopping.Load() {
 			return
 		}
+		if claim := e.election.suspect(clock.BootMs()); claim != nil {
+			go e.askDecider(ctx, claim)
+		}
 		if epoch, due := e.election.due(); due {
 			e.claim(ctx, epoch)
 		}
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/httpserver"
@@ -24,6 +26,8 @@
 	// told by as much.
 	gatherJobs     = 150 * time.Millisecond
 	gatherSchedule = 150 * time.Millisecond
+	// gatherPeers is the pause between reads of the entries' addresses, which change when one is replaced.
+	gatherPeers = 2 * time.Second
 	// readyAgeMs is the age of what is known of the store from which this entry wants no new callers.
 	readyAgeMs = 3000
 	// notReadyFor is how long an entry that stops goes on taking connections: the balancer needs two misses, one a second.
@@ -41,15 +45,22 @@
 	public *httpserver.Server
 	ready  *httpserver.Server
 
+	// peer takes calls of other entries, relay calls the store directly or through them.
+	peer  net.Listener
+	relay *relay
+
 	view   *view
 	jobs   *follower
 	sched  *follower
 	op     *follower
 	sides  *follower
+	peers  *follower
 	config atomic.Pointer[work.Config]
 	// stopping is true once the process was told to end.
 	stopping atomic.Bool
 
+	// deciding is the epoch in which this entry decides, from its claim on; 0 if it does not.
+	deciding atomic.Uint64
 	election *election
 	adviser  *platform.Adviser
 
@@ -72,17 +83,24 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{set: set, store: m.timed(store), log: log, meters: m, public: public, ready: ready, view: newView(log),
+	peer, err := net.Listen("tcp", set.Peer)
+	if err != nil {
+		return nil, fmt.Errorf("listen for entries: %w", errdefs.New(errdefs.Unavailable, err.Error(), "choose a free address in the settings"))
+	}
+	r := newRelay(m.timed(store), set.Instance)
+	e := &Entry{set: set, store: r, relay: r, peer: peer, log: log, meters: m, public: public, ready: ready, view: newView(log),
 		evacuated: map[string]bool{}, addresses: map[string]work.SideAddress{}}
 	if set.Adviser != "" {
 		e.adviser = platform.NewAdviser(set.Adviser)
 	}
+	m.deciding.Store(&e.deciding)
 	e.election = newElection(set)
 	e.jobs = &follower{topic: work.TopicJobs, store: e.store, log: log, gather: gatherJobs, apply: e.view.applyJobs}
 	e.sched = &follower{topic: work.TopicSchedule, store: e.store, log: log, gather: gatherSchedule, apply: e.applySchedule,
 		quiet: e.scheduleQuiet, failed: func() { e.election.storeLost(clock.BootMs()) }}
 	e.op = &follower{topic: platform.TopicOperator, store: e.store, log: log, apply: e.applyOperator}
 	e.sides = &follower{topic: work.TopicSides, store: e.store, log: log, apply: e.applySides}
+	e.peers = &follower{topic: work.TopicEntries, store: e.store, log: log, gather: gatherPeers, apply: e.applyPeers}
 	public.NoRoute(e.servePublic)
 	ready.GET(platform.ReadyPath, e.serveReady)
 	return e, nil
@@ -92,9 +110,11 @@
 func (e *Entry) Run(ctx context.Context) error {
 	run, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	for _, f := range []*follower{e.op, e.sched, e.jobs} {
+	for _, f := range []*follower{e.op, e.sched, e.jobs, e.peers} {
 		go f.run(run)
 	}
+	go e.servePeers(run)
+	go work.Publish(run, e.store, work.TopicEntries, work.SideAddress{Instance: e.set.Instance, Address: e.peer.Addr().String(), Zone: e.set.Zone}, e.log)
 	go e.elect(run)
 	failed := make(chan error, 2)
 	go func() { failed <- e.public.Serve(run, e.set.Bounds.Grace) }()
@@ -185,6 +205,21 @@
 	}
 }
 
+// applyPeers takes addresses of other entries.
+func (e *Entry) applyPeers(records []work.Record) {
+	for _, r := range records {
+		var a work.SideAddress
+		if len(r.Value) == 0 {
+			continue
+		}
+		if err := work.Decode(r.Value, &a); err != nil || a.Instance != r.Key {
+			e.log.Log(logevent.RecordUnreadable, logevent.Str("key", r.Key), logevent.Err(err))
+			continue
+		}
+		e.relay.setPeer(a)
+	}
+}
+
 // applySchedule takes records of the decider.
 func (e *Entry) applySchedule(records []work.Record) {
 	claim := e.view.applyProgress(records)
--- a/fleet/entry/metrics.go
+++ b/fleet/entry/metrics.go
@@ -16,7 +16,8 @@
 	request   telemetry.Histogram
 	store     telemetry.Histogram
 	decisions telemetry.Counter
-	deciding  atomic.Bool
+	// deciding tells the epoch in which the entry decides; nil until it is set.
+	deciding atomic.Pointer[atomic.Uint64]
 }
 
 // NewMeters returns the metrics of an entry.
@@ -34,7 +35,7 @@
 	}
 	err = r.Gauges([]*telemetry.Desc{telemetry.FleetDeciding}, func(set telemetry.Set) {
 		value := 0.0
-		if m.deciding.Load() {
+		if epoch := m.deciding.Load(); epoch != nil && epoch.Load() != 0 {
 			value = 1
 		}
 		set(telemetry.FleetDeciding, value)
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -25,8 +25,8 @@
 	linkSilence = 2500 * time.Millisecond
 	// helloTimeout bounds the wait for the greeting of a new connection.
 	helloTimeout = 2 * time.Second
-	// publishEvery is the time between attempts to publish the address of this process.
-	publishEvery = 400 * time.Millisecond
+	// acceptRetry is the pause after a connection that could not be accepted.
+	acceptRetry = 400 * time.Millisecond
 	// stopGrace bounds answering heartbeats in progress at the end of the process.
 	stopGrace = 200 * time.Millisecond
 )
@@ -73,7 +73,7 @@
 func (s *Side) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go s.publish(ctx)
+	go work.Publish(ctx, s.store, work.TopicSides, work.SideAddress{Instance: s.set.Instance, Address: s.peer.Addr().String(), Zone: s.set.Zone}, s.log)
 	go s.acceptDeciders(ctx)
 	go s.reportOnTime(ctx)
 	s.log.Log(logevent.Started, logevent.Str("peer", s.set.Peer), logevent.Str("control", s.set.Control),
@@ -86,27 +86,6 @@
 	return err
 }
 
-// publish writes the address of this process to the store, where deciders find it.
-func (s *Side) publish(ctx context.Context) {
-	value := work.Encode(work.SideAddress{Instance: s.set.Instance, Address: s.peer.Addr().String(), Zone: s.set.Zone})
-	rec := work.Record{Key: s.set.Instance, Value: value}
-	lost := false
-	for ctx.Err() == nil {
-		_, err := s.store.Append(ctx, work.Append{Topic: work.TopicSides, Records: []work.Record{rec}})
-		if err == nil {
-			if lost {
-				s.log.Log(logevent.StoreBack)
-			}
-			return
-		}
-		if !lost {
-			s.log.Log(logevent.StoreLost, logevent.Err(err))
-			lost = true
-		}
-		sleep(ctx, publishEvery)
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -146,7 +125,7 @@
 				return
 			}
 			s.log.Log(logevent.DeciderUnlinked, logevent.Err(err))
-			sleep(ctx, publishEvery)
+			sleep(ctx, acceptRetry)
 			continue
 		}
 		go s.serveDecider(ctx, conn)
--- a/fleet/work/store.go
+++ b/fleet/work/store.go
@@ -33,6 +33,8 @@
 	TopicSchedule = "keyed.sched"
 	// TopicSides holds the addresses of side processes.
 	TopicSides = "keyed.sides"
+	// TopicEntries holds the addresses at which entries reach each other.
+	TopicEntries = "keyed.entries"
 )
 
 // Prefixes of keys.
