Learn pressures by a Kalman filter and start fillers at their pace

The raw tails show two reasons: a filler starts at full pace and is slowed down only by the next report, and an error of prediction was shared by all fillers beside a task, known and unknown ones alike.

Change: an error corrects the least known pressures most; the first pace goes with the start order; checkpoints are put on record as they are made.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -184,7 +184,7 @@
 		w.advance()
 	}
 	serving, filler := &s.jobs[jobID(1)].stages[0].tasks[0], &s.jobs[jobID(2)].stages[0].tasks[0]
-	s.interference.pressure[pair{"f", "s"}] = 0 // the model is wrong
+	s.interference.pressure[pair{"f", "s"}] = pressure{} // the model is wrong
 	for range int(w.bounds.Harm.Milliseconds()/stepMs) / 2 {
 		w.now += stepMs
 		info := sw.info
@@ -211,11 +211,11 @@
 		s.now.BootMs += 450
 		j.load.measure(s.now.BootMs, load)
 		j.load.freshMs = s.now.BootMs
-		f, pressure := heavy, 3.0
+		f, actual := heavy, 3.0
 		if i%2 == 0 {
-			f, pressure = light, 0.0
+			f, actual = light, 0.0
 		}
-		slowdown := 1 + pressure*float64(f.load)/float64(worker.info.CPU)
+		slowdown := 1 + actual*float64(f.load)/float64(worker.info.CPU)
 		st.load = int64(idle * slowdown / (1 - load*slowdown))
 		s.learnPressed(st, worker, []*task{f})
 	}
--- a/fleet/dispatch/interference.go
+++ b/fleet/dispatch/interference.go
@@ -1,15 +1,16 @@
 package dispatch
 
 const (
-	// pressUnknown is the pressure of a filler whose image was not met beside a serving image yet.
-	pressUnknown = 1.0
+	// pressUnknown is the pressure of a filler whose image was not met beside a serving image yet, and pressSpread the
+	// standard deviation of that guess.
+	pressUnknown = 1.2
+	pressSpread  = 2.0
 	// pressMost bounds a pressure.
 	pressMost = 12.0
-	// learnRate is the share of an error of prediction that is corrected by one report.
-	learnRate = 0.4
-	// learnLeast is the least sum of squared shares of fillers from which something is learned: below it the error of
-	// the tails, which are whole milliseconds, is larger than the effect.
-	learnLeast = 0.0008
+	// measureSpread is the standard deviation of a measured slowdown: tails are whole milliseconds of half a second.
+	measureSpread = 0.06
+	// driftSpread is the standard deviation by which a pressure may change between two reports.
+	driftSpread = 0.05
 	// usualTargetFactor is how many times its idle tail the target of a serving task is taken to be at first.
 	usualTargetFactor = 5
 	// loadRate is the share of the newest measurement in what is taken for the load of a job.
@@ -25,40 +26,49 @@
 	// ahead is the time in seconds over which a rising load is extrapolated: a report and a change of pace take as long.
 	ahead = 0.8
 	// tailMargin is the part of its target that the tail of a serving task is held to.
-	tailMargin = 0.82
+	tailMargin = 0.87
 )
 
 // pair is a filler's image beside a serving image.
 type pair struct{ fills, serves string }
 
+// pressure is what is known of the pressure of a filler's image on a serving image.
+type pressure struct{ mean, variance float64 }
+
 // interference holds what is learned of how fillers slow down tasks that serve. A serving task is taken for a queue: at
 // load r its tail is t/(1-r), with its idle tail t. Fillers beside it make its work take s times as long, which gives
 // t*s/(1-r*s). s grows with the share of the worker's processors that a filler uses, times a pressure that depends on the
-// two images. Pressures are learned by normalized least mean squares (Widrow and Hoff, 1960).
+// two images. Pressures are learned by a Kalman filter (Kalman, 1960) without covariances: an error of prediction
+// corrects the pressures that are least known most.
 type interference struct {
-	pressure map[pair]float64
+	pressure map[pair]pressure
 	// idle holds the shortest tail seen of an image, in milliseconds.
 	idle map[string]float64
 }
 
 func newInterference() interference {
-	return interference{pressure: map[pair]float64{}, idle: map[string]float64{}}
+	return interference{pressure: map[pair]pressure{}, idle: map[string]float64{}}
 }
 
-// of returns the pressure of a filler on a serving task.
-func (in *interference) of(f, t *task) float64 {
-	if v, ok := in.pressure[pair{f.stage.step.Image, t.stage.step.Image}]; ok {
+func pairOf(f, t *task) pair { return pair{f.stage.step.Image, t.stage.step.Image} }
+
+// known returns what is known of the pressure of a filler on a serving task.
+func (in *interference) known(f, t *task) pressure {
+	if v, ok := in.pressure[pairOf(f, t)]; ok {
 		return v
 	}
-	return pressUnknown
+	return pressure{pressUnknown, pressSpread * pressSpread}
 }
 
+// of returns the expected pressure of a filler on a serving task.
+func (in *interference) of(f, t *task) float64 { return in.known(f, t).mean }
+
 // share is the part of a worker's processors that a filler asks for.
 func share(f *task, w *worker) float64 {
 	return float64(f.stage.step.CPU) / float64(max(w.info.CPU, 1))
 }
 
-// effect is what a filler at full pace adds to s of a serving task.
+// effect is what a filler at full pace is expected to add to s of a serving task.
 func (in *interference) effect(f, t *task, w *worker) float64 { return in.of(f, t) * share(f, w) }
 
 // idleTail returns the tail of a serving task without load, in milliseconds.
@@ -157,28 +167,33 @@
 // it is not.
 func (s *State) learnPressed(t *task, w *worker, fillers []*task) {
 	in, l := &s.interference, &t.stage.job.load
-	slowdown, norm := 1.0, 0.0
+	slowdown, spread := 1.0, measureSpread*measureSpread
 	for _, f := range fillers {
-		x := float64(f.load) / float64(max(w.info.CPU, 1))
-		slowdown += in.of(f, t) * x
-		norm += x * x
+		x := used(f, w)
+		k := in.known(f, t)
+		slowdown += k.mean * x
+		spread += k.variance * x * x
 	}
 	idle, tail := in.idleTail(t), float64(t.load)
 	if s.now.BootMs-l.freshMs > loadFreshMs {
 		l.measure(s.now.BootMs, (1-idle*slowdown/tail)/slowdown)
 		return
 	}
-	if norm < learnLeast {
-		return
-	}
 	miss := tail/(idle+l.now*tail) - slowdown
 	for _, f := range fillers {
-		x := float64(f.load) / float64(max(w.info.CPU, 1))
-		k := in.of(f, t) + learnRate*miss*x/norm
-		in.pressure[pair{f.stage.step.Image, t.stage.step.Image}] = min(max(k, 0), pressMost)
+		x := used(f, w)
+		if x == 0 {
+			continue
+		}
+		k := in.known(f, t)
+		gain := k.variance * x / spread
+		in.pressure[pairOf(f, t)] = pressure{min(max(k.mean+gain*miss, 0), pressMost), k.variance*(1-gain*x) + driftSpread*driftSpread}
 	}
 }
 
+// used is the part of a worker's processors that a filler used lately.
+func used(f *task, w *worker) float64 { return float64(f.load) / float64(max(w.info.CPU, 1)) }
+
 // allowance returns how much fillers may add to s of a serving task at a load so that its tail meets its target.
 func (in *interference) allowance(t *task, load float64) float64 {
 	tail := tailMargin * float64(t.stage.step.TargetMs)
--- a/fleet/dispatch/pace.go
+++ b/fleet/dispatch/pace.go
@@ -111,6 +111,28 @@
 	}
 }
 
+// firstPace is the pace with which a filler starts beside serving tasks; the next report sets it anew.
+func (s *State) firstPace(f *task, w *worker) int {
+	pace := map[*task]float64{f: 1}
+	fillers := append(w.fillers(), f)
+	for _, o := range fillers[:len(fillers)-1] {
+		pace[o] = float64(o.pace) / fullPace
+	}
+	for t := range w.tasks {
+		if t.stage.step.TargetMs == 0 || t.phase == stopping {
+			continue
+		}
+		over := -s.interference.allowance(t, t.stage.job.load.soon()) * t.allowed()
+		for _, o := range fillers {
+			over += s.interference.effect(o, t, w) * pace[o]
+		}
+		if effect := s.interference.effect(f, t, w); over > 0 && effect > negligible {
+			pace[f] = min(pace[f], max(1-over/effect, 0))
+		}
+	}
+	return max(int(pace[f]*fullPace), paceLeast)
+}
+
 // sendPaces tells fillers their pace where it is not what they were told.
 func (s *State) sendPaces(w *worker, fillers []*task) {
 	var list []link.Pace
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -14,7 +14,7 @@
 	// fillerLeast is the least share of its demand that a filler must be able to get.
 	fillerLeast = 0.8
 	// servingUse is the part of their processors that serving tasks use.
-	servingUse = 0.5
+	servingUse = 0.4
 	// packWeight is the cost of an empty worker against a full one for a task that serves: serving tasks are kept
 	// together, so that fillers find workers where they press nobody.
 	packWeight = 1.5
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -323,6 +323,13 @@
 // startOrder returns the order that starts the task's run.
 func (s *State) startOrder(t *task) link.Start {
 	o := link.Start{Task: t.name().String(), Run: t.run, Spec: t.stage.job.def.Spec, Checkpoint: t.checkpoint}
+	if t.stage.step.Filler && t.on.serving > 0 {
+		t.pace = s.firstPace(t, t.on)
+		t.pacedTo = t.pace
+		if t.pace < fullPace {
+			o.Percent = t.pace
+		}
+	}
 	if tk, ok := t.stage.tickets[t.on.instance]; ok {
 		o.Ticket = tk.text
 	}
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -437,8 +437,10 @@
 	if r.Percent != t.percent {
 		t.percent, t.movedMs = r.Percent, s.now.BootMs
 	}
-	if r.Checkpoint != "" {
+	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
+		// On record it outlives this decider and the worker together.
 		t.checkpoint = r.Checkpoint
+		s.touch(t.stage.job)
 	}
 	t.load = r.Load
 }
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -40,6 +40,8 @@
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
 	// Ticket is the adviser's permission; empty if the queue has no adviser.
 	Ticket string `cbor:"5,keyasint,omitempty"`
+	// Percent is the pace that follows the start at once; 0 for full pace.
+	Percent int `cbor:"6,keyasint,omitempty"`
 }
 
 // Stop orders the end of a run.
--- a/fleet/side/life.go
+++ b/fleet/side/life.go
@@ -285,6 +285,9 @@
 		case err == nil:
 			l.side.log.Log(logevent.StartAnswered, logevent.Str("task", o.Task), logevent.Int("run", o.Run),
 				logevent.Int("took_ms", clock.BootMs()-began), logevent.Str("outcome", "started"))
+			if o.Percent > 0 {
+				l.setPace(ctx, fence, link.Pace{Task: o.Task, Run: o.Run, Percent: o.Percent})
+			}
 			l.finish(ctx, c, number, nil)
 			return
 		case errors.As(err, &refused):
