--- a/cmd/verbenakeel-fleet/main.go
+++ b/cmd/verbenakeel-fleet/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/fleet/entry"
 	"github.com/verbenakeel/verbenakeel/fleet/side"
+	"github.com/verbenakeel/verbenakeel/fleet/why"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
@@ -25,7 +27,13 @@
 	Settings string `arg:"--settings" help:"INI file with the settings; by default the one that the platform names"`
 }
 
+type whyArgs struct {
+	Job   string   `arg:"positional,required" help:"id of the job"`
+	Files []string `arg:"positional" help:"saved logs; standard input by default"`
+}
+
 type args struct {
+	Why   *whyArgs  `arg:"subcommand:why" help:"find what became of a job in saved logs"`
 	Entry *roleArgs `arg:"subcommand:entry" help:"run an entry"`
 	Side  *roleArgs `arg:"subcommand:side" help:"run the side process of a worker"`
 }
@@ -48,8 +56,10 @@
 		daemon.Exit(run(a.Entry.Settings, true))
 	case a.Side != nil:
 		daemon.Exit(run(a.Side.Settings, false))
+	case a.Why != nil:
+		daemon.Exit(explain(a.Why))
 	default:
-		p.Fail("name a role: entry or side")
+		p.Fail("name a command: entry, side or why")
 	}
 }
 
@@ -104,6 +114,27 @@
 	return s.Run(ctx)
 }
 
+// explain writes the account of a job.
+func explain(a *whyArgs) error {
+	logs := []io.Reader{os.Stdin}
+	if len(a.Files) > 0 {
+		logs = logs[:0]
+	}
+	for _, name := range a.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open the log: %w", errdefs.New(errdefs.Invalid, err.Error(), "name readable files"))
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	account, err := why.Explain(a.Job, logs...)
+	if err != nil {
+		return err
+	}
+	return account.Write(os.Stdout)
+}
+
 // serveMetrics serves metrics if an address is set.
 func serveMetrics(address string, registry *telemetry.Registry) error {
 	if address == "" {
--- /dev/null
+++ b/logevent/queue_test.go
@@ -0,0 +1,61 @@
+package logevent
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// Guards against a reader of standard output that stops reading and stops the process with it.
+func TestBlockedReaderStopsNothing(t *testing.T) {
+	r, w := io.Pipe()
+	q := NewQueue(w, func(n uint64) []byte { return Line("p", LinesDropped, Int("lines", n)) })
+	log := New(q, "info", "p")
+	for range 3 * queueLines {
+		log.Log(Started)
+	}
+	assert.Assert(t, q.Dropped() > 0)
+	var mu sync.Mutex
+	var got bytes.Buffer
+	go func() {
+		buf := make([]byte, 4096)
+		for {
+			n, err := r.Read(buf)
+			mu.Lock()
+			got.Write(buf[:n])
+			mu.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		log.Log(Stopped)
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.Contains(got.String(), `"event":107`) {
+			return poll.Success()
+		}
+		return poll.Continue("the loss was not logged")
+	}, poll.WithTimeout(30*time.Second))
+	q.Close()
+}
+
+// Guards against lines that are lost or cut at the end of a process.
+func TestCloseWritesWhatIsQueued(t *testing.T) {
+	var out bytes.Buffer
+	q := NewQueue(&out, nil)
+	log := New(q, "info", "p")
+	const lines = 500
+	for i := range lines {
+		log.Log(Started, Int("n", i))
+	}
+	q.Close()
+	assert.Equal(t, strings.Count(out.String(), "\n"), lines)
+}
