Let the lease of a silent worker end, and free its tasks only when its orders are answered

Found beside it by the model, once it had silent workers and side processes that are restarted: a start that was stored after its worker fell silent was ordered and given up at the same time; a worker whose side process does not know it yet was given work; an order that was not answered yet was taken for void when the lease had ended.

Change: a worker that is silent for 1.2 s is not renewed; answers extend the account only of a worker that its side process knows; a lost connection counts all that was granted; with a connection, tasks are freed by the lease only if their orders are answered; starts are not ordered to a worker out of reach; stops end with the lease.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -247,6 +247,33 @@
 	assert.Assert(t, waited <= w.bounds.Lease.Milliseconds()+500, "given up after %d ms", waited)
 }
 
+// Guards against the tasks of a worker that is gone for good waiting for it as long as its side process lives: on
+// trouble-3 of hartwell-keel five jobs had nothing at work at the end of the day (LOST).
+func TestTasksOfASilentWorkerAreTakenElsewhere(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		w := settleWorld(t, 2)
+		w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 1000, EstMs: 600_000}}})
+		for range 20 {
+			w.advance()
+		}
+		tk := &w.state.jobs[jobID(1)].stages[0].tasks[0]
+		first := tk.on
+		for _, sw := range w.workers {
+			if sw.instance == first.instance {
+				sw.darkUntil = 1 << 60
+				if restarted {
+					sw.restartMs, sw.unknownUntil = w.now, 1<<60
+				}
+			}
+		}
+		since := w.now
+		for tk.on == first && w.now < since+20_000 {
+			w.advance()
+		}
+		assert.Assert(t, tk.on != first, "restarted %t: after %d ms the task still waits", restarted, w.now-since)
+	}
+}
+
 // Guards against starts in an availability zone that is out of service, and on a worker that drains.
 func TestNoStartsWhereWorkIsNotWanted(t *testing.T) {
 	w := settleWorld(t, 2)
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -215,10 +215,15 @@
 	return best
 }
 
+// reachable reports whether the side process knows its worker and has heard of it lately.
+func (w *worker) reachable() bool {
+	return w.connected && w.reported && w.info != nil && w.silentMs < silentMs
+}
+
 // takesWork reports whether the worker may get new work.
 func (s *State) takesWork(w *worker) bool {
-	return w.connected && w.listed && w.info != nil && !w.info.Draining && !w.leaving && len(w.strangers) == 0 &&
-		!s.evac[w.info.Zone] && w.silentMs < silentMs && s.now.BootMs-w.heardMs < silentMs && w.health.usable(s.now.BootMs)
+	return w.reachable() && w.listed && !w.info.Draining && !w.leaving && len(w.strangers) == 0 &&
+		!s.evac[w.info.Zone] && s.now.BootMs-w.heardMs < silentMs && w.health.usable(s.now.BootMs)
 }
 
 // fits reports whether the worker has room for the task and is allowed to run it.
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -303,6 +303,12 @@
 			continue // the run was given up before it was ordered
 		}
 		t.recorded = true
+		if t.on.connected && !t.on.reachable() {
+			// It was not ordered, so it is free at once.
+			s.noteTask(NoteRequeued, t, "its worker fell silent before the start was ordered")
+			s.ended(t)
+			continue
+		}
 		if t.on.connected {
 			byWorker[t.on] = append(byWorker[t.on], s.startOrder(t))
 			t.orderNumber = t.on.orders + 1
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -38,6 +38,12 @@
 	seenEnd, forget int64
 	// heardMs is when the last report came, goneByMs when everything on it has ended unless it is renewed.
 	heardMs, goneByMs int64
+	// grantedMs is when the lease ends that the newest answer may have renewed.
+	grantedMs int64
+	// ordersDone is the highest number of orders up to which the side process has answered all.
+	ordersDone uint64
+	// reported is true if the side process knew its worker in the last report.
+	reported bool
 	// answered is the newest report on this connection whose answer renewed the lease.
 	answered int64
 	// tasks holds the tasks whose run may be at work here.
@@ -125,7 +131,7 @@
 
 func (e SideConnected) apply(s *State) {
 	w := s.worker(e.Instance)
-	w.connected, w.listed, w.orders, w.heardMs, w.answered = true, false, 0, s.now.BootMs, 0
+	w.connected, w.listed, w.orders, w.ordersDone, w.heardMs, w.answered = true, false, 0, 0, s.now.BootMs, 0
 	for t := range w.tasks {
 		t.orderNumber = 0
 	}
@@ -147,6 +153,8 @@
 		s.note(Note{Kind: NoteWorkerDown, Instance: w.instance, Reason: "the connection to its side process ended", AgeMs: s.now.BootMs - w.heardMs})
 	}
 	w.connected, w.listed = false, false
+	// Unseen from here, the side process may use all that it was granted.
+	w.goneByMs = max(w.goneByMs, w.grantedMs)
 }
 
 // Granted means that a report was answered, which renews the lease of the worker.
@@ -160,7 +168,10 @@
 	w := s.worker(e.Instance)
 	lease := s.bounds.Lease
 	w.answered = max(w.answered, e.SentMs)
-	w.goneByMs = max(w.goneByMs, s.now.BootMs+(lease+bounds.ClockSlack(lease)).Milliseconds())
+	w.grantedMs = s.now.BootMs + (lease + bounds.ClockSlack(lease)).Milliseconds()
+	if w.reported {
+		w.goneByMs = max(w.goneByMs, w.grantedMs)
+	}
 }
 
 // Reported is a report of a side process.
@@ -172,11 +183,14 @@
 func (e Reported) apply(s *State) {
 	w, r := s.worker(e.Instance), e.Report
 	w.heardMs = s.now.BootMs
+	w.reported = r.Worker != nil
+	w.ordersDone = max(w.ordersDone, r.OrdersDone)
 	if r.Answered >= w.answered {
 		// Without an answer on its way the side process knows how long the lease can last.
 		w.goneByMs = min(w.goneByMs, s.now.BootMs+r.LeaseLeftMs)
 	}
 	if r.Worker == nil {
+		s.checkLease(w)
 		return
 	}
 	if w.info == nil || w.info.Life != r.Worker.Life {
@@ -503,11 +517,11 @@
 		return
 	}
 	for _, t := range w.sorted() {
-		if w.connected && w.listed && w.silentMs < silentMs && t.phase != stopping {
+		if w.connected && w.listed && w.reported && w.silentMs < silentMs && t.phase != stopping {
 			continue // it answers; its lists tell what has lapsed
 		}
-		if !t.recorded {
-			continue
+		if !t.recorded || w.connected && t.orderNumber > w.ordersDone {
+			continue // not ordered yet, or the side process has still to answer the order
 		}
 		s.noteTask(NoteRequeued, t, "its lease has ended")
 		s.ended(t)
--- a/fleet/dispatch/world_test.go
+++ b/fleet/dispatch/world_test.go
@@ -71,6 +71,9 @@
 	sideFence uint64
 	refusals  []link.Refusal
 	answered  int64
+	// darkUntil is until when the worker answers nothing while it works on, unknownUntil until when a side process that
+	// was restarted knows no worker, and restartMs when it was.
+	darkUntil, unknownUntil, restartMs int64
 }
 
 type simRun struct {
@@ -173,7 +176,7 @@
 		return
 	}
 	sw.ordersDone = o.Number
-	if o.Life != sw.info.Life {
+	if o.Life != sw.info.Life || w.now < sw.unknownUntil {
 		for _, st := range o.Starts {
 			sw.refusals = append(sw.refusals, link.Refusal{Task: st.Task, Run: st.Run, Reason: link.ReasonGone})
 		}
@@ -198,7 +201,10 @@
 // orderStart carries a start out at once, late, or not at all.
 func (w *world) orderStart(sw *simWorker, st link.Start, fence uint64) {
 	deadline := sw.leaseEnd
+	sw.heldUntil = max(sw.heldUntil, deadline)
 	switch {
+	case w.now < sw.darkUntil:
+		sw.refusals = append(sw.refusals, link.Refusal{Task: st.Task, Run: st.Run, Reason: link.ReasonLate})
 	case !w.calm && w.rng.IntN(20) == 0:
 		// No answer: the side process stops the run until the worker answers, and the call is carried out later.
 		w.late = append(w.late, lateStart{w.now + 2000 + int64(w.rng.IntN(8000)), sw, sw.info.Life, st, fence, deadline})
@@ -213,7 +219,7 @@
 }
 
 func (w *world) stopRun(sw *simWorker, st link.Stop, fence uint64) {
-	if fence < sw.fence {
+	if fence < sw.fence || w.now < sw.darkUntil {
 		return
 	}
 	sw.fence = fence
@@ -404,6 +410,18 @@
 	if !w.calm && w.rng.IntN(1500) == 0 {
 		w.born(sw)
 	}
+	if !w.calm && w.rng.IntN(700) == 0 {
+		sw.darkUntil = w.now + int64(w.rng.IntN(12_000))
+	}
+	if !w.calm && w.rng.IntN(900) == 0 {
+		// The side process is restarted; its worker sends a heartbeat after a while.
+		sw.restartMs, sw.unknownUntil = w.now, w.now+int64(w.rng.IntN(8000))
+		sw.heldUntil = max(sw.heldUntil, w.now+w.bounds.Lease.Milliseconds())
+		if sw.connected {
+			sw.connected = false
+			w.step(SideLost{Instance: sw.instance})
+		}
+	}
 	if !sw.connected && w.now >= sw.awayUntil {
 		sw.connected, sw.ordersDone, sw.refusals, sw.answered = true, 0, nil, 0
 		w.step(SideConnected{Instance: sw.instance})
@@ -415,6 +433,19 @@
 	if !sw.connected || w.rng.IntN(3) > 0 {
 		return
 	}
+	if w.now < sw.unknownUntil {
+		left := max(sw.restartMs+w.bounds.Lease.Milliseconds()+100-w.now, 0)
+		w.answer(sw, &link.Report{SentMs: w.now, Answered: sw.answered, LeaseLeftMs: left, OrdersDone: sw.ordersDone, Refusals: sw.refusals})
+		sw.refusals = nil
+		return
+	}
+	if w.now < sw.darkUntil {
+		info := sw.info
+		w.answer(sw, &link.Report{SentMs: w.now, Worker: &info, Answered: sw.answered, SilentMs: 2000, Refusals: sw.refusals, OrdersDone: sw.ordersDone,
+			LeaseLeftMs: max(sw.heldUntil+100-w.now, 0)})
+		sw.refusals = nil
+		return
+	}
 	sw.fence = max(sw.fence, sw.sideFence)
 	for _, r := range sw.runs {
 		r.lease = max(r.lease, sw.leaseEnd)
@@ -440,6 +471,11 @@
 			}
 		}
 	}
+	w.answer(sw, rep)
+}
+
+// answer hands a report to the decider, whose answer renews the lease.
+func (w *world) answer(sw *simWorker, rep *link.Report) {
 	w.step(Reported{Instance: sw.instance, Report: rep})
 	w.step(Granted{Instance: sw.instance, SentMs: w.now})
 	sw.answered = w.now
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -169,7 +169,7 @@
 	Listed bool  `cbor:"4,keyasint,omitempty"`
 	Runs   []Run `cbor:"5,keyasint,omitempty"`
 	Ends   []End `cbor:"6,keyasint,omitempty"`
-	// OrdersDone is the highest number of orders all of which the worker had answered before the lists were read.
+	// OrdersDone is the highest number of orders up to which all are answered; with lists, before these were read.
 	OrdersDone uint64    `cbor:"7,keyasint,omitempty"`
 	Refusals   []Refusal `cbor:"8,keyasint,omitempty"`
 	// LeaseLeftMs is the time after which nothing of this life can be at work unless the lease is renewed. It bounds
--- a/fleet/side/life.go
+++ b/fleet/side/life.go
@@ -29,7 +29,7 @@
 	calls = 4
 	// refusedToGone is the number of refused connections in a row that show that the worker's process has ended.
 	refusedToGone = 3
-	// silentToLog is the silence of the worker after which it is logged.
+	// silentToLog is the silence of the worker after which it is logged and its lease is not renewed.
 	silentToLog = 1200
 )
 
@@ -112,7 +112,9 @@
 // deadline returns the end of the lease on the worker's clock, or 0 if no lease is left or its clock is unknown.
 func (l *life) deadline(now, leastMs int64) int64 {
 	end := l.side.leaseEndMs
-	if end-now < leastMs || l.clockMs == 0 {
+	if end-now < leastMs || l.clockMs == 0 || now-l.answeredMs > silentToLog {
+		// A worker that is silent is not renewed: a call without an answer may be carried out, and what it runs must be
+		// known to end.
 		return 0
 	}
 	l.heldUntilMs = max(l.heldUntilMs, end)
@@ -314,9 +316,16 @@
 	}
 }
 
-// stopUntilAnswered repeats a stop until the worker has answered it.
+// stopUntilAnswered repeats a stop until the worker has answered it, or every lease that it was told has ended: a start
+// that is carried out after that is refused as late.
 func (l *life) stopUntilAnswered(ctx context.Context, fence uint64, o link.Stop) bool {
 	for ctx.Err() == nil {
+		l.side.mu.Lock()
+		over := l.side.life == l && l.side.leaseLeft(clock.BootMs()) == 0
+		l.side.mu.Unlock()
+		if over {
+			return true
+		}
 		if !l.acquire(ctx) {
 			return false
 		}
--- a/fleet/side/life_test.go
+++ b/fleet/side/life_test.go
@@ -184,6 +184,23 @@
 	assert.DeepEqual(t, rep.Refusals, []link.Refusal{{Task: task, Run: 1, Reason: link.ReasonRoom}})
 }
 
+// Guards against a worker that is gone for good keeping its tasks: the side process must not renew a silent worker, and
+// must give up its orders once the lease has ended (LOST on trouble-3 of hartwell-keel).
+func TestSilentWorkerLapses(t *testing.T) {
+	r := newRig(t)
+	r.side.set.Bounds.Lease = 2500 * time.Millisecond
+	r.register(r.life, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.worker.Lock()
+	r.worker.Silence = true
+	r.worker.Unlock()
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Life: r.life, Starts: []link.Start{{Task: task, Run: 1}}})
+	r.await("without a lease left", func(rep *link.Report) bool {
+		return rep.LeaseLeftMs == 0 && rep.SilentMs > silentToLog && rep.OrdersDone >= 1
+	})
+}
+
 // Guards against orders for a life of the worker that has ended being carried out by the next one.
 func TestOrdersForAnEarlierLifeAreRefused(t *testing.T) {
 	r := newRig(t)
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -260,6 +260,7 @@
 		r.SilentMs = now - s.life.answeredMs
 	}
 	r.Refusals, c.orders.refusals = c.orders.refusals, nil
+	r.OrdersDone = c.orders.done()
 	if l != nil && l.life == s.life && l.conn == c {
 		for _, e := range l.ends {
 			if e.Number > c.reported {
@@ -268,6 +269,7 @@
 			}
 		}
 		if full {
+			// Lists say nothing of orders that were answered after the worker was asked.
 			r.Listed, r.Runs, r.OrdersDone, r.Fence = true, l.runs, l.ordersDone, l.fence
 		}
 	}
