Claim after 1.3 s of silence

Change: reads of the schedule wait 0.3 s, an entry claims after 1.3 s of silence plus 0.4 s for an entry without a core of its own.

Ruled out: starts that are not on record during an outage of the store; the next decider could not know of them, so every waiting task would have to wait for every worker out of reach.

--- a/fleet/bounds/bounds.go
+++ b/fleet/bounds/bounds.go
@@ -45,8 +45,8 @@
 	leaseMost  = 4 * time.Second
 	// leadMost bounds the time without the store. Together with the lease it outlives an outage of 9 s.
 	leadMost = 5 * time.Second
-	// claimAfter is three signs of life and one slow answer of the store.
-	claimAfter = 1600 * time.Millisecond
+	// claimAfter is two signs of life and two answers of a store that is 80 times slower than usual.
+	claimAfter = 1300 * time.Millisecond
 )
 
 // ClockSlack is how much longer a lease may last on a worker's slow clock: 2%, and the granularity of timers.
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -20,7 +20,7 @@
 	electEvery = 100 * time.Millisecond
 	// smallDelayMs is how much longer an entry without a processor of its own waits than one with a whole core: the
 	// larger entries decide.
-	smallDelayMs = 700
+	smallDelayMs = 400
 	// spreadMs spreads the claims of entries of one size; a claim takes 10 ms.
 	spreadMs = 150
 	// suspectMs is the silence after which the decider is asked whether it decides; it shows signs of life more often.
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -26,6 +26,8 @@
 	// told by as much.
 	gatherJobs     = 150 * time.Millisecond
 	gatherSchedule = 150 * time.Millisecond
+	// scheduleWait is how long a read of the schedule waits: its end without a record is how silence is noticed.
+	scheduleWait = 300 * time.Millisecond
 	// gatherPeers is the pause between reads of the entries' addresses, which change when one is replaced.
 	gatherPeers = 2 * time.Second
 	// readyAgeMs is the age of what is known of the store from which this entry wants no new callers.
@@ -96,7 +98,7 @@
 	m.deciding.Store(&e.deciding)
 	e.election = newElection(set)
 	e.jobs = &follower{topic: work.TopicJobs, store: e.store, log: log, gather: gatherJobs, apply: e.view.applyJobs}
-	e.sched = &follower{topic: work.TopicSchedule, store: e.store, log: log, gather: gatherSchedule, apply: e.applySchedule,
+	e.sched = &follower{topic: work.TopicSchedule, store: e.store, log: log, gather: gatherSchedule, wait: scheduleWait, apply: e.applySchedule,
 		quiet: e.scheduleQuiet, failed: func() { e.election.storeLost(clock.BootMs()) }}
 	e.op = &follower{topic: platform.TopicOperator, store: e.store, log: log, apply: e.applyOperator}
 	e.sides = &follower{topic: work.TopicSides, store: e.store, log: log, apply: e.applySides}
--- a/fleet/entry/follow.go
+++ b/fleet/entry/follow.go
@@ -28,6 +28,8 @@
 	gather time.Duration
 	// apply takes records in their order.
 	apply func([]work.Record)
+	// wait is how long the store is asked to wait for a record; followWait if it is 0.
+	wait time.Duration
 	// quiet is called after a read that reached the end without a record, failed after one that failed.
 	quiet, failed func()
 
@@ -53,7 +55,11 @@
 			sleep(ctx, followRetry)
 			continue
 		}
-		n, err := f.read(ctx, followWait)
+		wait := f.wait
+		if wait == 0 {
+			wait = followWait
+		}
+		n, err := f.read(ctx, wait)
 		switch {
 		case ctx.Err() != nil:
 		case err != nil:
