--- a/fleet/dispatch/health.go
+++ b/fleet/dispatch/health.go
@@ -88,7 +88,7 @@
 
 // moveSlow moves runs that stand still or are far slower than they would be elsewhere.
 func (s *State) moveSlow(w *worker) {
-	if !w.listed || w.info == nil || s.now.BootMs-w.heardMs > silentMs {
+	if !w.listed || !w.reachable() || s.now.BootMs-w.heardMs > silentMs {
 		return
 	}
 	stuck := 0
