--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -73,7 +73,7 @@
 func (s *Side) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go work.Publish(ctx, s.store, work.TopicSides, work.SideAddress{Instance: s.set.Instance, Address: s.peer.Addr().String(), Zone: s.set.Zone}, s.log)
+	go work.Publish(ctx, s.store, work.TopicSides, work.SideAddress{Instance: s.set.Instance, Address: s.set.PeerAddress(s.peer.Addr()), Zone: s.set.Zone}, s.log)
 	go s.acceptDeciders(ctx)
 	go s.reportOnTime(ctx)
 	s.log.Log(logevent.Started, logevent.Str("peer", s.set.Peer), logevent.Str("control", s.set.Control),
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/fleet/bounds"
@@ -22,6 +23,8 @@
 	Control string
 	// Peer takes connections of the decider, Metrics serves metrics.
 	Peer, Metrics string
+	// Advertise is the address under which others reach Peer; the bound one if empty.
+	Advertise string
 	// Store is the address of the platform's log, Adviser that of the adviser; Adviser may be empty.
 	Store, Adviser string
 	// Worker is the address of the worker on this instance and Service what it runs; empty at entries.
@@ -30,6 +33,14 @@
 	Bounds bounds.Bounds
 }
 
+// PeerAddress returns the address under which others reach the listener that is bound at the address.
+func (f *Fleet) PeerAddress(bound net.Addr) string {
+	if f.Advertise != "" {
+		return f.Advertise
+	}
+	return bound.String()
+}
+
 // DefaultFleet returns the defaults. Those of bounds are the platform's usual figures.
 func DefaultFleet() Fleet {
 	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
@@ -54,6 +65,7 @@
 		{"listen", "ready", entry, optional(address(&f.Ready)), addr},
 		{"listen", "control", !entry, optional(address(&f.Control)), addr},
 		{"listen", "peer", true, address(&f.Peer), addr},
+		{"listen", "advertise", false, optional(address(&f.Advertise)), addr},
 		{"listen", "metrics", false, optional(address(&f.Metrics)), addr},
 		{"services", "store", true, address(&f.Store), addr},
 		{"services", "adviser", false, optional(address(&f.Adviser)), addr},
