--- a/fleet/bounds/bounds.go
+++ b/fleet/bounds/bounds.go
@@ -9,10 +9,6 @@
 	HoldMax time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
-	// Stop is the longest time that a stop of a run takes.
-	Stop time.Duration
-	// GangWait is how long members of a gang wait for each other.
-	GangWait time.Duration
 	// Harm is how long a task that serves may be over its target.
 	Harm time.Duration
 	// Notice is how long a lasting task may take to be at work.
@@ -21,12 +17,10 @@
 	Status time.Duration
 	// FarFactor is how much longer a task takes away from its rack.
 	FarFactor float64
-	// Checkpoint is the work between two checkpoints, Restore the time to resume from one.
-	Checkpoint, Restore time.Duration
+	// Restore is the time to resume from a checkpoint.
+	Restore time.Duration
 	// Finish is the time after which every job must have something at work if there is room.
 	Finish time.Duration
-	// Visible is how old the length of a queue may be.
-	Visible time.Duration
 
 	// Lease is how long a worker may go on without word of a decider.
 	Lease time.Duration
--- a/fleet/clock/clock.go
+++ b/fleet/clock/clock.go
@@ -1,7 +1,8 @@
-// Package clock reads the clocks that leases are measured by.
+// Package clock reads the clocks that leases are measured by, and waits.
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -22,3 +23,13 @@
 
 // WallMs returns the time of day in Unix milliseconds. It may jump.
 func WallMs() int64 { return time.Now().UnixMilli() }
+
+// Sleep waits for a while or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -316,3 +316,109 @@
 		assert.Equal(t, len(before.Stages[i].Tasks), len(after.Stages[i].Tasks))
 	}
 }
+
+// Guards against starts without the adviser's permission, or with that of another life of a worker.
+func TestAdvisedStepsStartWithATicketOnly(t *testing.T) {
+	w := settleWorld(t, 2)
+	j := &work.Job{ID: jobID(1), Queue: work.Queue{Name: "q", Service: "app", Attempts: 3, Stretch: 2, Advice: &work.Advice{ValidMs: 5000}},
+		Steps: []work.Step{{Count: 2, CPU: 100, EstMs: 5000}}}
+	j.AcceptedMs = w.at().WallMs
+	w.jobs[j.ID] = j
+	eff := w.state.Step(w.at(), JobSubmitted{Job: j})
+	asked := eff.Questions
+	asked = append(asked, w.state.Step(w.at(), Place{}).Questions...)
+	assert.Equal(t, len(asked), 1)
+	assert.Equal(t, asked[0].Step, j.ID+".0.0")
+	assert.Equal(t, len(asked[0].Workers), 2)
+	assert.Equal(t, w.state.jobs[j.ID].active, 0)
+	good, id := w.workers[1].instance, w.workers[1].info.Life.ID
+	w.step(Advised{Step: asked[0].Step, Tickets: map[string]string{good: "other"}, IDs: map[string]string{good: "i-earlier"}, ValidMs: 5000})
+	w.step(Place{})
+	assert.Equal(t, w.state.jobs[j.ID].active, 0, "a ticket of an earlier life was used")
+	w.step(Advised{Step: asked[0].Step, Tickets: map[string]string{good: "pass"}, IDs: map[string]string{good: id}, ValidMs: 5000})
+	w.step(Place{})
+	tasks := w.state.jobs[j.ID].stages[0].tasks
+	for i := range tasks {
+		assert.Equal(t, tasks[i].on.instance, good)
+		assert.Equal(t, w.state.startOrder(&tasks[i]).Ticket, "pass")
+	}
+}
+
+// Guards against occurrences of a timed job that start before their time or not at all.
+func TestOccurrencesStartAtTheirTime(t *testing.T) {
+	w := settleWorld(t, 1)
+	due := w.at().WallMs + 2000
+	w.submit(&work.Job{ID: jobID(1), Repeat: 2, StartAtMs: due, IntervalMs: 3000, Steps: []work.Step{{Count: 1, CPU: 100, EstMs: 60_000}}})
+	began := map[int]int64{}
+	for w.at().WallMs < due+4000 {
+		w.advance()
+		for _, st := range w.state.jobs[jobID(1)].stages {
+			if st.tasks[0].run > 0 && began[st.occurrence] == 0 {
+				began[st.occurrence] = w.at().WallMs
+			}
+		}
+	}
+	for k := range 2 {
+		at := due + int64(k)*3000
+		assert.Assert(t, began[k] >= at && began[k] < at+500, "occurrence %d began %d ms after its time", k, began[k]-at)
+	}
+}
+
+// Guards against a gang that is started in part, and one that is spread over racks although one rack has room.
+func TestGangIsPlacedWholeAndOnOneRack(t *testing.T) {
+	w := settleWorld(t, 4)
+	for i, sw := range w.workers {
+		sw.info.Labels = []string{"a", fmt.Sprintf("r1-%d", i/2)}
+		sw.info.Life.BornMs++
+	}
+	for range 20 {
+		w.advance()
+	}
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 6, CPU: 1000, EstMs: 60_000, Gang: true, RackLocal: true}}})
+	w.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 20, CPU: 1000, EstMs: 60_000, Gang: true}}})
+	for range 20 {
+		w.advance()
+	}
+	racks := map[string]bool{}
+	run := 0
+	tasks := w.state.jobs[jobID(1)].stages[0].tasks
+	for i := range tasks {
+		assert.Assert(t, tasks[i].on != nil)
+		racks[tasks[i].on.rack] = true
+		run = max(run, tasks[i].run)
+	}
+	assert.Equal(t, len(racks), 1)
+	for i := range tasks {
+		assert.Equal(t, tasks[i].run, run, "members of a gang have different runs")
+	}
+	assert.Equal(t, w.state.jobs[jobID(2)].active, 0, "a gang without room was started in part")
+}
+
+// Guards against work far from its data while its rack has room, and on workers without the label that it requires.
+func TestRackAndLabelDecideWhereWorkGoes(t *testing.T) {
+	w := settleWorld(t, 3)
+	for i, sw := range w.workers {
+		sw.info.Labels = []string{[]string{"a", "b", "b"}[i], fmt.Sprintf("r1-%d", i)}
+		sw.info.Life.BornMs++
+	}
+	for range 20 {
+		w.advance()
+	}
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 3, CPU: 500, EstMs: 60_000, Rack: "r1-2"}}})
+	w.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 3, CPU: 500, EstMs: 60_000, Requires: "a"}}})
+	w.submit(&work.Job{ID: jobID(3), Steps: []work.Step{{Count: 6, CPU: 100, EstMs: 60_000, MaxPerWorker: 2}}})
+	for range 20 {
+		w.advance()
+	}
+	for i := range 3 {
+		assert.Equal(t, w.state.jobs[jobID(1)].stages[0].tasks[i].on.rack, "r1-2")
+		assert.Equal(t, w.state.jobs[jobID(2)].stages[0].tasks[i].on.instance, w.workers[0].instance)
+	}
+	count := map[string]int{}
+	for i := range 6 {
+		count[w.state.jobs[jobID(3)].stages[0].tasks[i].on.instance]++
+	}
+	for instance, n := range count {
+		assert.Equal(t, n, 2, "%s has %d tasks of the step", instance, n)
+	}
+}
--- a/fleet/dispatch/world_test.go
+++ b/fleet/dispatch/world_test.go
@@ -94,6 +94,8 @@
 const (
 	// stepMs is the time between two steps of a play.
 	stepMs = 50
+	// gangWaitMs is how long members of a gang wait for each other.
+	gangWaitMs = 3000
 	// lasts is the end of a run that lasts.
 	lasts = 1 << 60
 )
@@ -101,8 +103,8 @@
 func newWorld(t *testing.T, seed uint64, workers int) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, jobs: map[string]*work.Job{},
 		cancels: map[string]int64{}, noted: map[string]bool{}, done: map[string]bool{}, fails: map[string]bool{}}
-	w.bounds = bounds.Bounds{HoldMax: 6 * time.Second, Stop: 200 * time.Millisecond, GangWait: 3 * time.Second, Harm: 4 * time.Second,
-		Notice: 4500 * time.Millisecond, Status: 120 * time.Second, FarFactor: 1.5, Checkpoint: time.Second,
+	w.bounds = bounds.Bounds{HoldMax: 6 * time.Second, Harm: 4 * time.Second,
+		Notice: 4500 * time.Millisecond, Status: 120 * time.Second, FarFactor: 1.5,
 		Restore: 600 * time.Millisecond, Finish: 14 * time.Second}.Derive()
 	for i := range workers {
 		sw := &simWorker{instance: fmt.Sprintf("side-%d", i)}
@@ -352,7 +354,7 @@
 			}
 		case r.endsAt > w.now:
 		case gang && w.members(name, r.run) < w.jobs[name.Job].Steps[name.Step].Count:
-			if w.now-r.endsAt > w.bounds.GangWait.Milliseconds() {
+			if w.now-r.endsAt > gangWaitMs {
 				w.end(sw, n, link.Alone)
 			}
 		case gang && r.how == link.Done:
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -121,7 +121,7 @@
 		if clock.BootMs()-d.confirmedMs > e.set.Bounds.Lead.Milliseconds() {
 			return false
 		}
-		sleep(d.ctx, appendRetry)
+		clock.Sleep(d.ctx, appendRetry)
 	}
 	e.setDecider(d)
 	if cfg := e.config.Load(); cfg != nil {
@@ -300,7 +300,7 @@
 		d.lost = true
 	default:
 		go func() {
-			sleep(d.ctx, appendRetry)
+			clock.Sleep(d.ctx, appendRetry)
 			d.post(func() {
 				if d.flying != nil && !d.lost {
 					d.launch()
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -162,7 +162,7 @@
 // elect claims when the decider is gone, and decides until another entry has claimed.
 func (e *Entry) elect(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, electEvery)
+		clock.Sleep(ctx, electEvery)
 		if e.stopping.Load() {
 			return
 		}
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -178,6 +178,9 @@
 			}
 			e.mu.Unlock()
 			e.log.Log(logevent.ZoneTakenOut, logevent.Str("zone", ch.Zone), logevent.Str("out", fmt.Sprint(ch.Evacuated)))
+		case work.WaveRequested:
+			e.log.Log(logevent.WaveIgnored, logevent.Int("wave", ch.Number), logevent.Int("instances", len(ch.Instances)))
+			continue
 		case nil:
 			continue
 		}
@@ -189,15 +192,7 @@
 
 // applySides takes addresses of side processes.
 func (e *Entry) applySides(records []work.Record) {
-	for _, r := range records {
-		var a work.SideAddress
-		if len(r.Value) == 0 {
-			continue
-		}
-		if err := work.Decode(r.Value, &a); err != nil || a.Instance != r.Key {
-			e.log.Log(logevent.RecordUnreadable, logevent.Str("key", r.Key), logevent.Err(err))
-			continue
-		}
+	for _, a := range e.decodeAddresses(records) {
 		e.mu.Lock()
 		e.addresses[a.Instance] = a
 		e.mu.Unlock()
@@ -209,17 +204,26 @@
 
 // applyPeers takes addresses of other entries.
 func (e *Entry) applyPeers(records []work.Record) {
+	for _, a := range e.decodeAddresses(records) {
+		e.relay.setPeer(a)
+	}
+}
+
+// decodeAddresses returns the addresses in records; those that cannot be read are logged.
+func (e *Entry) decodeAddresses(records []work.Record) []work.SideAddress {
+	var list []work.SideAddress
 	for _, r := range records {
-		var a work.SideAddress
 		if len(r.Value) == 0 {
 			continue
 		}
+		var a work.SideAddress
 		if err := work.Decode(r.Value, &a); err != nil || a.Instance != r.Key {
 			e.log.Log(logevent.RecordUnreadable, logevent.Str("key", r.Key), logevent.Err(err))
 			continue
 		}
-		e.relay.setPeer(a)
+		list = append(list, a)
 	}
+	return list
 }
 
 // applySchedule takes records of the decider.
--- a/fleet/entry/follow.go
+++ b/fleet/entry/follow.go
@@ -52,7 +52,7 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.isPaused() {
-			sleep(ctx, followRetry)
+			clock.Sleep(ctx, followRetry)
 			continue
 		}
 		wait := f.wait
@@ -63,9 +63,9 @@
 		switch {
 		case ctx.Err() != nil:
 		case err != nil:
-			sleep(ctx, followRetry)
+			clock.Sleep(ctx, followRetry)
 		case n > 0:
-			sleep(ctx, f.pauseAfter())
+			clock.Sleep(ctx, f.pauseAfter())
 		}
 	}
 }
@@ -210,12 +210,3 @@
 	defer f.mu.Unlock()
 	return clock.BootMs() - f.okMs
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -185,7 +185,7 @@
 			}
 			return err
 		}
-		sleep(ctx, submitRetry)
+		clock.Sleep(ctx, submitRetry)
 	}
 }
 
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -259,7 +259,7 @@
 	for ctx.Err() == nil {
 		conn, err := e.peer.Accept()
 		if err != nil {
-			sleep(ctx, followRetry)
+			clock.Sleep(ctx, followRetry)
 			continue
 		}
 		select {
--- a/fleet/entry/sides.go
+++ b/fleet/entry/sides.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/dispatch"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
@@ -89,13 +90,13 @@
 		}
 		if err != nil {
 			s.d.post(func() { s.failed(err) })
-			sleep(ctx, pause)
+			clock.Sleep(ctx, pause)
 			pause = min(2*pause, sideRetryMost)
 			continue
 		}
 		pause = sideRetryLeast
 		s.serve(ctx, conn)
-		sleep(ctx, sideRetryLeast)
+		clock.Sleep(ctx, sideRetryLeast)
 	}
 }
 
--- a/fleet/side/life.go
+++ b/fleet/side/life.go
@@ -140,12 +140,12 @@
 		}
 		ans, err := l.client.Hold(l.ctx, got.fence, deadline, forget, wait)
 		if err != nil {
-			sleep(l.ctx, l.holdFailed(err))
+			clock.Sleep(l.ctx, l.holdFailed(err))
 			continue
 		}
 		if ans.BornMs != 0 && l.info.Life.BornMs != 0 && ans.BornMs != l.info.Life.BornMs {
 			// Another life answered under the same id; its heartbeat will start it.
-			sleep(l.ctx, retryAfter)
+			clock.Sleep(l.ctx, retryAfter)
 			continue
 		}
 		s.mu.Lock()
@@ -300,7 +300,7 @@
 			unanswered = unanswered || errdefs.KindOf(err) == errdefs.Unknown
 			l.side.meters.unanswered("start")
 			l.side.log.Log(logevent.StartUnanswered, logevent.Str("task", o.Task), logevent.Int("run", o.Run), logevent.Err(err))
-			sleep(ctx, retryAfter)
+			clock.Sleep(ctx, retryAfter)
 		}
 	}
 	l.side.log.Log(logevent.StartAnswered, logevent.Str("task", o.Task), logevent.Int("run", o.Run),
@@ -335,7 +335,7 @@
 			return true
 		}
 		l.side.meters.unanswered("stop")
-		sleep(ctx, retryAfter)
+		clock.Sleep(ctx, retryAfter)
 	}
 	return false
 }
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -86,15 +86,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // connection is a connection of a decider.
 type connection struct {
 	conn  net.Conn
@@ -125,7 +116,7 @@
 				return
 			}
 			s.log.Log(logevent.DeciderUnlinked, logevent.Err(err))
-			sleep(ctx, acceptRetry)
+			clock.Sleep(ctx, acceptRetry)
 			continue
 		}
 		go s.serveDecider(ctx, conn)
@@ -223,7 +214,7 @@
 // reportOnTime reports while the worker is silent or unknown.
 func (s *Side) reportOnTime(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, reportEvery)
+		clock.Sleep(ctx, reportEvery)
 		s.mu.Lock()
 		due := s.conn != nil && clock.BootMs()-s.conn.reportMs >= reportEvery.Milliseconds()
 		s.mu.Unlock()
--- a/fleet/work/publish.go
+++ b/fleet/work/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/logevent"
 )
 
@@ -25,11 +26,6 @@
 			log.Log(logevent.StoreLost, logevent.Str("topic", topic), logevent.Err(err))
 			lost = true
 		}
-		timer := time.NewTimer(publishEvery)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		clock.Sleep(ctx, publishEvery)
 	}
 }
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -84,6 +84,7 @@
 	RecordUnreadable  = define(803, zerolog.WarnLevel, "a record of the store cannot be read and was skipped")
 	ConfigInForce     = define(810, zerolog.InfoLevel, "configuration in force")
 	ZoneTakenOut      = define(811, zerolog.InfoLevel, "availability zone taken out of service or brought back")
+	WaveIgnored       = define(812, zerolog.ErrorLevel, "a wave of upkeep was requested, which this release does not carry out")
 	Claimed           = define(820, zerolog.InfoLevel, "this entry decides now")
 	ClaimLost         = define(821, zerolog.InfoLevel, "this entry does not decide any more")
 	ClaimFailed       = define(822, zerolog.WarnLevel, "the claim to decide failed")
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -44,9 +44,9 @@
 // DefaultFleet returns the defaults. Those of bounds are the platform's usual figures.
 func DefaultFleet() Fleet {
 	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
-		HoldMax: 6 * time.Second, Grace: 6 * time.Second, Stop: 200 * time.Millisecond, GangWait: 3 * time.Second,
+		HoldMax: 6 * time.Second, Grace: 6 * time.Second,
 		Harm: 4 * time.Second, Notice: 4500 * time.Millisecond, Status: 120 * time.Second, FarFactor: 1.5,
-		Checkpoint: time.Second, Restore: 600 * time.Millisecond, Visible: 3 * time.Second, Finish: 14 * time.Second}}
+		Restore: 600 * time.Millisecond, Finish: 14 * time.Second}}
 }
 
 func (f *Fleet) keys(entry bool) []key {
@@ -73,16 +73,12 @@
 		{"worker", "service", !entry, optional(text(&f.Service)), "name the service of the worker"},
 		{"bounds", "hold_max", false, span(&b.HoldMax), spanRemedy},
 		{"bounds", "grace", false, span(&b.Grace), spanRemedy},
-		{"bounds", "stop", false, span(&b.Stop), spanRemedy},
-		{"bounds", "gang_wait", false, span(&b.GangWait), spanRemedy},
 		{"bounds", "harm", false, span(&b.Harm), spanRemedy},
 		{"bounds", "notice", false, span(&b.Notice), spanRemedy},
 		{"bounds", "status", false, span(&b.Status), spanRemedy},
 		{"bounds", "far_factor", false, optional(fraction(&b.FarFactor, 1, 1000)), "write a factor, for example 1.5"},
-		{"bounds", "checkpoint", false, span(&b.Checkpoint), spanRemedy},
 		{"bounds", "restore", false, span(&b.Restore), spanRemedy},
 		{"bounds", "finish", false, span(&b.Finish), spanRemedy},
-		{"bounds", "visible", false, span(&b.Visible), spanRemedy},
 	}
 }
 
