--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -322,3 +322,59 @@
 	_, due = el.due()
 	assert.Assert(t, due, "a decider that resigned was waited for")
 }
+
+// Guards against a configuration that reverts, or that an entry learns only at its restart: routes are added and removed
+// while it runs, and an older version may be read again after records have expired.
+func TestConfigurationNeverReverts(t *testing.T) {
+	s := newSite(t)
+	e, _ := s.entry("entry-1")
+	status, _, _ := s.call(e, http.MethodGet, "/p/", "")
+	assert.Equal(t, status, http.StatusOK)
+	second := strings.ReplaceAll(strings.Replace(testConfig, `"version":1`, `"version":5`, 1), "/p/", "/n/")
+	s.store.Put(platform.TopicOperator, "config", []byte(second))
+	s.until("version 5", func() bool { return e.config.Load().Version == 5 })
+	status, _, _ = s.call(e, http.MethodGet, "/p/", "")
+	assert.Equal(t, status, http.StatusNotFound)
+	status, _, _ = s.call(e, http.MethodGet, "/n/", "")
+	assert.Equal(t, status, http.StatusOK)
+	s.store.Put(platform.TopicOperator, "config", []byte(testConfig))
+	s.store.Put(platform.TopicOperator, "evacuate/b", []byte("{}"))
+	s.until("the record after it", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.evacuated["b"]
+	})
+	assert.Equal(t, e.config.Load().Version, int64(5))
+}
+
+// Guards against a shutdown that cuts off a request in progress, and against an entry that stays in rotation while it
+// shuts down.
+func TestShutdownCutsNothingOff(t *testing.T) {
+	s := newSite(t)
+	e, stop := s.entry("entry-1")
+	s.setFault(platformtest.Silent, platformtest.PathAppend)
+	type result struct {
+		status int
+		body   string
+	}
+	answered := make(chan result, 1)
+	go func() {
+		status, body, _ := s.call(e, http.MethodPost, jobPath, jobBody)
+		answered <- result{status, body}
+	}()
+	s.until("the request", func() bool { return e.public.InProgress() == 1 })
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	s.until("the shutdown", func() bool { return e.stopping.Load() })
+	resp, err := http.Get("http://" + e.ready.Address() + platform.ReadyPath)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	s.setFault(platformtest.None, "")
+	got := <-answered
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	<-stopped
+}
