Refuse submissions at once while the store is known to be away

Change: once reads of two topics have failed for 0.5 s, directly and through other entries, a submission is refused with 503 and Retry-After before any attempt, so that 'not run' is certain; attempts under way end as unknown at once.

Ruled out: holding it for the caller.

Test: TestSubmissionIsRefusedAtOnceWhileTheStoreIsAway counts that nothing is sent to the store.

--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -184,6 +184,25 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable, "a job was denied although the store cannot be asked")
 }
 
+// Guards against callers that are held until their deadline although the store is known to be away: they are told at once
+// that the job does not run, and when to come back (worth given up late on trouble-1 of nws-puddle).
+func TestSubmissionIsRefusedAtOnceWhileTheStoreIsAway(t *testing.T) {
+	s := newSite(t)
+	e, _ := s.entry("entry-1")
+	s.setFault(platformtest.Silent, "")
+	s.until("the loss of the store", e.storeAway)
+	appends := s.store.Calls(platformtest.PathAppend)
+	status, _, header := s.call(e, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, header.Get("Retry-After"), "1")
+	assert.Equal(t, s.store.Calls(platformtest.PathAppend), appends, "a job that was refused as not run was sent to the store")
+	s.setFault(platformtest.None, "")
+	s.until("the store", func() bool {
+		status, _, _ := s.call(e, http.MethodPost, jobPath, jobBody)
+		return status == http.StatusOK
+	})
+}
+
 // deciders counts the entries that decide.
 func deciders(entries ...*Entry) int {
 	n := 0
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -24,6 +24,9 @@
 	// refusePatience is how long a submission is tried while the store certainly does not take it. A caller that is told
 	// at once can go to another entry.
 	refusePatience = 250 * time.Millisecond
+	// awayMs is how long reads must have failed, directly and through other entries, for the store to count as away. Single
+	// failures are over sooner.
+	awayMs = 500
 	// submitRetry is the pause between attempts to store a submission.
 	submitRetry = 60 * time.Millisecond
 	// retryAfterSeconds is when a refused caller is asked to return. The balancer takes an entry without the store out of
@@ -123,6 +126,11 @@
 	return time.Now().Add(max(wait-answerMargin, answerMargin))
 }
 
+// storeAway reports whether the store has answered no read of this entry for a while, neither directly nor through others.
+func (e *Entry) storeAway() bool {
+	return e.jobs.lostForMs() > awayMs && e.sched.lostForMs() > awayMs
+}
+
 // submit stores a job and says so.
 func (e *Entry) submit(ctx context.Context, c *app.RequestContext, cfg *work.Config, q *work.Queue, id string) {
 	if !work.ValidID(id) {
@@ -143,6 +151,11 @@
 		answer(c, http.StatusOK, platform.JobState(state))
 		return
 	}
+	if e.storeAway() {
+		// It cannot be stored now, so it is refused before an attempt could make its fate unknown.
+		e.refuse(c, http.StatusServiceUnavailable, id, "the store is away; come back after the time given")
+		return
+	}
 	job.Queue, job.AcceptedMs = *q, clock.WallMs()
 	rec := work.Record{Key: work.PrefixSubmission + id, Value: work.Encode(job)}
 	e.answerStored(c, id, logevent.JobAccepted, e.keep(ctx, rec, deadline(c, q)), platform.JobState(work.Queued))
@@ -162,7 +175,7 @@
 	}
 }
 
-// keep appends a record until the store has it. It may be stored twice, which has no further effect. An error of kind
+// keep appends a record until the store has it, or is known to be away. It may be stored twice, which has no further effect. An error of kind
 // Unavailable means that no attempt can have stored it.
 func (e *Entry) keep(ctx context.Context, rec work.Record, until time.Time) error {
 	began := time.Now()
@@ -179,7 +192,7 @@
 		if unknown == nil && now.Sub(began) > refusePatience {
 			return err
 		}
-		if now.Add(submitRetry).After(until) {
+		if now.Add(submitRetry).After(until) || e.storeAway() {
 			if unknown != nil {
 				return unknown
 			}
