Bound every attempt to store a submission by the caller's deadline

Change: the caller's deadline goes with every call to the store.

Ruled out: the refusal at once, which does not apply to the first attempts of an outage.

Test: TestNoAttemptOutlastsTheCaller fails before (no deadline at all) and passes now.

--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -179,6 +179,8 @@
 // Unavailable means that no attempt can have stored it.
 func (e *Entry) keep(ctx context.Context, rec work.Record, until time.Time) error {
 	began := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	unknown := error(nil)
 	for {
 		_, err := e.store.Append(ctx, work.Append{Topic: work.TopicJobs, Records: []work.Record{rec}})
--- a/fleet/entry/relay_test.go
+++ b/fleet/entry/relay_test.go
@@ -101,6 +101,32 @@
 	assert.Assert(t, !work.NotDone(err), "%v", err)
 }
 
+// deadlines is a store that notes until when its calls may last.
+type deadlines struct {
+	scripted
+	until []time.Time
+}
+
+func (d *deadlines) Append(ctx context.Context, a work.Append) (work.Appended, error) {
+	until, _ := ctx.Deadline()
+	d.until = append(d.until, until)
+	return d.scripted.Append(ctx, a)
+}
+
+// Guards against a call to the store that outlasts the caller: direct and relayed attempts took 4 s together while callers
+// wait 3 s.
+func TestNoAttemptOutlastsTheCaller(t *testing.T) {
+	store := &deadlines{scripted: scripted{err: lost()}}
+	e := &Entry{store: store, jobs: &follower{}, sched: &follower{}}
+	until := time.Now().Add(300 * time.Millisecond)
+	err := e.keep(context.Background(), work.Record{Key: "j"}, until)
+	assert.Assert(t, err != nil && !work.NotDone(err), "%v", err)
+	assert.Assert(t, len(store.until) > 0)
+	for _, u := range store.until {
+		assert.Assert(t, !u.IsZero() && !u.After(until), "an attempt may last until %s after the caller's deadline", u.Sub(until))
+	}
+}
+
 // Guards against a decider that is taken for gone because it is busy or cut off, and against waiting for one whose
 // process has ended.
 func TestWhetherADeciderIsGone(t *testing.T) {
