--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -148,7 +148,7 @@
 // serveReady tells the balancer whether this entry wants new callers.
 func (e *Entry) serveReady(_ context.Context, c *app.RequestContext) {
 	status := http.StatusOK
-	if e.stopping.Load() || e.config.Load() == nil || e.op.ageMs() > readyAgeMs {
+	if e.stopping.Load() || e.config.Load() == nil || e.op.ageMs() > readyAgeMs || e.jobs.ageMs() > readyAgeMs {
 		status = http.StatusServiceUnavailable
 	}
 	c.SetStatusCode(status)
--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -203,6 +203,26 @@
 	})
 }
 
+// Guards against an entry that says that no job waits because it has not read the jobs (MIXED).
+func TestWaitingJobsAreNotCountedUnread(t *testing.T) {
+	s := newSite(t)
+	e, _ := s.entry("entry-1")
+	status, _, _ := s.call(e, http.MethodGet, "/p/", "")
+	assert.Equal(t, status, http.StatusOK)
+	s.setFault(platformtest.Busy, "")
+	s.until("the refusal of old counts", func() bool {
+		status, _, _ := s.call(e, http.MethodGet, "/p/", "")
+		return status == http.StatusServiceUnavailable
+	})
+	s.setFault(platformtest.None, "")
+	s.until("a count", func() bool {
+		status, _, _ := s.call(e, http.MethodGet, "/p/", "")
+		return status == http.StatusOK
+	})
+	unread := &Entry{jobs: &follower{}, sched: &follower{}}
+	assert.Assert(t, !unread.viewFresh())
+}
+
 // deciders counts the entries that decide.
 func deciders(entries ...*Entry) int {
 	n := 0
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -24,6 +24,9 @@
 	// refusePatience is how long a submission is tried while the store certainly does not take it. A caller that is told
 	// at once can go to another entry.
 	refusePatience = 250 * time.Millisecond
+	// countAgeMs is the age of the view from which it is not counted for callers: an entry that could not load it yet would
+	// say that no job waits. Reads are answered every second at least.
+	countAgeMs = 3000
 	// awayMs is how long reads must have failed, directly and through other entries, for the store to count as away. Single
 	// failures are over sooner.
 	awayMs = 500
@@ -70,6 +73,8 @@
 	}
 	id := strings.TrimPrefix(path, q.Prefix)
 	switch {
+	case method == http.MethodGet && id == "" && !e.viewFresh():
+		e.refuse(c, http.StatusServiceUnavailable, "", "the store was not read lately; come back after the time given")
 	case method == http.MethodGet && id == "":
 		answer(c, http.StatusOK, platform.QueueLength(e.view.pending(q.Name)))
 	case method == http.MethodPost:
@@ -126,6 +131,11 @@
 	return time.Now().Add(max(wait-answerMargin, answerMargin))
 }
 
+// viewFresh reports whether jobs and their progress were read lately.
+func (e *Entry) viewFresh() bool {
+	return e.jobs.ageMs() <= countAgeMs && (e.sched.ageMs() <= countAgeMs || e.deciding.Load() != 0)
+}
+
 // storeAway reports whether the store has answered no read of this entry for a while, neither directly nor through others.
 func (e *Entry) storeAway() bool {
 	return e.jobs.lostForMs() > awayMs && e.sched.lostForMs() > awayMs
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -27,6 +27,8 @@
 	// peerTimeout bounds a call through a peer beyond the time that the store is asked to wait: the peer's own bound on
 	// a call to the store and the way to it.
 	peerTimeout = 1500 * time.Millisecond
+	// bulkWait is added to it for a page of newest records, which is large.
+	bulkWait = 8 * time.Second
 	// peersTried bounds the peers that one call goes through.
 	peersTried = 2
 	// peerCalls bounds calls of peers at once.
@@ -214,7 +216,7 @@
 
 // Newest implements work.Store.
 func (r *relay) Newest(ctx context.Context, topic string) (work.Page, error) {
-	reply, err := r.do(ctx, link.PeerCall{Newest: topic}, 0, func() (link.PeerReply, error) {
+	reply, err := r.do(ctx, link.PeerCall{Newest: topic}, bulkWait, func() (link.PeerReply, error) {
 		page, err := r.direct.Newest(ctx, topic)
 		return link.PeerReply{Page: page}, err
 	})
