Order paces again that a new decider does not know or a run contradicts

The new decider took every run to work at full pace, so it never ordered another one. An order of a pace that got no answer twice was lost likewise.

Ruled out: room (3.6 cores were free beside the run), the tails of the serving tasks there.

Change: the pace of a run of an earlier decider is unknown and ordered at the first report; a filler that stands still although it may work, or works although it may not, is told its pace again after 1.5 s.

Test: TestPacesAreOrderedAgain fails before (ordered 0 times) and passes now.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -195,6 +195,46 @@
 	assert.Equal(t, filler.pace, 0)
 }
 
+// Guards against fillers that stand still for good: a decider that was replaced had slowed them down, and the next one
+// took them to work at full pace; or the order of a pace was lost.
+func TestPacesAreOrderedAgain(t *testing.T) {
+	w := settleWorld(t, 1)
+	sw := w.workers[0]
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 1000, EstMs: 600_000, Filler: true, Image: "f"}}})
+	for range 20 {
+		w.advance()
+	}
+	w.stored[jobID(1)] = work.Encode(w.state.jobs[jobID(1)].progress())
+	w.elect()
+	sw.connected = true
+	w.step(SideConnected{Instance: sw.instance})
+	filler := &w.state.jobs[jobID(1)].stages[0].tasks[0]
+	paces := func() int {
+		w.now += 450
+		info := sw.info
+		fence := w.state.fence(w.state.worker(sw.instance))
+		eff := w.state.Step(w.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: fence,
+			OrdersDone: sw.ordersDone, LeaseLeftMs: 4000, Runs: []link.Run{{Task: filler.name().String(), Run: filler.run, Percent: 5}}}})
+		n := 0
+		for _, o := range eff.Orders {
+			for _, p := range o.Orders.Paces {
+				assert.Equal(t, p.Percent, fullPace)
+				n++
+			}
+		}
+		return n
+	}
+	total := 0
+	for range 3 {
+		total += paces()
+	}
+	assert.Equal(t, total, 1, "the pace of a run of an earlier decider was ordered %d times", total)
+	for range 8 {
+		total += paces()
+	}
+	assert.Assert(t, total >= 2, "a filler that stands still was not told its pace again")
+}
+
 // Guards against pressures that are not told apart by pairs of images.
 func TestPressureIsLearnedByPair(t *testing.T) {
 	w := settleWorld(t, 2)
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -267,6 +267,7 @@
 	w := s.worker(workers[tp.Worker-1])
 	s.commit(t, w)
 	t.phase, t.recorded = starting, true
+	t.pacedTo = unknownPace
 	t.startedMs, t.movedMs = s.now.BootMs, s.now.BootMs
 	if t.stage.job.state.Final() {
 		t.phase = stopping
--- a/fleet/dispatch/pace.go
+++ b/fleet/dispatch/pace.go
@@ -10,6 +10,11 @@
 const (
 	// fullPace is the share at which a run starts, in percent.
 	fullPace = 100
+	// unknownPace stands for a run that an earlier decider may have slowed down.
+	unknownPace = -1
+	// paceAgainMs is the time after which a pace is ordered again that the run's use of processors contradicts: the order may
+	// have been lost.
+	paceAgainMs = 1500
 	// paceLeast is the least pace other than a standstill; below it a filler holds memory and gets nothing done.
 	paceLeast = 8
 	// paceChange is the least change of a pace that is ordered; each order is a call to the worker.
@@ -138,8 +143,8 @@
 	var list []link.Pace
 	text := ""
 	for _, f := range fillers {
-		if f.pace != f.pacedTo {
-			f.pacedTo = f.pace
+		if f.pace != f.pacedTo || s.contradicted(f) {
+			f.pacedTo, f.pacedMs = f.pace, s.now.BootMs
 			list = append(list, link.Pace{Task: f.name().String(), Run: f.run, Percent: f.pace})
 			text += fmt.Sprintf(" %s %d%%", f.name(), f.pace)
 		}
@@ -150,6 +155,11 @@
 	}
 }
 
+// contradicted reports whether a filler stands still although it may work, or works although it was told to stand still.
+func (s *State) contradicted(f *task) bool {
+	return (f.load == 0) != (f.pace == 0) && s.now.BootMs-max(f.pacedMs, f.startedMs) > paceAgainMs
+}
+
 // moveSlowed moves fillers that were slowed down for long to a worker where they can work.
 func (s *State) moveSlowed(w *worker, fillers []*task) {
 	for _, f := range fillers {
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -117,6 +117,8 @@
 	// pace is the share at which a filler is to work, pacedTo the one that it was told, slowedMs when it was slowed down.
 	pace, pacedTo int
 	slowedMs      int64
+	// pacedMs is when it was told its pace last.
+	pacedMs int64
 	// avoid is the instance on which it failed last.
 	avoid string
 	// notBeforeMs delays the next start.
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -120,7 +120,7 @@
 		t.stage.idle++
 	}
 	t.orderNumber, t.recorded, t.startedMs, t.percent, t.load, t.stopSentMs = 0, false, 0, 0, 0, 0
-	t.pace, t.pacedTo, t.narrow, t.overMs = fullPace, fullPace, 0, 0
+	t.pace, t.pacedTo, t.pacedMs, t.narrow, t.overMs = fullPace, fullPace, 0, 0, 0
 	s.placePending = true
 	s.touch(t.stage.job)
 }
