core/decider: keep reported ends over presumed ones, and wait for reports after an outage

Cause: TestLogDownWhileDeciderRecovers found tasks that ran again after they had finished. A worker reports the end of an attempt; while the log is away the end cannot be put on record. Once the authority of the decider has ended its polls are refused, so the worker counts as silent, and the first Tick after the outage replaced the reported end by "lapsed". An end that came during the outage itself was lost in the same way: the worker had no chance to report it before the Tick.

Ruled out: the log (the start of the second attempt follows a recorded end "lapsed"), the side process (it repeats ends until they are acknowledged), a decider of an older epoch (one epoch only between both attempts).

Change: an end that the worker reported stands over one that is presumed of the same attempt, and silence counts from when this entry had authority again.

--- a/core/decider/state.go
+++ b/core/decider/state.go
@@ -57,6 +57,9 @@
 	// holds and ownHolds are when holds of zones end: of all, and of those that this entry was asked for itself.
 	holds, ownHolds map[string]time.Duration
 	alerts          []scheduler.Alert
+	// answering is true while this entry has authority, answeringSince when it got it last.
+	answering      bool
+	answeringSince time.Duration
 	// early holds new tasks whose customer is not in the configuration that was read so far.
 	early []earlyTask
 }
--- a/core/decider/sync.go
+++ b/core/decider/sync.go
@@ -169,6 +169,15 @@
 	s.ends[e.Task] = e
 }
 
+// presumeEnd proposes an end that no worker reported. An end that the worker reported stands, also if the worker is silent
+// before the end is on record: finished work must not run again.
+func (s *State) presumeEnd(e record.End) {
+	if known, ok := s.ends[e.Task]; ok && known.Attempt == e.Attempt {
+		return
+	}
+	s.ends[e.Task] = e
+}
+
 // renew extends the lease of a current attempt and orders anything else to stop.
 func (s *State) renew(a *Answer, c *contact, p Poll, h holder.Renewal, seen map[string]bool) {
 	t := s.region.Tasks[h.Task]
@@ -231,24 +240,24 @@
 		t := s.region.Tasks[id]
 		switch {
 		case c.held[id] == t.Attempt:
-			s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
-				Reason: "the worker no longer holds the attempt"}
+			s.presumeEnd(record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
+				Reason: "the worker no longer holds the attempt"})
 		case t.Incarnation != p.Incarnation:
 			// The run of the side process that the attempt was placed for may have started it until its permit ended.
 			if permitsOver {
-				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
-					Reason: "the side process was replaced and the worker does not have the attempt"}
+				s.presumeEnd(record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
+					Reason: "the side process was replaced and the worker does not have the attempt"})
 			}
 		case leaving(t):
 			// A start ordered before may still be under way until its permit has ended.
 			if permitsOver {
-				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.NotStarted, Reason: "left before it started"}
+				s.presumeEnd(record.End{Task: id, Attempt: t.Attempt, Outcome: record.NotStarted, Reason: "left before it started"})
 			}
 		case s.closed(w.Zone):
 			// No permit is given until the zone is back, so the task would wait here although others have room.
 			if permitsOver {
-				s.ends[id] = record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
-					Reason: "its zone was taken out of service before it started"}
+				s.presumeEnd(record.End{Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
+					Reason: "its zone was taken out of service before it started"})
 			}
 		case !s.mayStart(now, w.Zone):
 		case !p.WantStarts:
--- a/core/decider/tick.go
+++ b/core/decider/tick.go
@@ -15,6 +15,7 @@
 
 // Tick returns the next batch to append, or nil. No further batch is returned until BatchDone.
 func (s *State) Tick(now clock.Now) *record.Batch {
+	s.noteAuthority(now)
 	if s.policy == nil || s.inFlight || !s.auth.Valid(now) {
 		return nil
 	}
@@ -36,6 +37,23 @@
 	return b
 }
 
+// noteAuthority notes since when workers get answers without a break.
+func (s *State) noteAuthority(now clock.Now) {
+	if !s.auth.Valid(now) {
+		s.answering = false
+		return
+	}
+	if !s.answering {
+		s.answering, s.answeringSince = true, now.Mono
+	}
+}
+
+// silent reports whether a worker was not heard for so long that it gets no new work. While this entry had no authority it
+// answered nobody, so the silence counts from when it had it again: what ended meanwhile can be reported first.
+func (s *State) silent(now clock.Now, c *contact) bool {
+	return now.Mono-max(c.heard, s.answeringSince) > s.cfg.SilentAfter
+}
+
 // BatchDone tells that the batch was folded or, if dropped, that it certainly never takes effect.
 func (s *State) BatchDone(dropped bool) {
 	s.inFlight = false
@@ -57,7 +75,7 @@
 			continue
 		}
 		c := s.contact(now, id)
-		if now.Mono-c.heard <= s.cfg.SilentAfter {
+		if !s.silent(now, c) {
 			continue
 		}
 		anySilent = true
@@ -85,10 +103,10 @@
 			remain++
 			continue
 		}
-		s.ends[id] = record.End{
+		s.presumeEnd(record.End{
 			Task: id, Attempt: t.Attempt, Outcome: record.Lapsed, CheckpointMs: t.CheckpointMs,
 			Reason: "worker " + w.ID + " was silent until the lease ended",
-		}
+		})
 	}
 	return remain
 }
@@ -117,7 +135,7 @@
 		if !t.State.Placed() {
 			continue
 		}
-		if c := s.contacts[t.Worker]; c != nil && now.Mono-c.heard > s.cfg.SilentAfter {
+		if c := s.contacts[t.Worker]; c != nil && s.silent(now, c) {
 			silent = append(silent, id)
 		}
 	}
