--- a/fleet/dispatch/interference.go
+++ b/fleet/dispatch/interference.go
@@ -13,18 +13,13 @@
 	driftSpread = 0.05
 	// usualTargetFactor is how many times its idle tail the target of a serving task is taken to be at first.
 	usualTargetFactor = 5
-	// loadRate is the share of the newest measurement in what is taken for the load of a job.
-	loadRate = 0.6
 	// loadFreshMs is how long the load measured on tasks that nobody presses stands for the other tasks of the job.
 	loadFreshMs = 900
-	// loadUnknown is the load that a job is taken to have before it was measured.
-	loadUnknown = 0.6
-	// peakKeepMs is how long a peak of the load is reckoned with.
-	peakKeepMs = 15_000
-	// loadMost bounds a measured load.
-	loadMost = 0.98
-	// ahead is the time in seconds over which a rising load is extrapolated: a report and a change of pace take as long.
-	ahead = 0.8
+	// lightMost is the pressure below which a filler is taken to press less than was measured: readings of half a second
+	// err by about as much, and most fillers press an image not at all.
+	lightMost = 0.5
+	// outlierSpread is the number of standard deviations at which a reading counts for half.
+	outlierSpread = 2.5
 	// tailMargin is the part of its target that the tail of a serving task is held to.
 	tailMargin = 0.87
 )
@@ -71,8 +66,11 @@
 	return in.predict(p)
 }
 
-// of returns the expected pressure of a filler on a serving task.
-func (in *interference) of(f, t *task) float64 { return in.known(f, t).mean }
+// of returns the pressure of a filler on a serving task that is reckoned with.
+func (in *interference) of(f, t *task) float64 {
+	p := in.known(f, t).mean
+	return p * min(p/lightMost, 1)
+}
 
 // share is the part of a worker's processors that a filler asks for.
 func share(f *task, w *worker) float64 {
@@ -91,49 +89,6 @@
 	return usual
 }
 
-// load is the measured load of the tasks of a lasting job, which share their users.
-type load struct {
-	now, slope float64
-	atMs       int64
-	peak       float64
-	peakMs     int64
-	// freshMs is when it was measured last on a task that nobody pressed.
-	freshMs int64
-}
-
-// measure takes a new measurement.
-func (l *load) measure(nowMs int64, r float64) {
-	r = min(max(r, 0), loadMost)
-	if l.atMs == 0 {
-		l.now, l.atMs, l.peak, l.peakMs = r, nowMs, r, nowMs
-		return
-	}
-	next := l.now + loadRate*(r-l.now)
-	if gap := float64(nowMs-l.atMs) / 1000; gap > 0.1 {
-		l.slope += loadRate * ((next-l.now)/gap - l.slope)
-	}
-	l.now, l.atMs = next, nowMs
-	if next >= l.peak || nowMs-l.peakMs > peakKeepMs {
-		l.peak, l.peakMs = next, nowMs
-	}
-}
-
-// soon returns the load that is to be reckoned with until the next change of pace.
-func (l *load) soon() float64 {
-	if l.atMs == 0 {
-		return loadUnknown
-	}
-	return l.now + max(l.slope, 0)*ahead
-}
-
-// high returns the highest load of late.
-func (l *load) high() float64 {
-	if l.atMs == 0 {
-		return loadUnknown
-	}
-	return max(l.peak, l.now)
-}
-
 // atWork reports whether a task serves now.
 func (t *task) atWork() bool {
 	return t.stage.step.TargetMs > 0 && t.phase == running && t.percent >= 100 && t.load > 0
@@ -191,13 +146,15 @@
 		return
 	}
 	miss := tail/(idle+l.now*tail) - slowdown
+	// One reading in fifteen is half as high again as its neighbours, so the further off it is the less it counts.
+	trust := 1 / (1 + miss*miss/(spread*outlierSpread*outlierSpread))
 	for _, f := range fillers {
 		x := used(f, w)
 		if x == 0 {
 			continue
 		}
 		k := in.known(f, t)
-		gain := k.variance * x / spread
+		gain := trust * k.variance * x / spread
 		in.changed = true
 		in.pressure[pairOf(f, t)] = pressure{min(max(k.mean+gain*miss, 0), pressMost), k.variance*(1-gain*x) + driftSpread*driftSpread}
 	}
@@ -248,11 +205,12 @@
 )
 
 // watch narrows or widens the allowance of a serving task by its measured tail: an error of the model must not keep it
-// over its target.
+// over its target. One reading over it may be an outlier, the second in a row is not.
 func (t *task) watch(now int64) {
 	if t.load > t.stage.step.TargetMs {
 		if t.overMs == 0 {
 			t.overMs = now
+			return
 		}
 		t.narrow = max(t.allowed()*guardCut, guardLeast)
 		return
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -10,7 +10,7 @@
 
 const (
 	// fillerPaceLeast is the least pace at which a filler is placed.
-	fillerPaceLeast = 0.4
+	fillerPaceLeast = 0.6
 	// fillerLeast is the least share of its demand that a filler must be able to get.
 	fillerLeast = 0.8
 	// servingUse is the part of their processors that serving tasks use.
--- a/fleet/dispatch/regroup.go
+++ b/fleet/dispatch/regroup.go
@@ -6,10 +6,12 @@
 	// regroupEveryMs is the least time between two moves of serving tasks, each of which is away for about a second.
 	regroupEveryMs = 200
 	// regroupRestMs is how long a serving task stays where it is after it came there.
-	regroupRestMs = 6000
+	regroupRestMs = 5000
 	// regroupGain is the least fall of the mix cost by a move: the tasks beside it differ from it in that much more of what
 	// presses them than those at its new place.
 	regroupGain = 0.4
+	// regroupLooks is the number of workers from which a task to move is sought at a time.
+	regroupLooks = 3
 	// regroupTries is the number of workers that are looked at for a new place, which bounds the time of one look.
 	regroupTries = 24
 	// storeFreshMs is the age of the newest answer of the store from which no task is moved: it could not start again.
@@ -23,15 +25,21 @@
 	if len(s.order) == 0 || now-s.regroupedMs < regroupEveryMs || now-s.committedMs > storeFreshMs {
 		return
 	}
-	w := s.order[s.regroupNext%len(s.order)]
-	s.regroupNext++
-	if !s.takesWork(w) || w.serving < 2 {
-		return
-	}
 	var best move
-	for _, t := range w.tasks {
-		if s.movable(t) {
-			s.findPlace(t, w, &best)
+	var w *worker
+	for range regroupLooks {
+		w = s.order[s.regroupNext%len(s.order)]
+		s.regroupNext++
+		if !s.takesWork(w) || w.serving < 2 {
+			continue
+		}
+		for _, t := range w.tasks {
+			if s.movable(t) {
+				s.findPlace(t, w, &best)
+			}
+		}
+		if best.to != nil {
+			break
 		}
 	}
 	if best.to == nil {
@@ -57,13 +65,17 @@
 }
 
 // movable reports whether a serving task may be stopped to be started elsewhere: it is at work, and no other task of its step
-// is away.
+// is on its way. Where a step says how many of its tasks may be away, none may be away for any cause.
 func (s *State) movable(t *task) bool {
 	if !s.atRest(t) {
 		return false
 	}
 	for i := range t.stage.tasks {
-		if o := &t.stage.tasks[i]; o != t && (o.phase != running || o.percent < 100) {
+		o := &t.stage.tasks[i]
+		if o == t || o.phase == running && o.percent >= 100 {
+			continue
+		}
+		if o.phase != waiting || t.stage.step.MayMiss > 0 {
 			return false
 		}
 	}
