fleet: keep what was learned of interference in the store, and hold places for moved tasks

Cause: a new decider knew nothing of which images press which.

A moved task waits up to 1.5 s for its new place. A peak of the load needs three readings. Pairs that were not measured are predicted by what is known of both images, not by what is unknown of them.

Tests: the model of workers now tells tails by hidden pressures, so moves run under its faults; grouping with and without free room, moves only with the store at hand and no sibling away, prediction, bounds of images, outliers, and the record for the next decider, also a strange one.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -33,7 +33,7 @@
 		}
 		switch w.rng.IntN(6) {
 		case 0:
-			s.Filler = true
+			s.Filler, s.Image = true, []string{"fa", "fb"}[n%2]
 		case 1:
 			s.MaxPerWorker = 1
 		case 2:
@@ -42,7 +42,7 @@
 		j.Steps = append(j.Steps, s)
 	}
 	if w.rng.IntN(8) == 0 {
-		j.Steps = []work.Step{{Count: 2, CPU: 500, MemMB: 100, EstMs: 400, Lasting: true, TargetMs: 50, Image: "s"}}
+		j.Steps = []work.Step{{Count: 2, CPU: 500, MemMB: 100, EstMs: 400, Lasting: true, TargetMs: 50, Image: []string{"sa", "sb"}[n%2], MayMiss: n % 3}}
 	}
 	return j
 }
--- a/fleet/dispatch/interference.go
+++ b/fleet/dispatch/interference.go
@@ -49,6 +49,8 @@
 	// changed is true if something was learned since it was stored last, storedMs is when that was.
 	changed  bool
 	storedMs int64
+	// storedBytes is the size of the newest record.
+	storedBytes int64
 }
 
 func newInterference() interference {
--- a/fleet/dispatch/likeness.go
+++ b/fleet/dispatch/likeness.go
@@ -16,8 +16,8 @@
 	// unlikeScale stretches the part of the fillers' work that presses one of two images alone: images that react to
 	// different halves of the work are wholly unlike.
 	unlikeScale = 2.0
-	// likeLeast is the likeness from which on the pressures on one image say something of those on another.
-	likeLeast = 0.5
+	// unlikeMost is the contrast up to which the pressures on one image say something of those on another.
+	unlikeMost = 0.5
 	// guessWeight is the weight of the general guess against one known pressure on an image that is alike.
 	guessWeight = 0.25
 )
@@ -90,13 +90,13 @@
 
 // guesses caches what is derived from the pressures.
 type guesses struct {
-	// unlike holds how differently fillers press two serving images, pressure what is expected of pairs not measured yet.
-	unlike   map[[2]string]float64
+	// contrast compares serving images, pressure holds what is expected of pairs not measured yet.
+	contrast map[[2]string]contrast
 	pressure map[pair]pressure
 }
 
 func newGuesses() guesses {
-	return guesses{map[[2]string]float64{}, map[pair]pressure{}}
+	return guesses{map[[2]string]contrast{}, map[pair]pressure{}}
 }
 
 // refresh drops guesses that rest on pressures of before.
@@ -106,17 +106,21 @@
 	}
 }
 
-// unlike returns how differently fillers press two serving images: 0 if the same fillers press both, 1 if no filler that
-// presses one finds room beside the other or if nothing is known. Work that presses neither needs neither kept apart.
-func (in *interference) unlike(a, b string) float64 {
-	if a == b {
-		return 0
-	}
+// contrast is how differently fillers press two serving images.
+type contrast struct {
+	// differ is the part of the known work that finds room beside one of them alone, stretched to 0 to 1.
+	differ float64
+	// known is the part of the fillers' work whose pressure on both is known.
+	known float64
+}
+
+// compare compares two serving images.
+func (in *interference) compare(a, b string) contrast {
 	if a > b {
 		a, b = b, a
 	}
 	key := [2]string{a, b}
-	if v, ok := in.guesses.unlike[key]; ok {
+	if v, ok := in.guesses.contrast[key]; ok {
 		return v
 	}
 	known, unknown, differ := 0.0, 0.0, 0.0
@@ -131,14 +135,24 @@
 		known += d
 		differ += d * max(closed(p.mean)-closed(q.mean), closed(q.mean)-closed(p.mean))
 	}
-	v := 1.0
+	var v contrast
 	if known > 0 {
-		v = (min(unlikeScale*differ/known, 1)*known + unknown) / (known + unknown)
+		v = contrast{min(unlikeScale*differ/known, 1), known / (known + unknown)}
 	}
-	in.guesses.unlike[key] = v
+	in.guesses.contrast[key] = v
 	return v
 }
 
+// unlike returns how differently fillers press two serving images: 0 if the same fillers press both, 1 if no filler that
+// presses one finds room beside the other or if nothing is known.
+func (in *interference) unlike(a, b string) float64 {
+	if a == b {
+		return 0
+	}
+	c := in.compare(a, b)
+	return c.differ*c.known + 1 - c.known
+}
+
 // closed is the part of its work for which a filler of a pressure finds no room.
 func closed(p float64) float64 { return min(p/pressFull, 1) }
 
@@ -154,7 +168,8 @@
 		if !ok || other == p.serves || k.variance > knownVariance {
 			continue
 		}
-		if like := 1 - in.unlike(p.serves, other); like > likeLeast {
+		if c := in.compare(p.serves, other); c.differ < unlikeMost {
+			like := (1 - c.differ) * c.known
 			sum += like * k.mean
 			weights += like
 		}
--- a/fleet/dispatch/load.go
+++ b/fleet/dispatch/load.go
@@ -16,6 +16,8 @@
 	slopeRate = 0.5
 	// peakKeepMs is how long a peak of the load is reckoned with.
 	peakKeepMs = 15_000
+	// peakSamples is the least number of readings that make a peak.
+	peakSamples = 3
 	// ahead is the time in seconds over which a rising load is extrapolated: a report and a change of pace take as long.
 	ahead = 0.8
 )
@@ -47,24 +49,24 @@
 	r = min(max(r, 0), loadMost)
 	l.samples[l.next%loadSamples] = loadSample{nowMs, r}
 	l.next++
-	l.now = l.median(nowMs)
+	n := 0
+	l.now, n = l.median(nowMs)
 	if l.atMs == 0 {
-		l.peak, l.peakMs, l.fromLoad, l.fromMs = l.now, nowMs, l.now, nowMs
+		l.fromLoad, l.fromMs = l.now, nowMs
 	}
 	l.atMs = nowMs
 	if gap := nowMs - l.fromMs; gap >= slopeEveryMs {
 		l.slope += slopeRate * ((l.now-l.fromLoad)*1000/float64(gap) - l.slope)
 		l.fromLoad, l.fromMs = l.now, nowMs
 	}
-	if l.now >= l.peak || nowMs-l.peakMs > peakKeepMs {
+	if n >= peakSamples && (l.now >= l.peak || nowMs-l.peakMs > peakKeepMs) {
 		l.peak, l.peakMs = l.now, nowMs
 	}
 }
 
-// median returns the median of the readings within the window.
-func (l *load) median(nowMs int64) float64 {
+// median returns the median of the readings within the window, and their number.
+func (l *load) median(nowMs int64) (m float64, n int) {
 	var list [loadSamples]float64
-	n := 0
 	for i := range min(l.next, loadSamples) {
 		if s := l.samples[i]; nowMs-s.atMs <= loadWindowMs {
 			list[n] = s.load
@@ -72,7 +74,7 @@
 		}
 	}
 	slices.Sort(list[:n])
-	return list[n/2]
+	return list[n/2], n
 }
 
 // soon returns the load that is to be reckoned with until the next change of pace.
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -74,7 +74,13 @@
 		if t.phase != waiting || s.now.BootMs < t.notBeforeMs {
 			continue
 		}
-		w := s.choose(t, nil)
+		if s.underway(t) {
+			continue
+		}
+		w := s.destination(t)
+		if w == nil {
+			w = s.choose(t, nil)
+		}
 		if w == nil && s.starved(st) {
 			w = s.chooseCrowded(t)
 		}
@@ -119,6 +125,7 @@
 	t.run = run
 	t.phase = starting
 	t.recorded = false
+	t.toward = nil
 	s.commit(t, w)
 	t.stage.job.begun = true
 	s.starts = append(s.starts, t)
--- a/fleet/dispatch/regroup.go
+++ b/fleet/dispatch/regroup.go
@@ -14,6 +14,8 @@
 	regroupLooks = 3
 	// regroupTries is the number of workers that are looked at for a new place, which bounds the time of one look.
 	regroupTries = 24
+	// towardForMs is how long a moved task waits for its new place: for the end of its run, and of that which makes room.
+	towardForMs = 1500
 	// storeFreshMs is the age of the newest answer of the store from which no task is moved: it could not start again.
 	storeFreshMs = 600
 )
@@ -52,6 +54,19 @@
 	}
 }
 
+// underway reports whether a task is moved to a worker that has no room for it yet.
+func (s *State) underway(t *task) bool {
+	return t.toward != nil && s.now.BootMs < t.towardMs && s.takesWork(t.toward) && s.mayRun(t, t.toward) && !s.fits(t, t.toward)
+}
+
+// destination returns the worker that a task is moved to, if it has room, or nil.
+func (s *State) destination(t *task) *worker {
+	if t.toward != nil && s.now.BootMs < t.towardMs && s.takesWork(t.toward) && s.fits(t, t.toward) {
+		return t.toward
+	}
+	return nil
+}
+
 // move is a move of a serving task to another worker, from which another one may have to come back.
 type move struct {
 	task, back *task
@@ -60,7 +75,7 @@
 }
 
 func (s *State) moveServing(t *task, to *worker, gain float64) {
-	t.avoid = t.on.instance
+	t.avoid, t.toward, t.towardMs = t.on.instance, to, s.now.BootMs+towardForMs
 	s.stop(t, fmt.Sprintf("%s has tasks more like it, mix cost %.2f less", to.instance, gain))
 }
 
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -121,6 +121,9 @@
 	pacedMs int64
 	// avoid is the instance on which it failed last.
 	avoid string
+	// toward is the worker that it is moved to, until towardMs.
+	toward   *worker
+	towardMs int64
 	// notBeforeMs delays the next start.
 	notBeforeMs int64
 	// stopSentMs is when a stop was ordered last.
@@ -293,6 +296,9 @@
 		j.dirty = false
 		b.Schedule = append(b.Schedule, work.Record{Key: work.PrefixProgress + j.def.ID, Value: work.Encode(j.progress())})
 	}
+	if r, due := s.keepLearned(); due {
+		b.Schedule = append(b.Schedule, r)
+	}
 	for name := range s.forgets {
 		if w := s.workers[name]; w != nil && w.info != nil {
 			b.forgets[name] = forget{w.info.Life, w.seenEnd}
--- a/fleet/dispatch/world_test.go
+++ b/fleet/dispatch/world_test.go
@@ -38,6 +38,8 @@
 	fails map[string]bool
 	// calm turns faults off, for the end of a play.
 	calm bool
+	// learned is what the decider kept of interference.
+	learned []byte
 	// late holds starts that are carried out later.
 	late []lateStart
 }
@@ -135,6 +137,13 @@
 		sw.connected = false
 	}
 	w.step(ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
+	if w.learned != nil {
+		var in work.Interference
+		if err := work.Decode(w.learned, &in); err != nil {
+			w.t.Fatal(err)
+		}
+		w.step(Learned{Interference: &in})
+	}
 	ids := make([]string, 0, len(w.jobs))
 	for id := range w.jobs {
 		ids = append(ids, id)
@@ -463,7 +472,7 @@
 	}
 	sort.Strings(names)
 	for _, n := range names {
-		rep.Runs = append(rep.Runs, link.Run{Task: n, Run: sw.runs[n].run, Percent: sw.runs[n].percent(w.now)})
+		rep.Runs = append(rep.Runs, link.Run{Task: n, Run: sw.runs[n].run, Percent: sw.runs[n].percent(w.now), Load: w.load(sw, n)})
 	}
 	for _, e := range sw.ends {
 		if e.Number > sw.forgotten {
@@ -476,6 +485,30 @@
 	w.answer(sw, rep)
 }
 
+// stepOf returns the step of a task.
+func (w *world) stepOf(name string) *work.Step {
+	n, _ := work.ParseTaskName(name)
+	return &w.jobs[n.Job].Steps[n.Step]
+}
+
+// load returns what a worker tells of a run: the tail of a serving task, else the use of processors. Fillers whose image ends
+// in the same letter as that of a serving task press it.
+func (w *world) load(sw *simWorker, name string) int64 {
+	step := w.stepOf(name)
+	if step.TargetMs == 0 {
+		return step.CPU
+	}
+	const idle, load, heavy = 10.0, 0.4, 4.0
+	slowdown := 1.0
+	for other := range sw.runs {
+		o := w.stepOf(other)
+		if o.Filler && o.Image != "" && o.Image[len(o.Image)-1] == step.Image[len(step.Image)-1] {
+			slowdown += heavy * float64(o.CPU) / float64(sw.info.CPU)
+		}
+	}
+	return int64(min(idle*slowdown/max(1-load*slowdown, 0.02), 500))
+}
+
 // answer hands a report to the decider, whose answer renews the lease.
 func (w *world) answer(sw *simWorker, rep *link.Report) {
 	w.step(Reported{Instance: sw.instance, Report: rep})
@@ -505,6 +538,9 @@
 
 func (w *world) record(b *Batch) {
 	for _, r := range b.Schedule {
+		if r.Key == work.KeyInterference {
+			w.learned = r.Value
+		}
 		if id, ok := strings.CutPrefix(r.Key, work.PrefixProgress); ok {
 			w.stored[id] = r.Value
 		}
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -140,6 +140,9 @@
 	for _, z := range zones {
 		d.step(dispatch.ZoneEvacuated{Zone: z, Evacuated: true})
 	}
+	if in := e.view.interference(); in != nil {
+		d.step(dispatch.Learned{Interference: in})
+	}
 	for id, v := range e.view.all() {
 		d.takeJob(id, v)
 	}
--- a/fleet/entry/view.go
+++ b/fleet/entry/view.go
@@ -16,6 +16,8 @@
 	jobs map[string]*viewed
 	// early holds cancellations and progress that were read before their submission: the topics are read side by side.
 	early map[string]*viewed
+	// learned is the newest record of what deciders have learned of interference; nil if there is none.
+	learned []byte
 	// taken receives submissions and cancellations for the decider, if set.
 	taken func(id string, v viewed)
 }
@@ -71,6 +73,23 @@
 	return all
 }
 
+// interference returns what deciders have learned of interference, or nil.
+func (v *view) interference() *work.Interference {
+	v.mu.Lock()
+	data := v.learned
+	v.mu.Unlock()
+	if len(data) == 0 {
+		return nil
+	}
+	var in work.Interference
+	if err := work.Decode(data, &in); err != nil {
+		// The decider learns it anew.
+		v.log.Log(logevent.RecordUnreadable, logevent.Str("key", work.KeyInterference), logevent.Err(err))
+		return nil
+	}
+	return &in
+}
+
 // entry returns the account of a job, which may not have been submitted yet as far as this entry knows.
 func (v *view) entry(id string) *viewed {
 	if j := v.jobs[id]; j != nil {
@@ -151,6 +170,10 @@
 			newest = claim
 			continue
 		}
+		if r.Key == work.KeyInterference {
+			v.learned = r.Value
+			continue
+		}
 		if id, ok := strings.CutPrefix(r.Key, work.PrefixProgress); ok {
 			v.progressed(id, r)
 		}
--- a/fleet/work/store.go
+++ b/fleet/work/store.go
@@ -44,6 +44,8 @@
 	PrefixProgress     = "p"
 	// KeyClaim is the key of the decider's claim and sign of life.
 	KeyClaim = "L"
+	// KeyInterference is the key of what the decider has learned of images that disturb each other.
+	KeyInterference = "I"
 )
 
 // Record is a record with a key.
