fleet/entry: let the decider notice too that the store is away

A decider does not read the topic of schedules, which it writes itself, so its reads of it never failed and the store never counted as away.

Change: the relay notes for each topic since when no call was answered, of any kind, directly or through others. Two calls in a row must have failed: one may have lost its answer.

--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -203,6 +203,21 @@
 	})
 }
 
+// Guards against a decider that holds callers for seconds in an outage: it does not read its own records, and took that for a
+// store that answers (submissions were answered 504 after 2.4 s on trouble-1 of nws-puddle).
+func TestDeciderNoticesThatTheStoreIsAway(t *testing.T) {
+	s := newSite(t)
+	e, _ := s.entry("entry-1")
+	s.until("a decider", func() bool { return e.deciding.Load() != 0 })
+	assert.Assert(t, !e.storeAway())
+	for _, fault := range []platformtest.Fault{platformtest.Silent, platformtest.Busy} {
+		s.setFault(fault, "")
+		s.until("the loss of the store", e.storeAway)
+		s.setFault(platformtest.None, "")
+		s.until("the store", func() bool { return !e.storeAway() })
+	}
+}
+
 // Guards against an entry that says that no job waits because it has not read the jobs (MIXED).
 func TestWaitingJobsAreNotCountedUnread(t *testing.T) {
 	s := newSite(t)
--- a/fleet/entry/follow.go
+++ b/fleet/entry/follow.go
@@ -204,16 +204,6 @@
 	}
 }
 
-// lostForMs returns for how long reads have failed; 0 if the last one was answered.
-func (f *follower) lostForMs() int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.lostMs == 0 {
-		return 0
-	}
-	return clock.BootMs() - f.lostMs
-}
-
 // ageMs returns the time since the last answered read was sent.
 func (f *follower) ageMs() int64 {
 	f.mu.Lock()
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -27,7 +27,7 @@
 	// countAgeMs is the age of the view from which it is not counted for callers: an entry that could not load it yet would
 	// say that no job waits. Reads are answered every second at least.
 	countAgeMs = 3000
-	// awayMs is how long reads must have failed, directly and through other entries, for the store to count as away. Single
+	// awayMs is how long calls must have failed, directly and through other entries, for the store to count as away. Single
 	// failures are over sooner.
 	awayMs = 500
 	// submitRetry is the pause between attempts to store a submission.
@@ -136,10 +136,9 @@
 	return e.jobs.ageMs() <= countAgeMs && (e.sched.ageMs() <= countAgeMs || e.deciding.Load() != 0)
 }
 
-// storeAway reports whether the store has answered no read of this entry for a while, neither directly nor through others.
-func (e *Entry) storeAway() bool {
-	return e.jobs.lostForMs() > awayMs && e.sched.lostForMs() > awayMs
-}
+// storeAway reports whether the store has answered no call of this entry about jobs for a while, neither directly nor through
+// others.
+func (e *Entry) storeAway() bool { return e.relay.lostForMs(work.TopicJobs) > awayMs }
 
 // submit stores a job and says so.
 func (e *Entry) submit(ctx context.Context, c *app.RequestContext, cfg *work.Config, q *work.Queue, id string) {
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -47,8 +47,21 @@
 	badUntilMs int64
 	probing    bool
 	peers      map[string]*peer
+	// lost tells of topics about which calls fail, directly and through peers; it has no entry for others.
+	lost map[string]lostTopic
 }
 
+// lostTopic is a topic about which no call is answered.
+type lostTopic struct {
+	// sinceMs is when the first call was sent that failed, failures how many have.
+	sinceMs  int64
+	failures int
+}
+
+// lostLeast is the least number of failed calls that make a topic lost. One call may wait for over a second for an answer
+// that was lost.
+const lostLeast = 2
+
 // peer is another entry.
 type peer struct {
 	work.SideAddress
@@ -56,7 +69,7 @@
 }
 
 func newRelay(direct work.Store, self string) *relay {
-	return &relay{direct: direct, self: self, peers: map[string]*peer{}}
+	return &relay{direct: direct, self: self, peers: map[string]*peer{}, lost: map[string]lostTopic{}}
 }
 
 // setPeer notes the address of another entry.
@@ -108,6 +121,35 @@
 	r.badUntilMs = clock.BootMs() + directRetryMs
 }
 
+// noteTopic notes how a call about a topic ended that was sent at a time. A call that its caller gave up says nothing.
+func (r *relay) noteTopic(ctx context.Context, topic string, sent int64, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case decisive(err):
+		delete(r.lost, topic)
+	case ctx.Err() != nil:
+	default:
+		l := r.lost[topic]
+		if l.failures == 0 {
+			l.sinceMs = sent
+		}
+		l.failures++
+		r.lost[topic] = l
+	}
+}
+
+// lostForMs returns for how long no call about a topic was answered; 0 if the last one was.
+func (r *relay) lostForMs(topic string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.lost[topic]
+	if l.failures < lostLeast {
+		return 0
+	}
+	return clock.BootMs() - l.sinceMs
+}
+
 // decisive reports whether a call has reached the store and was decided.
 func decisive(err error) bool {
 	return err == nil || errors.Is(err, work.ErrConditionFailed) || errors.Is(err, work.ErrFenced) ||
@@ -197,20 +239,24 @@
 
 // Append implements work.Store.
 func (r *relay) Append(ctx context.Context, a work.Append) (work.Appended, error) {
+	sent := clock.BootMs()
 	reply, err := r.do(ctx, link.PeerCall{Append: &a}, 0, func() (link.PeerReply, error) {
 		got, err := r.direct.Append(ctx, a)
 		return link.PeerReply{Appended: got}, err
 	})
+	r.noteTopic(ctx, a.Topic, sent, err)
 	return reply.Appended, err
 }
 
 // Read implements work.Store.
 func (r *relay) Read(ctx context.Context, topic string, from int64, wait time.Duration) (work.Page, error) {
+	sent := clock.BootMs()
 	call := link.PeerCall{Read: &link.ReadCall{Topic: topic, From: from, Wait: wait}}
 	reply, err := r.do(ctx, call, wait, func() (link.PeerReply, error) {
 		page, err := r.direct.Read(ctx, topic, from, wait)
 		return link.PeerReply{Page: page}, err
 	})
+	r.noteTopic(ctx, topic, sent, err)
 	return reply.Page, err
 }
 
--- a/fleet/entry/relay_test.go
+++ b/fleet/entry/relay_test.go
@@ -117,7 +117,7 @@
 // wait 3 s.
 func TestNoAttemptOutlastsTheCaller(t *testing.T) {
 	store := &deadlines{scripted: scripted{err: lost()}}
-	e := &Entry{store: store, jobs: &follower{}, sched: &follower{}}
+	e := &Entry{store: store, relay: newRelay(store, "self"), jobs: &follower{}, sched: &follower{}}
 	until := time.Now().Add(300 * time.Millisecond)
 	err := e.keep(context.Background(), work.Record{Key: "j"}, until)
 	assert.Assert(t, err != nil && !work.NotDone(err), "%v", err)
