fleet/dispatch: start fillers only where there is room for them now

Fillers that were ordered in one batch each took the whole room for their first pace, because only listed ones were counted, and a filler works at full pace until its first pace reaches the worker.

Change: fillers that were ordered to start count with their first pace; that pace is cautious by half a standard deviation of the pressure; a filler is placed where 0.8 of full pace has room now, also by the guard.

--- a/fleet/dispatch/interference.go
+++ b/fleet/dispatch/interference.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "math"
+
 const (
 	// pressUnknown is the pressure of a filler whose image was not met beside a serving image yet, and pressSpread the
 	// standard deviation of that guess.
@@ -18,6 +20,9 @@
 	// lightMost is the pressure below which a filler is taken to press less than was measured: readings of half a second
 	// err by about as much, and most fillers press an image not at all.
 	lightMost = 0.5
+	// caution is the number of standard deviations by which a filler that starts is taken to press more than expected: too
+	// slow a start costs it half a second, too fast a one a serving task its target.
+	caution = 0.5
 	// outlierSpread is the number of standard deviations at which a reading counts for half.
 	outlierSpread = 2.5
 	// tailMargin is the part of its target that the tail of a serving task is held to.
@@ -82,6 +87,12 @@
 // effect is what a filler at full pace is expected to add to s of a serving task.
 func (in *interference) effect(f, t *task, w *worker) float64 { return in.of(f, t) * share(f, w) }
 
+// cautious is what a filler at full pace may add to s of a serving task, as long as little is known of its pressure.
+func (in *interference) cautious(f, t *task, w *worker) float64 {
+	k := in.known(f, t)
+	return in.effect(f, t, w) + caution*math.Sqrt(k.variance)*share(f, w)
+}
+
 // idleTail returns the tail of a serving task without load, in milliseconds.
 func (in *interference) idleTail(t *task) float64 {
 	usual := float64(t.stage.step.TargetMs) / usualTargetFactor
@@ -190,7 +201,7 @@
 			}
 		}
 		l := &t.stage.job.load
-		atNow, atPeak := s.interference.allowance(t, l.soon())/sum, s.interference.allowance(t, l.high())/sum
+		atNow, atPeak := s.interference.allowance(t, l.soon())*t.allowed()/sum, s.interference.allowance(t, l.high())/sum
 		low = min(low, (min(atNow, 1)+min(atPeak, 1))/2)
 	}
 	return low
--- a/fleet/dispatch/pace.go
+++ b/fleet/dispatch/pace.go
@@ -116,26 +116,32 @@
 	}
 }
 
-// firstPace is the pace with which a filler starts beside serving tasks; the next report sets it anew.
+// firstPace is the pace with which a filler starts beside serving tasks; the next report sets it anew. Those that were
+// ordered to start before it and are not listed yet take their part of the room.
 func (s *State) firstPace(f *task, w *worker) int {
-	pace := map[*task]float64{f: 1}
-	fillers := append(w.fillers(), f)
-	for _, o := range fillers[:len(fillers)-1] {
-		pace[o] = float64(o.pace) / fullPace
-	}
+	return max(int(s.startRoom(f, w)*fullPace), paceLeast)
+}
+
+// startRoom returns the share of full pace for which there is room now beside the serving tasks of a worker.
+func (s *State) startRoom(f *task, w *worker) float64 {
+	pace := 1.0
 	for _, t := range w.tasks {
 		if t.stage.step.TargetMs == 0 || t.phase == stopping {
 			continue
 		}
-		over := -s.interference.allowance(t, t.stage.job.load.soon()) * t.allowed()
-		for _, o := range fillers {
-			over += s.interference.effect(o, t, w) * pace[o]
+		effect := s.interference.cautious(f, t, w)
+		if effect < negligible {
+			continue
 		}
-		if effect := s.interference.effect(f, t, w); over > 0 && effect > negligible {
-			pace[f] = min(pace[f], max(1-over/effect, 0))
+		room := s.interference.allowance(t, t.stage.job.load.soon()) * t.allowed()
+		for _, o := range w.tasks {
+			if o.stage.step.Filler && o != f && (o.phase == running || o.phase == starting && o.orderNumber > 0) {
+				room -= s.interference.effect(o, t, w) * float64(max(o.pace, 0)) / fullPace
+			}
 		}
+		pace = min(pace, max(room/effect, 0))
 	}
-	return max(int(pace[f]*fullPace), paceLeast)
+	return pace
 }
 
 // sendPaces tells fillers their pace where it is not what they were told.
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -11,6 +11,9 @@
 const (
 	// fillerPaceLeast is the least pace at which a filler is placed.
 	fillerPaceLeast = 0.6
+	// startRoomLeast is the least share of full pace for which there must be room where a filler starts: it works at full
+	// pace until its first pace reaches the worker.
+	startRoomLeast = 0.8
 	// fillerLeast is the least share of its demand that a filler must be able to get.
 	fillerLeast = 0.8
 	// servingUse is the part of their processors that serving tasks use.
@@ -240,7 +243,7 @@
 	}
 	st := t.stage.step
 	if st.Filler {
-		return w.unused() >= fillerLeast*float64(st.CPU) && s.paceOf(t, w) >= fillerPaceLeast
+		return w.unused() >= fillerLeast*float64(st.CPU) && s.paceOf(t, w) >= fillerPaceLeast && s.startRoom(t, w) >= startRoomLeast
 	}
 	return w.cpu+st.CPU <= w.info.CPU
 }
