fleet/entry: give an attempt to store a submission up once the store is away

One attempt goes to the store and then through two entries, each of which waits for the store itself.

Change: an attempt ends when the store counts as away. Before: the new test waits for ever; after: it ends with an unknown outcome.

--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -30,6 +30,8 @@
 	// awayMs is how long calls must have failed, directly and through other entries, for the store to count as away. Single
 	// failures are over sooner.
 	awayMs = 500
+	// awayLook is the time between looks at whether the store is away during an attempt.
+	awayLook = 50 * time.Millisecond
 	// submitRetry is the pause between attempts to store a submission.
 	submitRetry = 60 * time.Millisecond
 	// retryAfterSeconds is when a refused caller is asked to return. The balancer takes an entry without the store out of
@@ -192,7 +194,7 @@
 	defer cancel()
 	unknown := error(nil)
 	for {
-		_, err := e.store.Append(ctx, work.Append{Topic: work.TopicJobs, Records: []work.Record{rec}})
+		err := e.tryStore(ctx, rec)
 		if err == nil {
 			return nil
 		}
@@ -213,6 +215,23 @@
 	}
 }
 
+// tryStore makes one attempt to store a record, which is given up once the store is known to be away: attempts through other
+// entries may last until the caller's deadline.
+func (e *Entry) tryStore(ctx context.Context, rec work.Record) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			clock.Sleep(ctx, awayLook)
+			if e.storeAway() {
+				cancel()
+			}
+		}
+	}()
+	_, err := e.store.Append(ctx, work.Append{Topic: work.TopicJobs, Records: []work.Record{rec}})
+	return err
+}
+
 // known returns a job's state after a fresh look at the store if it is unknown here. An error means that the store could
 // not be asked.
 func (e *Entry) known(ctx context.Context, id string) (work.JobState, bool, error) {
--- a/fleet/entry/relay_test.go
+++ b/fleet/entry/relay_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
@@ -127,6 +128,33 @@
 	}
 }
 
+// silentStore is a store whose appends end only when they are given up.
+type silentStore struct {
+	scripted
+	called chan struct{}
+}
+
+func (s *silentStore) Append(ctx context.Context, _ work.Append) (work.Appended, error) {
+	s.called <- struct{}{}
+	<-ctx.Done()
+	return work.Appended{}, lost()
+}
+
+// Guards against callers that are held until their deadline by one attempt that began before the store was known to be away
+// (2.8 s in the outage of inc-60ca).
+func TestAttemptIsGivenUpOnceTheStoreIsAway(t *testing.T) {
+	store := &silentStore{called: make(chan struct{}, 1)}
+	e := &Entry{store: store, relay: newRelay(store, "self")}
+	ended := make(chan error, 1)
+	go func() { ended <- e.keep(context.Background(), work.Record{Key: "j"}, time.Now().Add(time.Hour)) }()
+	<-store.called
+	for range lostLeast {
+		e.relay.noteTopic(context.Background(), work.TopicJobs, clock.BootMs()-awayMs-1, lost())
+	}
+	err := <-ended
+	assert.Assert(t, err != nil && !work.NotDone(err), "the attempt may have been carried out: %v", err)
+}
+
 // Guards against a decider that is taken for gone because it is busy or cut off, and against waiting for one whose
 // process has ended.
 func TestWhetherADeciderIsGone(t *testing.T) {
