--- a/fleet/dispatch/regroup.go
+++ b/fleet/dispatch/regroup.go
@@ -15,7 +15,7 @@
 	// regroupTries is the number of workers that are looked at for a new place, which bounds the time of one look.
 	regroupTries = 24
 	// towardForMs is how long a moved task waits for its new place: for the end of its run, and of that which makes room.
-	towardForMs = 1500
+	towardForMs = 1200
 	// storeFreshMs is the age of the newest answer of the store from which no task is moved: it could not start again.
 	storeFreshMs = 600
 )
