fleet/dispatch: wait for the list of a new life before a start without an answer is given up

Run 1 was ordered at 55:07 and not answered; at 55:10 the worker of side-1 started anew under its old id, and the decider took everything of its earlier life for ended and started run 2. The late start was carried out by the new life, which has seen no fence and has the id that the call names.

Change: a start whose order is not answered stays with the worker when a new life is seen. The first list that was asked for under the raised fence shows whether it is at work; later arrivals of the old order are refused by that fence.

--- a/fleet/dispatch/fence_test.go
+++ b/fleet/dispatch/fence_test.go
@@ -52,3 +52,21 @@
 	w.step(Place{})
 	assert.Equal(t, s.jobs[jobID(1)].active, 1)
 }
+
+// Guards against a task that runs twice (TWICE in seed 1 of the soak): a start without an answer was carried out by the next life of
+// its worker under the old id, which has seen no fence, and the task was started elsewhere as soon as that life was known.
+func TestUnansweredStartMayReachTheNextLife(t *testing.T) {
+	w := settleWorld(t, 1)
+	sw, s := w.workers[0], w.state
+	w.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 100, MemMB: 10, EstMs: 5000}}})
+	s.Step(w.at(), Place{})
+	s.Step(w.at(), Committed{Batch: s.Collect()})
+	tk := &s.jobs[jobID(1)].stages[0].tasks[0]
+	assert.Assert(t, tk.recorded && tk.phase == starting)
+	info := sw.info
+	info.Life = link.Life{ID: info.Life.ID, BornMs: info.Life.BornMs + 1}
+	s.Step(w.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, LeaseLeftMs: 4000}})
+	assert.Equal(t, tk.phase, starting, "the task is free although its start may still be carried out")
+	s.Step(w.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: s.fence(s.worker(sw.instance)), OrdersDone: 1 << 40, LeaseLeftMs: 4000}})
+	assert.Equal(t, tk.phase, waiting, "a list under the raised fence shows that it was not")
+}
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -222,6 +222,12 @@
 		Reason: fmt.Sprintf("id %s, born %d, %d mCPU, %d MB, labels %v", info.Life.ID, info.Life.BornMs, info.CPU, info.MemMB, info.Labels)})
 	if w.info != nil {
 		for _, t := range w.sorted() {
+			if t.phase != running && t.recorded && (t.orderNumber == 0 || t.orderNumber > w.ordersDone) {
+				// The order without an answer may be carried out by the new life, which has seen no fence. Its list under the
+				// raised fence tells.
+				t.orderNumber = 0
+				continue
+			}
 			s.noteTask(NoteEnd, t, "its worker started anew")
 			s.ended(t)
 		}
