entry: wait for the first reads of jobs and schedule

Cause: an entry that had loaded its configuration but not its jobs refused counts with 503, said that it was ready by the age of a read that never was, and did not count failed loads of the jobs as a loss of the store. Readiness did not wait for the schedule, which counts need.

Ruled out: races of the tests alone. An ingress with fewer than half of its entries in rotation uses all of them, so callers reach such an entry.

Readiness needs a fresh view of jobs and schedule. A failed load of a topic counts like a failed read.

Result: TestEntryIsNotReadyBeforeItsFirstReads and TestOutageIsDetectedBeforeTheFirstRead fail before.

--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -150,7 +150,7 @@
 // serveReady answers the readiness check of the load balancer.
 func (e *Entry) serveReady(_ context.Context, c *app.RequestContext) {
 	status := http.StatusOK
-	if e.stopping.Load() || e.config.Load() == nil || e.operator.ageMs() > maxReadyAgeMs || e.jobs.ageMs() > maxReadyAgeMs {
+	if e.stopping.Load() || e.config.Load() == nil || e.operator.ageMs() > maxReadyAgeMs || !e.viewFresh() {
 		status = http.StatusServiceUnavailable
 	}
 	c.SetStatusCode(status)
--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -37,6 +37,8 @@
 	fault platformtest.Fault
 	// only restricts the fault to a path; empty means all.
 	only string
+	// wrap changes the store of the entries that are started; nil for none.
+	wrap func(work.Store) work.Store
 }
 
 func newSite(t *testing.T) *site {
@@ -81,7 +83,11 @@
 	assert.NilError(s.t, err)
 	m, err := NewMeters(registry)
 	assert.NilError(s.t, err)
-	e, err := New(s.settings(name), platform.NewStore(s.addr), logevent.Nop(), m)
+	var store work.Store = platform.NewStore(s.addr)
+	if s.wrap != nil {
+		store = s.wrap(store)
+	}
+	e, err := New(s.settings(name), store, logevent.Nop(), m)
 	assert.NilError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- /dev/null
+++ b/fleet/entry/firstread_test.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/platform"
+)
+
+// unreadTopic is a store of which one topic cannot be read until it is released. While it is down, reads fail at once;
+// else they wait.
+type unreadTopic struct {
+	work.Store
+	topic    string
+	down     bool
+	released chan struct{}
+}
+
+func (u *unreadTopic) Newest(ctx context.Context, topic string) (work.Page, error) {
+	if topic == u.topic {
+		select {
+		case <-u.released:
+		default:
+			if u.down {
+				return work.Page{}, errdefs.New(errdefs.Unavailable, "the store is down", "try again later")
+			}
+			select {
+			case <-u.released:
+			case <-ctx.Done():
+				return work.Page{}, errdefs.New(errdefs.Unknown, ctx.Err().Error(), "try again later")
+			}
+		}
+	}
+	return u.Store.Newest(ctx, topic)
+}
+
+// ready returns the status of the readiness check.
+func (s *site) ready(e *Entry) int {
+	s.t.Helper()
+	resp, err := http.Get("http://" + e.ready.Address() + platform.ReadyPath)
+	assert.NilError(s.t, err)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against an entry that reports that it is ready, or refuses a count, although it only has not read the jobs or
+// their progress for the first time: the count waits for that read.
+func TestEntryIsNotReadyBeforeItsFirstReads(t *testing.T) {
+	for _, topic := range []string{work.TopicJobs, work.TopicSchedule} {
+		t.Run(topic, func(t *testing.T) {
+			s := newSite(t)
+			u := &unreadTopic{topic: topic, released: make(chan struct{})}
+			s.wrap = func(store work.Store) work.Store { u.Store = store; return u }
+			e, _ := s.entry("entry-1")
+			s.until("the operator's topic", func() bool { return e.operator.ageMs() < maxReadyAgeMs })
+			assert.Equal(t, s.ready(e), http.StatusServiceUnavailable)
+			assert.Assert(t, !e.viewFresh())
+			counted := make(chan int, 1)
+			go func() {
+				status, _, _ := s.call(e, http.MethodGet, "/p/", "")
+				counted <- status
+			}()
+			s.until("the request", func() bool { return e.public.InProgress() == 1 })
+			close(u.released)
+			assert.Equal(t, <-counted, http.StatusOK)
+			s.until("readiness", func() bool { return s.ready(e) == http.StatusOK })
+		})
+	}
+}
+
+// Guards against callers that wait until their deadline at an entry that started during an outage: it has never read the
+// jobs, and its failed attempts to load them have to count as a loss of the store.
+func TestOutageIsDetectedBeforeTheFirstRead(t *testing.T) {
+	s := newSite(t)
+	u := &unreadTopic{topic: work.TopicJobs, down: true, released: make(chan struct{})}
+	s.wrap = func(store work.Store) work.Store { u.Store = store; return u }
+	e, _ := s.entry("entry-1")
+	s.until("the store to be down", e.storeDown)
+	began := time.Now()
+	for _, c := range []struct{ method, path, body string }{{http.MethodGet, "/p/", ""}, {http.MethodPost, jobPath, jobBody}} {
+		status, _, header := s.call(e, c.method, c.path, c.body)
+		assert.Equal(t, status, http.StatusServiceUnavailable, "%s %s", c.method, c.path)
+		assert.Equal(t, header.Get("Retry-After"), "1")
+	}
+	t.Logf("refused after %s", time.Since(began))
+	assert.Equal(t, len(s.store.Keys(work.TopicJobs)), 0)
+	close(u.released)
+	s.until("the store to be up", func() bool {
+		status, _, _ := s.call(e, http.MethodPost, jobPath, jobBody)
+		return status == http.StatusOK
+	})
+}
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -75,10 +75,8 @@
 	}
 	id := strings.TrimPrefix(path, q.Prefix)
 	switch {
-	case method == http.MethodGet && id == "" && !e.viewFresh():
-		e.refuse(c, http.StatusServiceUnavailable, "", "the store was not read lately; come back after the time given")
 	case method == http.MethodGet && id == "":
-		answer(c, http.StatusOK, platform.EncodeQueueLength(e.view.pending(q.Name)))
+		e.serveQueueLength(ctx, c, q)
 	case method == http.MethodPost:
 		e.submit(ctx, c, cfg, q, id)
 	case method == http.MethodGet:
@@ -247,6 +245,33 @@
 	return state, ok, nil
 }
 
+// refreshView reads the jobs and their progress to the end if they were not read recently, as when the entry has just
+// started. It does not try while the store is down.
+func (e *Entry) refreshView(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeoutMs*time.Millisecond)
+	defer cancel()
+	for _, r := range []*topicReader{e.jobs, e.schedule} {
+		if r.ageMs() <= maxViewAgeMs {
+			continue
+		}
+		if e.storeDown() || r.refresh(ctx) != nil {
+			return // the caller checks viewFresh
+		}
+	}
+}
+
+// serveQueueLength responds with the number of jobs of a queue of which no task has started.
+func (e *Entry) serveQueueLength(ctx context.Context, c *app.RequestContext, q *work.Queue) {
+	if !e.viewFresh() {
+		e.refreshView(ctx)
+	}
+	if !e.viewFresh() {
+		e.refuse(c, http.StatusServiceUnavailable, "", "the store was not read lately; come back after the time given")
+		return
+	}
+	answer(c, http.StatusOK, platform.EncodeQueueLength(e.view.pending(q.Name)))
+}
+
 // serveState responds with a job's state.
 func (e *Entry) serveState(ctx context.Context, c *app.RequestContext, id string) {
 	state, ok, err := e.lookUpJob(ctx, id)
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -274,10 +274,12 @@
 
 // Newest implements work.Store.
 func (r *relay) Newest(ctx context.Context, topic string) (work.Page, error) {
+	sent := clock.BootMs()
 	reply, err := r.call(ctx, link.PeerCall{Newest: topic}, newestTimeout, func() (link.PeerReply, error) {
 		page, err := r.direct.Newest(ctx, topic)
 		return link.PeerReply{Page: page}, err
 	})
+	r.recordTopic(ctx, topic, sent, err)
 	return reply.Page, err
 }
 
--- a/fleet/entry/topicreader.go
+++ b/fleet/entry/topicreader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -39,7 +40,7 @@
 	loaded  bool
 
 	mu sync.Mutex
-	// okMs is when the last successful read was sent, failingSinceMs since when reads have failed; 0 if the last succeeded.
+	// okMs is when the last successful read was sent, 0 if there was none, failingSinceMs since when reads have failed; 0 if the last succeeded.
 	okMs, failingSinceMs int64
 	attempts             int
 	paused               bool
@@ -203,9 +204,15 @@
 	}
 }
 
-// ageMs returns the time since the last successful read was sent.
+// neverRead is the age of a topic that was not read yet.
+const neverRead = math.MaxInt64
+
+// ageMs returns the time since the last successful read was sent, or neverRead.
 func (r *topicReader) ageMs() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.okMs == 0 {
+		return neverRead
+	}
 	return clock.BootMs() - r.okMs
 }
