side, entry: close three ways to a second run of a task

A new decider whose concurrent reader had applied that page could miss later ones and acknowledge the completions of jobs that it lacked.

The TWICE was not reproduced, so which of these caused it, if one did, is open.

--- a/fleet/entry/firstread_test.go
+++ b/fleet/entry/firstread_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
 )
 
@@ -96,3 +97,39 @@
 		return status == http.StatusOK
 	})
 }
+
+// Guards against a new decider that does not know all jobs: a page may hold nothing new because the concurrent reader has
+// applied it, while later pages were not read. It would acknowledge the completions of the jobs that it lacks (TWICE).
+func TestRefreshReadsToTheEnd(t *testing.T) {
+	pages := map[int64]work.Page{
+		0: {Records: []work.Record{{Key: "a"}}, Next: 1, End: 2},
+		1: {Records: []work.Record{{Key: "b", Offset: 1}}, Next: 2, End: 2},
+	}
+	var got []string
+	r := &topicReader{topic: "t", loaded: true, log: logevent.Nop(), apply: func(records []work.Record) {
+		for _, rec := range records {
+			got = append(got, rec.Key)
+		}
+	}}
+	r.store = pageStore(func(from int64) work.Page {
+		if from == 0 {
+			r.applyPage(pages[0]) // the concurrent reader is faster
+		}
+		return pages[from]
+	})
+	assert.NilError(t, r.refresh(context.Background()))
+	assert.DeepEqual(t, got, []string{"a", "b"})
+}
+
+// pageStore is a store that can only be read.
+type pageStore func(from int64) work.Page
+
+func (pageStore) Append(context.Context, work.Append) (work.Appended, error) {
+	return work.Appended{}, errdefs.OfKind(errdefs.Unavailable)
+}
+
+func (p pageStore) Read(_ context.Context, _ string, from int64, _ time.Duration) (work.Page, error) {
+	return p(from), nil
+}
+
+func (p pageStore) Newest(context.Context, string) (work.Page, error) { return p(0), nil }
--- a/fleet/entry/topicreader.go
+++ b/fleet/entry/topicreader.go
@@ -59,7 +59,7 @@
 		if wait == 0 {
 			wait = readWait
 		}
-		n, err := r.read(ctx, wait)
+		n, _, err := r.read(ctx, wait)
 		switch {
 		case ctx.Err() != nil:
 		case err != nil:
@@ -99,16 +99,17 @@
 	return r.paused
 }
 
-// read performs one read and returns the number of new records.
-func (r *topicReader) read(ctx context.Context, wait time.Duration) (int, error) {
+// read performs one read. It returns the number of new records and whether the read reached the end of the topic.
+func (r *topicReader) read(ctx context.Context, wait time.Duration) (n int, atEnd bool, err error) {
 	sent := clock.BootMs()
 	from, loaded := r.position()
 	page, err := r.fetch(ctx, from, loaded, wait)
 	r.recordResult(sent, err)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
-	return r.applyPage(page), nil
+	// The pages of newest records are no snapshot: the records from Next on have to be read in any case.
+	return r.applyPage(page), loaded && page.Next >= page.End, nil
 }
 
 // applyPage applies the records of a page that were not applied before and returns their number.
@@ -147,11 +148,11 @@
 	return r.store.Newest(ctx, r.topic)
 }
 
-// refresh reads to the end of the topic.
+// refresh reads to the end that the topic has now. A page without new records is not the end: run reads concurrently.
 func (r *topicReader) refresh(ctx context.Context) error {
 	for {
-		n, err := r.read(ctx, 0)
-		if err != nil || n == 0 {
+		_, atEnd, err := r.read(ctx, 0)
+		if err != nil || atEnd {
 			return err
 		}
 	}
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -54,6 +54,10 @@
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if its process has ended.
 	leaseUntilMs int64
+	// inheritedLeaseMs bounds the leases of runs that calls to the earlier incarnation started here, 0 if there are none.
+	// inheritedFence is the highest fence of those calls.
+	inheritedLeaseMs int64
+	inheritedFence   uint64
 	// answeredMs is when the worker last answered, unresponsive is true once a longer time without answers was logged.
 	answeredMs   int64
 	unresponsive bool
@@ -67,9 +71,15 @@
 func (s *Side) newIncarnation(ctx context.Context, info *link.Worker) *incarnation {
 	inc := &incarnation{side: s, info: *info, client: platform.NewWorker(info.Address, info.Incarnation), answeredMs: clock.BootMs(),
 		triggered: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls)}
-	if s.incarnation == nil {
+	switch previous := s.incarnation; {
+	case previous == nil:
 		// This process may have renewed the worker's lease before it was restarted.
 		inc.leaseUntilMs = s.startedMs + s.set.Bounds.Lease.Milliseconds()
+	case previous.info.Incarnation.ID == info.Incarnation.ID:
+		// A call in transit to the earlier incarnation may reach this one, as it has the same id. Its deadline means nothing on
+		// the new clock, so that the worker cuts the lease to the longest one.
+		inc.inheritedLeaseMs = clock.BootMs() + s.set.Bounds.MaxLease.Milliseconds()
+		inc.inheritedFence = s.fence
 	}
 	inc.ctx, inc.cancel = context.WithCancel(ctx)
 	inc.orderCtx, inc.stopOrders = context.WithCancel(inc.ctx)
@@ -154,6 +164,10 @@
 		}
 		s.mu.Lock()
 		inc.recordAnswer(ans.ClockMs)
+		if got.fence > inc.inheritedFence && len(ans.Runs) == 0 {
+			// The worker has met a higher fence, so that it refuses calls that are still in transit.
+			inc.inheritedLeaseMs = 0
+		}
 		got.runs, got.completions = ans.Runs, ans.Ended
 		s.mu.Unlock()
 		now = clock.BootMs()
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -239,10 +239,24 @@
 func (s *Side) report(l *listing, includeRuns bool) {
 	s.mu.Lock()
 	c := s.conn
+	s.mu.Unlock()
 	if c == nil {
-		s.mu.Unlock()
 		return
 	}
+	// Reports are sent in the order in which they are created. A list without a run that arrives before the report with the
+	// run's completion would make the decider start the task again.
+	c.write.Lock()
+	defer c.write.Unlock()
+	if err := link.WriteMessage(c.conn, s.createReport(c, l, includeRuns)); err != nil {
+		// The reader of the connection notices the failure and logs it.
+		c.close()
+	}
+}
+
+// createReport returns the next report for a connection. The caller holds c.write.
+func (s *Side) createReport(c *connection, l *listing, includeRuns bool) link.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := clock.BootMs()
 	r := link.Report{SentMs: now, Epoch: s.epoch, LeaseLeftMs: s.leaseLeft(now), AnsweredMs: c.answeredMs}
 	if s.incarnation != nil {
@@ -265,20 +279,14 @@
 		}
 	}
 	c.lastReportMs = now
-	s.mu.Unlock()
-	c.write.Lock()
-	defer c.write.Unlock()
-	if err := link.WriteMessage(c.conn, r); err != nil {
-		// The reader of the connection notices the failure and logs it.
-		c.close()
-	}
+	return r
 }
 
 // leaseLeft returns the time after which no run can be active on the worker unless its lease is renewed.
 func (s *Side) leaseLeft(now int64) int64 {
 	until := s.startedMs + s.set.Bounds.Lease.Milliseconds()
 	if s.incarnation != nil {
-		until = s.incarnation.leaseUntilMs
+		until = max(s.incarnation.leaseUntilMs, s.incarnation.inheritedLeaseMs)
 	}
 	if until == 0 {
 		return 0
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -276,3 +276,55 @@
 	tr.finish(1)
 	assert.Equal(t, tr.completedUpTo(), uint64(3))
 }
+
+// Guards against a task that is started elsewhere while the next incarnation of its worker runs it (TWICE): a call in
+// transit to the earlier incarnation may be carried out by the next one under the same id, and no lease that was sent to
+// that one bounds the run.
+func TestNextIncarnationMayRunCallsInTransit(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("of the first incarnation", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	maxLease := r.side.set.Bounds.MaxLease.Milliseconds()
+	second := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1}
+	r.register(second, 1, false)
+	rep := r.await("of the second incarnation", func(rep *link.Report) bool { return rep.Worker != nil && rep.Worker.Incarnation == second })
+	assert.Assert(t, rep.LeaseLeftMs > maxLease/2, "%d ms are left", rep.LeaseLeftMs)
+	const raised = 1<<16 + 1
+	r.order(link.Orders{Fence: raised})
+	r.await("with a list under the raised fence", func(rep *link.Report) bool {
+		return rep.Listed && rep.Fence == raised && len(rep.Runs) == 0 && rep.LeaseLeftMs <= r.side.set.Bounds.Lease.Milliseconds()+clockSlackMs(r.side.set)
+	})
+
+	other := link.Incarnation{ID: "i-2", StartedMs: second.StartedMs + 1}
+	r.register(other, 1, false)
+	rep = r.await("of a worker with another id", func(rep *link.Report) bool { return rep.Worker != nil && rep.Worker.Incarnation == other })
+	assert.Assert(t, rep.LeaseLeftMs < maxLease/2, "no call for the earlier id reaches the worker, but %d ms are left", rep.LeaseLeftMs)
+}
+
+// Guards against reports that overtake each other: a list without a run that arrives before the report with the run's
+// completion makes the decider start the task again (TWICE). A report must not be created before the one ahead of it is
+// sent.
+func TestReportsAreSentInOrder(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.side.mu.Lock()
+	c, inc := r.side.conn, r.side.incarnation
+	r.side.mu.Unlock()
+	c.write.Lock()
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		r.side.report(&listing{incarnation: inc, conn: c, completions: []link.Completion{{Number: 7, Task: task, Run: 1, Outcome: link.Done}}}, false)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	r.side.mu.Lock()
+	created := c.reportedCompletion
+	r.side.mu.Unlock()
+	c.write.Unlock()
+	<-sent
+	assert.Equal(t, created, int64(0), "a report was created while another one was being sent")
+	r.await("with the completion", func(rep *link.Report) bool { return len(rep.Completions) == 1 && rep.Completions[0].Number == 7 })
+}
