side: repeat an unanswered order after 100 ms

The side process waited 400 ms for an answer and 100 ms before the next attempt; the job was late.

Ruled out: starting the task elsewhere at once, as the first attempt may still be carried out. Repeating it at the same worker is safe: the worker starts a run once, and refuses one that ended there.

Change: attempts of starts and stops may take 100, 200 and then 400 ms, 20 ms apart. The limit of 900 ms for a start stays.

TestUnansweredStartIsRepeatedSoon fails before: attemptTimeout is new.

--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -21,6 +21,12 @@
 	forgetWait = 200 * time.Millisecond
 	// retryAfter is the pause after a failed call to the worker.
 	retryAfter = 100 * time.Millisecond
+	// minAttempt and maxAttempt bound one attempt of an order. A healthy worker answers within milliseconds, and an order
+	// may be repeated: the worker starts a run once, and the retry makes it known while the first attempt is held up.
+	minAttempt = 100 * time.Millisecond
+	maxAttempt = 400 * time.Millisecond
+	// retryOrderAfter is the pause after a failed attempt of an order.
+	retryOrderAfter = 20 * time.Millisecond
 	// startTimeout is how long a start is retried before its run is stopped and reported as refused.
 	startTimeout = 900 * time.Millisecond
 	// minStartLease is the minimum remaining lease with which a run is started.
@@ -271,7 +277,7 @@
 func (inc *incarnation) startRun(ctx context.Context, c *connection, number, fence uint64, o link.Start) {
 	began := clock.BootMs()
 	reason, unanswered, err := "", false, error(nil)
-	for reason == "" {
+	for attempt := 0; reason == ""; attempt++ {
 		var age time.Duration
 		if age = time.Duration(clock.BootMs()-began) * time.Millisecond; age > startTimeout {
 			reason = link.ReasonUnhealthy
@@ -290,7 +296,7 @@
 			break
 		}
 		var clockMs int64
-		clockMs, err = inc.client.Start(ctx, o, fence, deadline)
+		clockMs, err = inc.attemptStart(ctx, attempt, o, fence, deadline)
 		<-inc.callSlots
 		if ctx.Err() != nil {
 			return
@@ -318,7 +324,7 @@
 			unanswered = unanswered || errdefs.KindOf(err) == errdefs.Unknown
 			inc.side.meters.unanswered("start")
 			inc.side.log.Log(logevent.StartUnanswered, logevent.Str("task", o.Task), logevent.Int("run", o.Run), logevent.Err(err))
-			clock.Sleep(ctx, retryAfter)
+			clock.Sleep(ctx, retryOrderAfter)
 		}
 	}
 	inc.side.log.Log(logevent.StartAnswered, logevent.Str("task", o.Task), logevent.Int("run", o.Run),
@@ -334,10 +340,27 @@
 	}
 }
 
+// attemptTimeout returns how long the given attempt of an order, counted from 0, may take.
+func attemptTimeout(attempt int) time.Duration { return min(minAttempt<<min(attempt, 8), maxAttempt) }
+
+// attemptStart makes one attempt to start a run.
+func (inc *incarnation) attemptStart(ctx context.Context, attempt int, o link.Start, fence uint64, deadline int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout(attempt))
+	defer cancel()
+	return inc.client.Start(ctx, o, fence, deadline)
+}
+
+// attemptStop makes one attempt to stop a run.
+func (inc *incarnation) attemptStop(ctx context.Context, attempt int, o link.Stop, fence uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout(attempt))
+	defer cancel()
+	return inc.client.Stop(ctx, o, fence)
+}
+
 // stopUntilAnswered retries a stop until the worker has answered it, or until every lease that was sent to it has expired:
 // the worker refuses a start that arrives after that as too late.
 func (inc *incarnation) stopUntilAnswered(ctx context.Context, fence uint64, o link.Stop) bool {
-	for ctx.Err() == nil {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
 		inc.side.mu.Lock()
 		leaseExpired := inc.side.incarnation == inc && inc.side.leaseLeft(clock.BootMs()) == 0
 		inc.side.mu.Unlock()
@@ -347,13 +370,13 @@
 		if !inc.acquireSlot(ctx) {
 			return false
 		}
-		err := inc.client.Stop(ctx, o, fence)
+		err := inc.attemptStop(ctx, attempt, o, fence)
 		<-inc.callSlots
 		if err == nil {
 			return true
 		}
 		inc.side.meters.unanswered("stop")
-		clock.Sleep(ctx, retryAfter)
+		clock.Sleep(ctx, retryOrderAfter)
 	}
 	return false
 }
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -328,3 +328,38 @@
 	assert.Equal(t, created, int64(0), "a report was created while another one was being sent")
 	r.await("with the completion", func(rep *link.Report) bool { return len(rep.Completions) == 1 && rep.Completions[0].Number == 7 })
 }
+
+// Guards against a start that waits for half a second because its worker left the first attempt unanswered, as workers do
+// that carry orders out late (scale-1 of hartwell-keel-large: two thirds of the jobs there have such a task). The second
+// attempt follows soon, and the run needs neither a stop nor another worker.
+func TestUnansweredStartIsRepeatedSoon(t *testing.T) {
+	total := time.Duration(0)
+	for attempt, want := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond} {
+		assert.Equal(t, attemptTimeout(attempt), want)
+		if attempt < 3 {
+			total += want + retryOrderAfter
+		}
+	}
+	assert.Assert(t, total < startTimeout, "fewer than three attempts fit")
+
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.worker.Lock()
+	r.worker.DropStarts = 1
+	r.worker.Unlock()
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1, Spec: "x"}}})
+	rep := r.await("with the run", func(rep *link.Report) bool { return rep.Listed && rep.OrdersDone >= 1 })
+	assert.Equal(t, len(rep.Runs), 1)
+	r.worker.Lock()
+	defer r.worker.Unlock()
+	starts := 0
+	for _, c := range r.worker.Calls {
+		assert.Assert(t, !strings.HasSuffix(c, "run-stop"), "the run was stopped")
+		if strings.HasSuffix(c, "run-start") {
+			starts++
+		}
+	}
+	assert.Equal(t, starts, 2)
+}
