dispatch: store checkpoints apart, and remove progress from its own topic

While reading that, a leak: the tombstones of progress went to the topic of jobs, so that progress of finished jobs stayed in the topic of schedules forever.

Ruled out: removing progress together with the submission. If only the first is stored, the next decider runs the finished job again.

Change: checkpoints have a record of their own for each job, once a second at most. A decider and a worker lost together cost the work of the last second more. Progress is removed once the submissions are, also progress that an earlier decider left.

Result: TestCheckpointsAreStoredOnceASecond (5 records in 5 s and no record of progress) and TestProgressIsRemovedAfterTheSubmission fail before. Records of earlier versions are still read.

--- /dev/null
+++ b/fleet/dispatch/checkpoints_test.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+)
+
+// Guards against a store that carries the whole progress of wide jobs again with each checkpoint (0.3 GB on a day of
+// hartwell-keel-large), and against a checkpoint that is lost with its decider and its worker.
+func TestCheckpointsAreStoredOnceASecond(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s, sw := sim.state, sim.workers[0]
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 100, MemMB: 10, EstMs: 60_000, Checkpointable: true}}})
+	s.Step(sim.at(), Place{})
+	s.Step(sim.at(), Committed{Batch: s.Collect()})
+	tk := &s.jobs[jobID(1)].stages[0].tasks[0]
+	progress, checkpoints := 0, 0
+	for i := range 100 {
+		sim.now += 50
+		info := sw.info
+		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: s.fence(tk.worker), OrdersDone: 1 << 40,
+			LeaseLeftMs: 4000, Runs: []link.Run{{Task: tk.name().String(), Run: tk.run, ProgressPercent: i, Checkpoint: strings.Repeat("x", i+1)}}}})
+		b := s.Collect()
+		sim.record(b)
+		for _, r := range b.Schedule {
+			switch r.Key[:1] {
+			case work.PrefixProgress:
+				progress++
+			case work.PrefixCheckpoints:
+				checkpoints++
+			}
+		}
+	}
+	assert.Equal(t, progress, 0)
+	assert.Equal(t, checkpoints, 5, "in 5 s")
+	sim.electDecider()
+	restored := sim.state.jobs[jobID(1)].stages[0].tasks[0].checkpoint
+	assert.Assert(t, len(restored) > 80, "a checkpoint of 1 s ago was lost: %d", len(restored))
+}
+
+// Guards against progress that stays in the store forever, and against a finished job that runs again because its progress
+// was removed before its submission.
+func TestProgressIsRemovedAfterTheSubmission(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s := sim.state
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 100, MemMB: 10, EstMs: 300}}})
+	s.Step(sim.at(), JobCancelled{ID: jobID(1)})
+	s.Collect()
+	sim.now += s.bounds.StatusRetention.Milliseconds() + retentionMarginMs + 1
+	s.Step(sim.at(), Tick{})
+	b := s.Collect()
+	assert.DeepEqual(t, b.Tombstones, []work.Record{{Key: work.PrefixSubmission + jobID(1)}, {Key: work.PrefixCancellation + jobID(1)}})
+	assert.Equal(t, len(b.Schedule), 0, "the progress is removed while the submission may be left")
+	s.Step(sim.at(), JobsDropped{IDs: []string{jobID(1)}})
+	assert.DeepEqual(t, s.Collect().Schedule, []work.Record{{Key: work.PrefixProgress + jobID(1)}, {Key: work.PrefixCheckpoints + jobID(1)}})
+}
--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -39,9 +39,7 @@
 		}
 		return
 	}
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-	}
+	s.setCheckpoint(t, e.Checkpoint)
 	if e.Outcome == link.Failed {
 		s.handleTaskFailure(w, t)
 		return
@@ -185,11 +183,7 @@
 	if r.ProgressPercent != t.percent {
 		t.percent, t.progressedMs = r.ProgressPercent, s.now.BootMs
 	}
-	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
-		// Once stored, the checkpoint survives the loss of both this decider and the worker.
-		t.checkpoint = r.Checkpoint
-		s.markDirty(t.stage.job)
-	}
+	s.setCheckpoint(t, r.Checkpoint)
 	t.load = r.Load
 }
 
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -16,10 +16,11 @@
 	defaultEstMs = 1000
 )
 
-// JobSubmitted is an accepted job. Progress is nil if none is stored.
+// JobSubmitted is an accepted job. Progress and Checkpoints are nil if none are stored.
 type JobSubmitted struct {
-	Job      *work.Job
-	Progress *work.Progress
+	Job         *work.Job
+	Progress    *work.Progress
+	Checkpoints *work.Checkpoints
 }
 
 func (e JobSubmitted) apply(s *State) {
@@ -46,6 +47,9 @@
 	s.logDecision(Decision{Kind: DecisionJobAccepted, Job: id, AgeMs: age,
 		Reason: fmt.Sprintf("queue %s, objective %d ms, state %s", e.Job.Queue.Name, j.objectiveMs, j.state)})
 	s.openOccurrences(j)
+	if e.Checkpoints != nil {
+		j.restoreCheckpoints(e.Checkpoints)
+	}
 	s.finalizeJob(j)
 	s.placePending = true
 }
@@ -210,7 +214,7 @@
 			if t.worker == nil && (t.run == 0 || j.state.Final()) {
 				continue
 			}
-			tp := work.TaskProgress{Index: i, Run: t.run, Failed: t.failed, Checkpoint: t.checkpoint}
+			tp := work.TaskProgress{Index: i, Run: t.run, Failed: t.failed}
 			if t.worker != nil {
 				if refs[t.worker.instance] == 0 {
 					p.Workers = append(p.Workers, t.worker.instance)
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -25,11 +25,13 @@
 
 	workers []*simWorker
 	// stored holds the stored progress by job, inFlight the batch that is being stored until commitAt.
-	stored   map[string][]byte
-	inFlight *Batch
-	commitAt int64
-	jobs     map[string]*work.Job
-	cancels  map[string]int64
+	stored map[string][]byte
+	// checkpoints holds the stored checkpoints by job.
+	checkpoints map[string][]byte
+	inFlight    *Batch
+	commitAt    int64
+	jobs        map[string]*work.Job
+	cancels     map[string]int64
 	// acknowledged holds tasks whose completion as done the workers were told to forget.
 	acknowledged map[string]bool
 	// done holds tasks that a worker completed as done.
@@ -103,7 +105,7 @@
 )
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
-	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, jobs: map[string]*work.Job{},
+	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
 		cancels: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failedRuns: map[string]bool{}}
 	sim.bounds = bounds.Bounds{MaxLease: 6 * time.Second, MaxOverTarget: 4 * time.Second,
 		MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
@@ -163,7 +165,14 @@
 			sim.t.Fatal(err)
 		}
 	}
-	sim.step(JobSubmitted{Job: sim.jobs[id], Progress: p})
+	var c *work.Checkpoints
+	if data := sim.checkpoints[id]; data != nil {
+		c = &work.Checkpoints{}
+		if err := work.Decode(data, c); err != nil {
+			sim.t.Fatal(err)
+		}
+	}
+	sim.step(JobSubmitted{Job: sim.jobs[id], Progress: p, Checkpoints: c})
 	if _, ok := sim.cancels[id]; ok {
 		sim.step(JobCancelled{ID: id})
 	}
@@ -551,6 +560,9 @@
 		if id, ok := strings.CutPrefix(r.Key, work.PrefixProgress); ok {
 			sim.stored[id] = r.Value
 		}
+		if id, ok := strings.CutPrefix(r.Key, work.PrefixCheckpoints); ok {
+			sim.checkpoints[id] = r.Value
+		}
 	}
 }
 
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -55,6 +55,9 @@
 	// started is true once any task was started.
 	started bool
 	dirty   bool
+	// checkpointsDirty is true if checkpoints have changed since they were stored, at checkpointsStoredMs.
+	checkpointsDirty    bool
+	checkpointsStoredMs int64
 	// load is the load on the tasks of a long-running job.
 	load load
 	// rank is the job's position in the placement order, listedPass the pass that listed the job last.
@@ -166,10 +169,13 @@
 	interference   interferenceModel
 	stages         []*stage // stages of unfinished jobs with unfinished tasks
 
-	dirty         []*job
-	tombstones    []work.Record
-	pendingAcks   map[string]bool // instances whose completions may be acknowledged after the next commit
-	pendingStarts []pendingStart
+	dirty []*job
+	// checkpointsDirty holds jobs whose checkpoints have changed since they were stored.
+	checkpointsDirty []*job
+	// tombstones go to the topic of jobs, scheduleTombstones to the topic of schedules.
+	tombstones, scheduleTombstones []work.Record
+	pendingAcks                    map[string]bool // instances whose completions may be acknowledged after the next commit
+	pendingStarts                  []pendingStart
 	// committedMs is when the store last acknowledged a batch.
 	committedMs int64
 	// rebalancedMs is when a latency-critical task was last moved, rebalanceNext the next worker to scan, and
@@ -320,6 +326,8 @@
 		j.dirty = false
 		b.Schedule = append(b.Schedule, work.Record{Key: work.PrefixProgress + j.def.ID, Value: work.Encode(j.progress())})
 	}
+	b.Schedule = append(b.Schedule, s.dueCheckpoints()...)
+	b.Schedule = append(b.Schedule, s.scheduleTombstones...)
 	if r, due := s.interferenceRecord(); due {
 		b.Schedule = append(b.Schedule, r)
 	}
@@ -328,7 +336,7 @@
 			b.acks[name] = completionAck{w.info.Incarnation, w.lastCompletion}
 		}
 	}
-	s.dirty, s.tombstones, s.pendingStarts, s.pendingAcks = nil, nil, nil, map[string]bool{}
+	s.dirty, s.tombstones, s.scheduleTombstones, s.pendingStarts, s.pendingAcks = nil, nil, nil, nil, map[string]bool{}
 	return b
 }
 
@@ -440,7 +448,18 @@
 	sort.Strings(ids)
 	for _, id := range ids {
 		delete(s.finished, id)
-		s.tombstones = append(s.tombstones, work.Record{Key: work.PrefixSubmission + id}, work.Record{Key: work.PrefixCancellation + id},
-			work.Record{Key: work.PrefixProgress + id})
+		s.tombstones = append(s.tombstones, work.Record{Key: work.PrefixSubmission + id}, work.Record{Key: work.PrefixCancellation + id})
+	}
+}
+
+// JobsDropped means that the submissions of jobs were removed from the store. Their progress is removed only now: without
+// it a job whose submission is left would run again.
+type JobsDropped struct{ IDs []string }
+
+func (e JobsDropped) apply(s *State) {
+	for _, id := range e.IDs {
+		if s.jobs[id] == nil {
+			s.scheduleTombstones = append(s.scheduleTombstones, work.Record{Key: work.PrefixProgress + id}, work.Record{Key: work.PrefixCheckpoints + id})
+		}
 	}
 }
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
@@ -146,6 +147,7 @@
 	for id, v := range e.view.all() {
 		d.applyJob(id, v)
 	}
+	d.applyEvent(dispatch.JobsDropped{IDs: e.view.orphans()})
 	for _, a := range addresses {
 		d.connectSide(a)
 	}
@@ -266,7 +268,8 @@
 	time.AfterFunc(after, func() { d.post(func() { d.flushScheduled = false }) })
 }
 
-// dropRecords appends tombstones of jobs that finished long ago. The next decider retries those that fail.
+// dropRecords appends tombstones of jobs that finished long ago, and then removes their progress. The next decider retries
+// those that fail.
 func (d *decider) dropRecords(records []work.Record) {
 	if len(records) == 0 {
 		return
@@ -274,7 +277,15 @@
 	go func() {
 		if _, err := d.entry.store.Append(d.ctx, work.Append{Topic: work.TopicJobs, Records: records}); err != nil {
 			d.entry.log.Log(logevent.StoreUnavailable, logevent.Str("topic", work.TopicJobs), logevent.Err(err))
+			return
+		}
+		var ids []string
+		for _, r := range records {
+			if id, ok := strings.CutPrefix(r.Key, work.PrefixSubmission); ok {
+				ids = append(ids, id)
+			}
 		}
+		d.post(func() { d.applyEvent(dispatch.JobsDropped{IDs: ids}) })
 	}()
 }
 
@@ -325,7 +336,16 @@
 			return
 		}
 	}
-	d.applyEvent(dispatch.JobSubmitted{Job: v.job, Progress: p})
+	var c *work.Checkpoints
+	if len(v.checkpoints) > 0 {
+		c = &work.Checkpoints{}
+		if err := work.Decode(v.checkpoints, c); err != nil {
+			// The tasks start from their beginning.
+			d.entry.log.Log(logevent.RecordUnreadable, logevent.Str("key", work.PrefixCheckpoints+id), logevent.Err(err))
+			c = nil
+		}
+	}
+	d.applyEvent(dispatch.JobSubmitted{Job: v.job, Progress: p, Checkpoints: c})
 	if v.cancelled {
 		d.applyEvent(dispatch.JobCancelled{ID: id})
 	}
--- a/fleet/entry/view.go
+++ b/fleet/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sort"
 	"strings"
 	"sync"
 
@@ -27,8 +28,9 @@
 	job       *work.Job
 	cancelled bool
 	state     work.JobState
-	// progress is the stored progress of a job that has not finished, or that may still have active runs.
-	progress []byte
+	// progress is the stored progress of a job that has not finished, or that may still have active runs, and checkpoints
+	// the stored checkpoints of its tasks.
+	progress, checkpoints []byte
 }
 
 func newView(log logevent.Logger) *view {
@@ -177,6 +179,9 @@
 		if id, ok := strings.CutPrefix(r.Key, work.PrefixProgress); ok {
 			v.applyJobProgress(id, r)
 		}
+		if id, ok := strings.CutPrefix(r.Key, work.PrefixCheckpoints); ok {
+			v.applyCheckpoints(id, r)
+		}
 	}
 	return newest
 }
@@ -195,4 +200,31 @@
 	}
 	e := v.jobEntry(id)
 	e.state, e.progress = state.State, r.Value
+	if e.state.Final() {
+		e.checkpoints = nil
+	}
+}
+
+func (v *view) applyCheckpoints(id string, r work.Record) {
+	if len(r.Value) == 0 {
+		return // the tombstone of the progress precedes it
+	}
+	if e := v.jobEntry(id); !e.state.Final() {
+		e.checkpoints = r.Value
+	}
+}
+
+// orphans returns the jobs of which progress is stored but no submission. It is complete once both topics were read to
+// their end.
+func (v *view) orphans() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var ids []string
+	for id, j := range v.unsubmitted {
+		if j.progress != nil && j.state.Final() {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
 }
--- a/fleet/work/store.go
+++ b/fleet/work/store.go
@@ -29,7 +29,7 @@
 const (
 	// TopicJobs holds submissions and cancellations.
 	TopicJobs = "keyed.jobs"
-	// TopicSchedule holds claims of deciders and the progress of jobs.
+	// TopicSchedule holds claims of deciders, and the progress and the checkpoints of jobs.
 	TopicSchedule = "keyed.sched"
 	// TopicSides holds the addresses of side processes.
 	TopicSides = "keyed.sides"
@@ -42,6 +42,9 @@
 	PrefixSubmission   = "j"
 	PrefixCancellation = "c"
 	PrefixProgress     = "p"
+	// PrefixCheckpoints is the prefix of the checkpoints of a job's tasks. They change with each half second of work and are
+	// stored less often than the progress.
+	PrefixCheckpoints = "k"
 	// KeyClaim is the key of the decider's claim, which is also its heartbeat.
 	KeyClaim = "L"
 	// KeyInterference is the key of the decider's interference estimates.
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -294,10 +294,22 @@
 	Failed []int
 	// Worker is one more than the index in Workers of the instance on which Run may be active; 0 if Run has ended.
 	Worker int
-	// Checkpoint is the newest known checkpoint.
+	// Checkpoint is the newest known checkpoint in records of earlier versions; later ones store Checkpoints.
 	Checkpoint string
 }
 
+// Checkpoints holds the stored checkpoints of a job.
+type Checkpoints struct {
+	Tasks []TaskCheckpoint `cbor:"1,keyasint"`
+}
+
+// TaskCheckpoint is the newest stored checkpoint of a task that has not completed.
+type TaskCheckpoint struct {
+	_                       struct{} `cbor:",toarray"`
+	Occurrence, Step, Index int
+	Checkpoint              string
+}
+
 // Claim is a claim to be the decider.
 type Claim struct {
 	Epoch uint64 `cbor:"1,keyasint"`
