entry: read the schedule before telling the state of an unfinished job

Cause: an entry that is not the decider pauses 150 ms between reads of the schedule, so that a caller learns up to that much later that its job has ended, which counts against its objective of some two seconds.

Change: a request for an unfinished job reads the schedule if the last read is older than 20 ms, shared by concurrent requests, for 200 ms at most and not while the store is known to be down. Entries that do not decide pause 500 ms between reads of the jobs, within the 2 s that the length of a queue may be old.

TestStateOfUnfinishedJobIsReadAgain fails before.

--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// jobsReadPause and scheduleReadPause are pauses between reads of an entry that is not the decider. Its answers to
-	// callers may be stale by as much.
-	jobsReadPause     = 150 * time.Millisecond
+	// jobsReadPause and scheduleReadPause are pauses between reads of an entry that is not the decider. Requests for a job
+	// that is unknown or unfinished read again; the length of a queue may be stale by as much.
+	jobsReadPause     = 500 * time.Millisecond
 	scheduleReadPause = 150 * time.Millisecond
 	// scheduleReadWait is how long a read of the schedule waits for records. A read that reaches the end without one is what
 	// shows that the decider sends no heartbeat.
--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -470,3 +470,29 @@
 	assert.Equal(t, got.status, http.StatusOK, got.body)
 	<-stopped
 }
+
+// Guards against callers that learn late that their job has ended, because the entry that they ask pauses between reads
+// of the schedule: it reads again before it tells the state of an unfinished job.
+func TestStateOfUnfinishedJobIsReadAgain(t *testing.T) {
+	s := newSite(t)
+	first, _ := s.entry("entry-1")
+	w := s.worker("side-1")
+	s.until("a decider", func() bool { return deciders(first) == 1 })
+	e, _ := s.entry("entry-2")
+	status, _, _ := s.call(first, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusOK)
+	s.until("both tasks to run", func() bool { return len(running(w)) == 2 })
+	s.until("the job", func() bool { _, known := e.view.get("00112233445566aa"); return known })
+	// As during the pause after a read: nothing reads the schedule but the request.
+	e.schedule.pause(true)
+	s.until("the end of the read in flight", func() bool { return e.schedule.ageMs() > 2*scheduleReadWait.Milliseconds() })
+	for _, name := range running(w) {
+		w.Finish(name, 1)
+	}
+	s.until("the completion at the decider", func() bool {
+		state, _ := first.view.get("00112233445566aa")
+		return state == work.Completed
+	})
+	_, body, _ := s.call(e, http.MethodGet, jobPath, "")
+	assert.Equal(t, body, `{"state":"completed"}`)
+}
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -37,6 +37,11 @@
 	// retryAfterSeconds is the Retry-After of refused requests. The load balancer takes an entry without the store out of
 	// rotation within two seconds.
 	retryAfterSeconds = 1
+	// maxStateAgeMs is the age of the schedule beyond which it is read again before the state of an unfinished job is told:
+	// callers wait for that job to end.
+	maxStateAgeMs = 20
+	// stateRefreshTimeout bounds that read. A slow store costs the caller no more.
+	stateRefreshTimeout = 200 * time.Millisecond
 	// lookupTimeoutMs bounds the read of the store before a job is reported as unknown.
 	lookupTimeoutMs = 1500
 )
@@ -272,9 +277,24 @@
 	answer(c, http.StatusOK, platform.EncodeQueueLength(e.view.pending(q.Name)))
 }
 
+// refreshSchedule reads the schedule again if the entry is not the decider, whose schedule is always current. After a
+// failure the caller is told what was read before.
+func (e *Entry) refreshSchedule(ctx context.Context) {
+	if e.deciding.Load() != 0 || e.schedule.ageMs() <= maxStateAgeMs || e.storeDown() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateRefreshTimeout)
+	defer cancel()
+	_ = e.schedule.refreshShared(ctx)
+}
+
 // serveState responds with a job's state.
 func (e *Entry) serveState(ctx context.Context, c *app.RequestContext, id string) {
 	state, ok, err := e.lookUpJob(ctx, id)
+	if err == nil && ok && !state.Final() {
+		e.refreshSchedule(ctx)
+		state, ok = e.view.get(id)
+	}
 	switch {
 	case err != nil:
 		e.refuse(c, http.StatusServiceUnavailable, id, "the store does not answer; come back after the time given")
--- a/fleet/entry/topicreader.go
+++ b/fleet/entry/topicreader.go
@@ -39,6 +39,9 @@
 	next    int64
 	loaded  bool
 
+	// sharedMu serializes refreshShared.
+	sharedMu sync.Mutex
+
 	mu sync.Mutex
 	// okMs is when the last successful read was sent, 0 if there was none, failingSinceMs since when reads have failed; 0 if the last succeeded.
 	okMs, failingSinceMs int64
@@ -158,6 +161,17 @@
 	}
 }
 
+// refreshShared reads to the end that the topic has now, or waits for another caller's read that was sent since.
+func (r *topicReader) refreshShared(ctx context.Context) error {
+	arrivedMs := clock.BootMs()
+	r.sharedMu.Lock()
+	defer r.sharedMu.Unlock()
+	if clock.BootMs()-r.ageMs() > arrivedMs {
+		return nil
+	}
+	return r.refresh(ctx)
+}
+
 // applyOwn applies records that this entry appended itself, which end at offset end. A concurrent read may return them
 // again; applyPage skips them then.
 func (r *topicReader) applyOwn(records []work.Record, end int64) {
