entry: do not count reads that their caller gave up as failures

Cause: since the state of an unfinished job is read again, a request gives that read up after 200 ms. The reader of the schedule counted it as a failed read, which starts the time without a decider anew, so that callers could hold up an election beside a slow store.

Result: TestAbandonedReadIsNoFailure fails before.

--- a/fleet/entry/firstread_test.go
+++ b/fleet/entry/firstread_test.go
@@ -133,3 +133,33 @@
 }
 
 func (p pageStore) Newest(context.Context, string) (work.Page, error) { return p(0), nil }
+
+// Guards against an election that is held up by requests for states: a read that its caller gives up, as from a slow
+// store, is no failure of the topic's reader, which would start the time without a decider anew.
+func TestAbandonedReadIsNoFailure(t *testing.T) {
+	failures := 0
+	r := &topicReader{topic: "t", loaded: true, log: logevent.Nop(), apply: func([]work.Record) {}, onFailure: func() { failures++ }}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.store = failingStore(func() error {
+		cancel()
+		return ctx.Err()
+	})
+	assert.ErrorIs(t, r.refresh(ctx), context.Canceled)
+	assert.Equal(t, failures, 0)
+	r.store = failingStore(func() error { return errdefs.OfKind(errdefs.Unavailable) })
+	assert.ErrorIs(t, r.refresh(context.Background()), errdefs.OfKind(errdefs.Unavailable))
+	assert.Equal(t, failures, 1)
+}
+
+// failingStore is a store whose reads fail.
+type failingStore func() error
+
+func (failingStore) Append(context.Context, work.Append) (work.Appended, error) {
+	return work.Appended{}, errdefs.OfKind(errdefs.Unavailable)
+}
+
+func (f failingStore) Read(context.Context, string, int64, time.Duration) (work.Page, error) {
+	return work.Page{}, f()
+}
+
+func (f failingStore) Newest(context.Context, string) (work.Page, error) { return work.Page{}, f() }
--- a/fleet/entry/topicreader.go
+++ b/fleet/entry/topicreader.go
@@ -107,6 +107,10 @@
 	sent := clock.BootMs()
 	from, loaded := r.position()
 	page, err := r.fetch(ctx, from, loaded, wait)
+	if err != nil && ctx.Err() != nil {
+		// The caller gave up, which says nothing about the store and must not hold up an election.
+		return 0, false, err
+	}
 	r.recordResult(sent, err)
 	if err != nil {
 		return 0, false, err
