--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -236,7 +236,7 @@
 	j.state = p.State
 	j.started = p.State != work.Queued
 	for _, sp := range p.Stages {
-		if sp.Step >= len(j.def.Steps) || sp.Step < 0 {
+		if sp.Step >= len(j.def.Steps) || sp.Step < 0 || sp.Occurrence < 0 || sp.Occurrence >= j.def.Occurrences() {
 			continue
 		}
 		st := j.stage(sp.Occurrence, sp.Step)
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -98,6 +98,8 @@
 		e.adviser = platform.NewAdviser(set.Adviser)
 	}
 	m.deciding.Store(&e.deciding)
+	public.OnPanic = func(v any, stack []byte) { logPanic(log, v, stack) }
+	ready.OnPanic = public.OnPanic
 	e.election = newElection(set)
 	e.jobs = &topicReader{topic: work.TopicJobs, store: e.store, log: log, batchPause: jobsReadPause, apply: e.view.applyJobs}
 	e.schedule = &topicReader{topic: work.TopicSchedule, store: e.store, log: log, batchPause: scheduleReadPause, wait: scheduleReadWait, apply: e.applySchedule,
@@ -110,6 +112,11 @@
 	return e, nil
 }
 
+// logPanic logs the panic of a request's handler.
+func logPanic(log logevent.Logger, v any, stack []byte) {
+	log.Log(logevent.HandlerPanicked, logevent.Str("reason", fmt.Sprint(v)), logevent.Str("stack", string(stack)))
+}
+
 // Run serves until ctx ends, and then until requests in progress have completed.
 func (e *Entry) Run(ctx context.Context) error {
 	run, cancel := context.WithCancel(context.Background())
@@ -219,7 +226,14 @@
 			continue
 		}
 		var a work.ProcessAddress
-		if err := work.Decode(r.Value, &a); err != nil || a.Instance != r.Key {
+		err := work.Decode(r.Value, &a)
+		if err == nil && a.Instance != r.Key {
+			err = errdefs.Field("instance", a.Instance, "publish an address under the name of its instance")
+		}
+		if err == nil {
+			err = work.CheckAddress(&a)
+		}
+		if err != nil {
 			e.log.Log(logevent.RecordUnreadable, logevent.Str("key", r.Key), logevent.Err(err))
 			continue
 		}
--- a/fleet/entry/firstread_test.go
+++ b/fleet/entry/firstread_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"testing"
@@ -163,3 +164,33 @@
 }
 
 func (f failingStore) Newest(context.Context, string) (work.Page, error) { return work.Page{}, f() }
+
+// Guards against one odd record that ends every entry that reads it, or hides the records behind it: a job with billions
+// of tasks, one whose step depends on itself, one under another key, and an address with a port out of range.
+func TestOddRecordsAreSkipped(t *testing.T) {
+	s := newSite(t)
+	odd := map[string]*work.Job{
+		"00000000000000a1": {ID: "00000000000000a1", Steps: []work.Step{{Count: 1 << 40}}},
+		"00000000000000a2": {ID: "00000000000000a2", Steps: []work.Step{{Count: 1, DependsOn: []int{7}}}},
+		"00000000000000a3": {ID: "00000000000000a4", Steps: []work.Step{{Count: 1}}},
+		"00000000000000a5": {ID: "00000000000000a5", Steps: []work.Step{{Count: 1}}, Repeat: 1 << 40},
+		"00000000000000a6": {ID: "00000000000000a6", Steps: []work.Step{{Count: 4000}}, Repeat: 4000},
+	}
+	for id, j := range odd {
+		s.store.Put(work.TopicJobs, work.PrefixSubmission+id, work.Encode(j))
+	}
+	s.store.Put(work.TopicJobs, work.PrefixSubmission+"00000000000000a7", bytes.Repeat([]byte{0x81}, 100_000))
+	s.store.Put(work.TopicSides, "side-odd", work.Encode(work.ProcessAddress{Instance: "side-odd", Address: "127.0.0.1:99999"}))
+	s.store.Put(work.TopicEntries, "entry-odd", work.Encode(work.ProcessAddress{Instance: "entry-odd", Address: "127.0.0.1:1", Cores: 1e300}))
+	e, _ := s.entry("entry-1")
+	w := s.worker("side-1")
+	s.until("a decider", func() bool { return deciders(e) == 1 })
+	status, _, _ := s.call(e, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusOK)
+	s.until("the tasks of the sound job", func() bool { return len(running(w)) == 2 })
+	for id := range odd {
+		_, known := e.view.get(id)
+		assert.Assert(t, !known, id)
+	}
+	assert.Assert(t, !e.relay.hasLargerEntry(1))
+}
--- a/fleet/entry/view.go
+++ b/fleet/entry/view.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 
+	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
 )
@@ -127,7 +128,15 @@
 		return // a repeated submission
 	}
 	job := &work.Job{}
-	if err := work.Decode(r.Value, job); err != nil || job.ID != id {
+	err := work.Decode(r.Value, job)
+	if err == nil && job.ID != id {
+		err = errdefs.Field("id", job.ID, "store a job under its own key")
+	}
+	if err == nil {
+		// A size out of range or a step that depends on itself would end every decider.
+		err = work.Check(job)
+	}
+	if err != nil {
 		v.log.Log(logevent.RecordUnreadable, logevent.Str("key", r.Key), logevent.Err(err))
 		return
 	}
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -68,9 +68,11 @@
 	answeredMs   int64
 	unresponsive bool
 	refusedConns int
-	forgetUpTo   int64
-	triggered    chan struct{}
-	callSlots    chan struct{}
+	// unreadable is the number of unreadable rows in the worker's last list.
+	unreadable int
+	forgetUpTo int64
+	triggered  chan struct{}
+	callSlots  chan struct{}
 }
 
 // newIncarnation creates the state of a new incarnation of the worker. The caller holds Side.mu.
@@ -169,6 +171,10 @@
 			continue
 		}
 		s.mu.Lock()
+		if ans.Unreadable != inc.unreadable {
+			inc.unreadable = ans.Unreadable
+			s.log.Log(logevent.RowsUnreadable, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("rows", ans.Unreadable))
+		}
 		inc.recordAnswer(ans.ClockMs)
 		if got.fence > inc.inheritedFence && len(ans.Runs) == 0 {
 			// The worker has met a higher fence, so that it refuses calls that are still in transit.
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -63,6 +63,9 @@
 	}
 	s := &Side{set: set, store: store, log: log, meters: m, control: control, peer: peer, startedMs: clock.BootMs()}
 	control.NoRoute(s.serveWorker)
+	control.OnPanic = func(v any, stack []byte) {
+		log.Log(logevent.HandlerPanicked, logevent.Str("reason", fmt.Sprint(v)), logevent.Str("stack", string(stack)))
+	}
 	return s, nil
 }
 
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"regexp"
 	"strconv"
 	"strings"
@@ -22,6 +23,10 @@
 	maxTasks = 8000
 	// maxSize bounds each resource amount and duration of a task, so that sums cannot overflow.
 	maxSize = 1 << 40
+	// maxRepeat bounds the occurrences of a scheduled job: one a minute for more than a year.
+	maxRepeat = 1_000_000
+	// maxCores bounds the published size of a process in cores.
+	maxCores = 1024
 )
 
 // Queue is a queue of jobs.
@@ -174,6 +179,9 @@
 	if j.Repeat < 0 || j.IntervalMs < 0 || j.StartAtMs < 0 {
 		return errdefs.Field("repeat", "is negative", "send numbers from 0 on")
 	}
+	if j.Repeat > maxRepeat || j.IntervalMs > maxSize || j.StartAtMs > maxSize<<8 {
+		return errdefs.Field("repeat", "is out of range", fmt.Sprintf("send at most %d occurrences", maxRepeat))
+	}
 	tasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -196,9 +204,26 @@
 	if tasks > maxTasks {
 		return errdefs.Field("steps", fmt.Sprintf("have %d tasks", tasks), fmt.Sprintf("send at most %d", maxTasks))
 	}
+	if j.IntervalMs == 0 && j.Repeat > maxTasks/tasks {
+		return errdefs.Field("interval_ms", fmt.Sprintf("is 0, so that %d occurrences are due at once", j.Repeat), fmt.Sprintf("send at most %d tasks at once", maxTasks))
+	}
+	return nil
+}
+
+// CheckAddress returns an error if another process could not use a published address, or nil.
+func CheckAddress(a *ProcessAddress) error {
+	if ap, err := netip.ParseAddrPort(a.Address); err != nil || ap.Port() == 0 {
+		return errdefs.Field("address", fmt.Sprintf("%.100q is not an IP address and port", a.Address), "publish the address of the listener")
+	}
+	if !(a.Cores >= 0 && a.Cores <= maxCores) {
+		return errdefs.Field("cores", fmt.Sprint(a.Cores), fmt.Sprintf("publish 0 to %d", maxCores))
+	}
 	return nil
 }
 
+// InRange reports whether a reported amount, such as the memory of a worker, can be used in sums.
+func InRange(v int64) bool { return v >= 0 && v <= maxSize }
+
 // TaskName identifies a task of a job. Occurrence is 0 for a job that is not repeated.
 type TaskName struct {
 	Job                     string
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -38,6 +39,8 @@
 	*server.Hertz
 	ln       net.Listener
 	requests requestTracker
+	// OnPanic is called with the value and the stack of a panic of a handler; nil for none. It must be set before Serve.
+	OnPanic func(value any, stack []byte)
 }
 
 // Listen binds the address and returns a server, which accepts connections once Serve is called.
@@ -75,10 +78,25 @@
 		server.WithOnAccept(limitFirstRead), server.WithTracer(&s.requests), server.WithTraceLevel(stats.LevelDisabled),
 	}
 	s.Hertz = server.New(append(base, opts...)...)
-	s.Use(s.requests.begin)
+	s.Use(s.requests.begin, s.recoverPanic)
 	return s
 }
 
+// recoverPanic answers a request whose handler panicked, so that one request does not end the process.
+func (s *Server) recoverPanic(ctx context.Context, c *app.RequestContext) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		if s.OnPanic != nil {
+			s.OnPanic(v, debug.Stack())
+		}
+		JSON(c, 500, Problem{Error: ProblemError{Kind: "internal", Message: "the request failed unexpectedly", Remedy: "query its outcome before sending it again"}, Outcome: "unknown"})
+	}()
+	c.Next(ctx)
+}
+
 // limitFirstRead sets the read deadline for the handshake and the first request of a connection. hertz applies the read
 // timeout to later requests only, so a slow sender could hold a connection forever.
 func limitFirstRead(conn net.Conn) context.Context {
--- a/httpserver/limits_test.go
+++ b/httpserver/limits_test.go
@@ -129,3 +129,33 @@
 	assert.Equal(t, c.Response.StatusCode(), 429)
 	assert.Assert(t, is.Contains(string(c.Response.Body()), `"not_run":true`))
 }
+
+// A fault in the handler of one request must not end the process or the requests of others.
+func TestPanicEndsOneRequestOnly(t *testing.T) {
+	s, err := Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	var seen atomic.Int64
+	s.OnPanic = func(any, []byte) { seen.Add(1) }
+	s.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		if string(c.Path()) == "/odd" {
+			panic("odd request")
+		}
+		c.String(200, "ok")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	defer cancel()
+	go func() { done <- s.Serve(ctx, cutOffTimeout) }()
+	for path, want := range map[string]string{"/odd": "HTTP/1.1 500", "/": "HTTP/1.1 200"} {
+		conn := dial(t, s.Address())
+		_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+		buf := make([]byte, len(want))
+		_, err = io.ReadFull(conn, buf)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buf), want)
+	}
+	assert.Equal(t, seen.Load(), int64(1))
+	cancel()
+	assert.NilError(t, <-done, "the failed request still counts as in progress")
+}
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -117,6 +117,8 @@
 	DeciderUnlinked        = define(866, zerolog.WarnLevel, "the connection of the decider ended")
 	StartAnswered          = define(867, zerolog.InfoLevel, "the worker answered a start")
 	StartUnanswered        = define(868, zerolog.WarnLevel, "the worker did not answer a start")
+	RowsUnreadable         = define(869, zerolog.WarnLevel, "rows of the worker's list cannot be read and were skipped")
+	HandlerPanicked        = define(804, zerolog.ErrorLevel, "the handler of a request failed unexpectedly")
 	InstanceRefused        = define(106, zerolog.WarnLevel, "a message was refused because the certificate names another instance")
 )
 
