entry: reach side processes of a cut zone through a third zone

Cause: the new disruption of the large site is two zones that cannot reach each other while a third reaches both. A decider in one of them lost every side process of the other: their leases expired after 4 s, their runs lapsed and were started again elsewhere.

Ways weighed: resigning in favour of an entry in a third zone moves the decider for all zones and ends where every zone has a cut; giving orders through the store costs a record an order and its delay; forwarding the connection of the decider byte by byte keeps the protocol, its fences and its leases as they are. The last is taken.

Change: after a direct attempt without an answer the decider connects through an entry in a third zone, chosen by a hash so that the connections spread; such an entry forwards 64 at most and closes idle ones after 2.5 s. A refused connection is not tried elsewhere, an instance that stays silent only at every fourth attempt. The direct way is tried again every 5 s.

--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -49,9 +49,11 @@
 	public *httpserver.Server
 	ready  *httpserver.Server
 
-	// peer accepts calls of other entries; relay calls the store directly or through other entries.
-	peer  net.Listener
-	relay *relay
+	// peer accepts calls of other entries; relay calls the store directly or through other entries. bridges bounds the
+	// connections that are forwarded for them.
+	peer    net.Listener
+	relay   *relay
+	bridges chan struct{}
 
 	view     *view
 	jobs     *topicReader
@@ -93,7 +95,7 @@
 	}
 	r := newRelay(m.withTiming(store), set.Instance)
 	e := &Entry{set: set, store: r, relay: r, peer: peer, log: log, meters: m, public: public, ready: ready, view: newView(log),
-		evacuated: map[string]bool{}, addresses: map[string]work.ProcessAddress{}}
+		bridges: make(chan struct{}, maxBridges), evacuated: map[string]bool{}, addresses: map[string]work.ProcessAddress{}}
 	if set.Adviser != "" {
 		e.adviser = platform.NewAdviser(set.Adviser)
 	}
--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -79,6 +79,14 @@
 // entry starts an entry and returns it with a function that stops it.
 func (s *site) entry(name string) (*Entry, func()) {
 	s.t.Helper()
+	return s.entryIn(name, "a")
+}
+
+// entryIn is like entry, in the given availability zone.
+func (s *site) entryIn(name, zone string) (*Entry, func()) {
+	s.t.Helper()
+	set := s.settings(name)
+	set.Zone = zone
 	registry, err := telemetry.New()
 	assert.NilError(s.t, err)
 	m, err := NewMeters(registry)
@@ -87,7 +95,7 @@
 	if s.wrap != nil {
 		store = s.wrap(store)
 	}
-	e, err := New(s.settings(name), store, logevent.Nop(), m)
+	e, err := New(set, store, logevent.Nop(), m)
 	assert.NilError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -281,11 +289,17 @@
 
 // worker starts a worker with its side process.
 func (s *site) worker(name string) *platformtest.Worker {
+	s.t.Helper()
+	return s.workerAt(name, "127.0.0.1:0")
+}
+
+// workerAt is like worker, with the address of the side process's listener for deciders.
+func (s *site) workerAt(name, peer string) *platformtest.Worker {
 	s.t.Helper()
 	w := platformtest.NewWorker()
 	server := httptest.NewServer(w)
 	set := s.settings(name)
-	set.Worker = strings.TrimPrefix(server.URL, "http://")
+	set.Worker, set.Peer = strings.TrimPrefix(server.URL, "http://"), peer
 	registry, err := telemetry.New()
 	assert.NilError(s.t, err)
 	m, err := side.NewMeters(registry)
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -327,8 +327,9 @@
 		select {
 		case slots <- struct{}{}:
 			go func() {
-				defer func() { <-slots }()
-				e.servePeer(ctx, conn)
+				release := sync.OnceFunc(func() { <-slots })
+				defer release()
+				e.servePeer(ctx, conn, release)
 			}()
 		default:
 			_ = conn.Close() // the peer handles it like a lost answer
@@ -336,13 +337,19 @@
 	}
 }
 
-func (e *Entry) servePeer(ctx context.Context, conn net.Conn) {
+// servePeer serves a call of another entry. It calls release before it forwards a connection, which may last.
+func (e *Entry) servePeer(ctx context.Context, conn net.Conn, release func()) {
 	defer conn.Close()
 	var call link.PeerCall
 	_ = conn.SetReadDeadline(time.Now().Add(peerTimeout))
 	if err := link.ReadMessage(conn, &call); err != nil {
 		return // the peer retries a call that was not received whole
 	}
+	if call.Bridge != "" {
+		release()
+		e.serveBridge(ctx, conn, call.Bridge)
+		return
+	}
 	var reply link.PeerReply
 	reply.Deciding = e.deciding.Load()
 	var err error
--- a/fleet/entry/sides.go
+++ b/fleet/entry/sides.go
@@ -28,8 +28,11 @@
 type sideLink struct {
 	d        *decider
 	instance string
+	zone     string
 	address  string
-	cancel   context.CancelFunc
+	// dialDirect connects to an address without another entry.
+	dialDirect func(ctx context.Context, address string) (net.Conn, error)
+	cancel     context.CancelFunc
 	// out is the send queue of the open connection; nil if there is none.
 	out chan link.Orders
 	// conn is the open connection.
@@ -48,7 +51,7 @@
 		s.close()
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
-	s := &sideLink{d: d, instance: a.Instance, address: a.Address, cancel: cancel}
+	s := &sideLink{d: d, instance: a.Instance, zone: a.Zone, address: a.Address, dialDirect: dialSide, cancel: cancel}
 	d.sides[a.Instance] = s
 	go s.run(ctx)
 }
@@ -81,10 +84,9 @@
 
 // run keeps a connection open until ctx ends.
 func (s *sideLink) run(ctx context.Context) {
-	pause := minSideRetry
+	pause, failures := minSideRetry, 0
 	for ctx.Err() == nil {
-		dialer := net.Dialer{Timeout: sideDialTimeout}
-		conn, err := dialer.DialContext(ctx, "tcp", s.address)
+		conn, bridged, err := s.dial(ctx, failures)
 		if err == nil {
 			err = link.WriteMessage(conn, link.Hello{Epoch: s.d.epoch, Entry: s.d.entry.set.Instance})
 		}
@@ -92,10 +94,16 @@
 			s.d.post(func() { s.logFailure(err) })
 			clock.Sleep(ctx, pause)
 			pause = min(2*pause, maxSideRetry)
+			failures++
 			continue
 		}
-		pause = minSideRetry
+		pause, failures = minSideRetry, 0
+		connCtx, cancel := context.WithCancel(ctx)
+		if bridged {
+			go s.probeDirect(connCtx, conn)
+		}
 		s.serve(ctx, conn)
+		cancel()
 		clock.Sleep(ctx, minSideRetry)
 	}
 }
--- a/fleet/link/peer.go
+++ b/fleet/link/peer.go
@@ -9,12 +9,15 @@
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
-// PeerCall is a request of one entry to another: a store call to make on its behalf, or, if empty, whether it is the decider.
+// PeerCall is a request of one entry to another: a store call to make on its behalf, a connection to forward, or, if empty,
+// whether it is the decider.
 type PeerCall struct {
 	Append *work.Append `cbor:"1,keyasint,omitempty"`
 	Read   *ReadCall    `cbor:"2,keyasint,omitempty"`
 	// Newest is the topic of which the newest records are requested.
 	Newest string `cbor:"3,keyasint,omitempty"`
+	// Bridge is the address of a side process to which the connection is to be forwarded after the reply.
+	Bridge string `cbor:"4,keyasint,omitempty"`
 }
 
 // ReadCall is a read of a topic.
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -91,6 +91,7 @@
 	OtherDecider           = define(823, zerolog.InfoLevel, "another entry is the decider")
 	SideLinked             = define(824, zerolog.InfoLevel, "connection to a side process opened")
 	SideUnlinked           = define(825, zerolog.WarnLevel, "connection to a side process ended")
+	BridgeOpened           = define(826, zerolog.WarnLevel, "a side process is reached through another entry")
 	JobAccepted            = define(830, zerolog.InfoLevel, "job accepted")
 	JobRefused             = define(831, zerolog.InfoLevel, "job refused; it does not run")
 	JobUnknown             = define(832, zerolog.WarnLevel, "it is unknown whether the job was stored")
