entry: show how far the decider lags

Half of the first starts on the large site came after 0.5 s, and nothing in the logs told that events had waited.

Change: event 852 holds the longest wait of an event, the most events between two placement passes and the events queued, over 2 s; a histogram has every wait.

Result: fields only; the decider's cost was not measured again.

--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -39,8 +39,12 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	state  *dispatch.State
-	events chan func()
-	sides  map[string]*sideLink
+	events chan queuedEvent
+	// maxWait and maxBatch are the longest wait of an event for the loop and the most events between two placement passes
+	// since the last fleet summary.
+	maxWait  time.Duration
+	maxBatch int
+	sides    map[string]*sideLink
 
 	// seq is the sequence number of the last append, confirmedMs the send time of the last successful one.
 	seq         uint64
@@ -66,7 +70,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	now := clock.BootMs()
-	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan func(), eventQueueSize),
+	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize),
 		sides: map[string]*sideLink{}, seq: claimSeq(claim), confirmedMs: now, sentMs: now}
 	d.state = dispatch.New(e.set.Bounds, epoch, d.now())
 	e.election.consumeClaim()
@@ -165,8 +169,8 @@
 	for !d.claimLost && d.ctx.Err() == nil {
 		select {
 		case <-d.ctx.Done():
-		case f := <-d.events:
-			f()
+		case ev := <-d.events:
+			d.handle(ev)
 			d.handleQueued()
 			d.applyEvent(dispatch.Place{})
 		case <-ticker.C:
@@ -185,25 +189,42 @@
 		logevent.Int("waiting_fillers", m.WaitingBestEffort), logevent.Int("waiting_others", m.WaitingOthers), logevent.Int("workers", m.Workers),
 		logevent.Int("cpu", m.CPU), logevent.Int("cpu_committed", m.Committed), logevent.Int("cpu_fillers", m.BestEffort),
 		logevent.Int("fillers_used", m.BestEffortUsed), logevent.Int("fillers_want", m.BestEffortDemand), logevent.Int("others_used", m.OthersUsed), logevent.Int("others_want", m.OthersDemand),
-		logevent.Int("mem_mb", m.MemMB), logevent.Int("mem_committed", m.MemCommitted), logevent.Int("paced", m.Throttled))
+		logevent.Int("mem_mb", m.MemMB), logevent.Int("mem_committed", m.MemCommitted), logevent.Int("paced", m.Throttled),
+		logevent.Int("event_wait_ms", d.maxWait.Milliseconds()), logevent.Int("event_batch", d.maxBatch), logevent.Int("events_queued", len(d.events)))
+	d.maxWait, d.maxBatch = 0, 0
 }
 
 // handleQueued handles events that are already queued.
 func (d *decider) handleQueued() {
-	for range maxEventBatch {
+	for batch := 1; batch <= maxEventBatch; batch++ {
+		d.maxBatch = max(d.maxBatch, batch)
 		select {
-		case f := <-d.events:
-			f()
+		case ev := <-d.events:
+			d.handle(ev)
 		default:
 			return
 		}
 	}
 }
 
+// queuedEvent is an event that waits for the event loop.
+type queuedEvent struct {
+	queued time.Time
+	handle func()
+}
+
+// handle handles an event and records how long it has waited. A decider that falls behind shows there first.
+func (d *decider) handle(ev queuedEvent) {
+	wait := time.Since(ev.queued)
+	d.maxWait = max(d.maxWait, wait)
+	d.entry.meters.eventWait.Record(wait)
+	ev.handle()
+}
+
 // post queues an event for the event loop.
 func (d *decider) post(f func()) {
 	select {
-	case d.events <- f:
+	case d.events <- queuedEvent{time.Now(), f}:
 	case <-d.ctx.Done():
 	}
 }
--- a/fleet/entry/metrics.go
+++ b/fleet/entry/metrics.go
@@ -15,6 +15,7 @@
 type Meters struct {
 	request   telemetry.Histogram
 	store     telemetry.Histogram
+	eventWait telemetry.Histogram
 	decisions telemetry.Counter
 	// deciding points to the epoch in which the entry is the decider, which is 0 if it is not; nil until it is set.
 	deciding atomic.Pointer[atomic.Uint64]
@@ -30,6 +31,9 @@
 	if m.store, err = r.Histogram(telemetry.FleetStore); err != nil {
 		return nil, err
 	}
+	if m.eventWait, err = r.Histogram(telemetry.FleetEventWait); err != nil {
+		return nil, err
+	}
 	if m.decisions, err = r.Counter(telemetry.FleetDecisions); err != nil {
 		return nil, err
 	}
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -115,6 +115,8 @@
 		"time of requests of callers; outcome is the status", "call", "outcome")
 	FleetStore = define(HistogramKind, EntryRole, "store_call_duration_seconds",
 		"time of calls to the store; outcome is done, refused or unknown", "call", "outcome")
+	FleetEventWait = define(HistogramKind, EntryRole, "decider_event_wait_seconds",
+		"time that an event waits for the decider's loop; a decider that falls behind shows here first")
 	FleetDecisions = define(CounterKind, EntryRole, "decisions_total", "decisions of this decider", "kind")
 	FleetDeciding  = define(GaugeKind, EntryRole, "deciding", "1 while this entry decides")
 	FleetDropped   = define(GaugeKind, BothRoles, "log_lines_dropped", "log lines dropped since the start")
