dispatch: model the hand-over with a replaced decider that still sends

The simulation dropped the old decider at the change.

Change: a replaced decider whose last batch was stored learns so up to 3 s after the next one has claimed, and sends its starts, stops and acknowledgements to the side processes that the next one has not reached yet, which half of them are for up to 4 s.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -51,8 +51,8 @@
 
 // Guards against a task that has two active runs, runs again after its completion was acknowledged, starts before the
 // steps it depends on, after its last permitted attempt or after its job was cancelled, and against an overcommitted
-// worker. Faults: decider changes at any moment, lost connections, worker restarts under the same id, delayed and
-// refused starts. DISPATCH_SEEDS sets the number of seeds.
+// worker. Faults: decider changes at any moment, replaced deciders that learn late that their last append was stored and
+// still reach side processes, lost connections, worker restarts under the same id, delayed and refused starts. DISPATCH_SEEDS sets the number of seeds.
 func TestSimulationInvariants(t *testing.T) {
 	seeds := uint64(150)
 	if n, err := strconv.Atoi(os.Getenv("DISPATCH_SEEDS")); err == nil {
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -44,6 +44,17 @@
 	learned []byte
 	// delayedStarts holds starts that are carried out later.
 	delayedStarts []delayedStart
+	// replaced holds deciders that do not know yet that another one has claimed.
+	replaced []replacedDecider
+}
+
+// replacedDecider is a decider that was frozen or waits for the answer of the store, while another one has claimed. The
+// store fences its next append off, but it may still learn that its last one was stored, and send the orders that
+// depend on it.
+type replacedDecider struct {
+	state    *State
+	batch    *Batch
+	answerAt int64
 }
 
 type delayedStart struct {
@@ -68,9 +79,12 @@
 
 	connected         bool
 	disconnectedUntil int64
-	ordersDone        uint64
-	leaseExpires      int64
-	latestLease       int64
+	// linkedTo is the decider whose connection the side process still has while the current one has not connected; nil if
+	// there is none.
+	linkedTo     *State
+	ordersDone   uint64
+	leaseExpires int64
+	latestLease  int64
 	// sideFence is the highest fence that was sent to the side process.
 	sideFence        uint64
 	refusals         []link.Refusal
@@ -134,10 +148,13 @@
 func (sim *simulation) electDecider() {
 	sim.epoch++
 	sim.inFlight = nil
-	sim.state = New(sim.bounds, sim.epoch, sim.at())
 	for _, sw := range sim.workers {
+		if sw.connected {
+			sw.linkedTo = sim.state
+		}
 		sw.connected = false
 	}
+	sim.state = New(sim.bounds, sim.epoch, sim.at())
 	sim.step(ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
 	if sim.learned != nil {
 		var in work.Interference
@@ -328,6 +345,7 @@
 func (sim *simulation) advance() {
 	sim.now += stepMs
 	sim.runDelayedStarts()
+	sim.runReplacedDeciders()
 	for _, sw := range sim.workers {
 		sim.finishRuns(sw)
 		sim.injectFaults(sw)
@@ -450,6 +468,7 @@
 		}
 	}
 	if !sw.connected && sim.now >= sw.disconnectedUntil {
+		sw.linkedTo = nil // the side process closes the connection of an earlier epoch
 		sw.connected, sw.ordersDone, sw.refusals, sw.answeredReportMs = true, 0, nil, 0
 		sim.step(SideConnected{Instance: sw.instance})
 	}
@@ -566,10 +585,37 @@
 	}
 }
 
-// changeDecider replaces the decider. The batch in flight may or may not have been stored.
+// runReplacedDeciders delivers late answers of the store to replaced deciders, whose orders reach the side processes
+// that the current decider has not connected to.
+func (sim *simulation) runReplacedDeciders() {
+	kept := sim.replaced[:0]
+	for _, r := range sim.replaced {
+		if sim.now < r.answerAt {
+			kept = append(kept, r)
+			continue
+		}
+		for _, o := range r.state.Step(sim.at(), Committed{Batch: r.batch}).Orders {
+			for _, sw := range sim.workers {
+				if sw.instance == o.Instance && sw.linkedTo == r.state {
+					sim.handleOrders(sw, o.Orders)
+				}
+			}
+		}
+	}
+	sim.replaced = kept
+}
+
+// changeDecider replaces the decider. The batch in flight may or may not have been stored, and if it was, the replaced
+// decider may learn so only after the other one has claimed. Sides that are slow to connect keep the old connection.
 func (sim *simulation) changeDecider() {
 	if sim.inFlight != nil && sim.rng.IntN(2) == 0 {
 		sim.record(sim.inFlight)
+		sim.replaced = append(sim.replaced, replacedDecider{sim.state, sim.inFlight, sim.now + int64(sim.rng.IntN(3000))})
+	}
+	for _, sw := range sim.workers {
+		if sim.rng.IntN(2) == 0 {
+			sw.disconnectedUntil = sim.now + int64(sim.rng.IntN(4000))
+		}
 	}
 	sim.now += int64(sim.rng.IntN(40)) * stepMs
 	for _, sw := range sim.workers {
