--- a/fleet/entry/sides.go
+++ b/fleet/entry/sides.go
@@ -88,7 +88,7 @@
 	for ctx.Err() == nil {
 		conn, bridged, err := s.dial(ctx, failures)
 		if err == nil {
-			err = link.WriteMessage(conn, link.Hello{Epoch: s.d.epoch, Entry: s.d.entry.set.Instance})
+			err = link.WriteMessage(conn, link.Hello{Epoch: s.d.epoch, Entry: s.d.entry.set.Instance, Instance: s.instance})
 		}
 		if err != nil {
 			s.d.post(func() { s.logFailure(err) })
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -29,6 +29,8 @@
 	// Epoch is the decider's epoch and Entry its instance.
 	Epoch uint64 `cbor:"1,keyasint"`
 	Entry string `cbor:"2,keyasint"`
+	// Instance is the instance that the decider means; empty from earlier versions. Another one may have its former address.
+	Instance string `cbor:"3,keyasint,omitempty"`
 }
 
 // Start orders the start of a run.
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -135,6 +135,11 @@
 		s.log.Log(logevent.DeciderUnlinked, logevent.Err(err))
 		return
 	}
+	if hello.Instance != "" && hello.Instance != s.set.Instance {
+		s.log.Log(logevent.DeciderUnlinked, logevent.Str("entry", hello.Entry), logevent.Str("instance", hello.Instance),
+			logevent.Str("reason", "it means another instance, which had this address before"))
+		return
+	}
 	c, epoch := s.acceptConnection(conn, hello)
 	if c == nil {
 		// Tells the decider that there is a newer one.
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -363,3 +363,21 @@
 	}
 	assert.Equal(t, starts, 2)
 }
+
+// Guards against a server that has left being in use again: a new instance may get the address of one that was removed,
+// and a decider that still connects to that one would take the reports of the new instance for its own.
+func TestConnectionForAnotherInstanceIsRejected(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed })
+	conn, err := net.Dial("tcp", r.side.peer.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, link.WriteMessage(conn, link.Hello{Epoch: 2, Entry: "entry-1", Instance: "side-0"}))
+	var rep link.Report
+	assert.ErrorContains(t, link.ReadMessage(conn, &rep), "EOF")
+	r.side.mu.Lock()
+	defer r.side.mu.Unlock()
+	assert.Equal(t, r.side.epoch, uint64(1), "the side process took the epoch of a connection for another instance")
+}
