side: name the worker's paths in tests by constants of the stand-in

Cause: names of the platform's wire stand in platform/ only; a new test spelled two of them out.

Change: platformtest names the paths of starts and stops.

Result: no behaviour changes.

--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -356,8 +356,8 @@
 	defer r.worker.Unlock()
 	starts := 0
 	for _, c := range r.worker.Calls {
-		assert.Assert(t, !strings.HasSuffix(c, "run-stop"), "the run was stopped")
-		if strings.HasSuffix(c, "run-start") {
+		assert.Assert(t, c != platformtest.PathStop, "the run was stopped")
+		if c == platformtest.PathStart {
 			starts++
 		}
 	}
