entry: take out the batches of submissions; keep unknown outcomes

Cause of the broken rule, traced by the job's lines: an entry whose direct calls fail first called another entry, with an unknown outcome, and then its own batch, which its caller gave up before it was sent. The call returned that second error, which says "not stored", and lost the first. With single appends the second error was an unknown one too, so that the fault of the call did not show.

Ruled out: batches that are stored after they were given up; the queue is changed under one lock.

Change: the batches are reverted. A call that had an unknown outcome on one way keeps it when its caller gives up on another.

Result: TestUnknownOutcomeOfPeerIsKept fails before the second change.

--- a/fleet/entry/bridge_test.go
+++ b/fleet/entry/bridge_test.go
@@ -56,7 +56,7 @@
 // Guards against bridges through an entry that is cut off like the decider or the instance, and against one entry that
 // carries the connections of a whole zone.
 func TestBridgesUseEntriesOfThirdZones(t *testing.T) {
-	r := newRelay(&scriptedStore{}, "self", 1)
+	r := newRelay(&scriptedStore{}, "self")
 	for _, p := range []work.ProcessAddress{{Instance: "own", Zone: "a"}, {Instance: "cut", Zone: "b"}, {Instance: "c-1", Zone: "c"}, {Instance: "c-2", Zone: "c"}, {Instance: "d-1", Zone: "d"}} {
 		r.setPeer(p)
 	}
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for entries: %w", errdefs.New(errdefs.Unavailable, err.Error(), "choose a free address in the settings"))
 	}
-	r := newRelay(m.withTiming(store), set.Instance, set.Cores)
+	r := newRelay(m.withTiming(store), set.Instance)
 	e := &Entry{set: set, store: r, relay: r, peer: peer, log: log, meters: m, public: public, ready: ready, view: newView(log),
 		bridges: make(chan struct{}, maxBridges), evacuated: map[string]bool{}, addresses: map[string]work.ProcessAddress{}}
 	if set.Adviser != "" {
--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -420,7 +420,7 @@
 	_, due = first.claimDue(false)
 	assert.Assert(t, due)
 
-	r := newRelay(&scriptedStore{}, "self", 1)
+	r := newRelay(&scriptedStore{}, "self")
 	assert.Assert(t, !r.hasLargerEntry(0.11))
 	r.setPeer(work.ProcessAddress{Instance: "same", Cores: 0.12})
 	assert.Assert(t, !r.hasLargerEntry(0.11))
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -41,9 +41,6 @@
 type relay struct {
 	direct work.Store
 	self   string
-	// cores is the size of this entry, batch appends the records of callers.
-	cores float64
-	batch *batcher
 
 	mu sync.Mutex
 	// directBackoffUntilMs is until when calls go through peers, 0 if direct calls succeed; probing is true during a probe.
@@ -71,8 +68,8 @@
 	backoffUntilMs int64
 }
 
-func newRelay(direct work.Store, self string, cores float64) *relay {
-	return &relay{direct: direct, self: self, cores: cores, batch: &batcher{append: direct.Append}, peers: map[string]*peer{}, failing: map[string]failingTopic{}}
+func newRelay(direct work.Store, self string) *relay {
+	return &relay{direct: direct, self: self, peers: map[string]*peer{}, failing: map[string]failingTopic{}}
 }
 
 // setPeer sets the address of another entry.
@@ -210,7 +207,7 @@
 	}
 	if !directFirst {
 		reply, err, final := callDirect()
-		if final {
+		if final && (answeredByStore(err) || unknown == nil) {
 			return reply, err
 		}
 		recordError(err)
@@ -255,53 +252,20 @@
 // Append implements work.Store.
 func (r *relay) Append(ctx context.Context, a work.Append) (work.Appended, error) {
 	sent := clock.BootMs()
-	if ofCallers(&a) && r.batch.slow() {
-		if p, ok := r.collector(r.cores); ok {
-			began := time.Now()
-			reply, err := callPeer(ctx, p.Address, link.PeerCall{Append: &a}, 0)
-			r.batch.recordDuration(time.Since(began))
-			if answeredByStore(err) {
-				r.recordTopic(ctx, a.Topic, sent, err)
-				return reply.Appended, err
-			}
-			r.backOffPeer(p.Instance)
-			if errdefs.KindOf(err) != errdefs.Unavailable {
-				// The caller of Append retries. Trying other ways at once would add to the load of a slow store, and the failure says
-				// nothing about the store.
-				return reply.Appended, err
-			}
-		}
-	}
-	reply, err := r.call(ctx, link.PeerCall{Append: &a}, 0, func() (link.PeerReply, error) { return r.appendDirect(ctx, &a) })
+	reply, err := r.call(ctx, link.PeerCall{Append: &a}, 0, func() (link.PeerReply, error) {
+		got, err := r.direct.Append(ctx, a)
+		return link.PeerReply{Appended: got}, err
+	})
 	r.recordTopic(ctx, a.Topic, sent, err)
 	return reply.Appended, err
 }
 
-// ofCallers reports whether an append holds records of callers: they need neither an order nor a condition, so that they
-// may be batched.
-func ofCallers(a *work.Append) bool {
-	return a.Topic == work.TopicJobs && a.Producer == "" && !a.Conditional
-}
-
-// appendDirect appends to the store without another entry. Offsets of records of callers are not known.
-func (r *relay) appendDirect(ctx context.Context, a *work.Append) (link.PeerReply, error) {
-	if ofCallers(a) {
-		return link.PeerReply{}, r.batch.add(ctx, a.Records)
-	}
-	got, err := r.direct.Append(ctx, *a)
-	return link.PeerReply{Appended: got}, err
-}
-
 // Read implements work.Store.
 func (r *relay) Read(ctx context.Context, topic string, from int64, wait time.Duration) (work.Page, error) {
 	sent := clock.BootMs()
 	call := link.PeerCall{Read: &link.ReadCall{Topic: topic, From: from, Wait: wait}}
 	reply, err := r.call(ctx, call, wait, func() (link.PeerReply, error) {
-		began := time.Now()
 		page, err := r.direct.Read(ctx, topic, from, wait)
-		if wait == 0 {
-			r.batch.recordDuration(time.Since(began))
-		}
 		return link.PeerReply{Page: page}, err
 	})
 	r.recordTopic(ctx, topic, sent, err)
@@ -410,9 +374,7 @@
 	var err error
 	switch {
 	case call.Append != nil:
-		var appended link.PeerReply
-		appended, err = e.relay.appendDirect(ctx, call.Append)
-		reply.Appended = appended.Appended
+		reply.Appended, err = e.relay.direct.Append(ctx, *call.Append)
 	case call.Read != nil:
 		reply.Page, err = e.relay.direct.Read(ctx, call.Read.Topic, call.Read.From, min(call.Read.Wait, readWait))
 	default:
--- a/fleet/entry/relay_test.go
+++ b/fleet/entry/relay_test.go
@@ -52,7 +52,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	e := &Entry{peer: ln, relay: newRelay(store, "peer", 1)}
+	e := &Entry{peer: ln, relay: newRelay(store, "peer")}
 	e.deciding.Store(deciding)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -63,7 +63,7 @@
 // Guards against an entry that fails its callers, or a decider that stops, while the store refuses only its instance.
 func TestRelayThroughPeer(t *testing.T) {
 	direct, other := &scriptedStore{err: refusal()}, &scriptedStore{}
-	r := newRelay(direct, "self", 1)
+	r := newRelay(direct, "self")
 	r.setPeer(work.ProcessAddress{Instance: "peer", Address: peerEntry(t, other, 0)})
 	for range 5 {
 		got, err := r.Append(context.Background(), work.Append{Topic: "t"})
@@ -80,7 +80,7 @@
 // been stored must not be reported as refused.
 func TestStoreErrorsPassThroughPeer(t *testing.T) {
 	direct, other := &scriptedStore{err: refusal()}, &scriptedStore{}
-	r := newRelay(direct, "self", 1)
+	r := newRelay(direct, "self")
 	r.setPeer(work.ProcessAddress{Instance: "peer", Address: peerEntry(t, other, 0)})
 	for _, want := range []error{work.ErrFenced, work.ErrConditionFailed, work.ErrSequence, work.ErrExpired} {
 		other.set(want)
@@ -96,7 +96,7 @@
 // Guards against a submission reported as not stored although its first attempt got no answer.
 func TestLostAttemptStaysUnknown(t *testing.T) {
 	direct, other := &scriptedStore{err: lost()}, &scriptedStore{err: refusal()}
-	r := newRelay(direct, "self", 1)
+	r := newRelay(direct, "self")
 	r.setPeer(work.ProcessAddress{Instance: "peer", Address: peerEntry(t, other, 0)})
 	_, err := r.Append(context.Background(), work.Append{Topic: "t"})
 	assert.Assert(t, !work.NotAppended(err), "%v", err)
@@ -118,7 +118,7 @@
 // wait 3 s.
 func TestNoAttemptOutlastsTheCaller(t *testing.T) {
 	store := &deadlineStore{scriptedStore: scriptedStore{err: lost()}}
-	e := &Entry{store: store, relay: newRelay(store, "self", 1), jobs: &topicReader{}, schedule: &topicReader{}}
+	e := &Entry{store: store, relay: newRelay(store, "self"), jobs: &topicReader{}, schedule: &topicReader{}}
 	until := time.Now().Add(300 * time.Millisecond)
 	err := e.storeRecord(context.Background(), work.Record{Key: "j"}, until)
 	assert.Assert(t, err != nil && !work.NotAppended(err), "%v", err)
@@ -144,7 +144,7 @@
 // (2.8 s in the outage of inc-60ca).
 func TestAttemptIsCancelledWhenStoreIsDown(t *testing.T) {
 	store := &hangingStore{called: make(chan struct{}, 1)}
-	e := &Entry{store: store, relay: newRelay(store, "self", 1)}
+	e := &Entry{store: store, relay: newRelay(store, "self")}
 	ended := make(chan error, 1)
 	go func() { ended <- e.storeRecord(context.Background(), work.Record{Key: "j"}, time.Now().Add(time.Hour)) }()
 	<-store.called
@@ -158,7 +158,7 @@
 // Guards against a decider that is taken for stopped because it is busy or cut off, and against waiting for one whose
 // process has ended.
 func TestProbeDecider(t *testing.T) {
-	e := &Entry{relay: newRelay(&scriptedStore{}, "self", 1), election: &election{instance: "self"}}
+	e := &Entry{relay: newRelay(&scriptedStore{}, "self"), election: &election{instance: "self"}}
 	claim := &work.Claim{Epoch: 4, Instance: "other"}
 	e.relay.setPeer(work.ProcessAddress{Instance: "other", Address: peerEntry(t, &scriptedStore{}, 4)})
 	e.probeDecider(context.Background(), claim)
@@ -190,3 +190,28 @@
 		assert.Equal(t, work.NotAppended(got), work.NotAppended(err), "%v became %v", err, got)
 	}
 }
+
+// Guards against a refusal that is not true: a call through another entry had an unknown outcome, and the direct call after
+// it was given up by the caller before it was sent. The whole has an unknown outcome.
+func TestUnknownOutcomeOfPeerIsKept(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		var call link.PeerCall
+		_ = link.ReadMessage(conn, &call)
+		cancel() // the caller gives up while the other entry stores the record
+		_ = conn.Close()
+	}()
+	r := newRelay(&scriptedStore{err: errdefs.OfKind(errdefs.Unavailable)}, "self")
+	r.directBackoffUntilMs = clock.BootMs() + 60_000
+	r.setPeer(work.ProcessAddress{Instance: "other", Address: ln.Addr().String()})
+	_, err = r.Append(ctx, work.Append{Topic: work.TopicJobs, Records: []work.Record{{Key: "a"}}})
+	assert.Equal(t, errdefs.KindOf(err), errdefs.Unknown, "%v", err)
+}
