side, dispatch: notice the removal of three guards

Cause: guards of fleet/side and fleet/dispatch were removed one at a time in a scratch copy, and no test failed without these: a lease counts from the report that was answered (TestLeaseCountsFromTheReport accepts any time up to now), an unanswered order outlives its lease, and a list from before the answer to an order does not requeue its run.

Change: a test for each. The earlier test of the lease stays as it is.

Result: each new test fails with its guard removed and passes with it.

--- a/fleet/dispatch/fence_test.go
+++ b/fleet/dispatch/fence_test.go
@@ -129,3 +129,45 @@
 	}
 	assert.Equal(t, starts, 1)
 }
+
+// Guards against a task that is started elsewhere while its start is still unanswered on an open connection: the side
+// process retries it, and a lease that it reports as over says nothing about a call that it has not made yet.
+func TestUnansweredOrderOutlivesTheLease(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s, sw := sim.state, sim.workers[0]
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 100, MemMB: 10, EstMs: 5000}}})
+	s.Step(sim.at(), Place{})
+	s.Step(sim.at(), Committed{Batch: s.Collect()})
+	tk := &s.jobs[jobID(1)].stages[0].tasks[0]
+	w := tk.worker
+	assert.Assert(t, tk.orderNumber > w.ordersDone)
+	report := func(ordersDone uint64) {
+		info := sw.info
+		s.Step(sim.at(), Reported{Instance: w.instance, Report: &link.Report{Worker: &info, UnresponsiveMs: 2 * maxUnresponsiveMs, OrdersDone: ordersDone}})
+	}
+	w.answeredReportMs = 0
+	report(tk.orderNumber - 1)
+	assert.Assert(t, tk.worker == w && tk.run == 1, "the task was given up while its start is unanswered")
+	report(tk.orderNumber)
+	assert.Equal(t, tk.phase, waiting)
+}
+
+// Guards against a run that is started elsewhere because the worker's list does not contain it, though the list was read
+// before the worker answered its start.
+func TestListFromBeforeTheAnswerDoesNotRequeue(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s, sw := sim.state, sim.workers[0]
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 100, MemMB: 10, EstMs: 5000}}})
+	s.Step(sim.at(), Place{})
+	s.Step(sim.at(), Committed{Batch: s.Collect()})
+	tk := &s.jobs[jobID(1)].stages[0].tasks[0]
+	w := tk.worker
+	report := func(ordersDone uint64) {
+		info := sw.info
+		s.Step(sim.at(), Reported{Instance: w.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: s.fence(w), OrdersDone: ordersDone, LeaseLeftMs: 4000}})
+	}
+	report(tk.orderNumber - 1)
+	assert.Assert(t, tk.worker == w && tk.run == 1, "the task was given up by a list from before its start was answered")
+	report(tk.orderNumber)
+	assert.Equal(t, tk.phase, waiting)
+}
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -381,3 +381,23 @@
 	defer r.side.mu.Unlock()
 	assert.Equal(t, r.side.epoch, uint64(1), "the side process took the epoch of a connection for another instance")
 }
+
+// Guards against a lease that a delayed answer renews from its arrival: the decider may have lost its authority since, or
+// this process may have been paused. It counts from the report that was answered.
+func TestDelayedAnswerRenewsFromItsReport(t *testing.T) {
+	set := settings.DefaultFleet()
+	set.Bounds = set.Bounds.Derive()
+	registry, err := telemetry.New()
+	assert.NilError(t, err)
+	m, err := NewMeters(registry)
+	assert.NilError(t, err)
+	s := &Side{set: set, log: logevent.Nop(), meters: m}
+	s.conn = &connection{}
+	sent := clock.BootMs() - 1500
+	s.handleOrders(&connection{}, &link.Orders{AnsweredMs: sent})
+	assert.Equal(t, s.leaseEndMs, int64(0), "an answer on a replaced connection renewed the lease")
+	s.handleOrders(s.conn, &link.Orders{AnsweredMs: sent})
+	assert.Equal(t, s.leaseEndMs, sent+set.Bounds.Lease.Milliseconds())
+	s.handleOrders(s.conn, &link.Orders{AnsweredMs: sent - 500})
+	assert.Equal(t, s.leaseEndMs, sent+set.Bounds.Lease.Milliseconds(), "an older answer shortened the lease")
+}
