--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -510,3 +510,20 @@
 	_, body, _ := s.call(e, http.MethodGet, jobPath, "")
 	assert.Equal(t, body, `{"state":"completed"}`)
 }
+
+// Guards against a decider that has not read the newest starts of the one before: a claim is taken only if this entry has
+// read the schedule to its end.
+func TestClaimNeedsTheNewestRecord(t *testing.T) {
+	s := newSite(t)
+	e := &Entry{set: s.settings("entry-1"), store: platform.NewStore(s.addr), log: logevent.Nop(), view: newView(logevent.Nop())}
+	e.election = newElection(e.set)
+	e.schedule = &topicReader{topic: work.TopicSchedule, store: e.store, log: e.log, loaded: true, apply: e.applySchedule}
+	s.store.Put(work.TopicSchedule, work.PrefixProgress+"00112233445566aa", work.Encode(&work.Progress{State: work.Running}))
+	e.tryClaim(context.Background(), 1)
+	assert.Equal(t, len(s.store.Keys(work.TopicSchedule)[work.KeyClaim]), 0, "the entry claimed without the newest record")
+	assert.NilError(t, e.schedule.refresh(context.Background()))
+	e.tryClaim(context.Background(), 1)
+	var c work.Claim
+	assert.NilError(t, work.Decode(s.store.Keys(work.TopicSchedule)[work.KeyClaim], &c))
+	assert.Equal(t, c.Instance, "entry-1")
+}
