entry: notice equal numbers of claims and authority that does not end

Cause: with these two guards removed no test failed for certain: TestOneEntryDecides meets equal numbers only when two entries claim at the same moment.

Result: TestClaimsOfOneEpochDiffer and TestAuthorityEndsWithoutTheStore fail with the guard removed and pass with it.

--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -15,6 +15,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
+	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/side"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
@@ -527,3 +529,36 @@
 	assert.NilError(t, work.Decode(s.store.Keys(work.TopicSchedule)[work.KeyClaim], &c))
 	assert.Equal(t, c.Instance, "entry-1")
 }
+
+// Guards against two deciders in one epoch: the store takes a second claim with the same epoch and number for a repeat of
+// the first and acknowledges it, whatever its condition.
+func TestClaimsOfOneEpochDiffer(t *testing.T) {
+	s := newSite(t)
+	claimant := func(name string) *Entry {
+		e := &Entry{set: s.settings(name), store: platform.NewStore(s.addr), log: logevent.Nop(), view: newView(logevent.Nop())}
+		e.election = newElection(e.set)
+		e.schedule = &topicReader{topic: work.TopicSchedule, store: e.store, log: e.log, loaded: true, apply: e.applySchedule}
+		return e
+	}
+	first, second := claimant("entry-1"), claimant("entry-2")
+	first.tryClaim(context.Background(), 1)
+	second.tryClaim(context.Background(), 1)
+	assert.Assert(t, first.election.wonClaim() != nil)
+	assert.Assert(t, second.election.wonClaim() == nil, "a second entry won the same epoch")
+}
+
+// Guards against a decider that renews leases after its authority has run out, as one that was paused or that the store
+// does not answer: another decider may have claimed, and counts on the end of these leases.
+func TestAuthorityEndsWithoutTheStore(t *testing.T) {
+	set := settings.DefaultFleet()
+	set.Bounds = set.Bounds.Derive()
+	d := &decider{entry: &Entry{set: set}, confirmedMs: clock.BootMs()}
+	assert.Assert(t, d.hasAuthority())
+	d.confirmedMs = clock.BootMs() - set.Bounds.AuthorityTimeout.Milliseconds()
+	assert.Assert(t, !d.hasAuthority())
+	out := make(chan link.Orders, 1)
+	d.answerReport(&sideLink{d: d, instance: "side-1", out: out}, &link.Report{SentMs: 5})
+	assert.Equal(t, len(out), 0, "a report was answered, which renews a lease")
+	d.confirmedMs, d.claimLost = clock.BootMs(), true
+	assert.Assert(t, !d.hasAuthority())
+}
