dispatch: compare waiting best-effort stages with all workers again

By reading: a best-effort stage that found no worker was compared only with workers that have changed, which a worker does with its own report, every 0.45 s at the latest. Its headroom also follows from the load that other workers report, so that such tasks waited up to 0.45 s more than before.

Change: such stages are compared with all workers again after 50 ms and 1 ms more for each worker, which keeps the cost from growing with the fleet; the cached headroom lasts 100 ms instead of 200.

Result: TestHeadroomByOtherReportsIsUsed fails before.

--- a/fleet/dispatch/besteffortfit.go
+++ b/fleet/dispatch/besteffortfit.go
@@ -4,7 +4,7 @@
 
 // fitTTLMs is how long the cached headroom of a worker is used: the load of a latency-critical task also follows from
 // the reports of other workers.
-const fitTTLMs = 200
+const fitTTLMs = 100
 
 // bestEffortFit caches what the placement of best-effort tasks on a worker depends on, so that a waiting task is
 // compared with a worker without a walk over all pairs of tasks there.
--- a/fleet/dispatch/candidates.go
+++ b/fleet/dispatch/candidates.go
@@ -49,12 +49,24 @@
 	return last
 }
 
+const (
+	// minRescanMs is the minimum time between two comparisons of a waiting best-effort stage with all workers.
+	minRescanMs = 50
+	// rescanMsPerWorker adds to that time for each worker, so that the cost of these comparisons does not grow with the
+	// fleet.
+	rescanMsPerWorker = 1
+)
+
 // findCandidates returns the candidates for the tasks of a stage. A stage for which the previous pass found no worker is
-// compared only with the workers that have changed since.
+// compared only with the workers that have changed since. The headroom for best-effort tasks also changes with the load
+// that other workers report, so that their stages are compared with all workers again from time to time.
 func (s *State) findCandidates(st *stage) *candidates {
 	from := s.sortedWorkers
-	if st.exhaustedPass != 0 && st.exhaustedPass == s.pass-1 {
+	rescan := st.step.BestEffort && s.now.BootMs-st.scannedMs >= minRescanMs+rescanMsPerWorker*int64(len(s.sortedWorkers))
+	if st.exhaustedPass != 0 && st.exhaustedPass == s.pass-1 && !rescan {
 		from = s.passWorkers
+	} else {
+		st.scannedMs = s.now.BootMs
 	}
 	c := &candidates{task: &task{stage: st}}
 	for _, w := range from {
--- a/fleet/dispatch/load_test.go
+++ b/fleet/dispatch/load_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
 // Guards against outliers in the load: one reading in fifteen is 1.5 times its neighbours.
@@ -46,3 +48,31 @@
 	tk.adjustHeadroom(1900)
 	assert.Equal(t, tk.overTargetSinceMs, int64(0))
 }
+
+// Guards against best-effort tasks that wait for the next report of a worker although there is headroom already: the load
+// of a latency-critical job falls with the reports of other workers too (fit-report on hartwell-keel).
+func TestHeadroomByOtherReportsIsUsed(t *testing.T) {
+	sim := newConnectedSimulation(t, 2)
+	s := sim.state
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 2, CPU: 2000, MemMB: 10, EstMs: 400, LongRunning: true, TargetMs: 50, Image: "sa", MaxPerWorker: 1}}})
+	for range 60 {
+		sim.advance()
+	}
+	j := s.jobs[jobID(1)]
+	assert.Equal(t, j.active, 2)
+	busy := func(load float64) { j.load = measuredLoad(s.now.BootMs, load) }
+	busy(0.95)
+	sim.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 1, CPU: 1000, MemMB: 10, EstMs: 400, BestEffort: true, Image: "fa"}}})
+	s.Step(sim.at(), Place{})
+	s.Step(sim.at(), Tick{})
+	assert.Equal(t, s.jobs[jobID(2)].active, 0)
+	sim.now += minRescanMs + rescanMsPerWorker*2 + fitTTLMs
+	busy(0.01)
+	s.Step(sim.at(), Tick{})
+	assert.Equal(t, s.jobs[jobID(2)].active, 1, "the task waits for a report of its worker")
+}
+
+// measuredLoad returns a measured load without a slope.
+func measuredLoad(nowMs int64, current float64) load {
+	return load{current: current, atMs: nowMs, peak: current, peakMs: nowMs, fromMs: nowMs, fromLoad: current, unaffectedMs: nowMs}
+}
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -83,6 +83,8 @@
 	done, waiting int
 	// exhaustedPass is the last placement pass that found no worker for a task of the stage; 0 if there is none.
 	exhaustedPass uint64
+	// scannedMs is when the stage was last compared with all workers.
+	scannedMs int64
 	// gangRun is the run number of the newest run of a gang.
 	gangRun int
 	// tickets holds the adviser's permissions by instance.
