dispatch: end the trial of a worker once a long-running task is up

A worker that failed three runs in a row is quarantined, and then runs one task as a trial.

Ruled out: workers that a stage no longer looks at after it found no room; every way in which room comes back marks the worker as changed.

Change: a long-running task that is up ends the trial.

Result: TestLongRunningTrialOpensTheWorker fails before.

--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -183,6 +183,9 @@
 	if r.ProgressPercent != t.percent {
 		t.percent, t.progressedMs = r.ProgressPercent, s.now.BootMs
 	}
+	if t.stage.step.LongRunning && t.percent >= 100 {
+		t.worker.health.recordUp(t)
+	}
 	s.setCheckpoint(t, r.Checkpoint)
 	t.load = r.Load
 }
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -502,3 +502,21 @@
 		assert.Equal(t, n, 2, "%s has %d tasks of the step", instance, n)
 	}
 }
+
+// Guards against a worker that gets no more work because its trial after a quarantine is a long-running task, which never
+// ends (LOST on scale-2 of hartwell-keel-large: long-running tasks waited for 13 s although that worker had room).
+func TestLongRunningTrialOpensTheWorker(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s := sim.state
+	w := s.ensureWorker(sim.workers[0].instance)
+	w.health.streak = failuresToQuarantine
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 1000, MemMB: 10, EstMs: 400, LongRunning: true, TargetMs: 50, Image: "s"}}})
+	sim.step(Place{})
+	assert.Assert(t, w.health.probe != nil)
+	assert.Assert(t, !s.schedulable(w))
+	sim.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 1, CPU: 1000, MemMB: 10, EstMs: 60_000}}})
+	for i := 0; i < 100 && s.jobs[jobID(2)].active == 0; i++ {
+		sim.advance()
+	}
+	assert.Equal(t, s.jobs[jobID(2)].active, 1)
+}
--- a/fleet/dispatch/health.go
+++ b/fleet/dispatch/health.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// recordUp records that a long-running task is up. It has no end that could show whether the worker is sound, so being up
+// counts as the success of a probe.
+func (h *health) recordUp(t *task) {
+	if h.probe == t {
+		h.streak, h.probe, h.quarantinedUntilMs = 0, nil, 0
+	}
+}
+
 // releaseProbe ends the probe if it was the task, however its run ended.
 func (h *health) releaseProbe(t *task) {
 	if h.probe == t {
