faultproxy: count a delay from the opening of the connection in the test

The proxy delays the handshake from the moment at which the connection is opened, and the test took its time after that; a test that is held up in between sees a part of the delay only. With 15 ms of sleep there it fails 3 of 3.

Change: the time is taken before the connection is opened, so that the same bound holds whenever the test runs. The bound and the delay stay.

Result: with the same sleep after the connection is opened, 3 of 3 pass.

--- a/testkit/faultproxy/faultproxy_test.go
+++ b/testkit/faultproxy/faultproxy_test.go
@@ -197,8 +197,9 @@
 	const delay, lines = 10 * time.Millisecond, 2000
 	p := start(t, serveLines(t, "").Addr().String())
 	p.SetDelay(Both, delay)
-	c := connect(t, p)
+	// The proxy delays the handshake from the moment at which the connection is opened.
 	begin := time.Now()
+	c := connect(t, p)
 	c.mustReply(t, "1", "1")
 	assert.Assert(t, time.Since(begin) >= 4*delay, "handshake and exchange need two round trips")
 	begin = time.Now()
