entry: set a decider's dialer before it connects in the test of bridges

Cause: the test replaced dialDirect of a sideLink whose goroutine had been started with the standard one and may still be in its first attempt to connect. Product code never writes the field after it starts the goroutine, so no race of the product was ruled in: the write in the report is the test's.

Ruled out: a race of the event loop with runs of side links (decide.go:221 in the report is the test's posted function).

Change: the decider has a dialSide that its links take over when they are created; the test sets it in the event loop before connectSide. What the test checks is unchanged.

--- a/fleet/entry/bridge_test.go
+++ b/fleet/entry/bridge_test.go
@@ -85,25 +85,14 @@
 	var cut atomic.Bool
 	cut.Store(true)
 	address := reservedAddress(t)
-	connected := make(chan struct{})
 	d.post(func() {
-		defer close(connected)
-		d.connectSide(work.ProcessAddress{Instance: "side-1", Zone: "b", Address: address})
-	})
-	<-connected
-	d.post(func() {
-		l := d.sides["side-1"]
-		l.cancel()
-		l.close()
-		ctx, cancel := context.WithCancel(d.ctx)
-		l.cancel = cancel
-		l.dialDirect = func(ctx context.Context, address string) (net.Conn, error) {
+		d.dialSide = func(ctx context.Context, address string) (net.Conn, error) {
 			if cut.Load() {
 				return nil, context.DeadlineExceeded
 			}
 			return dialSide(ctx, address)
 		}
-		go l.run(ctx)
+		d.connectSide(work.ProcessAddress{Instance: "side-1", Zone: "b", Address: address})
 	})
 	w := s.workerAt("side-1", address)
 	status, _, _ := s.call(first, http.MethodPost, jobPath, jobBody)
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"strings"
 	"time"
 
@@ -45,6 +46,8 @@
 	maxWait  time.Duration
 	maxBatch int
 	sides    map[string]*sideLink
+	// dialSide connects to the address of a side process without another entry.
+	dialSide func(ctx context.Context, address string) (net.Conn, error)
 
 	// seq is the sequence number of the last append, confirmedMs the send time of the last successful one.
 	seq         uint64
@@ -71,7 +74,7 @@
 	defer cancel()
 	now := clock.BootMs()
 	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize),
-		sides: map[string]*sideLink{}, seq: claimSeq(claim), confirmedMs: now, sentMs: now}
+		sides: map[string]*sideLink{}, dialSide: dialSide, seq: claimSeq(claim), confirmedMs: now, sentMs: now}
 	d.state = dispatch.New(e.set.Bounds, epoch, d.now())
 	e.election.consumeClaim()
 	e.log.Log(logevent.BecameDecider, logevent.Int("epoch", epoch))
--- a/fleet/entry/sides.go
+++ b/fleet/entry/sides.go
@@ -30,7 +30,7 @@
 	instance string
 	zone     string
 	address  string
-	// dialDirect connects to an address without another entry.
+	// dialDirect connects to an address without another entry. It does not change.
 	dialDirect func(ctx context.Context, address string) (net.Conn, error)
 	cancel     context.CancelFunc
 	// out is the send queue of the open connection; nil if there is none.
@@ -51,7 +51,7 @@
 		s.close()
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
-	s := &sideLink{d: d, instance: a.Instance, zone: a.Zone, address: a.Address, dialDirect: dialSide, cancel: cancel}
+	s := &sideLink{d: d, instance: a.Instance, zone: a.Zone, address: a.Address, dialDirect: d.dialSide, cancel: cancel}
 	d.sides[a.Instance] = s
 	go s.run(ctx)
 }
