entry: a panic ends only the decider's role, one record or one connection

Cause: a panic in the decider's event loop, in a reader of a topic or in a connection of another process ended the whole process, and a stored job that makes the decider panic would end every entry in turn (users' report: one malformed message took a whole process down).

Ruled out: continuing with the decider's state after a panic, because a half-applied event may leave it inconsistent; an epoch that is used again, because orders of the failed decider may be in transit.

Change: the decider gives up its role (event 827), the entry does not claim for 2 s, and the next decider loads its state from the store. A job whose loading panicked is left out by later deciders of the process. A reader applies a batch that panicked record by record and skips the odd one (805, 803). Connections of entries and side processes are closed (806).

Result: without their guards TestDeciderPanicEndsOnlyTheRole and TestJobThatPanicsIsLeftOut end with the panic, and TestRecordThatPanicsIsSkipped too; with them they pass under the race detector.

--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -59,6 +59,8 @@
 	flushScheduled bool
 	// claimLost is true once another decider has claimed or this one has resigned.
 	claimLost bool
+	// loading is the job that is being loaded; empty if there is none.
+	loading string
 }
 
 // inFlightAppend is an append that has not been acknowledged.
@@ -80,6 +82,7 @@
 	e.log.Log(logevent.BecameDecider, logevent.Int("epoch", epoch))
 	e.deciding.Store(epoch)
 	e.schedule.pause(true)
+	defer d.recoverPanic()
 	defer func() {
 		e.setDecider(nil)
 		e.deciding.Store(0)
@@ -93,6 +96,24 @@
 	d.run()
 }
 
+// panicHoldOff is how long an entry whose decider panicked does not claim, so that another entry decides first.
+const panicHoldOff = 2 * time.Second
+
+// recoverPanic ends a decider that panicked: its state cannot be relied on, and the next one loads it from the store. A job
+// whose loading panicked is left out by all later deciders of this process.
+func (d *decider) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	e := d.entry
+	e.log.LogPanic(logevent.DeciderPanicked, v, logevent.Int("epoch", d.epoch), logevent.Str("job", d.loading))
+	if d.loading != "" {
+		e.view.exclude(d.loading)
+	}
+	e.election.holdOff(clock.BootMs() + panicHoldOff.Milliseconds())
+}
+
 func (d *decider) now() dispatch.Now {
 	return dispatch.Now{BootMs: clock.BootMs(), WallMs: clock.WallMs()}
 }
@@ -352,6 +373,15 @@
 func (d *decider) jobChanged(id string, v jobView) { go d.post(func() { d.applyJob(id, v) }) }
 
 func (d *decider) applyJob(id string, v jobView) {
+	if d.entry.view.isExcluded(id) {
+		return
+	}
+	d.loading = id
+	d.loadJob(id, v)
+	d.loading = ""
+}
+
+func (d *decider) loadJob(id string, v jobView) {
 	var p *work.Progress
 	if len(v.progress) > 0 {
 		p = &work.Progress{}
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -56,6 +56,8 @@
 	// lostEpoch is the newest epoch whose decider is known to have stopped, lastProbeMs when a decider was last probed.
 	lostEpoch   uint64
 	lastProbeMs int64
+	// holdOffUntilMs is the boot time before which this entry does not claim.
+	holdOffUntilMs int64
 	// nonce is the nonce of this entry's last claim; 0 if there is none or it was consumed.
 	nonce uint64
 }
@@ -97,6 +99,13 @@
 	e.lastHeartbeatMs = now
 }
 
+// holdOff keeps this entry from claiming until a boot time.
+func (e *election) holdOff(untilMs int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holdOffUntilMs = untilMs
+}
+
 // claimDue reports whether this entry should claim, and with which epoch. The argument larger is true if another entry is
 // known that is better suited because of its size.
 func (e *election) claimDue(larger bool) (uint64, bool) {
@@ -113,6 +122,9 @@
 	if larger {
 		wait += largerDelayMs
 	}
+	if e.caughtUpMs < e.holdOffUntilMs {
+		return 0, false
+	}
 	if e.caughtUpMs == 0 || e.caughtUpMs-e.lastHeartbeatMs < wait {
 		return 0, false
 	}
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -14,6 +14,7 @@
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/logevent"
 )
 
 const (
@@ -329,6 +330,7 @@
 			go func() {
 				release := sync.OnceFunc(func() { <-slots })
 				defer release()
+				defer e.log.Recover(logevent.ConnectionPanicked, logevent.Str("peer", conn.RemoteAddr().String()))
 				e.servePeer(ctx, conn, release)
 			}()
 		default:
--- a/fleet/entry/topicreader.go
+++ b/fleet/entry/topicreader.go
@@ -133,13 +133,33 @@
 	atEnd := page.Next >= page.End && page.Next >= r.next
 	r.next = max(r.next, page.Next)
 	if len(records) > 0 {
-		r.apply(records)
+		r.applyRecords(records)
 	} else if atEnd && r.onCaughtUp != nil {
 		r.onCaughtUp()
 	}
 	return len(records)
 }
 
+// applyRecords applies records. If that panics it applies them one by one, which is safe to repeat as a record replaces the
+// earlier one of its key, and skips those that panic.
+func (r *topicReader) applyRecords(records []work.Record) {
+	if r.tryApply(records) {
+		return
+	}
+	for i := range records {
+		if !r.tryApply(records[i : i+1]) {
+			r.log.Log(logevent.RecordUnreadable, logevent.Str("topic", r.topic), logevent.Str("key", records[i].Key))
+		}
+	}
+}
+
+// tryApply applies records and reports whether that did not panic.
+func (r *topicReader) tryApply(records []work.Record) (ok bool) {
+	defer r.log.Recover(logevent.RecordPanicked, logevent.Str("topic", r.topic), logevent.Int("records", len(records)))
+	r.apply(records)
+	return true
+}
+
 // fetch returns the next records, or the newest record of each key at first and after records have expired.
 func (r *topicReader) fetch(ctx context.Context, from int64, loaded bool, wait time.Duration) (work.Page, error) {
 	if loaded {
@@ -181,7 +201,7 @@
 func (r *topicReader) applyOwn(records []work.Record, end int64) {
 	r.applyMu.Lock()
 	if end > r.next {
-		r.apply(records)
+		r.applyRecords(records)
 		r.next = end
 	}
 	r.applyMu.Unlock()
--- a/fleet/entry/view.go
+++ b/fleet/entry/view.go
@@ -20,6 +20,8 @@
 	unsubmitted map[string]*jobView
 	// interferenceRecord is the newest stored interference estimate; nil if there is none.
 	interferenceRecord []byte
+	// excluded holds the jobs that deciders leave out because loading them panicked.
+	excluded map[string]bool
 	// onJobChange notifies the decider of submissions and cancellations, if set.
 	onJobChange func(id string, v jobView)
 }
@@ -35,7 +37,7 @@
 }
 
 func newView(log logevent.Logger) *view {
-	return &view{log: log, jobs: map[string]*jobView{}, unsubmitted: map[string]*jobView{}}
+	return &view{log: log, jobs: map[string]*jobView{}, unsubmitted: map[string]*jobView{}, excluded: map[string]bool{}}
 }
 
 // get returns a job's state.
@@ -76,6 +78,19 @@
 	return all
 }
 
+// exclude makes deciders leave out a job.
+func (v *view) exclude(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.excluded[id] = true
+}
+
+func (v *view) isExcluded(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.excluded[id]
+}
+
 // interference returns the stored interference estimate, or nil.
 func (v *view) interference() *work.Interference {
 	v.mu.Lock()
@@ -122,6 +137,7 @@
 	if len(r.Value) == 0 {
 		delete(v.jobs, id)
 		delete(v.unsubmitted, id)
+		delete(v.excluded, id)
 		return
 	}
 	if v.jobs[id] != nil {
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -128,6 +128,7 @@
 
 // serveDecider handles orders from a connection until it fails or a newer one replaces it.
 func (s *Side) serveDecider(ctx context.Context, conn net.Conn) {
+	defer s.log.Recover(logevent.ConnectionPanicked, logevent.Str("peer", conn.RemoteAddr().String()))
 	defer conn.Close()
 	var hello link.Hello
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -3,7 +3,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"runtime/debug"
 
 	"github.com/rs/zerolog"
 )
@@ -91,6 +93,7 @@
 	OtherDecider           = define(823, zerolog.InfoLevel, "another entry is the decider")
 	SideLinked             = define(824, zerolog.InfoLevel, "connection to a side process opened")
 	SideUnlinked           = define(825, zerolog.WarnLevel, "connection to a side process ended")
+	DeciderPanicked        = define(827, zerolog.ErrorLevel, "the decider failed unexpectedly and gave up its role")
 	BridgeOpened           = define(826, zerolog.WarnLevel, "a side process is reached through another entry")
 	JobAccepted            = define(830, zerolog.InfoLevel, "job accepted")
 	JobRefused             = define(831, zerolog.InfoLevel, "job refused; it does not run")
@@ -120,6 +123,8 @@
 	StartUnanswered        = define(868, zerolog.WarnLevel, "the worker did not answer a start")
 	RowsUnreadable         = define(869, zerolog.WarnLevel, "rows of the worker's list cannot be read and were skipped")
 	HandlerPanicked        = define(804, zerolog.ErrorLevel, "the handler of a request failed unexpectedly")
+	RecordPanicked         = define(805, zerolog.ErrorLevel, "handling a record failed unexpectedly; it was skipped")
+	ConnectionPanicked     = define(806, zerolog.ErrorLevel, "handling a connection failed unexpectedly; it was closed")
 	InstanceRefused        = define(106, zerolog.WarnLevel, "a message was refused because the certificate names another instance")
 )
 
@@ -162,6 +167,19 @@
 	line.Msg(e.Text)
 }
 
+// Recover logs a panic of the calling function as the event, with its reason and stack, and ends it. It has no effect without
+// a panic. It has to be deferred directly.
+func (l Logger) Recover(e Event, fields ...Field) {
+	if v := recover(); v != nil {
+		l.LogPanic(e, v, fields...)
+	}
+}
+
+// LogPanic logs a recovered panic with the stack of the calling goroutine.
+func (l Logger) LogPanic(e Event, v any, fields ...Field) {
+	l.Log(e, append(fields, Str("reason", fmt.Sprint(v)), Str("stack", string(debug.Stack())))...)
+}
+
 // Field adds a field to a log line.
 type Field func(*zerolog.Event) *zerolog.Event
 
