operator, dispatch: wait for silent processes, escape change ids, open occurrences in order

Ruled out: counting tasks on lost workers among those that a zone's outage moves; they are moved already.

Change: as the tests say, each named for its fault.

--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/verbenakeel/verbenakeel/fleet/work"
@@ -124,13 +126,19 @@
 	return nil
 }
 
-// openDueOccurrences opens the due occurrences of all jobs.
+// openDueOccurrences opens the due occurrences of all jobs, in the order of their IDs: the order in which stages are opened
+// decides ties, and the same events have to lead to the same decisions.
 func (s *State) openDueOccurrences() {
+	var due []*job
 	for _, j := range s.jobs {
 		if j.opened < j.def.Occurrences() {
-			s.openOccurrences(j)
+			due = append(due, j)
 		}
 	}
+	slices.SortFunc(due, func(a, b *job) int { return cmp.Compare(a.def.ID, b.def.ID) })
+	for _, j := range due {
+		s.openOccurrences(j)
+	}
 }
 
 // ready reports whether the stage is due and the steps that it depends on are done.
--- a/operator/config.go
+++ b/operator/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -139,7 +140,7 @@
 		return "no change to it is in force"
 	}
 	var won config.Outcome
-	if err := c.client.Get(ctx, "/v1/config/changes/"+out.WonBy, &won); err != nil {
+	if err := c.client.Get(ctx, "/v1/config/changes/"+url.PathEscape(out.WonBy), &won); err != nil {
 		return "change " + out.WonBy + " won"
 	}
 	return fmt.Sprintf("change %s by %s at %s won", out.WonBy, won.Change.Operator, formatTime(won.Change.AtMs))
@@ -211,9 +212,9 @@
 
 func (c *command) change(ctx context.Context) error {
 	var out config.Outcome
-	resp, _, err := c.client.send(ctx, c.client.Entries[0], "GET", "/v1/config/changes/"+c.args.Change.ID, nil)
+	resp, _, err := c.client.send(ctx, c.client.Entries[0], "GET", "/v1/config/changes/"+url.PathEscape(c.args.Change.ID), nil)
 	for i := 1; err != nil && i < len(c.client.Entries); i++ {
-		resp, _, err = c.client.send(ctx, c.client.Entries[i], "GET", "/v1/config/changes/"+c.args.Change.ID, nil)
+		resp, _, err = c.client.send(ctx, c.client.Entries[i], "GET", "/v1/config/changes/"+url.PathEscape(c.args.Change.ID), nil)
 	}
 	if err != nil {
 		return unavailableError(strings.Join(c.client.Entries, ", "), err)
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -82,7 +83,7 @@
 	here, elsewhere := make(map[string]int), make(map[string]int)
 	var services []string
 	for _, e := range f.endpoints {
-		if here[e.Service]+elsewhere[e.Service] == 0 {
+		if !slices.Contains(services, e.Service) {
 			services = append(services, e.Service)
 		}
 		if e.Zone == zone {
@@ -236,6 +237,12 @@
 			for _, id := range r.Behind {
 				behind[id] = true
 			}
+			for _, id := range r.Unresponsive {
+				behind[id+" (silent)"] = true
+			}
+			if err == nil && !r.Everyone && len(r.Behind)+len(r.Unresponsive) == 0 {
+				behind[base+" (not everywhere)"] = true
+			}
 		}
 		if len(behind) == 0 {
 			return c.print(map[string]any{"revision": revision, "everyone": true}, func(w io.Writer) {
--- a/operator/jobs.go
+++ b/operator/jobs.go
@@ -108,8 +108,11 @@
 
 func (c *command) printJob(a entry.JobAccount) error {
 	return c.print(a, func(w io.Writer) {
-		last := a.Job.History[len(a.Job.History)-1]
-		fmt.Fprintf(w, "job %s: %s, %d of %d tasks open; %s\n", a.Job.Spec.ID, a.Job.State, a.Job.Open, len(a.Job.Tasks), last.Cause)
+		last := "no history"
+		if n := len(a.Job.History); n > 0 {
+			last = a.Job.History[n-1].Cause
+		}
+		fmt.Fprintf(w, "job %s: %s, %d of %d tasks open; %s\n", a.Job.Spec.ID, a.Job.State, a.Job.Open, len(a.Job.Tasks), last)
 		if a.Waiting != "" {
 			fmt.Fprintln(w, "waits:", a.Waiting)
 		}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -17,6 +17,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/verbenakeel/verbenakeel/core/config"
+	"github.com/verbenakeel/verbenakeel/entry"
 	"github.com/verbenakeel/verbenakeel/record"
 )
 
@@ -155,11 +156,55 @@
 	code, text = run(t, "", false, "--entry", srv.URL, "--entry", "127.0.0.1:1", "wait", "--revision", "3", "--timeout", "300ms")
 	assert.Equal(t, code, 5, text)
 	assert.Assert(t, is.Contains(text, "http://127.0.0.1:1 (no answer)"))
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"revision":3,"everyone":false,"behind":[],"silent":["side-7"]}`)
+	}))
+	defer silent.Close()
+	code, text = run(t, "", false, "--entry", silent.URL, "wait", "--revision", "3", "--timeout", "300ms")
+	assert.Equal(t, code, 5, text)
+	assert.Assert(t, is.Contains(text, "side-7 (silent)"))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	assert.Assert(t, !sleepUntilPoll(ctx))
 }
 
+// Guards against a service that is listed twice among those that a zone's outage affects, because its first endpoint is
+// neither in the zone nor usable.
+func TestAffectedServicesAreListedOnce(t *testing.T) {
+	f := fleet{endpoints: []entry.EndpointView{
+		{Service: "s", Zone: "b", State: "draining"}, {Service: "s", Zone: "a", State: "up", Up: true}, {Service: "s", Zone: "b", State: "up", Up: true},
+	}}
+	assert.DeepEqual(t, f.affectedBy("a"), []string{"workers that get no new work: 0; tasks on them that are moved: 0",
+		"endpoints of service s here: 1; usable ones in other zones: 1"})
+}
+
+// Guards against a change ID that reaches another path or query of the entry.
+func TestChangeIDIsEscaped(t *testing.T) {
+	var asked string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = r.URL.Path
+		fmt.Fprint(w, `{"status":"accepted","revision":1}`)
+	}))
+	defer srv.Close()
+	_, text := run(t, "", false, "--entry", srv.URL, "change", "a/../b?c")
+	assert.Equal(t, asked, "/v1/config/changes/a/../b?c", text)
+}
+
+// Guards against a command that panics on a job without a history, after the command on it took effect.
+func TestJobWithoutHistoryIsPrinted(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			fmt.Fprint(w, `{"job":{"spec":{"id":"j"}}}`)
+			return
+		}
+		fmt.Fprint(w, `{"job":{"spec":{"id":"j"},"history":[{}]}}`)
+	}))
+	defer srv.Close()
+	code, text := run(t, "", false, "--entry", srv.URL, "--yes", "job", "cancel", "c/j")
+	assert.Equal(t, code, 0, text)
+	assert.Assert(t, is.Contains(text, "no history"))
+}
+
 // Guards against a status --watch that blocks on an unresponsive entry, exits when an entry fails, or continues although
 // the token is rejected.
 func TestStatusWatch(t *testing.T) {
