dispatch: a decider that is behind sheds CPU shares, then starts of late jobs

Ruled out: shedding reports, because a lease is renewed by their answers; shedding shares beside a latency-critical task over its target, because that task would be harmed for longer than the bound allows.

Change: the event loop tells the reducer the longest wait of the events that it has just handled.

--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -65,6 +65,9 @@
 
 // placeStage places the waiting tasks of a stage.
 func (s *State) placeStage(st *stage) {
+	if s.shedsStarts(st) {
+		return
+	}
 	if s.queue(st.job).Advice != nil && !s.hasTickets(st) {
 		return
 	}
--- a/fleet/dispatch/rebalance.go
+++ b/fleet/dispatch/rebalance.go
@@ -26,7 +26,7 @@
 // images share workers. They were placed before their images were measured, or when no better place was free.
 func (s *State) rebalance() {
 	now := s.now.BootMs
-	if len(s.sortedWorkers) == 0 || now-s.rebalancedMs < rebalanceIntervalMs || now-s.committedMs > maxStoreAgeMs {
+	if s.overload != keepsUp || len(s.sortedWorkers) == 0 || now-s.rebalancedMs < rebalanceIntervalMs || now-s.committedMs > maxStoreAgeMs {
 		return
 	}
 	var best move
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -351,6 +351,11 @@
 		sim.injectFaults(sw)
 		sim.report(sw)
 	}
+	if sim.faultFree {
+		sim.step(EventsWaited{})
+	} else {
+		sim.step(EventsWaited{Wait: eventWait(sim.now)})
+	}
 	sim.step(Place{})
 	if sim.now%100 == 0 {
 		sim.step(Tick{})
@@ -361,6 +366,18 @@
 	}
 }
 
+// eventWait returns how far the decider is behind at a time: for two of every ten seconds far enough to set fewer shares,
+// and for one to start fewer tasks.
+func eventWait(now int64) time.Duration {
+	switch now / 1000 % 10 {
+	case 3, 4:
+		return fewerSharesWait
+	case 5:
+		return fewerStartsWait
+	}
+	return 0
+}
+
 func (sim *simulation) runDelayedStarts() {
 	kept := sim.delayedStarts[:0]
 	for _, l := range sim.delayedStarts {
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -193,6 +193,8 @@
 	// rankedMs is when jobs were ranked, ranksStale is true if a stage was added since.
 	rankedMs   int64
 	ranksStale bool
+	// overload tells what is not done because the decider is behind.
+	overload overload
 	// readyStages and unfinishedJobs are buffers of place.
 	readyStages    []*stage
 	unfinishedJobs []*job
--- a/fleet/dispatch/throttle.go
+++ b/fleet/dispatch/throttle.go
@@ -30,6 +30,10 @@
 // updateCPUShares updates the interference model from a report and sets the CPU shares of best-effort tasks such that
 // the latency-critical tasks on the worker meet their targets.
 func (s *State) updateCPUShares(w *worker) {
+	if s.shedsShares(w) {
+		return
+	}
+	w.sharesSetMs = s.now.BootMs
 	bestEffort := w.runningBestEffort()
 	s.updateModel(w, bestEffort)
 	if len(bestEffort) == 0 {
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -57,6 +57,8 @@
 	ordersDone uint64
 	// reported is true if the side process knew its worker in the last report.
 	reported bool
+	// sharesSetMs is when CPU shares were last set on the worker.
+	sharesSetMs int64
 	// answeredReportMs is Report.SentMs of the newest report on this connection whose answer renewed the lease.
 	answeredReportMs int64
 	// tasks holds the tasks whose run may be active on the worker, sorted by name.
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -43,9 +43,11 @@
 	events chan queuedEvent
 	// maxWait and maxBatch are the longest wait of an event for the loop and the most events between two placement passes
 	// since the last fleet summary.
-	maxWait  time.Duration
-	maxBatch int
-	sides    map[string]*sideLink
+	maxWait time.Duration
+	// batchWait is the longest wait of the events since the last placement pass.
+	batchWait time.Duration
+	maxBatch  int
+	sides     map[string]*sideLink
 	// dialSide connects to the address of a side process without another entry.
 	dialSide func(ctx context.Context, address string) (net.Conn, error)
 
@@ -194,8 +196,10 @@
 		select {
 		case <-d.ctx.Done():
 		case ev := <-d.events:
+			d.batchWait = 0
 			d.handle(ev)
 			d.handleQueued()
+			d.applyEvent(dispatch.EventsWaited{Wait: d.batchWait})
 			d.applyEvent(dispatch.Place{})
 		case <-ticker.C:
 			d.applyEvent(dispatch.Tick{})
@@ -240,7 +244,7 @@
 // handle handles an event and records how long it has waited. A decider that falls behind shows there first.
 func (d *decider) handle(ev queuedEvent) {
 	wait := time.Since(ev.queued)
-	d.maxWait = max(d.maxWait, wait)
+	d.maxWait, d.batchWait = max(d.maxWait, wait), max(d.batchWait, wait)
 	d.entry.meters.eventWait.Record(wait)
 	ev.handle()
 }
