--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -376,6 +377,56 @@
 	assert.Equal(t, len(started), 2, "runs started: %v", started)
 }
 
+// Guards against a job that does not go on after the loss of all entries at once, none of which could resign.
+func TestJobSurvivesLossOfAllEntries(t *testing.T) {
+	s := newSite(t)
+	var stops []func()
+	for i := range 3 {
+		_, stop := s.entry(fmt.Sprintf("entry-%d", i))
+		stops = append(stops, stop)
+	}
+	first, stop := s.entry("entry-3")
+	stops = append(stops, stop)
+	w := s.worker("side-1")
+	status, _, _ := s.call(first, http.MethodPost, jobPath, jobBody)
+	assert.Equal(t, status, http.StatusOK)
+	s.until("both tasks to run", func() bool { return len(running(w)) == 2 })
+
+	s.setFault(platformtest.Hang, platformtest.PathAppend)
+	var ended sync.WaitGroup
+	for _, stop := range stops {
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			stop()
+		}()
+	}
+	ended.Wait()
+	s.setFault(platformtest.None, "")
+	began := time.Now()
+	var entries []*Entry
+	for i := range 4 {
+		e, _ := s.entry(fmt.Sprintf("entry-%d", i))
+		entries = append(entries, e)
+	}
+	s.until("a decider", func() bool { return deciders(entries...) == 1 })
+	t.Logf("a decider after %s", time.Since(began))
+	s.until("the job's completion", func() bool {
+		w.Lock()
+		runs := maps.Clone(w.Running) // the leases of the first runs may have ended, after which they run again
+		w.Unlock()
+		for name, run := range runs {
+			w.Finish(name, run)
+		}
+		_, body, _ := s.call(entries[0], http.MethodGet, jobPath, "")
+		return body == `{"state":"completed"}`
+	})
+	assert.Assert(t, time.Since(began) < recoveryBound, "recovery took %s", time.Since(began))
+}
+
+// recoveryBound is the shortest time of the deployments within which work goes on after the loss of all instances.
+const recoveryBound = 12 * time.Second
+
 // Guards against an entry that claims because the store does not answer it: the decider may be healthy.
 func TestStoreOutageDoesNotTriggerClaim(t *testing.T) {
 	set := settings.DefaultFleet()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -137,6 +139,37 @@
 	}
 }
 
+// onState checks the answer of an entry about an accepted job and reports whether the job has not ended.
+func (c *checker) onState(id string, j *submission, status int, data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var answer struct {
+		State string `json:"state"`
+	}
+	if status == http.StatusOK {
+		if err := json.Unmarshal(data, &answer); err != nil {
+			c.reportf("MIXED: the state of %s cannot be decoded: %s", id, data)
+		}
+	}
+	switch {
+	case status == http.StatusGone:
+		c.reportf("LOST: %s was accepted, but the entry reports that it does not exist", id)
+	case answer.State == "completed":
+		for step, count := range j.steps {
+			for k := range count {
+				if name := fmt.Sprintf("%s.0.%d.%d", id, step, k); !c.done[name] {
+					c.reportf("MIXED: %s is completed, but task %s is not done", id, name)
+				}
+			}
+		}
+	case answer.State == "cancelled" && j.cancelled.IsZero():
+		// The answer to the cancellation may have been lost.
+	case answer.State != "failed" && answer.State != "cancelled":
+		return true
+	}
+	return false
+}
+
 // checkRefusals checks that no task was done of a job whose submissions were all refused.
 func (c *checker) checkRefusals() {
 	c.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -328,32 +329,9 @@
 	for id, j := range jobs {
 		i++
 		status, data := d.exchange(client, d.entries[i%len(d.entries)], http.MethodGet, "/q/"+id, nil)
-		var answer struct {
-			State string `json:"state"`
-		}
-		d.checker.mu.Lock()
-		if status == http.StatusOK {
-			if err := json.Unmarshal(data, &answer); err != nil {
-				d.checker.reportf("MIXED: the state of %s cannot be decoded: %s", id, data)
-			}
-		}
-		switch {
-		case status == http.StatusGone:
-			d.checker.reportf("LOST: %s was accepted, but the entry reports that it does not exist", id)
-		case answer.State == "completed":
-			for step, count := range j.steps {
-				for k := range count {
-					if name := fmt.Sprintf("%s.0.%d.%d", id, step, k); !d.checker.done[name] {
-						d.checker.reportf("MIXED: %s is completed, but task %s is not done", id, name)
-					}
-				}
-			}
-		case answer.State == "cancelled" && j.cancelled.IsZero():
-			// The answer to the cancellation may have been lost.
-		case answer.State != "failed" && answer.State != "cancelled":
+		if d.checker.onState(id, j, status, data) {
 			unfinished = append(unfinished, id)
 		}
-		d.checker.mu.Unlock()
 	}
 	return unfinished
 }
@@ -402,9 +380,37 @@
 				c.onForget(task, run+1, "failed")
 			}
 		},
+		"LOST": func(c *checker) { c.onState("0000000100000000", c.jobs["0000000100000000"], http.StatusGone, nil) },
+		"MIXED state": func(c *checker) {
+			c.onState("0000000100000000", c.jobs["0000000100000000"], http.StatusOK, []byte("{"))
+		},
+		"MIXED completed": func(c *checker) {
+			c.onEnd(task, 1, "done")
+			c.onState("0000000100000000", c.jobs["0000000100000000"], http.StatusOK, []byte(`{"state":"completed"}`))
+		},
 	} {
 		c := fresh()
 		act(c)
-		assert.Assert(t, len(c.problems) > 0, "%s was not reported", what)
+		assert.Equal(t, len(c.problems), 1, "%s: %v", what, c.problems)
+		rule, _, _ := strings.Cut(what, " ")
+		assert.Assert(t, strings.HasPrefix(c.problems[0], rule), "%s was reported as %s", what, c.problems[0])
 	}
+	c := fresh()
+	for _, state := range []string{"queued", "running"} {
+		assert.Assert(t, c.onState("0000000100000000", c.jobs["0000000100000000"], http.StatusOK, []byte(`{"state":"`+state+`"}`)), "a job that is %s has not ended", state)
+	}
+	assert.Assert(t, c.onState("0000000100000000", c.jobs["0000000100000000"], 0, nil), "a job whose state is unknown has not ended")
+	assert.Equal(t, len(c.problems), 0, "%v", c.problems)
+}
+
+// Guards against a soak that does not notice a process that ends by itself.
+func TestEndedProcessIsReported(t *testing.T) {
+	d := &deployment{t: t, checker: newChecker(), group: launch.ForTest(t)}
+	n := &node{deployment: d, name: "entry-0"}
+	p, err := d.group.Start(launch.Spec{Name: n.name, Path: os.Args[0], Args: []string{"-test.run", "^$"}})
+	assert.NilError(t, err)
+	n.process = p
+	n.watch(p)
+	assert.Equal(t, len(d.checker.problems), 1)
+	assert.Assert(t, strings.HasPrefix(d.checker.problems[0], "ENDED: entry-0"), "%v", d.checker.problems)
 }
--- a/testkit/history/check_test.go
+++ b/testkit/history/check_test.go
@@ -177,6 +177,7 @@
 }
 
 // Guards against a rule without a case that violates it.
+// RequestAfterShutdown and RequestInterrupted have theirs in the tests of package side.
 func TestEveryRuleHasABadHistory(t *testing.T) {
 	fired := map[Rule]bool{}
 	for _, tc := range cases {
@@ -184,7 +185,7 @@
 	}
 	for _, rule := range []Rule{Malformed, ExecutedTwice, NotRunExecuted, AnswerCorrupt, AnswerMismatched, AnswersDiffer,
 		TaskOverlap, NotResumed, ResumedTwice, StartInZoneOut, OverCapacity, JobUnaccounted, JobAccountChanged,
-		RevisionDecreased, ChangeNotPropagated} {
+		RevisionDecreased, ChangeNotPropagated, UpdateLost, RecordAppliedTwice} {
 		assert.Assert(t, fired[rule], "no case for %q", rule)
 	}
 }
