--- /dev/null
+++ b/review/standin/worker.go
@@ -0,0 +1,429 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// heartbeatEvery is the interval between the heartbeats of a worker.
+	heartbeatEvery = 1500 * time.Millisecond
+	// maxLease is the longest lease that a worker grants.
+	maxLease = 10 * time.Second
+	// stopTime is the time that a stop takes.
+	stopTime = 50 * time.Millisecond
+	// listedEnds is the number of ends that a worker lists in one answer.
+	listedEnds = 500
+	// startup is the time after which a task that lasts is at work.
+	startup = 400 * time.Millisecond
+)
+
+// taskSize is what a worker knows of a task from its spec.
+type taskSize struct {
+	cpu, memMB int64
+	// duration is how long the task works, spread by how much that differs between the tasks of a step.
+	duration, spread time.Duration
+}
+
+// worker is a stand-in of the platform's worker on the machine of a side process. It guards its capacity.
+type worker struct {
+	rec      *record
+	runs     *runLog
+	machine  string
+	zone     string
+	labels   []string
+	cpu, mem int64
+	// address is where it accepts calls, control where it sends heartbeats.
+	address, control string
+	// size returns the size of a task.
+	size func(task string) taskSize
+	// late returns for how long the start of a run gets no answer; it is carried out after that. 0 means that it is answered.
+	late func(task string, run int) time.Duration
+
+	server *http.Server
+
+	mu sync.Mutex
+	// up is false while the worker is crashed.
+	up bool
+	// life counts incarnations.
+	life      int
+	id        string
+	born      int64
+	bootedAt  time.Time
+	seq       int64
+	fence     uint64
+	running   map[string]*activeRun
+	ended     []endedRun
+	forgotten int
+	highest   map[string]int
+	changed   chan struct{}
+	died      chan struct{}
+}
+
+type activeRun struct {
+	run      int
+	size     taskSize
+	started  time.Time
+	lease    time.Time
+	stopping bool
+}
+
+type endedRun struct {
+	task string
+	run  int
+	how  string
+}
+
+func newWorker(rec *record, runs *runLog, machine, zone string, labels []string, address, control string) (*worker, error) {
+	w := &worker{rec: rec, runs: runs, machine: machine, zone: zone, labels: labels, cpu: 16000, mem: 64000, address: address, control: control}
+	if err := w.listen(); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// listen accepts calls of the side process.
+func (w *worker) listen() error {
+	ln, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return fmt.Errorf("listen for the calls of a side process: %w", err)
+	}
+	w.server = serve(ln, http.HandlerFunc(w.serveHTTP))
+	return nil
+}
+
+// boot starts an incarnation of the worker with a new id.
+func (w *worker) boot() { w.bootAs(fmt.Sprintf("i-%s-%d", w.machine, w.life+1), 0) }
+
+// bootAs starts an incarnation of the worker with the id, which sends its first heartbeat after a pause.
+func (w *worker) bootAs(id string, pause time.Duration) {
+	w.mu.Lock()
+	w.life++
+	w.up, w.id, w.bootedAt = true, id, time.Now()
+	w.born, w.seq, w.fence, w.forgotten = w.bootedAt.UnixMilli(), 0, 0, 0
+	w.running, w.ended, w.highest = map[string]*activeRun{}, nil, map[string]int{}
+	w.changed, w.died = make(chan struct{}), make(chan struct{})
+	life, born := w.life, w.born
+	w.mu.Unlock()
+	w.rec.printf("worker %s: starts as %s, born %d", w.machine, id, born)
+	go func() {
+		time.Sleep(pause)
+		w.sendHeartbeats(life)
+	}()
+	go w.tick(life)
+}
+
+// crash ends the process of the worker: its connections are reset and new ones refused, until it boots.
+func (w *worker) crash() {
+	w.die("its connections are reset")
+	_ = w.server.Close()
+}
+
+// crashDark ends the incarnation, and the machine leaves connections unanswered until the worker boots.
+func (w *worker) crashDark() { w.die("its machine answers nothing") }
+
+func (w *worker) die(how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task, r := range w.running {
+		w.runs.add(w, "end", task, r.run, "gone")
+	}
+	w.up, w.running = false, map[string]*activeRun{}
+	close(w.died)
+	w.rec.printf("worker %s: crashes, %s", w.machine, how)
+}
+
+func (w *worker) isLife(life int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.up && w.life == life
+}
+
+func (w *worker) sendHeartbeats(life int) {
+	client := &http.Client{Timeout: time.Second}
+	for w.isLife(life) {
+		w.mu.Lock()
+		w.seq++
+		body := encode(map[string]any{"service": serviceName, "addr": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
+			"cold_left_ms": 0, "capacity": map[string]any{"cpu": w.cpu, "mem_mb": w.mem, "gpu": 0}, "labels": w.labels,
+			"clock_ms": w.clockMs(), "seq": w.seq, "born": w.born})
+		id, seq := w.id, w.seq
+		w.mu.Unlock()
+		if seq == 1 {
+			w.rec.printf("worker %s: sends its first heartbeat", id)
+		}
+		pause := heartbeatEvery
+		resp, err := client.Post("http://"+w.control+"/-/Instances.Heartbeat/"+id, "application/json", bytes.NewReader(body))
+		if err != nil {
+			pause = heartbeatEvery / 5
+		} else {
+			_ = resp.Body.Close()
+		}
+		time.Sleep(pause)
+	}
+}
+
+// clockMs returns the worker's own clock.
+func (w *worker) clockMs() int64 { return 100_000 + time.Since(w.bootedAt).Milliseconds() }
+
+// tick ends runs that are done or whose lease has expired.
+func (w *worker) tick(life int) {
+	for w.isLife(life) {
+		w.mu.Lock()
+		w.settle()
+		w.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (w *worker) settle() {
+	now := time.Now()
+	var tasks []string
+	for task := range w.running {
+		tasks = append(tasks, task)
+	}
+	sort.Strings(tasks)
+	for _, task := range tasks {
+		r := w.running[task]
+		done := r.started.Add(r.size.duration)
+		switch {
+		case now.After(done) && done.Before(r.lease):
+			w.end(task, "done")
+		case now.After(r.lease):
+			w.end(task, "lapsed")
+		}
+	}
+}
+
+func (w *worker) end(task, how string) {
+	r := w.running[task]
+	delete(w.running, task)
+	w.highest[task] = max(w.highest[task], r.run)
+	w.ended = append(w.ended, endedRun{task, r.run, how})
+	w.runs.add(w, "end", task, r.run, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// call is the body of a call, with the fields of all paths.
+type call struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Fence      uint64 `json:"fence"`
+	DeadlineMs int64  `json:"deadline_ms"`
+	SeenUpto   int    `json:"seen_upto"`
+	WaitMs     int64  `json:"wait_ms"`
+}
+
+func (w *worker) serveHTTP(rw http.ResponseWriter, r *http.Request) {
+	var c call
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	up, life, died := w.up, w.life, w.died
+	w.mu.Unlock()
+	if !up {
+		<-r.Context().Done() // the machine is silent; the call is never carried out
+		return
+	}
+	if want := r.Header.Get("Verbenakeel-Expect-Instance"); want != "" && want != w.currentID() {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/-/run-start" && w.late != nil {
+		if delay := w.late(c.Task, c.Run); delay > 0 {
+			w.rec.printf("worker %s: leaves the start of %s run %d unanswered", w.machine, c.Task, c.Run)
+			time.Sleep(delay)
+			if w.isLife(life) {
+				status, answer := w.carryOut(r.URL.Path, &c)
+				w.rec.printf("worker %s: carries out the start of %s run %d late: %d %s", w.machine, c.Task, c.Run, status, encode(answer))
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+	status, answer := w.carryOut(r.URL.Path, &c)
+	if r.URL.Path == "/-/hold" && status == http.StatusOK {
+		w.awaitEnd(r, time.Duration(min(c.WaitMs, 2000))*time.Millisecond)
+		answer = w.lists()
+	}
+	select {
+	case <-died:
+		panic(http.ErrAbortHandler)
+	default:
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	_, _ = rw.Write(encode(answer))
+}
+
+func (w *worker) currentID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id
+}
+
+// carryOut carries out a call and returns its answer.
+func (w *worker) carryOut(path string, c *call) (int, map[string]any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	answer := map[string]any{"clock_ms": w.clockMs(), "born": w.born}
+	refuse := func(reason string) (int, map[string]any) {
+		answer["reason"] = reason
+		return http.StatusConflict, answer
+	}
+	if c.Fence < w.fence {
+		return refuse("fence")
+	}
+	w.fence = c.Fence
+	switch path {
+	case "/-/run-start":
+		w.extend(c.DeadlineMs)
+		switch r := w.running[c.Task]; {
+		case r != nil && r.run == c.Run:
+			return http.StatusOK, answer
+		case c.Run <= w.highest[c.Task] || r != nil:
+			return refuse("old")
+		case c.DeadlineMs <= w.clockMs():
+			return refuse("late")
+		}
+		size := w.size(c.Task)
+		if !w.hasRoom(size) {
+			return refuse("room")
+		}
+		w.running[c.Task] = &activeRun{run: c.Run, size: size, started: time.Now(), lease: w.leaseEnd(c.DeadlineMs)}
+		w.runs.add(w, "start", c.Task, c.Run, "")
+	case "/-/run-stop":
+		w.highest[c.Task] = max(w.highest[c.Task], c.Run)
+		if r := w.running[c.Task]; r != nil && r.run <= c.Run && !r.stopping {
+			r.stopping = true
+			run, life := r.run, w.life
+			time.AfterFunc(stopTime, func() { w.finishStop(life, c.Task, run) })
+		}
+	case "/-/hold":
+		w.extend(c.DeadlineMs)
+		for ; w.forgotten < min(c.SeenUpto, len(w.ended)); w.forgotten++ {
+			e := w.ended[w.forgotten]
+			w.runs.add(w, "noted", e.task, e.run, e.how)
+		}
+	case "/-/pace":
+	default:
+		return http.StatusNotFound, answer
+	}
+	return http.StatusOK, answer
+}
+
+func (w *worker) finishStop(life int, task string, run int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.running[task]; w.life == life && r != nil && r.run == run {
+		w.end(task, "stopped")
+	}
+}
+
+func (w *worker) leaseEnd(deadlineMs int64) time.Time {
+	left := min(time.Duration(deadlineMs-w.clockMs())*time.Millisecond, maxLease)
+	return time.Now().Add(left)
+}
+
+// extend extends the leases of all runs; a deadline never shortens one.
+func (w *worker) extend(deadlineMs int64) {
+	if deadlineMs == 0 {
+		return
+	}
+	until := w.leaseEnd(deadlineMs)
+	for _, r := range w.running {
+		if until.After(r.lease) {
+			r.lease = until
+		}
+	}
+}
+
+func (w *worker) hasRoom(size taskSize) bool {
+	cpu, mem := size.cpu, size.memMB
+	for _, r := range w.running {
+		cpu, mem = cpu+r.size.cpu, mem+r.size.memMB
+	}
+	return cpu <= w.cpu && mem <= w.mem
+}
+
+// awaitEnd waits until an end is listed that was not forgotten.
+func (w *worker) awaitEnd(r *http.Request, wait time.Duration) {
+	w.mu.Lock()
+	listed, changed, died := len(w.ended) > w.forgotten, w.changed, w.died
+	w.mu.Unlock()
+	if listed || wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-died:
+	case <-r.Context().Done():
+	}
+}
+
+// lists returns the running runs and the first ends that were not forgotten.
+func (w *worker) lists() map[string]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	running, ended := [][]any{}, [][]any{}
+	for task, r := range w.running {
+		percent := min(100*time.Since(r.started)/max(r.size.duration, startup), 99)
+		running = append(running, []any{task, r.run, "", int64(percent), r.size.cpu})
+	}
+	for i := w.forgotten; i < len(w.ended) && len(ended) < listedEnds; i++ {
+		e := w.ended[i]
+		ended = append(ended, []any{i + 1, e.task, e.run, e.how, ""})
+	}
+	return map[string]any{"clock_ms": w.clockMs(), "born": w.born, "running": running, "ended": ended}
+}
+
+// runLog holds what happened to runs on all workers, in its order.
+type runLog struct {
+	rec *record
+
+	mu     sync.Mutex
+	events []runEvent
+}
+
+// runEvent is the start, the end or the taking note of the end of a run.
+type runEvent struct {
+	at      time.Time
+	worker  string
+	kind    string
+	task    string
+	run     int
+	outcome string
+}
+
+func (l *runLog) add(w *worker, kind, task string, run int, outcome string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = append(l.events, runEvent{time.Now(), w.id, kind, task, run, outcome})
+	l.rec.printf("worker %s: %s %s run %d %s", w.id, kind, task, run, outcome)
+}
+
+// of returns the events of the tasks whose names begin with a prefix.
+func (l *runLog) of(prefix string) []runEvent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []runEvent
+	for _, e := range l.events {
+		if strings.HasPrefix(e.task, prefix) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
