--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,6 +15,7 @@
 	"pending":     {labels: oneOfKindB(), play: playPending},
 	"same-id":     {labels: oneOfKindB(), play: playSameID},
 	"evacuation":  {labels: oneOfKindB(), play: playEvacuation},
+	"gang":        {labels: plainLabels(6), play: playGang},
 	"orders-done": {labels: oneOfKindB(), play: playOrdersDone},
 }
 
@@ -299,3 +300,43 @@
 	}
 	return []string{fmt.Sprintf("LOST: job %s has nothing running 30 s after it was accepted, and the worker that may run it is free, in a zone that was taken back 36 s ago", id)}, nil
 }
+
+// playGang crashes a worker that runs a member of a gang, and looks at the checkpoints with which the gang starts again.
+func playGang(d *deployment, trouble bool) ([]string, error) {
+	const id = "a0c0000000000501"
+	job := submission{Spec: "model", Steps: []step{{Count: 6, CPU: 9000, MemMB: 4096, EstMs: 9000, Gang: true, Saves: true}}}
+	if err := d.submit(id, job); err != nil {
+		return nil, err
+	}
+	time.Sleep(4500 * time.Millisecond)
+	if trouble {
+		d.workers[0].crash()
+		for _, w := range d.workers[1:] {
+			w.breakGang(id + ".")
+		}
+		time.Sleep(time.Second)
+		if err := d.workers[0].listen(); err != nil {
+			return nil, err
+		}
+		d.workers[0].boot()
+	}
+	if !d.awaitState(id, "completed", 40*time.Second) {
+		return nil, errors.New("wait for the gang: it is not completed 40 s later")
+	}
+	carried := map[int]map[string]bool{}
+	for _, e := range d.runs.of(id + ".") {
+		if e.kind == "start" {
+			if carried[e.run] == nil {
+				carried[e.run] = map[string]bool{}
+			}
+			carried[e.run][e.outcome] = true
+		}
+	}
+	var broken []string
+	for run, values := range carried {
+		if len(values) > 1 {
+			broken = append(broken, fmt.Sprintf("UNASKED: the members of run %d of the gang are started with %d different checkpoints", run, len(values)))
+		}
+	}
+	return broken, nil
+}
--- a/review/standin/deploy.go
+++ b/review/standin/deploy.go
@@ -311,13 +311,14 @@
 
 // step is a step of a submission.
 type step struct {
-	Count       int    `json:"count"`
-	CPU         int64  `json:"cpu"`
-	MemMB       int64  `json:"mem_mb"`
-	EstMs       int64  `json:"est_ms"`
-	DependsOn   []int  `json:"depends_on,omitempty"`
-	Requires    string `json:"requires,omitempty"`
-	LongRunning bool   `json:"long_running,omitempty"`
+	Count     int    `json:"count"`
+	CPU       int64  `json:"cpu"`
+	MemMB     int64  `json:"mem_mb"`
+	EstMs     int64  `json:"est_ms"`
+	DependsOn []int  `json:"depends_on,omitempty"`
+	Requires  string `json:"requires,omitempty"`
+	Gang      bool   `json:"gang,omitempty"`
+	Saves     bool   `json:"checkpointable,omitempty"`
 	// spread is by how much the durations of the tasks differ.
 	spread time.Duration
 }
@@ -336,7 +337,7 @@
 func (d *deployment) submit(id string, job submission) error {
 	d.mu.Lock()
 	for _, s := range job.Steps {
-		d.jobs[id] = append(d.jobs[id], taskSize{cpu: s.CPU, memMB: s.MemMB, duration: time.Duration(s.EstMs) * time.Millisecond, spread: s.spread})
+		d.jobs[id] = append(d.jobs[id], taskSize{cpu: s.CPU, memMB: s.MemMB, duration: time.Duration(s.EstMs) * time.Millisecond, spread: s.spread, saves: s.Saves})
 	}
 	d.mu.Unlock()
 	for try := 0; try < 8; try++ {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -21,12 +21,16 @@
 	stopTime = 50 * time.Millisecond
 	// listedEnds is the number of ends that a worker lists in one answer.
 	listedEnds = 500
+	// checkpointEvery is the work after which a task produces a new checkpoint.
+	checkpointEvery = 2 * time.Second
 	// startup is the time after which a task that lasts is at work.
 	startup = 400 * time.Millisecond
 )
 
 // taskSize is what a worker knows of a task from its spec.
 type taskSize struct {
+	// saves is true for a task that checkpoints its progress, every checkpointEvery of work.
+	saves      bool
 	cpu, memMB int64
 	// duration is how long the task works, spread by how much that differs between the tasks of a step.
 	duration, spread time.Duration
@@ -73,12 +77,23 @@
 	started  time.Time
 	lease    time.Time
 	stopping bool
+	// saved is the checkpoint that the start carried.
+	saved string
+}
+
+// checkpoint returns the newest checkpoint of a run.
+func (r *activeRun) checkpoint(task string) string {
+	if n := time.Since(r.started) / checkpointEvery; r.size.saves && n > 0 {
+		return fmt.Sprintf("%s-%d-%d", task[strings.LastIndex(task, ".")+1:], r.run, n)
+	}
+	return r.saved
 }
 
 type endedRun struct {
-	task string
-	run  int
-	how  string
+	task  string
+	run   int
+	how   string
+	saved string
 }
 
 func newWorker(rec *record, runs *runLog, machine, zone string, labels []string, address, control string) (*worker, error) {
@@ -206,7 +221,7 @@
 	r := w.running[task]
 	delete(w.running, task)
 	w.highest[task] = max(w.highest[task], r.run)
-	w.ended = append(w.ended, endedRun{task, r.run, how})
+	w.ended = append(w.ended, endedRun{task, r.run, how, r.checkpoint(task)})
 	w.runs.add(w, "end", task, r.run, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -220,6 +235,8 @@
 	DeadlineMs int64  `json:"deadline_ms"`
 	SeenUpto   int    `json:"seen_upto"`
 	WaitMs     int64  `json:"wait_ms"`
+	// Checkpointed is the checkpoint to resume from.
+	Checkpointed string `json:"checkpointed"`
 }
 
 func (w *worker) serveHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -300,8 +317,8 @@
 		if !w.hasRoom(size) {
 			return refuse("room")
 		}
-		w.running[c.Task] = &activeRun{run: c.Run, size: size, started: time.Now(), lease: w.leaseEnd(c.DeadlineMs)}
-		w.runs.add(w, "start", c.Task, c.Run, "")
+		w.running[c.Task] = &activeRun{run: c.Run, size: size, started: time.Now(), lease: w.leaseEnd(c.DeadlineMs), saved: c.Checkpointed}
+		w.runs.add(w, "start", c.Task, c.Run, c.Checkpointed)
 	case "/-/run-stop":
 		w.highest[c.Task] = max(w.highest[c.Task], c.Run)
 		if r := w.running[c.Task]; r != nil && r.run <= c.Run && !r.stopping {
@@ -322,6 +339,22 @@
 	return http.StatusOK, answer
 }
 
+// breakGang ends the runs of a gang of which a member has ended.
+func (w *worker) breakGang(prefix string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var tasks []string
+	for task := range w.running {
+		if strings.HasPrefix(task, prefix) {
+			tasks = append(tasks, task)
+		}
+	}
+	sort.Strings(tasks)
+	for _, task := range tasks {
+		w.end(task, "broken")
+	}
+}
+
 func (w *worker) finishStop(life int, task string, run int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -381,11 +414,11 @@
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range w.running {
 		percent := min(100*time.Since(r.started)/max(r.size.duration, startup), 99)
-		running = append(running, []any{task, r.run, "", int64(percent), r.size.cpu})
+		running = append(running, []any{task, r.run, r.checkpoint(task), int64(percent), r.size.cpu})
 	}
 	for i := w.forgotten; i < len(w.ended) && len(ended) < listedEnds; i++ {
 		e := w.ended[i]
-		ended = append(ended, []any{i + 1, e.task, e.run, e.how, ""})
+		ended = append(ended, []any{i + 1, e.task, e.run, e.how, e.saved})
 	}
 	return map[string]any{"clock_ms": w.clockMs(), "born": w.born, "running": running, "ended": ended}
 }
