--- a/fleet/entry/firstread_test.go
+++ b/fleet/entry/firstread_test.go
@@ -24,18 +24,18 @@
 	released chan struct{}
 }
 
-func (u *unreadTopic) Newest(ctx context.Context, topic string) (work.Page, error) {
+func (u *unreadTopic) Newest(ctx context.Context, topic string) (work.Snapshot, error) {
 	if topic == u.topic {
 		select {
 		case <-u.released:
 		default:
 			if u.down {
-				return work.Page{}, errdefs.New(errdefs.Unavailable, "the store is down", "try again later")
+				return work.Snapshot{}, errdefs.New(errdefs.Unavailable, "the store is down", "try again later")
 			}
 			select {
 			case <-u.released:
 			case <-ctx.Done():
-				return work.Page{}, errdefs.New(errdefs.Unknown, ctx.Err().Error(), "try again later")
+				return work.Snapshot{}, errdefs.New(errdefs.Unknown, ctx.Err().Error(), "try again later")
 			}
 		}
 	}
@@ -133,7 +133,9 @@
 	return p(from), nil
 }
 
-func (p pageStore) Newest(context.Context, string) (work.Page, error) { return p(0), nil }
+func (p pageStore) Newest(context.Context, string) (work.Snapshot, error) {
+	return work.Snapshot{Records: p(0).Records, Next: p(0).End}, nil
+}
 
 // Guards against an election that is held up by requests for states: a read that its caller gives up, as from a slow
 // store, is no failure of the topic's reader, which would start the time without a decider anew.
@@ -163,7 +165,9 @@
 	return work.Page{}, f()
 }
 
-func (f failingStore) Newest(context.Context, string) (work.Page, error) { return work.Page{}, f() }
+func (f failingStore) Newest(context.Context, string) (work.Snapshot, error) {
+	return work.Snapshot{}, f()
+}
 
 // Guards against one odd record that ends every entry that reads it, or hides the records behind it: a job with billions
 // of tasks, one whose step depends on itself, one under another key, and an address with a port out of range.
--- a/fleet/entry/metrics.go
+++ b/fleet/entry/metrics.go
@@ -84,7 +84,7 @@
 	return got, err
 }
 
-func (t *timedStore) Newest(ctx context.Context, topic string) (work.Page, error) {
+func (t *timedStore) Newest(ctx context.Context, topic string) (work.Snapshot, error) {
 	began := time.Now()
 	got, err := t.store.Newest(ctx, topic)
 	t.record("newest", began, err)
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -274,14 +274,14 @@
 }
 
 // Newest implements work.Store.
-func (r *relay) Newest(ctx context.Context, topic string) (work.Page, error) {
+func (r *relay) Newest(ctx context.Context, topic string) (work.Snapshot, error) {
 	sent := clock.BootMs()
 	reply, err := r.call(ctx, link.PeerCall{Newest: topic}, newestTimeout, func() (link.PeerReply, error) {
-		page, err := r.direct.Newest(ctx, topic)
-		return link.PeerReply{Page: page}, err
+		snapshot, err := r.direct.Newest(ctx, topic)
+		return link.SnapshotReply(snapshot), err
 	})
 	r.recordTopic(ctx, topic, sent, err)
-	return reply.Page, err
+	return reply.Snapshot(), err
 }
 
 // callPeer sends a call to another entry.
@@ -380,7 +380,9 @@
 	case call.Read != nil:
 		reply.Page, err = e.relay.direct.Read(ctx, call.Read.Topic, call.Read.From, min(call.Read.Wait, readWait))
 	default:
-		reply.Page, err = e.relay.direct.Newest(ctx, call.Newest)
+		var snapshot work.Snapshot
+		snapshot, err = e.relay.direct.Newest(ctx, call.Newest)
+		reply.Page = link.SnapshotReply(snapshot).Page
 	}
 	return err
 }
--- a/fleet/entry/relay_test.go
+++ b/fleet/entry/relay_test.go
@@ -40,8 +40,8 @@
 	return work.Page{Next: 7, End: 7, Records: []work.Record{{Key: "k", Value: []byte("v"), Offset: 6}}}, s.err
 }
 
-func (s *scriptedStore) Newest(context.Context, string) (work.Page, error) {
-	return work.Page{Next: 9}, s.err
+func (s *scriptedStore) Newest(context.Context, string) (work.Snapshot, error) {
+	return work.Snapshot{Next: 9}, s.err
 }
 
 func refusal() error { return errdefs.New(errdefs.Unavailable, "refused", "try later") }
--- a/fleet/entry/topicreader.go
+++ b/fleet/entry/topicreader.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +21,9 @@
 	readWait = 900 * time.Millisecond
 )
 
-// topicReader reads a topic: first a snapshot with the newest record of each key, then all later records.
+// topicReader reads a topic: first a snapshot with the newest record of each key, then all later records. After records have
+// expired that were not read, it reads another snapshot and applies what differs, as records: a key that is absent from the
+// snapshot is applied as a tombstone.
 type topicReader struct {
 	topic string
 	store work.Store
@@ -34,10 +38,14 @@
 	onCaughtUp, onFailure func()
 
 	// applyMu serializes the application of records: a refresh for a caller runs concurrently with the long poll of run. It
-	// guards next and loaded.
+	// guards next, loaded and offsets.
 	applyMu sync.Mutex
-	next    int64
-	loaded  bool
+	// next is the offset below which the effect of every record was applied.
+	next int64
+	// loaded is false until a snapshot was applied, at first and after records from next on have expired.
+	loaded bool
+	// offsets holds, for each key that the topic has as of the applied records, the offset of its newest applied record.
+	offsets map[string]int64
 
 	// sharedMu serializes refreshShared.
 	sharedMu sync.Mutex
@@ -105,18 +113,43 @@
 // read performs one read. It returns the number of new records and whether the read reached the end of the topic.
 func (r *topicReader) read(ctx context.Context, wait time.Duration) (n int, atEnd bool, err error) {
 	sent := clock.BootMs()
-	from, loaded := r.position()
-	page, err := r.fetch(ctx, from, loaded, wait)
+	n, atEnd, err = r.readOnce(ctx, wait)
 	if err != nil && ctx.Err() != nil {
 		// The caller gave up, which says nothing about the store and must not hold up an election.
 		return 0, false, err
 	}
 	r.recordResult(sent, err)
+	return n, atEnd, err
+}
+
+// readOnce reads and applies the next records, or a snapshot at first and after records have expired.
+func (r *topicReader) readOnce(ctx context.Context, wait time.Duration) (n int, atEnd bool, err error) {
+	from, loaded := r.position()
+	if loaded {
+		page, err := r.store.Read(ctx, r.topic, from, wait)
+		if err == nil {
+			return r.applyPage(page), page.Next >= page.End, nil
+		}
+		if !errors.Is(err, work.ErrExpired) {
+			return 0, false, err
+		}
+		r.markExpired(from)
+	}
+	snapshot, err := r.store.Newest(ctx, r.topic)
 	if err != nil {
 		return 0, false, err
 	}
-	// The pages of newest records are no snapshot: the records from Next on have to be read in any case.
-	return r.applyPage(page), loaded && page.Next >= page.End, nil
+	// A snapshot does not show the end of the topic: the records from Next on have to be read in any case.
+	return r.applySnapshot(snapshot), false, nil
+}
+
+// markExpired records that the records from an offset on have expired, unless another read has passed that offset since.
+func (r *topicReader) markExpired(from int64) {
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
+	if r.next == from {
+		r.loaded = false
+	}
 }
 
 // applyPage applies the records of a page that were not applied before and returns their number.
@@ -124,12 +157,9 @@
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
 	records := page.Records
-	if r.loaded {
-		for len(records) > 0 && records[0].Offset < r.next {
-			records = records[1:]
-		}
+	for len(records) > 0 && records[0].Offset < r.next {
+		records = records[1:]
 	}
-	r.loaded = true
 	atEnd := page.Next >= page.End && page.Next >= r.next
 	r.next = max(r.next, page.Next)
 	if len(records) > 0 {
@@ -140,9 +170,54 @@
 	return len(records)
 }
 
+// applySnapshot applies what a snapshot shows beyond the records that were applied before, and returns the number of
+// changes. The snapshot may be older than those records, because reads run concurrently.
+func (r *topicReader) applySnapshot(snapshot work.Snapshot) int {
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
+	changes := r.removedBy(snapshot)
+	removed := len(changes)
+	for _, rec := range snapshot.Records {
+		if rec.Offset >= r.next {
+			changes = append(changes, rec)
+		}
+	}
+	if r.next > 0 {
+		r.log.Log(logevent.RecordsExpired, logevent.Str("topic", r.topic), logevent.Int("offset", r.next),
+			logevent.Int("keys", len(snapshot.Records)), logevent.Int("changed", len(changes)-removed), logevent.Int("removed", removed))
+	}
+	caughtUp := snapshot.Next >= r.next
+	r.loaded = true
+	r.next = max(r.next, snapshot.Next)
+	if len(changes) > 0 {
+		r.applyRecords(changes)
+	} else if caughtUp && r.onCaughtUp != nil {
+		r.onCaughtUp()
+	}
+	return len(changes)
+}
+
+// removedBy returns tombstones of the keys that a snapshot shows to be gone, sorted by key. A key whose newest applied
+// record is at or behind Next may have been written after its page was read; it is kept.
+func (r *topicReader) removedBy(snapshot work.Snapshot) []work.Record {
+	present := make(map[string]struct{}, len(snapshot.Records))
+	for _, rec := range snapshot.Records {
+		present[rec.Key] = struct{}{}
+	}
+	var tombstones []work.Record
+	for key, offset := range r.offsets {
+		if _, ok := present[key]; !ok && offset < snapshot.Next {
+			tombstones = append(tombstones, work.Record{Key: key, Offset: offset})
+		}
+	}
+	slices.SortFunc(tombstones, func(a, b work.Record) int { return cmp.Compare(a.Key, b.Key) })
+	return tombstones
+}
+
 // applyRecords applies records. If that panics it applies them one by one, which is safe to repeat as a record replaces the
 // earlier one of its key, and skips those that panic.
 func (r *topicReader) applyRecords(records []work.Record) {
+	r.trackKeys(records)
 	if r.tryApply(records) {
 		return
 	}
@@ -160,19 +235,18 @@
 	return true
 }
 
-// fetch returns the next records, or the newest record of each key at first and after records have expired.
-func (r *topicReader) fetch(ctx context.Context, from int64, loaded bool, wait time.Duration) (work.Page, error) {
-	if loaded {
-		page, err := r.store.Read(ctx, r.topic, from, wait)
-		if !errors.Is(err, work.ErrExpired) {
-			return page, err
+// trackKeys records which keys the topic has after records.
+func (r *topicReader) trackKeys(records []work.Record) {
+	if r.offsets == nil {
+		r.offsets = map[string]int64{}
+	}
+	for _, rec := range records {
+		if len(rec.Value) == 0 {
+			delete(r.offsets, rec.Key)
+		} else {
+			r.offsets[rec.Key] = rec.Offset
 		}
-		r.log.Log(logevent.RecordsExpired, logevent.Str("topic", r.topic), logevent.Int("offset", from))
-		r.applyMu.Lock()
-		r.loaded = false
-		r.applyMu.Unlock()
 	}
-	return r.store.Newest(ctx, r.topic)
 }
 
 // refresh reads to the end that the topic has now. A page without new records is not the end: run reads concurrently.
@@ -201,7 +275,7 @@
 func (r *topicReader) applyOwn(records []work.Record, end int64) {
 	r.applyMu.Lock()
 	if end > r.next {
-		r.applyRecords(records)
+		r.applyRecords(withOffsets(records, end))
 		r.next = end
 	}
 	r.applyMu.Unlock()
@@ -210,6 +284,15 @@
 	r.mu.Unlock()
 }
 
+// withOffsets returns consecutive records that end at offset end, with their offsets.
+func withOffsets(records []work.Record, end int64) []work.Record {
+	numbered := slices.Clone(records)
+	for i := range numbered {
+		numbered[i].Offset = end - int64(len(numbered)-i)
+	}
+	return numbered
+}
+
 // position returns the next offset to read and whether the topic has been read at all.
 func (r *topicReader) position() (int64, bool) {
 	r.applyMu.Lock()
--- a/fleet/link/peer.go
+++ b/fleet/link/peer.go
@@ -30,13 +30,24 @@
 // PeerReply is the response to a PeerCall.
 type PeerReply struct {
 	Appended work.Appended `cbor:"1,keyasint"`
-	Page     work.Page     `cbor:"2,keyasint"`
+	// Page is the result of a read. It also carries a snapshot, whose Records and Next it holds; use Snapshot.
+	Page work.Page `cbor:"2,keyasint"`
 	// Problem is the error of the call; empty if it succeeded.
 	Problem Problem `cbor:"3,keyasint,omitempty"`
 	// Deciding is the epoch in which the responding entry is the decider; 0 if it is not.
 	Deciding uint64 `cbor:"4,keyasint,omitempty"`
 }
 
+// SnapshotReply returns the reply that carries a snapshot.
+func SnapshotReply(s work.Snapshot) PeerReply {
+	return PeerReply{Page: work.Page{Records: s.Records, Next: s.Next}}
+}
+
+// Snapshot returns the snapshot that the reply to a call of Newest carries.
+func (r *PeerReply) Snapshot() work.Snapshot {
+	return work.Snapshot{Records: r.Page.Records, Next: r.Page.Next}
+}
+
 // Problem is the encoded form of an error of the store.
 type Problem string
 
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -30,7 +30,7 @@
 func (nullStore) Read(context.Context, string, int64, time.Duration) (work.Page, error) {
 	return work.Page{}, nil
 }
-func (nullStore) Newest(context.Context, string) (work.Page, error) { return work.Page{}, nil }
+func (nullStore) Newest(context.Context, string) (work.Snapshot, error) { return work.Snapshot{}, nil }
 
 // testSide is a side process with a fake worker and a decider's connection.
 type testSide struct {
--- a/fleet/work/store.go
+++ b/fleet/work/store.go
@@ -79,13 +79,23 @@
 	Offset, End int64
 }
 
-// Page is the result of one read.
+// Page holds all records of a range of a topic, from the offset that was asked for up to Next. A key without a record in it
+// was not changed in that range.
 type Page struct {
 	Records []Record
 	// Next is the offset to read from next, End the end of the topic.
 	Next, End int64
 }
 
+// Snapshot holds the newest record of every key that a topic has. A key that is absent from it has no value: its newest
+// record below Next, if there was one, was a tombstone.
+type Snapshot struct {
+	Records []Record
+	// Next is the end of the topic before the first key was read, where reading continues. The keys are read one after the
+	// other, so that some of Records may lie at Next or behind it.
+	Next int64
+}
+
 // Store is the platform's append-only log with topics that keep the newest record of each key.
 type Store interface {
 	// Append appends records. Errors of kind Unavailable guarantee that nothing was appended. After errors of kind Unknown
@@ -93,6 +103,6 @@
 	Append(ctx context.Context, a Append) (Appended, error)
 	// Read returns records from the offset on. If there are none it waits up to wait.
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error)
-	// Newest returns the newest record of each key. Reading continues at Next.
-	Newest(ctx context.Context, topic string) (Page, error)
+	// Newest returns the newest record of each key. It fails if it could not read all keys.
+	Newest(ctx context.Context, topic string) (Snapshot, error)
 }
