dispatch: restore all steps of all open occurrences

Cause: stored progress names only steps of which a task was started. Restoring created the stages that it names and went on with the latest occurrence; the others did not exist, and a job whose existing stages are done is completed.

Ruled out: a record older than the kill (its tasks would run again, not never); progress that the new decider had not read (a claim needs all of the topic); a stage that is dropped when it is done (none is).

Change: the stages of a job are those of its first `opened` occurrences in order, without gaps, and are found by their position. Restoring opens every occurrence up to the latest one named, also where the clock is behind. The stored form is unchanged; its description says what an absent step means.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -24,7 +24,7 @@
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
 
-// randomJob returns a random job of one or two steps.
+// randomJob returns a random job of one or two steps. Every fifth job has overlapping occurrences.
 func (sim *simulation) randomJob(n int) *work.Job {
 	j := &work.Job{ID: jobID(n)}
 	steps := 1 + sim.rng.IntN(2)
@@ -46,6 +46,9 @@
 	if sim.rng.IntN(8) == 0 {
 		j.Steps = []work.Step{{Count: 2, CPU: 500, MemMB: 100, EstMs: 400, LongRunning: true, TargetMs: 50, Image: []string{"sa", "sb"}[n%2], MaxUnavailable: n % 3}}
 	}
+	if n%5 == 0 && !j.LongRunning() {
+		j.Repeat, j.IntervalMs, j.StartAtMs = 2+n%2, 700, sim.at().WallMs
+	}
 	return j
 }
 
@@ -114,17 +117,27 @@
 			assert.Assert(sim.t, p.State == work.Completed || p.State == work.Failed, "job %s is %s", id, p.State)
 		}
 		if p.State == work.Completed {
-			for si, s := range sim.jobs[id].Steps {
-				for k := range s.Count {
-					name := work.TaskName{Job: id, Step: si, Index: k}.String()
-					assert.Assert(sim.t, sim.done[name], "job %s is completed without %s", id, name)
-				}
+			for _, name := range taskNames(sim.jobs[id]) {
+				assert.Assert(sim.t, sim.done[name.String()], "job %s is completed without %s", id, name)
 			}
 		}
 		assert.Assert(sim.t, !p.State.Final() || !p.HasActiveRuns(), "job %s is finished with unfinished runs stored", id)
 	}
 }
 
+// taskNames returns the names of all tasks of a job.
+func taskNames(j *work.Job) []work.TaskName {
+	var names []work.TaskName
+	for occurrence := range j.Occurrences() {
+		for step := range j.Steps {
+			for k := range j.Steps[step].Count {
+				names = append(names, work.TaskName{Job: j.ID, Occurrence: occurrence, Step: step, Index: k})
+			}
+		}
+	}
+	return names
+}
+
 // newConnectedSimulation returns a simulation without faults whose workers have connected.
 func newConnectedSimulation(t *testing.T, workers int) *simulation {
 	sim := newSimulation(t, 1, workers)
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -47,7 +47,7 @@
 		s.restoreProgress(j, e.Progress)
 	}
 	s.logDecision(Decision{Kind: DecisionJobAccepted, Job: id, AgeMs: age,
-		Reason: fmt.Sprintf("queue %s, objective %d ms, state %s", e.Job.Queue.Name, j.objectiveMs, j.state)})
+		Reason: fmt.Sprintf("queue %s, objective %d ms, state %s, %d of %d occurrences open", e.Job.Queue.Name, j.objectiveMs, j.state, j.opened, e.Job.Occurrences())})
 	s.openOccurrences(j)
 	if e.Checkpoints != nil {
 		j.restoreCheckpoints(e.Checkpoints)
@@ -83,17 +83,20 @@
 	if j.state.Final() {
 		return
 	}
-	for ; j.opened < j.def.Occurrences(); j.opened++ {
-		due := s.occurrenceDue(j, j.opened)
-		if due-s.now.BootMs > openAheadMs {
+	for j.opened < j.def.Occurrences() {
+		if s.occurrenceDue(j, j.opened)-s.now.BootMs > openAheadMs {
 			return
 		}
-		for i := range j.def.Steps {
-			if j.stage(j.opened, i) == nil {
-				s.addStage(j, j.opened, i)
-			}
-		}
+		s.openOccurrence(j)
+	}
+}
+
+// openOccurrence creates the stages of the next occurrence.
+func (s *State) openOccurrence(j *job) {
+	for i := range j.def.Steps {
+		s.addStage(j, j.opened, i)
 	}
+	j.opened++
 }
 
 // occurrenceDue returns the boot time at which an occurrence is due.
@@ -104,7 +107,7 @@
 	return s.now.BootMs + j.def.StartAtMs + int64(k)*j.def.IntervalMs - s.now.WallMs
 }
 
-func (s *State) addStage(j *job, occurrence, index int) *stage {
+func (s *State) addStage(j *job, occurrence, index int) {
 	st := &stage{job: j, step: &j.def.Steps[index], occurrence: occurrence, index: index, dueMs: s.occurrenceDue(j, occurrence)}
 	st.tasks = make([]task, st.step.Count)
 	for i := range st.tasks {
@@ -114,16 +117,14 @@
 	j.stages = append(j.stages, st)
 	s.stages = append(s.stages, st)
 	s.ranksStale = true
-	return st
 }
 
+// stage returns the stage of a step, or nil if its occurrence is not open or the job has no such step.
 func (j *job) stage(occurrence, index int) *stage {
-	for _, st := range j.stages {
-		if st.occurrence == occurrence && st.index == index {
-			return st
-		}
+	if occurrence < 0 || occurrence >= j.opened || index < 0 || index >= len(j.def.Steps) {
+		return nil
 	}
-	return nil
+	return j.stages[occurrence*len(j.def.Steps)+index]
 }
 
 // openDueOccurrences opens the due occurrences of all jobs, in the order of their IDs: the order in which stages are opened
@@ -239,7 +240,8 @@
 	return p
 }
 
-// restoreProgress restores the progress that an earlier decider stored.
+// restoreProgress restores the progress that an earlier decider stored. All occurrences up to the latest one that it names
+// were open, and the steps that it does not name had not started.
 func (s *State) restoreProgress(j *job, p *work.Progress) {
 	j.state = p.State
 	j.started = p.State != work.Queued
@@ -247,11 +249,10 @@
 		if sp.Step >= len(j.def.Steps) || sp.Step < 0 || sp.Occurrence < 0 || sp.Occurrence >= j.def.Occurrences() {
 			continue
 		}
-		st := j.stage(sp.Occurrence, sp.Step)
-		if st == nil {
-			st = s.addStage(j, sp.Occurrence, sp.Step)
+		for j.opened <= sp.Occurrence {
+			s.openOccurrence(j)
 		}
-		j.opened = max(j.opened, sp.Occurrence)
+		st := j.stage(sp.Occurrence, sp.Step)
 		for i := range st.tasks {
 			if i/8 < len(sp.Done) && sp.Done[i/8]&(1<<(i%8)) != 0 {
 				st.tasks[i].phase = done
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -46,8 +46,8 @@
 	// dueMs is the boot time from which the objective counts, and objectiveMs is the objective.
 	dueMs       int64
 	objectiveMs int64
-	stages      []*stage
-	// opened is the number of occurrences whose stages exist.
+	// stages holds the stages of the first opened occurrences: all steps of one occurrence after those of the one before.
+	stages []*stage
 	opened int
 	// active counts tasks whose run may be active. lastActiveMs is when there last was one.
 	active       int
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -282,7 +282,8 @@
 	State JobState `cbor:"1,keyasint"`
 	// Workers lists the instances that Tasks refers to.
 	Workers []string `cbor:"2,keyasint,omitempty"`
-	// Stages holds the started steps of each occurrence.
+	// Stages holds the steps of which a task was started. A step that is absent has not started, whether its occurrence is
+	// before or after those that are named; it is not done.
 	Stages []StageProgress `cbor:"3,keyasint,omitempty"`
 }
 
