--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -52,6 +54,11 @@
 	return j
 }
 
+// seedsThatFailed holds seeds of TestSimulationInvariants that failed beyond those that always run, with the cause.
+var seedsThatFailed = map[uint64]string{
+	771: "a completion was acknowledged after the worker's lease had expired, and a replaced decider started the task again; the rule allows that",
+}
+
 // Guards against a task that has two active runs, runs again after its completion was acknowledged, starts before the
 // steps it depends on, after its last permitted attempt or after its job was cancelled, and against an overcommitted
 // worker. Faults: decider changes at any moment, replaced deciders that learn late that their last append was stored and
@@ -64,7 +71,13 @@
 	if testing.Short() {
 		seeds = 10
 	}
+	list := slices.Collect(maps.Keys(seedsThatFailed))
 	for seed := range seeds {
+		if _, ok := seedsThatFailed[seed]; !ok {
+			list = append(list, seed)
+		}
+	}
+	for _, seed := range list {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			sim := newSimulation(t, seed, 4)
