dispatch: repeat an acknowledgement that the worker did not get

What workers saw: ended runs stay in a worker's list, and its list calls return at once, until the next order for that worker. With as many of them as a list holds, later ends would never be seen, and their tasks would never go on.

Cause: an end was acknowledged once, in the first message after its record was stored. That message is lost with the connection, and a side process that does not know its worker yet drops it. Ends that the decider has handled before were passed over when the worker listed them again.

Ruled out: an end that was not stored (its record was); a list that the decider did not take (its runs were handled).

Change: an end that is listed again is acknowledged again, with the next batch. A side process reports each end once a connection, so that this costs a message for each connection at most.

Measured: TestLostAcknowledgementIsRepeated failed before and passes.

--- a/fleet/dispatch/acks_test.go
+++ b/fleet/dispatch/acks_test.go
@@ -38,3 +38,29 @@
 	}
 	assert.Equal(t, forget, number, "the stored end was not acknowledged")
 }
+
+// Guards against ended runs that a worker lists for good: the acknowledgement was lost with the connection, and it was not
+// repeated until another order was sent to the same worker. Ended runs beyond the list were then never seen (LOST).
+func TestLostAcknowledgementIsRepeated(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s, sw := sim.state, sim.workers[0]
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 100, MemMB: 10, EstMs: 60_000}}})
+	for range 20 {
+		sim.advance()
+	}
+	sim.end(sw, s.jobs[jobID(1)].stages[0].tasks[0].name().String(), link.Done)
+	listed := func() int64 {
+		info := sw.info
+		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{SentMs: sim.now, Worker: &info, Listed: true,
+			Fence: s.fence(s.workers[sw.instance]), OrdersDone: sw.ordersDone, Completions: sw.completions}})
+		forget := int64(0)
+		for _, o := range s.Step(sim.at(), Committed{Batch: s.Collect()}).Orders {
+			forget = max(forget, o.Orders.Forget)
+		}
+		return forget
+	}
+	assert.Equal(t, listed(), sw.lastCompletion)
+	s.Step(sim.at(), SideDisconnected{Instance: sw.instance})
+	s.Step(sim.at(), SideConnected{Instance: sw.instance})
+	assert.Equal(t, listed(), sw.lastCompletion, "the acknowledgement was not repeated")
+}
--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -9,14 +9,15 @@
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
-// handleCompletions handles run results in their order.
+// handleCompletions handles run results in their order. A result that was handled before is acknowledged again: the worker
+// still lists it, so that the acknowledgement may have been lost with a connection or with the side process.
 func (s *State) handleCompletions(w *worker, ends []link.Completion) {
 	for _, e := range ends {
+		s.pendingAcks[w.instance] = true
 		if e.Number <= w.lastCompletion {
 			continue
 		}
 		w.lastCompletion = e.Number
-		s.pendingAcks[w.instance] = true
 		if t := s.findTask(e.Task); t != nil {
 			s.handleCompletion(w, t, e)
 		}
