dispatch: conclude from an absent run only if the list is complete

Cause: a worker lists 500 ended runs at once. While nothing is acknowledged, later ends are neither among the running nor among the ended runs, and the decider took a recorded run that was not listed as gone.

Ruled out: leases that lapsed (the decision is "its worker does not list the run"); ends that the side process dropped (they are reported once listed); lists read under another fence or on another connection (they are not used).

Change: Listing.Complete and Report.Complete say whether a list covers every run that the worker was not told to forget. Only a complete list requeues absent runs. The zero value of the field, which earlier side processes send, requeues nothing.

The simulation's workers list three ended runs at once, and it checks what the rule says beyond its check so far: no start between an end and its acknowledgement.

--- a/fleet/dispatch/acks_test.go
+++ b/fleet/dispatch/acks_test.go
@@ -51,7 +51,7 @@
 	sim.end(sw, s.jobs[jobID(1)].stages[0].tasks[0].name().String(), link.Done)
 	listed := func() int64 {
 		info := sw.info
-		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{SentMs: sim.now, Worker: &info, Listed: true,
+		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{SentMs: sim.now, Worker: &info, Listed: true, Complete: true,
 			Fence: s.fence(s.workers[sw.instance]), OrdersDone: sw.ordersDone, Completions: sw.completions}})
 		forget := int64(0)
 		for _, o := range s.Step(sim.at(), Committed{Batch: s.Collect()}).Orders {
--- a/fleet/dispatch/checkpoints_test.go
+++ b/fleet/dispatch/checkpoints_test.go
@@ -23,7 +23,7 @@
 	for i := range 100 {
 		sim.now += 50
 		info := sw.info
-		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: s.fence(tk.worker), OrdersDone: 1 << 40,
+		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: true, Fence: s.fence(tk.worker), OrdersDone: 1 << 40,
 			LeaseLeftMs: 4000, Runs: []link.Run{{Task: tk.name().String(), Run: tk.run, ProgressPercent: i, Checkpoint: strings.Repeat("x", i+1)}}}})
 		b := s.Collect()
 		sim.record(b)
--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -149,7 +149,8 @@
 	}
 }
 
-// reconcileRuns compares the runs that the worker lists with the expected ones.
+// reconcileRuns compares the runs that the worker lists with the expected ones. Only a complete list shows that a run has
+// ended by not containing it.
 func (s *State) reconcileRuns(w *worker, r *link.Report) {
 	w.listed = true
 	clear(w.unknownRuns)
@@ -163,16 +164,24 @@
 		listed[t] = struct{}{}
 		s.updateRun(t, run)
 	}
+	if r.Complete {
+		s.requeueAbsent(w, listed, r.OrdersDone)
+	}
+	s.stopUnknownRuns(w)
+	s.updateCPUShares(w)
+}
+
+// requeueAbsent requeues the tasks whose run is absent from a complete list, if their start was answered before the list
+// was read: it is among the orders up to number ordersDone.
+func (s *State) requeueAbsent(w *worker, listed map[*task]struct{}, ordersDone uint64) {
 	for _, t := range w.copyTasks() {
-		if _, ok := listed[t]; ok || !t.recorded || t.orderNumber > r.OrdersDone {
+		if _, ok := listed[t]; ok || !t.recorded || t.orderNumber > ordersDone {
 			continue
 		}
 		s.logTaskDecision(DecisionRequeued, t, "its worker does not list the run")
 		t.avoidInstance = w.instance
 		s.handleRunEnded(t)
 	}
-	s.stopUnknownRuns(w)
-	s.updateCPUShares(w)
 }
 
 // updateRun updates the progress and the load of a run.
--- a/fleet/dispatch/cost_bench_test.go
+++ b/fleet/dispatch/cost_bench_test.go
@@ -169,7 +169,7 @@
 	kind := "ends"
 	if full {
 		kind = "report"
-		r.Listed, r.Fence = true, w.fence
+		r.Listed, r.Complete, r.Fence = true, true, w.fence
 		for name, run := range w.runs {
 			percent := 100
 			if !run.lasts {
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -253,7 +253,7 @@
 	for range int(sim.bounds.MaxOverTarget.Milliseconds()/stepMs) / 2 {
 		sim.now += stepMs
 		info := sw.info
-		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: sw.sideFence, OrdersDone: sw.ordersDone,
+		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: true, Fence: sw.sideFence, OrdersDone: sw.ordersDone,
 			LeaseLeftMs: 4000, Runs: []link.Run{{Task: critical.name().String(), Run: critical.run, ProgressPercent: 100, Load: 300},
 				{Task: be.name().String(), Run: be.run, ProgressPercent: 50, Load: 0}}}})
 	}
@@ -278,7 +278,7 @@
 		sim.now += 450
 		info := sw.info
 		fence := sim.state.fence(sim.state.ensureWorker(sw.instance))
-		eff := sim.state.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: fence,
+		eff := sim.state.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: true, Fence: fence,
 			OrdersDone: sw.ordersDone, LeaseLeftMs: 4000, Runs: []link.Run{{Task: be.name().String(), Run: be.run, ProgressPercent: 5}}}})
 		n := 0
 		for _, o := range eff.Orders {
--- a/fleet/dispatch/fence_test.go
+++ b/fleet/dispatch/fence_test.go
@@ -40,7 +40,7 @@
 	sw, s := sim.workers[0], sim.state
 	report := func(runs ...link.Run) {
 		info := sw.info
-		sim.step(Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: s.fence(s.ensureWorker(sw.instance)),
+		sim.step(Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: true, Fence: s.fence(s.ensureWorker(sw.instance)),
 			OrdersDone: 1 << 40, LeaseLeftMs: 4000, Runs: runs}})
 	}
 	report(link.Run{Task: jobID(99) + ".0.0.0", Run: 3, ProgressPercent: 10})
@@ -68,7 +68,7 @@
 	info.Incarnation = link.Incarnation{ID: info.Incarnation.ID, StartedMs: info.Incarnation.StartedMs + 1}
 	s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, LeaseLeftMs: 4000}})
 	assert.Equal(t, tk.phase, starting, "the task was requeued although its start may still be carried out")
-	s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: s.fence(s.ensureWorker(sw.instance)), OrdersDone: 1 << 40, LeaseLeftMs: 4000}})
+	s.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: true, Fence: s.fence(s.ensureWorker(sw.instance)), OrdersDone: 1 << 40, LeaseLeftMs: 4000}})
 	assert.Equal(t, tk.phase, waiting, "a list under the raised fence shows that the start was not carried out")
 }
 
@@ -92,18 +92,18 @@
 			s.Step(sim.at(), Reported{Instance: w.instance, Report: rep})
 		}
 		if listed {
-			report(&link.Report{Listed: true, Fence: s.fence(w), Runs: runs})
+			report(&link.Report{Listed: true, Complete: true, Fence: s.fence(w), Runs: runs})
 			assert.Equal(t, tk.phase, running)
 		}
 		before := s.fence(w)
 		info.Incarnation.StartedMs++
 		report(&link.Report{})
-		report(&link.Report{Listed: true, Fence: before})
+		report(&link.Report{Listed: true, Complete: true, Fence: before})
 		s.Step(sim.at(), Place{})
 		assert.Assert(t, tk.worker == w && tk.run == 1, "the task was given up although the next incarnation may run it")
-		report(&link.Report{Listed: true, Fence: s.fence(w), Runs: runs})
+		report(&link.Report{Listed: true, Complete: true, Fence: s.fence(w), Runs: runs})
 		assert.Assert(t, tk.worker == w && tk.phase == running, "the run that the next incarnation lists was given up")
-		report(&link.Report{Listed: true, Fence: s.fence(w)})
+		report(&link.Report{Listed: true, Complete: true, Fence: s.fence(w)})
 		assert.Equal(t, tk.phase, waiting, "a list under the raised fence shows that the run has ended")
 	}
 }
@@ -164,10 +164,44 @@
 	w := tk.worker
 	report := func(ordersDone uint64) {
 		info := sw.info
-		s.Step(sim.at(), Reported{Instance: w.instance, Report: &link.Report{Worker: &info, Listed: true, Fence: s.fence(w), OrdersDone: ordersDone, LeaseLeftMs: 4000}})
+		s.Step(sim.at(), Reported{Instance: w.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: true, Fence: s.fence(w), OrdersDone: ordersDone, LeaseLeftMs: 4000}})
 	}
 	report(tk.orderNumber - 1)
 	assert.Assert(t, tk.worker == w && tk.run == 1, "the task was given up by a list from before its start was answered")
 	report(tk.orderNumber)
 	assert.Equal(t, tk.phase, waiting)
 }
+
+// Guards against tasks that run again after their run has ended (TWICE): the worker lists only some hundred ended runs at
+// once, so that a run which is absent may be among those that are left out (review/5).
+func TestRunAbsentFromCutListIsKept(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s, sw := sim.state, sim.workers[0]
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 2, CPU: 100, MemMB: 10, EstMs: 5000}}})
+	s.Step(sim.at(), Place{})
+	s.Step(sim.at(), Committed{Batch: s.Collect()})
+	tasks := s.jobs[jobID(1)].stages[0].tasks
+	w := tasks[0].worker
+	report := func(complete bool, ends ...link.Completion) {
+		info := sw.info
+		s.Step(sim.at(), Reported{Instance: w.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: complete, Fence: s.fence(w),
+			OrdersDone: 1 << 40, LeaseLeftMs: 4000, Completions: ends}})
+	}
+	end := func(number int64, tk *task) link.Completion {
+		return link.Completion{Number: number, Task: tk.name().String(), Run: 1, Outcome: link.Done}
+	}
+	report(false, end(1, &tasks[0]))
+	assert.Equal(t, tasks[0].phase, done)
+	assert.Assert(t, tasks[1].worker == w && tasks[1].run == 1, "the task was given up by a list that is cut")
+	report(false, end(2, &tasks[1]))
+	assert.Equal(t, tasks[1].phase, done)
+
+	sim.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 1, CPU: 100, MemMB: 10, EstMs: 5000}}})
+	s.Step(sim.at(), Place{})
+	s.Step(sim.at(), Committed{Batch: s.Collect()})
+	tk := &s.jobs[jobID(2)].stages[0].tasks[0]
+	report(false)
+	assert.Assert(t, tk.worker == w)
+	report(true)
+	assert.Equal(t, tk.phase, waiting, "a complete list shows that the run is not there")
+}
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -35,6 +35,8 @@
 	// acknowledged holds tasks whose completion as done the workers were told to forget. As in the rule on tasks that run
 	// twice, a completion does not count if the worker's lease has expired between it and the acknowledgement.
 	acknowledged map[string]bool
+	// started holds when each task was last started.
+	started map[string]int64
 	// done holds tasks that a worker completed as done.
 	done map[string]bool
 	// failedRuns holds failed runs that were reported to a decider.
@@ -73,11 +75,14 @@
 	info        link.Worker
 	runs        map[string]*simRun
 	completions []link.Completion
-	// leasesExpired counts how often the worker's lease has expired, expiredLease is the last such lease, and
-	// leasesExpiredAt the count at each completion.
+	// sentLease is the latest lease that was sent to the worker. leasesExpired counts how often such a lease has expired,
+	// expiredLease is the last of them, and leasesExpiredAt the count at each completion.
+	sentLease       int64
 	leasesExpired   int
 	expiredLease    int64
 	leasesExpiredAt map[int64]int
+	// endedAt is when each completion was listed.
+	endedAt         map[int64]int64
 	lastCompletion  int64
 	ackedCompletion int64
 	fence           uint64
@@ -120,13 +125,15 @@
 	stepMs = 50
 	// gangWaitMs is how long members of a gang wait for each other.
 	gangWaitMs = 3000
+	// maxListedEnds is the number of ended runs that a worker lists at once.
+	maxListedEnds = 3
 	// neverEnds is the end time of a long-running run.
 	neverEnds = 1 << 60
 )
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
-		cancels: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failedRuns: map[string]bool{}}
+		cancels: map[string]int64{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failedRuns: map[string]bool{}}
 	sim.bounds = bounds.Bounds{MaxLease: 6 * time.Second, MaxOverTarget: 4 * time.Second,
 		MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}.Derive()
@@ -145,7 +152,7 @@
 	sw.info = link.Worker{Incarnation: link.Incarnation{ID: "i-" + sw.instance, StartedMs: sim.now}, Service: "app", Zone: zone, CPU: 4000, MemMB: 16000,
 		Labels: []string{"a", fmt.Sprintf("r%s-1", "1")}}
 	sw.runs, sw.completions, sw.lastCompletion, sw.ackedCompletion, sw.fence, sw.blocked = map[string]*simRun{}, nil, 0, 0, 0, map[string]int{}
-	sw.latestLease, sw.leasesExpiredAt = 0, map[int64]int{}
+	sw.latestLease, sw.leasesExpiredAt, sw.endedAt = 0, map[int64]int{}, map[int64]int64{}
 }
 
 func (sim *simulation) at() Now { return Now{BootMs: sim.now, WallMs: sim.now + 1_700_000_000_000} }
@@ -229,6 +236,9 @@
 		for _, e := range sw.completions {
 			if e.Number > sw.ackedCompletion && e.Number <= o.Forget && e.Outcome == link.Done && sw.leasesExpired == sw.leasesExpiredAt[e.Number] {
 				sim.acknowledged[e.Task] = true
+				if at := sim.started[e.Task]; at > sw.endedAt[e.Number] {
+					sim.t.Fatalf("%d: %s was started at %d after run %d had ended done at %d, which is acknowledged", sim.now, e.Task, at, e.Run, sw.endedAt[e.Number])
+				}
 			}
 		}
 		sw.ackedCompletion = o.Forget
@@ -244,7 +254,7 @@
 // orderStart carries out a start at once, later, or not at all.
 func (sim *simulation) orderStart(sw *simWorker, st link.Start, fence uint64) {
 	deadline := sw.leaseExpires
-	sw.latestLease = max(sw.latestLease, deadline)
+	sw.latestLease, sw.sentLease = max(sw.latestLease, deadline), max(sw.sentLease, deadline)
 	switch {
 	case sim.now < sw.unresponsiveUntil:
 		sw.refusals = append(sw.refusals, link.Refusal{Task: st.Task, Run: st.Run, Reason: link.ReasonTooLate})
@@ -284,7 +294,7 @@
 	delete(sw.runs, name)
 	sw.lastCompletion++
 	sw.blocked[name] = max(sw.blocked[name], r.run)
-	sw.leasesExpiredAt[sw.lastCompletion] = sw.leasesExpired
+	sw.leasesExpiredAt[sw.lastCompletion], sw.endedAt[sw.lastCompletion] = sw.leasesExpired, sim.now
 	sw.completions = append(sw.completions, link.Completion{Number: sw.lastCompletion, Task: name, Run: r.run, Outcome: how})
 }
 
@@ -346,6 +356,7 @@
 		r.how = link.Failed
 	}
 	sw.runs[st.Task] = r
+	sim.started[st.Task] = sim.now
 }
 
 // advance advances the simulation by one step.
@@ -401,9 +412,9 @@
 
 // finishRuns ends runs that are finished or whose lease has expired, in the order of their names.
 func (sim *simulation) finishRuns(sw *simWorker) {
-	if sw.latestLease <= sim.now && sw.latestLease > sw.expiredLease {
+	if sw.sentLease <= sim.now && sw.sentLease > sw.expiredLease {
 		sw.leasesExpired++
-		sw.expiredLease = sw.latestLease
+		sw.expiredLease = sw.sentLease
 	}
 	names := make([]string, 0, len(sw.runs))
 	for n := range sw.runs {
@@ -524,9 +535,9 @@
 	for _, r := range sw.runs {
 		r.lease = max(r.lease, sw.leaseExpires)
 	}
-	sw.latestLease = max(sw.latestLease, sw.leaseExpires)
+	sw.latestLease, sw.sentLease = max(sw.latestLease, sw.leaseExpires), max(sw.sentLease, sw.leaseExpires)
 	info := sw.info
-	rep := &link.Report{SentMs: sim.now, Worker: &info, Listed: true, OrdersDone: sw.ordersDone, Fence: sw.sideFence,
+	rep := &link.Report{SentMs: sim.now, Worker: &info, Listed: true, Complete: true, OrdersDone: sw.ordersDone, Fence: sw.sideFence,
 		Refusals: sw.refusals, AnsweredMs: sw.answeredReportMs, LeaseLeftMs: max(sw.latestLease+100-sim.now, 0)}
 	sw.refusals = nil
 	names := make([]string, 0, len(sw.runs))
@@ -538,11 +549,16 @@
 		rep.Runs = append(rep.Runs, link.Run{Task: n, Run: sw.runs[n].run, ProgressPercent: sw.runs[n].percent(sim.now), Load: sim.reportedLoad(sw, n)})
 	}
 	for _, e := range sw.completions {
-		if e.Number > sw.ackedCompletion {
-			rep.Completions = append(rep.Completions, e)
-			if e.Outcome == link.Failed {
-				sim.failedRuns[fmt.Sprint(e.Task, e.Run)] = true
-			}
+		if e.Number <= sw.ackedCompletion {
+			continue
+		}
+		if len(rep.Completions) == maxListedEnds {
+			rep.Complete = false
+			break
+		}
+		rep.Completions = append(rep.Completions, e)
+		if e.Outcome == link.Failed {
+			sim.failedRuns[fmt.Sprint(e.Task, e.Run)] = true
 		}
 	}
 	sim.deliverReport(sw, rep)
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -168,8 +168,12 @@
 	Worker *Worker `cbor:"2,keyasint,omitempty"`
 	// Leaving means that the worker announced that it is terminating now.
 	Leaving bool `cbor:"3,keyasint,omitempty"`
-	// Listed is true if Runs holds the worker's list of runs. The list was read after the fence was raised.
-	Listed      bool         `cbor:"4,keyasint,omitempty"`
+	// Listed is true if Runs holds the worker's list of active runs. The list was read after the fence was raised.
+	Listed bool `cbor:"4,keyasint,omitempty"`
+	// Complete is true if Runs, together with the completions reported on this connection, covers every run of the
+	// incarnation that was started before the list was read. Otherwise a run that is absent may have ended without being
+	// listed yet.
+	Complete    bool         `cbor:"14,keyasint,omitempty"`
 	Runs        []Run        `cbor:"5,keyasint,omitempty"`
 	Completions []Completion `cbor:"6,keyasint,omitempty"`
 	// OrdersDone is the highest message number up to which all orders are answered; with Listed, before the list was read.
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -180,7 +180,7 @@
 			// The worker has met a higher fence, so that it refuses calls that are still in transit.
 			inc.inheritedLeaseMs = 0
 		}
-		got.runs, got.completions = ans.Runs, ans.Ended
+		got.runs, got.completions, got.complete = ans.Runs, ans.Ended, ans.Complete
 		s.mu.Unlock()
 		now = clock.BootMs()
 		includeRuns := now-runsSentMs >= runsInterval.Milliseconds() || len(got.completions) == 0
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -242,6 +242,8 @@
 	ordersDone  uint64
 	runs        []link.Run
 	completions []link.Completion
+	// complete is true if runs and completions cover every run that the worker was not told to forget.
+	complete bool
 }
 
 // report sends a report to the decider, if one is connected. It includes the runs if includeRuns is true.
@@ -284,7 +286,7 @@
 		}
 		if includeRuns {
 			// The list does not cover orders that were answered after the call.
-			r.Listed, r.Runs, r.OrdersDone, r.Fence = true, l.runs, l.ordersDone, l.fence
+			r.Listed, r.Complete, r.Runs, r.OrdersDone, r.Fence = true, l.complete, l.runs, l.ordersDone, l.fence
 		}
 	}
 	c.lastReportMs = now
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http/httptest"
 	"strings"
@@ -401,3 +402,34 @@
 	s.handleOrders(s.conn, &link.Orders{AnsweredMs: sent - 500})
 	assert.Equal(t, s.leaseEndMs, sent+set.Bounds.Lease.Milliseconds(), "an older answer shortened the lease")
 }
+
+// Guards against a decider that takes runs as gone which the worker has left out of its list, because it lists only 500 ended
+// runs at once: the report says that the list is not complete, until the worker was told to forget enough of them.
+func TestCutListIsReportedAsIncomplete(t *testing.T) {
+	r := newTestSide(t)
+	const runs = 600
+	r.worker.Lock()
+	for i := range runs {
+		r.worker.Running[fmt.Sprintf("0011223344556677.0.0.%d", i)] = 1
+	}
+	r.worker.Unlock()
+	for i := range runs {
+		r.worker.Finish(fmt.Sprintf("0011223344556677.0.0.%d", i), 1)
+	}
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	cut := r.await("with a list", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	assert.Assert(t, !cut.Complete)
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Forget: 300, Incarnation: r.incarnation})
+	r.await("with a complete list", func(rep *link.Report) bool { return rep.Listed && rep.Complete })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ended := 0
+	for i := range r.reports {
+		ended += len(r.reports[i].Completions)
+		if r.reports[i].Complete {
+			break
+		}
+	}
+	assert.Equal(t, ended, runs, "a complete list comes with or after all ended runs")
+}
