side: end the orders of a worker's incarnation with it

Cause: the side process reports the number up to which all orders are done. A heartbeat of the next incarnation cancelled the calls for the earlier one, and a cancelled call was never counted, so that the number stayed below its message for as long as the connection lasted. The decider requeues an absent or expired run only if its order is done.

Ruled out: a start that is carried out late and listed (nothing runs); a stop without an answer (it ends with the lease); the decider's own numbers (they start anew with a connection, and that did not change).

Registering the next incarnation gives up what is unanswered under the same lock, and a call that returns later does not count. What a call in transit may still do under the same id stays with the list under a raised fence.

--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -176,7 +176,8 @@
 	Complete    bool         `cbor:"14,keyasint,omitempty"`
 	Runs        []Run        `cbor:"5,keyasint,omitempty"`
 	Completions []Completion `cbor:"6,keyasint,omitempty"`
-	// OrdersDone is the highest message number up to which all orders are answered; with Listed, before the list was read.
+	// OrdersDone is the highest message number up to which all orders are answered, or were given up because their incarnation
+	// of the worker has ended; with Listed, before the list was read.
 	OrdersDone uint64    `cbor:"7,keyasint,omitempty"`
 	Refusals   []Refusal `cbor:"8,keyasint,omitempty"`
 	// LeaseLeftMs is the time after which no run of this incarnation can be active unless the lease is renewed. It bounds
--- a/fleet/side/heartbeat.go
+++ b/fleet/side/heartbeat.go
@@ -63,12 +63,14 @@
 			inc.cancel()
 		}
 		s.incarnation = s.newIncarnation(context.Background(), info)
+		givenUp := 0
 		if s.conn != nil {
 			s.conn.reportedCompletion = 0
+			givenUp = s.conn.orders.giveUp()
 		}
 		changed = true
 		s.log.Log(logevent.WorkerRegistered, logevent.Str("id", info.Incarnation.ID), logevent.Int("born", info.Incarnation.StartedMs),
-			logevent.Str("zone", info.Zone), logevent.Int("cpu", info.CPU), logevent.Int("mem_mb", info.MemMB))
+			logevent.Str("zone", info.Zone), logevent.Int("cpu", info.CPU), logevent.Int("mem_mb", info.MemMB), logevent.Int("orders_given_up", givenUp))
 		go s.incarnation.run()
 	case inc.info.Incarnation == info.Incarnation && info.Seq > inc.info.Seq:
 		changed = inc.info.Draining != info.Draining
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -262,13 +262,15 @@
 	}
 }
 
-// finishOrder records that an order was answered.
+// finishOrder records that an order was answered. It ignores an order that was given up with its incarnation or that
+// belongs to an earlier connection; both cancel ctx while Side.mu is held.
 func (inc *incarnation) finishOrder(ctx context.Context, c *connection, number uint64, refusal *link.Refusal) {
+	s := inc.side
+	s.mu.Lock()
 	if ctx.Err() != nil {
+		s.mu.Unlock()
 		return
 	}
-	s := inc.side
-	s.mu.Lock()
 	c.orders.finish(number)
 	if refusal != nil {
 		c.orders.refusals = append(c.orders.refusals, *refusal)
@@ -407,36 +409,3 @@
 		inc.side.meters.unanswered("pace")
 	}
 }
-
-// orderTracker tracks which numbered messages have been carried out.
-type orderTracker struct {
-	// last is the highest message number, pending the number of unanswered orders of each message.
-	last     uint64
-	pending  map[uint64]int
-	refusals []link.Refusal
-}
-
-func (t *orderTracker) add(number uint64, orders int) {
-	t.last = max(t.last, number)
-	if orders > 0 {
-		if t.pending == nil {
-			t.pending = map[uint64]int{}
-		}
-		t.pending[number] += orders
-	}
-}
-
-func (t *orderTracker) finish(number uint64) {
-	if t.pending[number]--; t.pending[number] <= 0 {
-		delete(t.pending, number)
-	}
-}
-
-// completedUpTo returns the highest number up to which the orders of all messages are answered.
-func (t *orderTracker) completedUpTo() uint64 {
-	upTo := t.last
-	for n := range t.pending {
-		upTo = min(upTo, n-1)
-	}
-	return upTo
-}
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -237,7 +237,7 @@
 type listing struct {
 	incarnation *incarnation
 	fence       uint64
-	// ordersDone is the highest message number up to which the worker had answered all orders before the call.
+	// ordersDone is the highest message number up to which all orders had ended before the call.
 	conn        *connection
 	ordersDone  uint64
 	runs        []link.Run
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -278,6 +279,22 @@
 	assert.Equal(t, tr.completedUpTo(), uint64(3))
 }
 
+// Guards against orders that are given up but counted when their calls return later, and against later orders that are given
+// up with them.
+func TestTrackerGivesUpOrders(t *testing.T) {
+	var tr orderTracker
+	tr.add(1, 2)
+	tr.add(2, 1)
+	tr.finish(1)
+	assert.Equal(t, tr.giveUp(), 2)
+	assert.Equal(t, tr.completedUpTo(), uint64(2))
+	tr.add(3, 1)
+	assert.Equal(t, tr.completedUpTo(), uint64(2))
+	tr.finish(3)
+	assert.Equal(t, tr.completedUpTo(), uint64(3))
+	assert.Equal(t, tr.giveUp(), 0)
+}
+
 // Guards against a task that is started elsewhere while the next incarnation of its worker runs it (TWICE): a call in
 // transit to the earlier incarnation may be carried out by the next one under the same id, and no lease that was sent to
 // that one bounds the run.
@@ -433,3 +450,37 @@
 	}
 	assert.Equal(t, ended, runs, "a complete list comes with or after all ended runs")
 }
+
+// Guards against tasks that stay with a worker for good because the side process counts orders of its earlier incarnation as
+// unanswered: the decider then waits for the answer of every later order (review/4, LOST; TestSoak/7002).
+func TestOrdersEndWithTheirIncarnation(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.worker.Lock()
+	r.worker.Hang = true
+	r.worker.Unlock()
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}},
+		Stops: []link.Stop{{Task: "0011223344556677.0.0.1", Run: 4}}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.worker.Lock()
+		defer r.worker.Unlock()
+		if slices.Contains(r.worker.Calls, platformtest.PathStart) && slices.Contains(r.worker.Calls, platformtest.PathStop) {
+			return poll.Success()
+		}
+		return poll.Continue("the orders are not with the worker")
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	next := link.Incarnation{ID: "i-2", StartedMs: r.incarnation.StartedMs + 1000}
+	r.register(next, 1, false)
+	first := r.await("of the next incarnation", func(rep *link.Report) bool { return rep.Worker != nil && rep.Worker.Incarnation == next })
+	assert.Equal(t, first.OrdersDone, uint64(1))
+	r.worker.Lock()
+	r.worker.Hang = false
+	r.worker.Unlock()
+	r.await("with a listing of the next incarnation", func(rep *link.Report) bool { return rep.Listed && rep.Worker.Incarnation == next })
+	r.order(link.Orders{Number: 2, Fence: 1<<16 + 1, Incarnation: next, Starts: []link.Start{{Task: task, Run: 2}}})
+	r.await("with the run and its order done", func(rep *link.Report) bool {
+		return rep.Listed && rep.OrdersDone == 2 && len(rep.Runs) == 1 && rep.Runs[0].Run == 2
+	})
+}
