platform: let only the known incarnation of a worker drop ends

Cause: list calls carry the number up to which ended runs may be dropped. The numbers start anew with each incarnation, and until its first heartbeat the next one, which may have the same id, was told the number of the one before. It dropped the ends of runs that it had carried out meanwhile, and its lists were not used because its start differs.

Ruled out: lists that count for the wrong incarnation (those with another start are dropped); orders of the earlier incarnation (refused from the heartbeat on).

--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -165,11 +165,6 @@
 			clock.Sleep(inc.ctx, inc.listFailed(err))
 			continue
 		}
-		if ans.StartedMs != 0 && inc.info.Incarnation.StartedMs != 0 && ans.StartedMs != inc.info.Incarnation.StartedMs {
-			// Another incarnation answered under the same id; its heartbeat will replace this one.
-			clock.Sleep(inc.ctx, retryAfter)
-			continue
-		}
 		s.mu.Lock()
 		if ans.Unreadable != inc.unreadable {
 			inc.unreadable = ans.Unreadable
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -39,10 +40,12 @@
 	t           *testing.T
 	side        *Side
 	worker      *platformtest.Worker
+	server      *httptest.Server
 	conn        net.Conn
 	incarnation link.Incarnation
-	mu          sync.Mutex
-	reports     []link.Report
+	// mu guards worker and reports.
+	mu      sync.Mutex
+	reports []link.Report
 }
 
 const service = "fitcheck"
@@ -56,7 +59,14 @@
 func newTestSideWith(t *testing.T, change func(*settings.Fleet)) *testSide {
 	t.Helper()
 	worker := platformtest.NewWorker()
-	server := httptest.NewServer(worker)
+	r := &testSide{t: t, worker: worker, incarnation: link.Incarnation{ID: "i-1", StartedMs: 1000}}
+	r.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.mu.Lock()
+		current := r.worker
+		r.mu.Unlock()
+		current.ServeHTTP(w, req)
+	}))
+	server := r.server
 	set := settings.DefaultFleet()
 	set.Instance, set.Zone, set.Service = "side-1", "a", service
 	set.Worker = strings.TrimPrefix(server.URL, "http://")
@@ -83,11 +93,26 @@
 			s.incarnation.cancel()
 		}
 		s.mu.Unlock()
-		worker.Close()
+		r.mu.Lock()
+		r.worker.Close()
+		r.mu.Unlock()
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return &testSide{t: t, side: s, worker: worker, incarnation: link.Incarnation{ID: "i-1", StartedMs: 1000}}
+	r.side = s
+	return r
+}
+
+// restartWorker replaces the worker by its next incarnation under the same id, at the same address, and returns it.
+func (r *testSide) restartWorker(startedMs int64) *platformtest.Worker {
+	next := platformtest.NewWorker()
+	next.StartedMs = startedMs
+	r.mu.Lock()
+	r.worker.Close()
+	r.worker = next
+	r.mu.Unlock()
+	r.server.CloseClientConnections()
+	return next
 }
 
 // register sends a heartbeat of an incarnation.
@@ -484,3 +509,63 @@
 		return rep.Listed && rep.OrdersDone == 2 && len(rep.Runs) == 1 && rep.Runs[0].Run == 2
 	})
 }
+
+// Guards against tasks that run again because the ends of their runs were dropped unseen (review/1, TWICE): a worker that has
+// restarted under its id carries out starts before its first heartbeat, and is told to drop ends by the numbers of its
+// earlier incarnation.
+func TestRestartedWorkerKeepsItsEnds(t *testing.T) {
+	r := newTestSide(t)
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	const ends = 5
+	finish := func(w *platformtest.Worker, run int) {
+		for i := range ends {
+			name := fmt.Sprintf("0011223344556677.0.0.%d", i)
+			w.Lock()
+			w.Running[name] = run
+			w.Unlock()
+			w.Finish(name, run)
+		}
+	}
+	dropped := make(chan int, 2*ends)
+	r.worker.Lock()
+	r.worker.OnAcknowledge = func(_ string, run int, _ string) { dropped <- run }
+	r.worker.Unlock()
+	finish(r.worker, 1)
+	r.await("with the ends", func(rep *link.Report) bool {
+		return len(rep.Completions) > 0 && rep.Completions[len(rep.Completions)-1].Number == ends
+	})
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Forget: ends, Incarnation: r.incarnation})
+	for range ends {
+		assert.Equal(t, <-dropped, 1)
+	}
+	restarted := r.restartWorker(r.incarnation.StartedMs + 1000)
+	restarted.Lock()
+	restarted.OnAcknowledge = func(_ string, run int, _ string) { dropped <- run }
+	restarted.Unlock()
+	finish(restarted, 2)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		restarted.Lock()
+		defer restarted.Unlock()
+		if len(restarted.Calls) >= 5 {
+			return poll.Success()
+		}
+		return poll.Continue("%d calls of the restarted worker", len(restarted.Calls))
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	assert.Equal(t, len(dropped), 0, "ends of the next incarnation were dropped before it was known")
+	next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+	r.register(next, 1, false)
+	seen := 0
+	r.await("with the ends of the next incarnation", func(rep *link.Report) bool {
+		if rep.Worker == nil || rep.Worker.Incarnation != next {
+			return false
+		}
+		for _, c := range rep.Completions {
+			if c.Run == 2 {
+				seen++
+			}
+		}
+		return seen >= ends
+	})
+}
