dispatch: start all members of a gang with one checkpoint

Cause: checkpoints were kept, stored and sent for each task, members of a gang included.

Ruled out: members that are ordered by two deciders or in two messages (a gang is placed and ordered whole).

Change: a gang has one checkpoint, the one that a member reported last as new. All members of a run start with it. It is stored for each member, so that earlier versions can read it; of their records, which hold different ones, the last counts.

--- a/fleet/dispatch/checkpoints.go
+++ b/fleet/dispatch/checkpoints.go
@@ -6,12 +6,15 @@
 // lost together cost the work since the last record.
 const checkpointIntervalMs = 1000
 
-// setCheckpoint records the newest checkpoint of a task.
+// setCheckpoint records the newest checkpoint of a task. That of any member of a gang is valid for the whole gang.
 func (s *State) setCheckpoint(t *task, checkpoint string) {
 	if checkpoint == "" || checkpoint == t.checkpoint {
 		return
 	}
 	t.checkpoint = checkpoint
+	if t.stage.step.Gang {
+		t.stage.gangCheckpoint = checkpoint
+	}
 	if j := t.stage.job; !j.checkpointsDirty {
 		j.checkpointsDirty = true
 		s.checkpointsDirty = append(s.checkpointsDirty, j)
@@ -43,8 +46,13 @@
 	c := &work.Checkpoints{}
 	for _, st := range j.stages {
 		for i := range st.tasks {
-			if t := &st.tasks[i]; t.phase != done && t.checkpoint != "" {
-				c.Tasks = append(c.Tasks, work.TaskCheckpoint{Occurrence: st.occurrence, Step: st.index, Index: i, Checkpoint: t.checkpoint})
+			t := &st.tasks[i]
+			checkpoint := t.checkpoint
+			if st.step.Gang {
+				checkpoint = st.gangCheckpoint
+			}
+			if t.phase != done && checkpoint != "" {
+				c.Tasks = append(c.Tasks, work.TaskCheckpoint{Occurrence: st.occurrence, Step: st.index, Index: i, Checkpoint: checkpoint})
 			}
 		}
 	}
@@ -60,6 +68,7 @@
 		}
 		if t := &st.tasks[r.Index]; t.phase != done {
 			t.checkpoint = r.Checkpoint
+			st.gangCheckpoint = r.Checkpoint
 		}
 	}
 }
--- a/fleet/dispatch/checkpoints_test.go
+++ b/fleet/dispatch/checkpoints_test.go
@@ -59,3 +59,67 @@
 	s.Step(sim.at(), JobsDropped{IDs: []string{jobID(1)}})
 	assert.DeepEqual(t, s.Collect().Schedule, []work.Record{{Key: work.PrefixProgress + jobID(1)}, {Key: work.PrefixCheckpoints + jobID(1)}})
 }
+
+// Guards against a gang whose members start with different checkpoints, of which each is valid for the whole gang but all must
+// carry the same: after a member was lost, after a change of the decider, and from records of earlier versions.
+func TestGangStartsWithOneCheckpoint(t *testing.T) {
+	sim := newConnectedSimulation(t, 3)
+	s := sim.state
+	j := &work.Job{ID: jobID(1), Steps: []work.Step{{Count: 3, CPU: 3000, MemMB: 10, EstMs: 60_000, Gang: true, Checkpointable: true}}}
+	sim.submit(j)
+	s.Step(sim.at(), Place{})
+	s.Step(sim.at(), Committed{Batch: s.Collect()})
+	tasks := s.jobs[j.ID].stages[0].tasks
+	started := func(s *State, run int) string {
+		t.Helper()
+		values := map[string]int{}
+		tasks := s.jobs[j.ID].stages[0].tasks
+		for i := range tasks {
+			assert.Equal(t, tasks[i].run, run)
+			values[s.startOrder(&tasks[i]).Checkpoint]++
+		}
+		assert.Equal(t, len(values), 1, "%v", values)
+		for v := range values {
+			return v
+		}
+		return ""
+	}
+	report := func(tk *task, checkpoint string) {
+		w := tk.worker
+		info := *w.info
+		s.Step(sim.at(), Reported{Instance: w.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: true, Fence: s.fence(w), OrdersDone: 1 << 40,
+			LeaseLeftMs: 4000, Runs: []link.Run{{Task: tk.name().String(), Run: tk.run, Checkpoint: checkpoint, ProgressPercent: 5}}}})
+	}
+	assert.Equal(t, started(s, 1), "")
+	for i, c := range []string{"a1", "b1", "c1", "b2"} {
+		report(&tasks[i%3], c)
+	}
+	report(&tasks[2], "c1")
+	for i := range tasks {
+		s.handleRunEnded(&tasks[i])
+		s.release(&tasks[i])
+	}
+	s.Step(sim.at(), Place{})
+	assert.Equal(t, started(s, 2), "b2", "the value that was reported last as new")
+
+	restored := func(c *work.Checkpoints) *State {
+		next := New(sim.bounds, 2, sim.at())
+		next.Step(sim.at(), ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
+		next.Step(sim.at(), JobSubmitted{Job: j, Checkpoints: c})
+		for _, sw := range sim.workers {
+			info := sw.info
+			next.Step(sim.at(), SideConnected{Instance: sw.instance})
+			for range 2 { // the first one raises the fence, under which the second is listed
+				next.Step(sim.at(), Reported{Instance: sw.instance, Report: &link.Report{Worker: &info, Listed: true, Complete: true,
+					Fence: next.fence(next.workers[sw.instance]), LeaseLeftMs: 4000}})
+			}
+		}
+		next.Step(sim.at(), Place{})
+		return next
+	}
+	stored := s.jobs[j.ID].checkpoints()
+	assert.Equal(t, len(stored.Tasks), 3, "earlier versions read one for each member")
+	assert.Equal(t, started(restored(stored), 1), "b2")
+	earlier := &work.Checkpoints{Tasks: []work.TaskCheckpoint{{Index: 0, Checkpoint: "a1"}, {Index: 1, Checkpoint: "b2"}, {Index: 2, Checkpoint: "c1"}}}
+	assert.Equal(t, started(restored(earlier), 1), "c1")
+}
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -271,6 +271,9 @@
 func (s *State) restoreTask(t *task, tp work.TaskProgress, workers []string) {
 	t.run, t.failed, t.checkpoint = tp.Run, tp.Failed, tp.Checkpoint
 	t.stage.gangRun = max(t.stage.gangRun, tp.Run)
+	if tp.Checkpoint != "" {
+		t.stage.gangCheckpoint = tp.Checkpoint
+	}
 	if tp.Worker <= 0 || tp.Worker > len(workers) {
 		return
 	}
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -217,6 +217,7 @@
 		return false
 	}
 	for i, w := range placed {
+		st.tasks[i].checkpoint = st.gangCheckpoint
 		s.start(&st.tasks[i], w, run)
 	}
 	return true
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -87,6 +87,8 @@
 	scannedMs int64
 	// gangRun is the run number of the newest run of a gang.
 	gangRun int
+	// gangCheckpoint is the newest known checkpoint of a gang, from any of its members. All members of a run start with it.
+	gangCheckpoint string
 	// tickets holds the adviser's permissions by instance.
 	tickets map[string]ticket
 	// askedMs is when the adviser was last asked.
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -329,7 +329,8 @@
 	Tasks []TaskCheckpoint `cbor:"1,keyasint"`
 }
 
-// TaskCheckpoint is the newest stored checkpoint of a task that has not completed.
+// TaskCheckpoint is the newest stored checkpoint of a task that has not completed. All members of a gang have the same;
+// earlier versions stored different ones.
 type TaskCheckpoint struct {
 	_                       struct{} `cbor:",toarray"`
 	Occurrence, Step, Index int
