--- a/logevent/queue_test.go
+++ b/logevent/queue_test.go
@@ -59,3 +59,29 @@
 	q.Close()
 	assert.Equal(t, strings.Count(out.String(), "\n"), lines)
 }
+
+// Guards against a process that panics because another goroutine logs while it ends, and against lines that are neither
+// written nor counted then.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	q := NewQueue(&out, nil)
+	log := New(q, "info", "p")
+	const writers, lines = 4, 300
+	var wg sync.WaitGroup
+	for range writers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range lines {
+				log.Log(Started, Int("n", i))
+			}
+		}()
+	}
+	q.Close()
+	wg.Wait()
+	log.Log(Stopped)
+	q.Close()
+	written := strings.Count(out.String(), "\n")
+	assert.Equal(t, written+int(q.Dropped()), writers*lines+1)
+	assert.Assert(t, q.Dropped() >= 1)
+}
