dispatch: count a job as begun once a worker has listed a run of it

Cause: a job was shown as running once its start was recorded, which precedes the order.

Ruled out: entries that had not read the jobs (the number stayed 0); a lost worker that is taken for alive (it is given up in time).

Change: a job has begun when a worker lists a run of it or the end of one. The change is stored with the next batch, once a job.

--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -25,6 +25,7 @@
 }
 
 func (s *State) handleCompletion(w *worker, t *task, e link.Completion) {
+	s.markStarted(t.stage.job)
 	current := t.worker == w && t.run == e.Run
 	if current {
 		s.logTaskDecision(DecisionRunEnded, t, string(e.Outcome))
@@ -48,6 +49,14 @@
 	s.handleRunEnded(t)
 }
 
+// markStarted records that a worker has begun a task of a job, from when on the job is shown as running.
+func (s *State) markStarted(j *job) {
+	if !j.started {
+		j.started = true
+		s.markDirty(j)
+	}
+}
+
 // markTaskDone marks a task as done. If it is a member of a gang, the whole gang is done.
 func (s *State) markTaskDone(w *worker, t *task, run int, current bool) {
 	st := t.stage
@@ -187,6 +196,7 @@
 // updateRun updates the progress and the load of a run.
 func (s *State) updateRun(t *task, r link.Run) {
 	if t.phase == starting {
+		s.markStarted(t.stage.job)
 		t.phase = running
 		t.startedMs, t.progressedMs, t.percent = s.now.BootMs, s.now.BootMs, r.ProgressPercent
 	}
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -56,7 +56,8 @@
 
 // seedsThatFailed holds seeds of TestSimulationInvariants that failed beyond those that always run, with the cause.
 var seedsThatFailed = map[uint64]string{
-	771: "a completion was acknowledged after the worker's lease had expired, and a replaced decider started the task again; the rule allows that",
+	1781: "a failure that no decider had stored was lost with its worker, and the task was started once more; the rule allows that",
+	771:  "a completion was acknowledged after the worker's lease had expired, and a replaced decider started the task again; the rule allows that",
 }
 
 // Guards against a task that has two active runs, runs again after its completion was acknowledged, starts before the
@@ -546,3 +547,34 @@
 	}
 	assert.Equal(t, s.jobs[jobID(2)].active, 1)
 }
+
+// Guards against a job that counts as begun although no start has reached a worker: its recorded start goes to a worker that
+// is lost for good, so that entries would leave it out of the number of pending jobs (MIXED).
+func TestJobIsPendingUntilAWorkerHasBegunIt(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s, sw := sim.state, sim.workers[0]
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 2, CPU: 100, MemMB: 10, EstMs: 5000}}})
+	stored := func() work.JobState {
+		t.Helper()
+		b := s.Collect()
+		assert.Assert(t, len(b.Schedule) > 0, "nothing is stored")
+		sim.record(b)
+		s.Step(sim.at(), Committed{Batch: b})
+		var p work.Progress
+		assert.NilError(t, work.Decode(sim.stored[jobID(1)], &p))
+		return p.State
+	}
+	s.Step(sim.at(), Place{})
+	assert.Equal(t, stored(), work.Queued)
+	tasks := s.jobs[jobID(1)].stages[0].tasks
+	assert.Assert(t, tasks[0].worker != nil && tasks[0].recorded)
+	report := func(rep link.Report) {
+		info := sw.info
+		rep.Worker, rep.Listed, rep.Fence, rep.LeaseLeftMs = &info, true, s.fence(tasks[0].worker), 4000
+		s.Step(sim.at(), Reported{Instance: sw.instance, Report: &rep})
+	}
+	report(link.Report{Runs: []link.Run{{Task: tasks[0].name().String(), Run: 1}}})
+	assert.Equal(t, stored(), work.Running)
+	sim.electDecider()
+	assert.Assert(t, sim.state.jobs[jobID(1)].started, "a later decider shows the job as pending again")
+}
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -162,7 +162,6 @@
 	t.recorded = false
 	t.moveTarget = nil
 	s.reserve(t, w)
-	t.stage.job.started = true
 	s.pendingStarts = append(s.pendingStarts, pendingStart{t, run})
 	if w.health.streak >= failuresToQuarantine {
 		w.health.probe = t
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -52,7 +52,7 @@
 	// active counts tasks whose run may be active. lastActiveMs is when there last was one.
 	active       int
 	lastActiveMs int64
-	// started is true once any task was started.
+	// started is true once a worker has listed a run of any task. A start that was only recorded may never reach its worker.
 	started bool
 	dirty   bool
 	// checkpointsDirty is true if checkpoints have changed since they were stored, at checkpointsStoredMs.
