dispatch: do not restore occurrences of the distant future

Restoring opens every occurrence up to the latest one that a record names, so that a damaged record of a job with a million occurrences would have taken the memory of each decider in turn.

Change: a named occurrence that is due more than an hour after the next ones to be opened is passed over, like one beyond the job's number.

--- a/fleet/dispatch/checkpoints.go
+++ b/fleet/dispatch/checkpoints.go
@@ -68,7 +68,9 @@
 		}
 		if t := &st.tasks[r.Index]; t.phase != done {
 			t.checkpoint = r.Checkpoint
-			st.gangCheckpoint = r.Checkpoint
+			if st.step.Gang {
+				st.gangCheckpoint = r.Checkpoint
+			}
 		}
 	}
 }
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -12,6 +12,8 @@
 const (
 	// openAheadMs is how long before its start time the stages of an occurrence are created.
 	openAheadMs = 1000
+	// maxClockSkewMs is by how much the wall clocks of two deciders may differ. Clocks jump by seconds.
+	maxClockSkewMs = 3_600_000
 	// maxAgeMs bounds the age of a submission, which is derived from two clocks that may differ by seconds.
 	maxAgeMs = 30_000
 	// defaultEstMs is the duration estimate of a step that has none.
@@ -246,7 +248,7 @@
 	j.state = p.State
 	j.started = p.State != work.Queued
 	for _, sp := range p.Stages {
-		if sp.Step >= len(j.def.Steps) || sp.Step < 0 || sp.Occurrence < 0 || sp.Occurrence >= j.def.Occurrences() {
+		if sp.Step >= len(j.def.Steps) || sp.Step < 0 || !s.mayBeOpen(j, sp.Occurrence) {
 			continue
 		}
 		for j.opened <= sp.Occurrence {
@@ -268,10 +270,16 @@
 	}
 }
 
+// mayBeOpen reports whether an earlier decider may have opened an occurrence. A record that names one of the distant future
+// is damaged, and opening all occurrences up to it could take more memory than there is.
+func (s *State) mayBeOpen(j *job, occurrence int) bool {
+	return occurrence >= 0 && occurrence < j.def.Occurrences() && s.occurrenceDue(j, occurrence)-s.now.BootMs <= openAheadMs+maxClockSkewMs
+}
+
 func (s *State) restoreTask(t *task, tp work.TaskProgress, workers []string) {
 	t.run, t.failed, t.checkpoint = tp.Run, tp.Failed, tp.Checkpoint
 	t.stage.gangRun = max(t.stage.gangRun, tp.Run)
-	if tp.Checkpoint != "" {
+	if t.stage.step.Gang && tp.Checkpoint != "" {
 		t.stage.gangCheckpoint = tp.Checkpoint
 	}
 	if tp.Worker <= 0 || tp.Worker > len(workers) {
--- a/fleet/dispatch/occurrences_test.go
+++ b/fleet/dispatch/occurrences_test.go
@@ -95,3 +95,16 @@
 	}
 	assert.Assert(t, !restored.state.Final())
 }
+
+// Guards against a damaged record that makes every decider in turn run out of memory: it names an occurrence that is years
+// ahead, and all before it would be opened.
+func TestDistantOccurrenceIsNotRestored(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	j := overlappingJob(sim)
+	j.Queue = work.Queue{Name: "q", Service: "app", Attempts: 3}
+	j.Repeat, j.IntervalMs = 1_000_000, 60_000
+	stored := &work.Progress{State: work.Running, Stages: []work.StageProgress{
+		{Occurrence: 30, Step: 0, Done: []byte{0b11}}, {Occurrence: 999_999, Step: 0, Done: []byte{0b11}}}}
+	sim.step(JobSubmitted{Job: j, Progress: stored})
+	assert.Equal(t, sim.state.jobs[j.ID].opened, 31)
+}
--- a/fleet/work/store.go
+++ b/fleet/work/store.go
@@ -87,8 +87,8 @@
 	Next, End int64
 }
 
-// Snapshot holds the newest record of every key that a topic has. A key that is absent from it has no value: its newest
-// record below Next, if there was one, was a tombstone.
+// Snapshot holds the newest record of every key that a topic has. A key that is absent from it had no value when it was read:
+// if there was a record of it below Next, a tombstone came after that.
 type Snapshot struct {
 	Records []Record
 	// Next is the end of the topic before the first key was read, where reading continues. The keys are read one after the
