soak: report data races and panics in the output of every process

Change: the output of every process is searched when it ends, and at the end of a play, for the lines of the Go runtime and the race detector.

Measured: TestCrashesInOutputAreReported.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// crashMarks are lines by which the Go runtime and the race detector report a fault of a process.
+var crashMarks = []string{"WARNING: DATA RACE", "\npanic: ", "\nfatal error: "}
+
+// onOutput checks the output of a process, also of one that was told to stop, whose end is not reported otherwise.
+func (c *checker) onOutput(process, output string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, mark := range crashMarks {
+		if i := strings.Index("\n"+output, mark); i >= 0 {
+			rest := ("\n" + output)[i:]
+			c.reportf("CRASH: %s: %.1500s", process, strings.TrimSpace(rest))
+		}
+	}
+}
+
 // onStart records the start of a run and checks that the run may start.
 func (c *checker) onStart(worker, task string, run int) {
 	c.mu.Lock()
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -208,10 +208,11 @@
 // again, as the platform does.
 func (n *node) watch(p *launch.Process) {
 	<-p.Done()
+	d := n.deployment
+	d.checker.onOutput(n.name, p.Output())
 	n.mu.Lock()
 	ended := n.process == p && n.stopping != p
 	n.mu.Unlock()
-	d := n.deployment
 	if !ended || d.over.Load() {
 		return
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,7 +35,8 @@
 	// An outgoing connection of another process took the port of an entry while the entry restarted.
 	228,
 	// An entry found its address in use when it restarted and stayed away (a fault of the soak, LOST): two restarts of it may
-	// overlap, or another test has taken the port. Which one it was is not shown.
+	// overlap, or another test has taken the port. Which one it was is not shown. Later, orders of a worker that was replaced
+	// counted as unanswered for good, and a task stayed with its successor (LOST).
 	7002,
 	// A worker restarted under its id while starts were in transit, and answered them before its first heartbeat. The
 	// decider took them for starts of the earlier incarnation and started the tasks elsewhere (TWICE).
@@ -302,6 +303,9 @@
 		time.Sleep(pollInterval)
 	}
 	d.over.Store(true)
+	for _, n := range append(append([]*node{}, d.entries...), d.sides...) {
+		d.checker.onOutput(n.name, n.process.Output())
+	}
 	d.checker.checkRefusals()
 	d.checker.mu.Lock()
 	defer d.checker.mu.Unlock()
@@ -414,6 +418,18 @@
 	}
 }
 
+// Guards against a soak that does not notice a data race or a panic of a process that was about to stop anyway: both stood in
+// logs of plays that the review made, and no check named them.
+func TestCrashesInOutputAreReported(t *testing.T) {
+	c := newChecker()
+	c.onOutput("side-0", "{\"message\":\"process stopped\"}\n")
+	assert.Equal(t, len(c.problems), 0)
+	c.onOutput("side-1", "{}\npanic: send on closed channel\n\ngoroutine 1 [running]:\n")
+	c.onOutput("side-2", "WARNING: DATA RACE\nRead at 0x00\n")
+	assert.Equal(t, len(c.problems), 2, "%v", c.problems)
+	assert.Assert(t, strings.HasPrefix(c.problems[0], "CRASH: side-1: panic: send on closed channel"))
+}
+
 // Guards against a soak that does not notice a process that ends by itself.
 func TestEndedProcessIsReported(t *testing.T) {
 	d := &deployment{t: t, checker: newChecker(), group: launch.ForTest(t)}
