Refuse submissions that the backlog would make useless

While there was too little capacity, every submission was accepted, and callers learned only after three times the objective that it had been in vain. The decider now publishes the expected wait of new work by service, priority and kind of capacity (record B of keyed.sched), and entries refuse a submission with 503 and a Retry-After if it would end after three times its objective even with half of that wait. Setting scheduling.admission turns this off.

The tests of the packages fleet, settings, logevent and telemetry pass; the effect on a load is not measured yet.

--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -74,6 +74,7 @@
 		if m.phase == done {
 			continue
 		}
+		s.countDone(m)
 		if m.worker == nil {
 			st.waiting--
 		}
@@ -199,6 +200,9 @@
 		s.markStarted(t.stage.job)
 		t.phase = running
 		t.startedMs, t.progressedMs, t.percent = s.now.BootMs, s.now.BootMs, r.ProgressPercent
+		if t.checkpoint != "" {
+			t.countedPercent = r.ProgressPercent // done by earlier runs
+		}
 	}
 	if r.ProgressPercent != t.percent {
 		t.percent, t.progressedMs = r.ProgressPercent, s.now.BootMs
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -20,8 +20,10 @@
 	rng    *rand.Rand
 	now    int64
 	bounds bounds.Bounds
-	state  *State
-	epoch  uint64
+	// options are those of the deciders.
+	options Options
+	state   *State
+	epoch   uint64
 
 	workers []*simWorker
 	// stored holds the stored progress by job, inFlight the batch that is being stored until commitAt.
@@ -134,6 +136,8 @@
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
 		cancels: map[string]int64{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failures: map[string][]int64{}}
+	// Every other seed, so that the course of seedsThatFailed stays the same.
+	sim.options.PublishBacklog = seed%2 == 0
 	sim.bounds = bounds.Bounds{MaxLease: 6 * time.Second, MaxOverTarget: 4 * time.Second,
 		MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}.Derive()
@@ -167,7 +171,7 @@
 		}
 		sw.connected = false
 	}
-	sim.state = New(sim.bounds, sim.epoch, sim.at())
+	sim.state = New(sim.bounds, sim.epoch, sim.at(), sim.options)
 	sim.step(ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
 	if sim.learned != nil {
 		var in work.Interference
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -123,6 +123,8 @@
 	startedMs    int64
 	percent      int
 	progressedMs int64
+	// countedPercent is the progress that the measured capacity includes.
+	countedPercent int
 	// stalls counts runs that were stopped for lack of progress.
 	stalls int
 	// load is the tail latency in milliseconds of a latency-critical task, and the CPU use of any other.
@@ -171,6 +173,7 @@
 	sortedWorkers  []*worker // by instance, so that decisions do not depend on map order
 	evacuatedZones map[string]bool
 	interference   interferenceModel
+	backlog        backlog
 	stages         []*stage // stages of unfinished jobs with unfinished tasks
 
 	dirty []*job
@@ -260,13 +263,15 @@
 	DecisionWorkerDown
 	DecisionQuarantine
 	DecisionCPUShare
+	DecisionBacklog
 )
 
 // New returns the initial state of a decider that claimed the epoch.
-func New(b bounds.Bounds, epoch uint64, now Now) *State {
+func New(b bounds.Bounds, epoch uint64, now Now, o Options) *State {
 	return &State{bounds: b, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
 		queues: map[string]work.Queue{}, queueServices: map[string]map[string]bool{}, services: map[string]work.Service{},
-		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), pendingAcks: map[string]bool{}}
+		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), pendingAcks: map[string]bool{},
+		backlog: backlog{enabled: o.PublishBacklog}}
 }
 
 // Event is an input of the state machine.
@@ -337,6 +342,9 @@
 	if r, due := s.interferenceRecord(); due {
 		b.Schedule = append(b.Schedule, r)
 	}
+	if r, due := s.backlogRecord(); due {
+		b.Schedule = append(b.Schedule, r)
+	}
 	for name := range s.pendingAcks {
 		if w := s.workers[name]; w != nil && w.info != nil {
 			b.acks[name] = completionAck{w.info.Incarnation, w.lastCompletion}
@@ -428,6 +436,7 @@
 	s.openDueOccurrences()
 	s.dropFinishedJobs()
 	s.place()
+	s.updateBacklog()
 }
 
 // Place places waiting tasks if an event since the previous call may have freed capacity.
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -153,7 +153,7 @@
 		t.phase = waiting
 		t.stage.waiting++
 	}
-	t.orderNumber, t.recorded, t.startedMs, t.percent, t.load, t.stopSentMs = 0, false, 0, 0, 0, 0
+	t.orderNumber, t.recorded, t.startedMs, t.percent, t.countedPercent, t.load, t.stopSentMs = 0, false, 0, 0, 0, 0, 0
 	t.cpuShare, t.sentCPUShare, t.shareSentMs, t.headroomFactor, t.overTargetSinceMs = fullCPUShare, fullCPUShare, 0, 0, 0
 	s.placePending = true
 	s.markDirty(t.stage.job)
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -10,6 +10,7 @@
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/settings"
 )
 
 const (
@@ -71,7 +72,7 @@
 	now := clock.BootMs()
 	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize),
 		sides: map[string]*sideLink{}, dialSide: dialSide, seq: claimSeq(claim), confirmedMs: now, sentMs: now}
-	d.state = dispatch.New(e.set.Bounds, epoch, d.now())
+	d.state = dispatch.New(e.set.Bounds, epoch, d.now(), dispatch.Options{PublishBacklog: e.set.Admission != settings.AdmissionOff})
 	e.election.consumeClaim()
 	e.log.Log(logevent.BecameDecider, logevent.Int("epoch", epoch))
 	e.deciding.Store(epoch)
@@ -166,6 +167,9 @@
 	if in := e.view.interference(); in != nil {
 		d.applyEvent(dispatch.ModelRestored{Interference: in})
 	}
+	if e.view.backlog.isStored() {
+		d.applyEvent(dispatch.BacklogFound{})
+	}
 	for id, v := range e.view.all() {
 		d.applyJob(id, v)
 	}
@@ -382,6 +386,7 @@
 	dispatch.DecisionStop: logevent.TaskStop, dispatch.DecisionRunEnded: logevent.TaskEnd, dispatch.DecisionRequeued: logevent.TaskRequeued,
 	dispatch.DecisionStartRefused: logevent.TaskRefused, dispatch.DecisionWorkerUp: logevent.WorkerUp, dispatch.DecisionWorkerDown: logevent.WorkerDown,
 	dispatch.DecisionQuarantine: logevent.WorkerQuarantined, dispatch.DecisionCPUShare: logevent.CPUShareChanged,
+	dispatch.DecisionBacklog: logevent.BacklogChanged,
 }
 
 // logDecision logs a decision.
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -55,7 +55,11 @@
 	relay   *relay
 	bridges chan struct{}
 
-	view     *view
+	view *view
+	// refusalLog limits the log lines on refusals because of the backlog.
+	refusalLog logLimit
+	// attempts holds the ids that this entry has tried to store lately.
+	attempts attemptList
 	jobs     *topicReader
 	schedule *topicReader
 	operator *topicReader
--- a/fleet/entry/metrics.go
+++ b/fleet/entry/metrics.go
@@ -17,6 +17,7 @@
 	store     telemetry.Histogram
 	eventWait telemetry.Histogram
 	decisions telemetry.Counter
+	refused   telemetry.Counter
 	// deciding points to the epoch in which the entry is the decider, which is 0 if it is not; nil until it is set.
 	deciding atomic.Pointer[atomic.Uint64]
 }
@@ -37,6 +38,9 @@
 	if m.decisions, err = r.Counter(telemetry.FleetDecisions); err != nil {
 		return nil, err
 	}
+	if m.refused, err = r.Counter(telemetry.FleetRefused); err != nil {
+		return nil, err
+	}
 	err = r.Gauges([]*telemetry.Desc{telemetry.FleetDeciding}, func(set telemetry.Set) {
 		value := 0.0
 		if epoch := m.deciding.Load(); epoch != nil && epoch.Load() != 0 {
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -34,8 +34,9 @@
 	storeDownPoll = 50 * time.Millisecond
 	// submitRetry is the pause between attempts to store a submission.
 	submitRetry = 60 * time.Millisecond
-	// retryAfterSeconds is the Retry-After of refused requests. The load balancer takes an entry without the store out of
-	// rotation within two seconds.
+	// retryAfterSeconds is the Retry-After of requests that are refused for another reason than the backlog. The load balancer
+	// takes an entry without the store out of rotation within two seconds. These refusals are spread over an outage as their
+	// requests are, so that a constant does not bring the callers back together.
 	retryAfterSeconds = 1
 	// maxStateAgeMs is the age of the schedule beyond which it is read again before the state of an unfinished job is told:
 	// callers wait for that job to end.
@@ -160,9 +161,7 @@
 		e.refuse(c, http.StatusBadRequest, id, err.Error())
 		return
 	}
-	if state, known := e.view.get(id); known {
-		e.log.Log(logevent.JobAccepted, logevent.Str("job", id), logevent.Str("outcome", "known before"), logevent.Str("state", state.String()))
-		answer(c, http.StatusOK, platform.EncodeJobState(state))
+	if e.answerKnown(c, id) {
 		return
 	}
 	if e.storeDown() {
@@ -170,11 +169,28 @@
 		e.refuse(c, http.StatusServiceUnavailable, id, "the store is away; come back after the time given")
 		return
 	}
+	if d := e.decideAdmission(job, q); d.Refused && e.refreshKnown(ctx, id) {
+		if !e.answerKnown(c, id) {
+			e.refuseAdmission(c, id, q, &d)
+		}
+		return
+	}
+	e.attempts.add(id, clock.BootMs())
 	job.Queue, job.AcceptedMs = *q, clock.WallMs()
 	rec := work.Record{Key: work.PrefixSubmission + id, Value: work.Encode(job)}
 	e.answerStored(c, id, logevent.JobAccepted, e.storeRecord(ctx, rec, deadline(c, q)), platform.EncodeJobState(work.Queued))
 }
 
+// answerKnown responds with the state of a job that was accepted before, and reports whether it was.
+func (e *Entry) answerKnown(c *app.RequestContext, id string) bool {
+	state, known := e.view.get(id)
+	if known {
+		e.log.Log(logevent.JobAccepted, logevent.Str("job", id), logevent.Str("outcome", "known before"), logevent.Str("state", state.String()))
+		answer(c, http.StatusOK, platform.EncodeJobState(state))
+	}
+	return known
+}
+
 // answerStored responds according to the result of storing the request's record.
 func (e *Entry) answerStored(c *app.RequestContext, id string, event logevent.Event, err error, body []byte) {
 	switch {
--- a/fleet/entry/view.go
+++ b/fleet/entry/view.go
@@ -20,6 +20,8 @@
 	unsubmitted map[string]*jobView
 	// interferenceRecord is the newest stored interference estimate; nil if there is none.
 	interferenceRecord []byte
+	// backlog is the expected wait of new work.
+	backlog backlogView
 	// excluded holds the jobs that deciders leave out because loading them panicked.
 	excluded map[string]bool
 	// onJobChange notifies the decider of submissions and cancellations, if set.
@@ -37,7 +39,8 @@
 }
 
 func newView(log logevent.Logger) *view {
-	return &view{log: log, jobs: map[string]*jobView{}, unsubmitted: map[string]*jobView{}, excluded: map[string]bool{}}
+	return &view{log: log, jobs: map[string]*jobView{}, unsubmitted: map[string]*jobView{}, excluded: map[string]bool{},
+		backlog: backlogView{log: log}}
 }
 
 // get returns a job's state.
@@ -201,6 +204,10 @@
 			v.interferenceRecord = r.Value
 			continue
 		}
+		if r.Key == work.KeyBacklog {
+			v.backlog.apply(r)
+			continue
+		}
 		if id, ok := strings.CutPrefix(r.Key, work.PrefixProgress); ok {
 			v.applyJobProgress(id, r)
 		}
--- a/fleet/work/store.go
+++ b/fleet/work/store.go
@@ -49,6 +49,8 @@
 	KeyClaim = "L"
 	// KeyInterference is the key of the decider's interference estimates.
 	KeyInterference = "I"
+	// KeyBacklog is the key of the expected wait of new work, which the decider stores while there is too little capacity.
+	KeyBacklog = "B"
 )
 
 // Record is a keyed record.
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -99,6 +99,8 @@
 	JobRefused             = define(831, zerolog.InfoLevel, "job refused; it does not run")
 	JobUnknown             = define(832, zerolog.WarnLevel, "it is unknown whether the job was stored")
 	JobCancelled           = define(833, zerolog.InfoLevel, "cancellation of a job requested")
+	JobNotAdmitted         = define(834, zerolog.InfoLevel, "job refused because too much work waits; it does not run")
+	BacklogChanged         = define(835, zerolog.InfoLevel, "new work has begun or ceased to wait")
 	JobLoaded              = define(840, zerolog.InfoLevel, "the decider loaded a job")
 	JobFinished            = define(841, zerolog.InfoLevel, "a job finished")
 	TaskStart              = define(842, zerolog.InfoLevel, "start of a task decided")
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -30,10 +30,18 @@
 	Store, Adviser string
 	// Worker is the address of the worker on this instance, Service the name of its service; both are empty at entries.
 	Worker, Service string
+	// Admission is backlog if submissions that could not end in time are refused, else off.
+	Admission string
 	// Bounds are the deployment's bounds and the times derived from them.
 	Bounds bounds.Bounds
 }
 
+// Values of Fleet.Admission.
+const (
+	AdmissionOff     = "off"
+	AdmissionBacklog = "backlog"
+)
+
 // PeerAddress returns the address at which other processes reach the peer listener that is bound to the given address.
 func (f *Fleet) PeerAddress(bound net.Addr) string {
 	if f.Advertise != "" {
@@ -44,7 +52,7 @@
 
 // DefaultFleet returns the default settings. The default bounds are the platform's usual values.
 func DefaultFleet() Fleet {
-	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
+	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Admission: AdmissionBacklog, Bounds: bounds.Bounds{
 		MaxLease: 6 * time.Second, Grace: 6 * time.Second,
 		MaxOverTarget: 4 * time.Second, MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}}
@@ -80,6 +88,7 @@
 		{"bounds", "far_factor", false, optional(fraction(&b.OffRackFactor, 1, 1000)), "write a factor, for example 1.5"},
 		{"bounds", "restore", false, optionalDuration(&b.Restore), durationRemedy},
 		{"bounds", "finish", false, optionalDuration(&b.StarvationLimit), durationRemedy},
+		{"scheduling", "admission", false, optional(oneOf(&f.Admission, AdmissionOff, AdmissionBacklog)), "use off or backlog"},
 	}
 }
 
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -120,4 +120,6 @@
 	FleetDecisions = define(CounterKind, EntryRole, "decisions_total", "decisions of this decider", "kind")
 	FleetDeciding  = define(GaugeKind, EntryRole, "deciding", "1 while this entry decides")
 	FleetDropped   = define(GaugeKind, BothRoles, "log_lines_dropped", "log lines dropped since the start")
+	FleetRefused   = define(CounterKind, EntryRole, "submissions_not_admitted_total", "submissions refused because too much work waits",
+		"capacity", "priority")
 )
