--- a/fleet/dispatch/backlog.go
+++ b/fleet/dispatch/backlog.go
@@ -64,11 +64,14 @@
 type kindBacklog struct {
 	// doneWork is the work done since the last sample, usedCores the CPU of active tasks, freeCores the unreserved CPU.
 	doneWork, usedCores, freeCores float64
-	// waiting and work hold, by priority, whether a task found no room in the last placement pass, and the remaining work.
+	// waiting and work hold, by priority, whether a task that can still be of use found no room in the last placement pass, and
+	// the remaining work.
 	waiting map[int]bool
 	work    map[int]float64
 	// workers and schedulable count the known and the schedulable workers of the service.
 	workers, schedulable int
+	// maxCPU and maxMem are the size of the largest schedulable workers of the service.
+	maxCPU, maxMem int64
 	// short is true if there was too little room at the last sample. samples holds intervals that began and ended so.
 	short   bool
 	samples []capacitySample
@@ -110,7 +113,7 @@
 	}
 	b.sampledMs, b.sampledWallMs = s.now.BootMs, s.now.WallMs
 	for _, k := range b.kinds {
-		k.usedCores, k.freeCores, k.workers, k.schedulable = 0, 0, 0, 0
+		k.usedCores, k.freeCores, k.workers, k.schedulable, k.maxCPU, k.maxMem = 0, 0, 0, 0, 0, 0
 		k.waiting, k.work = map[int]bool{}, map[int]float64{}
 	}
 	s.measureWorkers()
@@ -153,6 +156,7 @@
 			k.workers++
 			if schedulable {
 				k.schedulable++
+				k.maxCPU, k.maxMem = max(k.maxCPU, w.info.CPU), max(k.maxMem, w.info.MemMB)
 			}
 			if schedulable && !bestEffort {
 				k.freeCores += float64(max(w.info.CPU-w.committedCPU, 0)) / 1000
@@ -197,18 +201,23 @@
 	return float64(estimateMs(st)) * float64(max(st.CPU, 1)) / 1000
 }
 
-// measureStages adds up the remaining work of unfinished jobs, and finds out which of it has no room.
+// measureStages adds up the remaining work of unfinished jobs, and finds out which of it has no room. All accepted work has to
+// be done, so that work that is too late counts, although new work goes first. There is too little room only while work
+// waits that can still be of use: otherwise capacity would be spent on work that is too late while new work is refused.
 func (s *State) measureStages() {
 	for _, st := range s.stages {
 		j := st.job
-		if j.state.Final() || st.step.LongRunning || s.now.BootMs < st.dueMs || j.rank.late == tooLate || st.done == len(st.tasks) {
-			continue // work that is too late follows new work
+		if j.state.Final() || st.step.LongRunning || s.now.BootMs < st.dueMs || st.done == len(st.tasks) {
+			continue
 		}
 		q := s.queue(j)
 		if needsCertainWorkers(st, q) {
 			continue
 		}
 		k := s.backlog.kind(q.Service, st.step.BestEffort)
+		if st.step.CPU > k.maxCPU || st.step.MemMB > k.maxMem {
+			continue // it fits no worker and takes no capacity from others
+		}
 		if k.work == nil {
 			k.waiting, k.work = map[int]bool{}, map[int]float64{}
 		}
@@ -217,7 +226,7 @@
 				k.work[q.Priority] += declaredWork(st.step) * float64(100-t.percent) / 100
 			}
 		}
-		if st.waiting > 0 && st.exhaustedPass == s.pass && st.ready(s.now.BootMs) {
+		if j.rank.late != tooLate && st.waiting > 0 && st.exhaustedPass == s.pass && st.ready(s.now.BootMs) {
 			k.waiting[q.Priority] = true
 		}
 	}
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -47,6 +47,9 @@
 	faultFree bool
 	// learned is the interference model that the decider stored last.
 	learned []byte
+	// backlog is the stored backlog, backlogAt when it or its removal was stored last.
+	backlog   []byte
+	backlogAt int64
 	// delayedStarts holds starts that are carried out later.
 	delayedStarts []delayedStart
 	// replaced holds deciders that do not know yet that another one has claimed.
@@ -180,6 +183,9 @@
 		}
 		sim.step(ModelRestored{Interference: &in})
 	}
+	if len(sim.backlog) > 0 {
+		sim.step(BacklogFound{})
+	}
 	ids := make([]string, 0, len(sim.jobs))
 	for id := range sim.jobs {
 		ids = append(ids, id)
@@ -638,6 +644,9 @@
 		if r.Key == work.KeyInterference {
 			sim.learned = r.Value
 		}
+		if r.Key == work.KeyBacklog {
+			sim.backlog, sim.backlogAt = r.Value, sim.now
+		}
 		if id, ok := strings.CutPrefix(r.Key, work.PrefixProgress); ok {
 			sim.stored[id] = r.Value
 		}
