--- a/fleet/dispatch/backlog.go
+++ b/fleet/dispatch/backlog.go
@@ -28,8 +28,11 @@
 	settledSamples = 4
 	// minProgressShare is the minimum capacity relative to the CPU that tasks have, for workers that report no progress.
 	minProgressShare = 0.25
-	// minWaitMs is the shortest wait that is published. Starting a task takes up to a second.
-	minWaitMs = 1000
+	// minWaitMs is the shortest wait that is published. Starting a task takes up to a second, and no usual objective makes a
+	// shorter wait matter.
+	minWaitMs = 2000
+	// scatteredShare is the part of the CPU that stays unreserved in pieces too small for a task where there is too little room.
+	scatteredShare = 0.02
 	// minReachableShare is the part of a service's workers that must be schedulable. Where fewer are, a fault that ends
 	// within seconds is more likely than a lack of capacity, and the measured capacity means nothing.
 	minReachableShare = 0.5
@@ -62,7 +65,8 @@
 // kindBacklog is the backlog of one kind of capacity. Work is in core-milliseconds of declared durations, so that wrong
 // declarations affect the work and the capacity alike.
 type kindBacklog struct {
-	// doneWork is the work done since the last sample, usedCores the CPU of active tasks, freeCores the unreserved CPU.
+	// doneWork is the work done since the last sample, usedCores the CPU of active tasks, freeCores the unreserved CPU less
+	// what is scattered: some waiting tasks may need more room at once than others.
 	doneWork, usedCores, freeCores float64
 	// waiting and work hold, by priority, whether a task that can still be of use found no room in the last placement pass, and
 	// the remaining work.
@@ -159,7 +163,7 @@
 				k.maxCPU, k.maxMem = max(k.maxCPU, w.info.CPU), max(k.maxMem, w.info.MemMB)
 			}
 			if schedulable && !bestEffort {
-				k.freeCores += float64(max(w.info.CPU-w.committedCPU, 0)) / 1000
+				k.freeCores += (float64(max(w.info.CPU-w.committedCPU, 0)) - scatteredShare*float64(w.info.CPU)) / 1000
 			}
 		}
 		for _, t := range w.tasks {
@@ -259,7 +263,7 @@
 	if len(k.samples) < settledSamples {
 		cores = max(cores, k.usedCores)
 	}
-	return cores + k.freeCores
+	return cores + max(k.freeCores, 0)
 }
 
 // rows returns the expected waits of new work by priority. New work follows all work of its own and of higher priorities.
--- a/fleet/dispatch/backlog_test.go
+++ b/fleet/dispatch/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -18,7 +19,9 @@
 	sim *simulation
 	// admit is false where everything is accepted.
 	admit bool
-	n     int
+	// reserved makes long jobs reserve CPU instead of being best-effort.
+	reserved bool
+	n        int
 	// owed is the work in core-milliseconds that is to be submitted.
 	owed float64
 	jobs []loadJob
@@ -74,7 +77,7 @@
 	}
 }
 
-// run submits long best-effort jobs of priority 2 with the given multiple of all cores for some time, beside short jobs of
+// run submits long jobs of priority 2 with the given multiple of all cores for some time, beside short jobs of
 // priority 0, which use a tenth of the cores as reserved CPU and a twentieth as best-effort tasks.
 func (l *admissionLoad) run(ms int64, factor float64) {
 	long := work.Queue{Name: "long", Service: "app", Priority: 2, Attempts: 30, Stretch: 1.5, TargetMs: 500}
@@ -85,7 +88,7 @@
 			if l.sim.rng.IntN(8) == 0 {
 				count = 20
 			}
-			step := work.Step{Count: count, CPU: 1000, MemMB: 50, EstMs: int64(800 + l.sim.rng.IntN(800)), BestEffort: true, Image: "f"}
+			step := work.Step{Count: count, CPU: 1000, MemMB: 50, EstMs: int64(800 + l.sim.rng.IntN(800)), BestEffort: !l.reserved, Image: "f"}
 			second := step
 			second.DependsOn = []int{0}
 			l.submit(long, []work.Step{step, second}, false)
@@ -116,20 +119,29 @@
 func isLong(j *loadJob) bool { return !j.urgent }
 
 // Guards against refusals of short urgent jobs because of long ones of lower priority, and against refusals that follow the
-// size of a job. Load: long best-effort jobs at three times the cores, as a burst of turbine monitoring that lasts.
+// size of a job. Load: long jobs at three times the cores, as a burst of turbine monitoring that lasts (best-effort), and
+// jobs that wait for cores beside long-running ones, as on music previews (reserved).
 func TestBurstRefusesLongJobsOnly(t *testing.T) {
-	var jobs []loadJob
-	for seed := range uint64(4) {
-		l := newAdmissionLoad(t, true)
-		l.sim.rng = rand.New(rand.NewPCG(seed, 2))
-		l.run(60_000, 3)
-		jobs = append(jobs, l.jobs...)
+	for _, reserved := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reserved=%t", reserved), func(t *testing.T) {
+			all := &admissionLoad{}
+			for seed := range uint64(4) {
+				l := newAdmissionLoad(t, true)
+				l.reserved, l.sim.rng = reserved, rand.New(rand.NewPCG(seed, 2))
+				l.run(60_000, 3)
+				all.jobs = append(all.jobs, l.jobs...)
+			}
+			all.checkWhoIsRefused(t)
+		})
 	}
-	l := &admissionLoad{jobs: jobs}
+}
+
+// checkWhoIsRefused checks the refused shares by priority and size.
+func (l *admissionLoad) checkWhoIsRefused(t *testing.T) {
 	all, n := l.refusedShare(0, isLong)
 	urgent, urgents := l.refusedShare(0, func(j *loadJob) bool { return j.urgent })
 	works := make([]float64, 0, n)
-	for _, j := range jobs {
+	for _, j := range l.jobs {
 		if isLong(&j) {
 			works = append(works, j.work)
 		}
@@ -142,7 +154,8 @@
 	assert.Assert(t, all > 0.2, "hardly any job was refused")
 	assert.Equal(t, urgent, 0.0)
 	assert.Assert(t, tenth <= 2*all && fifth <= 2*all, "large jobs are refused more than twice as often as all")
-	for _, j := range jobs {
+	assert.Assert(t, 1-tenth >= (1-all)/2 && 1-fifth >= (1-all)/2, "large jobs are accepted less than half as often as all")
+	for _, j := range l.jobs {
 		assert.Assert(t, !j.refused || j.retryAfterS >= 1 && j.retryAfterS <= 30)
 	}
 }
