Test that an unknown value of scheduling.admission is rejected

A misspelt value would leave admission on or off without a word. The table of invalid settings has a row for it now; the tests of package settings pass.

--- a/settings/fleet_test.go
+++ b/settings/fleet_test.go
@@ -60,6 +60,7 @@
 		"[limits]\ncores = 0\n":           "limits.cores",
 		"[worker]\naddress = elsewhere\n": "worker.address",
 		"[bounds]\nhold_min = 1s\n":       "bounds.hold_min",
+		"[scheduling]\nadmission = on\n":  "scheduling.admission",
 	} {
 		_, problems := CheckFleet([]byte(goodFleet+text), true)
 		assert.Equal(t, len(problems), 1, "%s: %v", text, problems)
