--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -20,8 +20,10 @@
 	rng    *rand.Rand
 	now    int64
 	bounds bounds.Bounds
-	state  *State
-	epoch  uint64
+	// options are those of the deciders.
+	options Options
+	state   *State
+	epoch   uint64
 
 	workers []*simWorker
 	// stored holds the stored progress by job, inFlight the batch that is being stored until commitAt.
@@ -45,6 +47,9 @@
 	faultFree bool
 	// learned is the interference model that the decider stored last.
 	learned []byte
+	// backlog is the stored backlog, backlogAt when it or its removal was stored last.
+	backlog   []byte
+	backlogAt int64
 	// delayedStarts holds starts that are carried out later.
 	delayedStarts []delayedStart
 	// replaced holds deciders that do not know yet that another one has claimed.
@@ -134,6 +139,8 @@
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
 		cancels: map[string]int64{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failures: map[string][]int64{}}
+	// Every other seed, so that the course of seedsThatFailed stays the same.
+	sim.options.PublishBacklog = seed%2 == 0
 	sim.bounds = bounds.Bounds{MaxLease: 6 * time.Second, MaxOverTarget: 4 * time.Second,
 		MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}.Derive()
@@ -167,7 +174,7 @@
 		}
 		sw.connected = false
 	}
-	sim.state = New(sim.bounds, sim.epoch, sim.at())
+	sim.state = New(sim.bounds, sim.epoch, sim.at(), sim.options)
 	sim.step(ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
 	if sim.learned != nil {
 		var in work.Interference
@@ -176,6 +183,9 @@
 		}
 		sim.step(ModelRestored{Interference: &in})
 	}
+	if len(sim.backlog) > 0 {
+		sim.step(BacklogFound{})
+	}
 	ids := make([]string, 0, len(sim.jobs))
 	for id := range sim.jobs {
 		ids = append(ids, id)
@@ -634,6 +644,9 @@
 		if r.Key == work.KeyInterference {
 			sim.learned = r.Value
 		}
+		if r.Key == work.KeyBacklog {
+			sim.backlog, sim.backlogAt = r.Value, sim.now
+		}
 		if id, ok := strings.CutPrefix(r.Key, work.PrefixProgress); ok {
 			sim.stored[id] = r.Value
 		}
