dispatch: order jobs by loss for capacity under scarcity

Cause: the job with the most remaining work was deferred, also one that was nearly done, also one of a higher priority for one of a lower; one capacity was counted for reserving and best-effort tasks; a waiting long-running task always had a deadline in the past and took every core before short jobs that could still be on time.

Change: within a priority and pool, the job with the highest remaining work for its weight is deferred; late jobs that can still end while of use go before the others; best-effort capacity is what best-effort tasks really get; waiting long-running tasks rank between jobs on time and late jobs while reserved CPU is scarce, and one of their tasks goes first after 1 s beside room for two or after 9 s without an active run. The order by deadline stays as Options.Order.

--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -13,23 +13,29 @@
 	usableShare = 0.85
 )
 
-// lateness tells whether a job can meet its objective.
+// lateness is the class of a job within its priority, in the order of placement.
 type lateness int
 
 const (
+	// dueFirst jobs have waited so long that one of their tasks is placed before other jobs.
+	dueFirst lateness = iota
 	// onTime jobs can still meet their objective beside jobs with earlier deadlines.
-	onTime lateness = iota
-	// deferred jobs would make smaller ones late, or are late already.
+	onTime
+	// yielding jobs are long-running ones that wait while jobs that can be on time need the room.
+	yielding
+	// deferred jobs would make other ones late, or are late already.
 	deferred
 	// tooLate jobs are past any useful deadline.
 	tooLate
+	// notBegun jobs cannot end by a useful deadline and none of their tasks has started.
+	notBegun
 )
 
 // rank is a job's position in the placement order.
 type rank struct {
 	priority int
 	late     lateness
-	// key orders jobs of equal priority and lateness: by deadline if they are on time, else by remaining work.
+	// key orders jobs of equal priority and lateness.
 	key int64
 }
 
@@ -53,66 +59,120 @@
 	s.rankJobs(jobs)
 }
 
+// remaining is the work that is left of a job.
+type remaining struct {
+	// coreMs is the work in core-milliseconds, bestEffortCoreMs the part of it in best-effort steps, and wholeCoreMs the
+	// work of the job with what is done.
+	coreMs, bestEffortCoreMs, wholeCoreMs float64
+	// spanMs is the shortest time that the work takes in milliseconds.
+	spanMs int64
+}
+
 // cachedRemainingWork returns remainingWork as of at most remainingTTLMs ago.
-func (j *job) cachedRemainingWork(now int64) (coreMs float64, spanMs int64) {
+func (j *job) cachedRemainingWork(now int64) remaining {
 	if j.remainingMs == 0 || now-j.remainingMs >= remainingTTLMs {
-		j.remainingCoreMs, j.remainingSpanMs = j.remainingWork()
-		j.remainingMs = now
+		j.remaining, j.remainingMs = j.remainingWork(), now
 	}
-	return j.remainingCoreMs, j.remainingSpanMs
+	return j.remaining
 }
 
-// remainingWork returns the remaining work of a job in core-milliseconds and the shortest time that it takes in
-// milliseconds.
-func (j *job) remainingWork() (coreMs float64, spanMs int64) {
+// remainingWork returns the work that is left of a job.
+func (j *job) remainingWork() remaining {
+	var r remaining
 	for _, st := range j.stages {
+		cores := float64(max(st.step.CPU, 1)) / 1000
+		r.wholeCoreMs += float64(len(st.tasks)) * float64(estimateMs(st.step)) * cores
 		if st.done == len(st.tasks) {
 			continue
 		}
-		longestMs := 0.0
+		longestMs, stageMs := 0.0, 0.0
 		for i := range st.tasks {
 			t := &st.tasks[i]
 			if t.phase == done {
 				continue
 			}
 			ms := float64(estimateMs(st.step)) * float64(100-t.percent) / 100
-			coreMs += ms * float64(max(st.step.CPU, 1)) / 1000
+			stageMs += ms
 			longestMs = max(longestMs, ms)
 		}
-		spanMs = max(spanMs, j.remainingPathMs[st.index]-estimateMs(st.step)+int64(longestMs))
+		r.coreMs += stageMs * cores
+		if st.step.BestEffort {
+			r.bestEffortCoreMs += stageMs * cores
+		}
+		r.spanMs = max(r.spanMs, j.remainingPathMs[st.index]-estimateMs(st.step)+int64(longestMs))
 	}
-	return coreMs, spanMs
+	return r
 }
 
 // deadline returns the boot time at which the job's objective ends.
 func (j *job) deadline() int64 { return j.dueMs + j.objectiveMs }
 
-// rankJobs decides the order in which jobs are placed. Jobs of one priority are ordered by deadline. Where capacity
-// does not suffice for one of them, the job with the most remaining work is deferred so that the others are on time.
-// This is the algorithm of Moore and Hodgson (1968) for the minimum number of late jobs on one machine, with the free
-// CPU of the fleet treated as one machine.
+// pendingJob is a job with the inputs of its rank, and its rank.
+type pendingJob struct {
+	remaining
+	priority                int
+	deadlineMs, objectiveMs int64
+	longRunning, begun      bool
+	// overdueStart is true if one task of the job has to be placed before other jobs.
+	overdueStart bool
+	rank         rank
+}
+
+// bestEffort reports whether most of the remaining work is best-effort.
+func (p *pendingJob) bestEffort() bool { return p.bestEffortCoreMs > p.coreMs/2 }
+
+// setRank sets the rank in a class, by deadline.
+func (p *pendingJob) setRank(late lateness) {
+	p.rank = rank{priority: p.priority, late: late, key: p.deadlineMs}
+}
+
+// rankJobs decides the order in which jobs are placed: by priority, within it by deadline, and where capacity does not
+// suffice by the order that the options select.
 func (s *State) rankJobs(jobs []*job) {
-	pending := make([]pendingJob, 0, len(jobs))
-	for _, j := range jobs {
-		p := pendingJob{job: j, priority: s.queue(j).Priority, deadlineMs: j.deadline()}
-		p.coreMs, p.spanMs = j.cachedRemainingWork(s.now.BootMs)
-		pending = append(pending, p)
+	pending := make([]pendingJob, len(jobs))
+	order := make([]*pendingJob, len(jobs))
+	for i, j := range jobs {
+		pending[i] = pendingJob{remaining: j.cachedRemainingWork(s.now.BootMs), priority: s.queue(j).Priority, deadlineMs: j.deadline(), objectiveMs: j.objectiveMs,
+			longRunning: j.def.LongRunning(), begun: j.started || j.active > 0}
+		order[i] = &pending[i]
 	}
-	sort.SliceStable(pending, func(i, k int) bool {
-		if pending[i].priority != pending[k].priority {
-			return pending[i].priority < pending[k].priority
+	if s.options.Order == OrderDeadline {
+		rankByDeadline(order, s.now.BootMs, s.usableCores())
+	} else {
+		scarce := s.reservedCPUScarce()
+		for i, j := range jobs {
+			pending[i].overdueStart = s.startOverdue(j, scarce)
 		}
-		return pending[i].deadlineMs < pending[k].deadlineMs
+		rankByScarcity(order, s.now.BootMs, s.capacity(), scarce)
+	}
+	for i, j := range jobs {
+		j.rank = pending[i].rank
+	}
+}
+
+// sortByDeadline sorts by priority, then by deadline.
+func sortByDeadline(list []*pendingJob) {
+	sort.SliceStable(list, func(i, k int) bool {
+		if list[i].priority != list[k].priority {
+			return list[i].priority < list[k].priority
+		}
+		return list[i].deadlineMs < list[k].deadlineMs
 	})
-	cores := s.usableCores()
+}
+
+// rankByDeadline orders by deadline. Where capacity does not suffice for a job, the one with the most remaining work is
+// deferred so that the others are on time. This is the algorithm of Moore and Hodgson (1968) for the minimum number of
+// late jobs on one machine, with the free CPU of the fleet treated as one machine.
+func rankByDeadline(list []*pendingJob, now int64, cores float64) {
+	sortByDeadline(list)
 	onTimeWork := 0.0 // core-milliseconds of the jobs accepted as on time so far
-	var onTimeJobs []pendingJob
-	for _, p := range pending {
+	var onTimeJobs []*pendingJob
+	for _, p := range list {
 		late := onTime
-		switch lateMs := s.now.BootMs + p.spanMs - p.deadlineMs; {
-		case p.job.def.LongRunning():
+		switch lateMs := now + p.spanMs - p.deadlineMs; {
+		case p.longRunning:
 			// Long-running jobs have no completion time that could be late.
-		case lateMs > (lateFactor-1)*p.job.objectiveMs:
+		case lateMs > (lateFactor-1)*p.objectiveMs:
 			late = tooLate
 		case lateMs > 0:
 			late = deferred
@@ -120,8 +180,11 @@
 			onTimeWork += p.coreMs
 			onTimeJobs = append(onTimeJobs, p)
 		}
-		p.job.rank = p.rank(late)
-		for cores > 0 && len(onTimeJobs) > 0 && float64(s.now.BootMs)+onTimeWork/cores > float64(p.deadlineMs) {
+		p.setRank(late)
+		if late != onTime {
+			p.rank.key = int64(p.coreMs)
+		}
+		for cores > 0 && len(onTimeJobs) > 0 && float64(now)+onTimeWork/cores > float64(p.deadlineMs) {
 			largest := 0
 			for i := range onTimeJobs {
 				if onTimeJobs[i].coreMs > onTimeJobs[largest].coreMs {
@@ -131,28 +194,11 @@
 			moved := onTimeJobs[largest]
 			onTimeWork -= moved.coreMs
 			onTimeJobs = append(onTimeJobs[:largest], onTimeJobs[largest+1:]...)
-			moved.job.rank = moved.rank(deferred)
+			moved.rank.late, moved.rank.key = deferred, int64(moved.coreMs)
 		}
 	}
 }
 
-// pendingJob is a job with the inputs of its rank.
-type pendingJob struct {
-	job        *job
-	priority   int
-	deadlineMs int64
-	coreMs     float64
-	spanMs     int64
-}
-
-func (p *pendingJob) rank(late lateness) rank {
-	r := rank{priority: p.priority, late: late, key: p.deadlineMs}
-	if late != onTime {
-		r.key = int64(p.coreMs)
-	}
-	return r
-}
-
 // usableCores returns the number of cores that jobs other than long-running ones can use.
 func (s *State) usableCores() float64 {
 	cores := 0.0
--- a/fleet/dispatch/overload.go
+++ b/fleet/dispatch/overload.go
@@ -59,5 +59,5 @@
 
 // shedsStarts reports whether the tasks of a job are not started for now. Starved jobs are, as they may not wait for ever.
 func (s *State) shedsStarts(st *stage) bool {
-	return s.overload >= fewerStarts && st.job.rank.late != onTime && !s.starved(st)
+	return s.overload >= fewerStarts && st.job.rank.late > yielding && !s.starved(st)
 }
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -93,10 +93,18 @@
 		}
 		if w == nil {
 			st.exhaustedPass = s.pass
+			if st.step.BestEffort {
+				s.poolFullAtMs = s.now.BootMs
+			}
 			return // the other tasks are of the same size
 		}
 		s.start(t, w, t.run+1)
 		c.update(s, w)
+		if st.job.rank.late == dueFirst {
+			// The other tasks of the job are placed in the ordinary order, after the next ranking.
+			s.ranksStale, s.placePending = true, true
+			return
+		}
 	}
 }
 
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -63,9 +63,9 @@
 	// rank is the job's position in the placement order, listedPass the pass that listed the job last.
 	rank       rank
 	listedPass uint64
-	// remainingCoreMs and remainingSpanMs are remainingWork as of remainingMs; 0 if it was not computed yet.
-	remainingCoreMs              float64
-	remainingSpanMs, remainingMs int64
+	// remaining is remainingWork as of remainingMs; 0 if it was not computed yet.
+	remaining   remaining
+	remainingMs int64
 	// remainingPathMs holds, for each step, the expected time from its start to the end of the job (its critical path).
 	remainingPathMs []int64
 }
@@ -81,6 +81,8 @@
 	tasks []task
 	// done counts completed tasks, waiting those in phase waiting.
 	done, waiting int
+	// waitingSinceMs is since when a task of the stage waits; 0 if one has since the stage was due.
+	waitingSinceMs int64
 	// exhaustedPass is the last placement pass that found no worker for a task of the stage; 0 if there is none.
 	exhaustedPass uint64
 	// scannedMs is when the stage was last compared with all workers.
@@ -155,9 +157,10 @@
 
 // State is the decider's scheduling state.
 type State struct {
-	bounds bounds.Bounds
-	now    Now
-	epoch  uint64
+	bounds  bounds.Bounds
+	options Options
+	now     Now
+	epoch   uint64
 	// claimedMs is when this decider claimed its epoch. Leases granted by the previous decider may last for Lead and
 	// Lease from then.
 	claimedMs int64
@@ -195,6 +198,10 @@
 	// rankedMs is when jobs were ranked, ranksStale is true if a stage was added since.
 	rankedMs   int64
 	ranksStale bool
+	// bestEffortUsed is the mean CPU use of best-effort tasks in thousandths of a core, and poolFullAtMs when one of them last
+	// found no worker.
+	bestEffortUsed float64
+	poolFullAtMs   int64
 	// overload tells what is not done because the decider is behind.
 	overload overload
 	// readyStages and unfinishedJobs are buffers of place.
@@ -263,8 +270,8 @@
 )
 
 // New returns the initial state of a decider that claimed the epoch.
-func New(b bounds.Bounds, epoch uint64, now Now) *State {
-	return &State{bounds: b, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
+func New(b bounds.Bounds, o Options, epoch uint64, now Now) *State {
+	return &State{bounds: b, options: o, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
 		queues: map[string]work.Queue{}, queueServices: map[string]map[string]bool{}, services: map[string]work.Service{},
 		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), pendingAcks: map[string]bool{}}
 }
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -151,6 +151,9 @@
 	}
 	if t.phase != done {
 		t.phase = waiting
+		if t.stage.waiting == 0 {
+			t.stage.waitingSinceMs = s.now.BootMs
+		}
 		t.stage.waiting++
 	}
 	t.orderNumber, t.recorded, t.startedMs, t.percent, t.load, t.stopSentMs = 0, false, 0, 0, 0, 0
