--- a/fleet/dispatch/scarcity.go
+++ b/fleet/dispatch/scarcity.go
@@ -5,6 +5,9 @@
 const (
 	// keyScale scales the ratio of remaining work to weight to the integer key of a rank.
 	keyScale = 1 << 20
+	// spanShare is the part of its own shortest time that a job needs after the work ahead of it is done. It is below 1 as the
+	// first tasks of a job start while the last ones of the jobs ahead still run.
+	spanShare = 0.75
 )
 
 // poolCores is the capacity in cores for jobs that reserve CPU and for best-effort jobs, which use what others leave.
@@ -93,7 +96,7 @@
 		}
 		work += p.coreMs
 		heap.Push(&kept, ratioJob{p.lossRatio(ownWeight), p})
-		for cores > 0 && len(kept) > 0 && float64(now)+(ahead+work)/cores > float64(deadlineMs) {
+		for cores > 0 && len(kept) > 0 && float64(now)+p.endAfter(ahead+work, cores) > float64(deadlineMs) {
 			out := heap.Pop(&kept).(ratioJob).job
 			work -= out.coreMs
 			left[out] = true
@@ -107,6 +110,12 @@
 	return work, rest
 }
 
+// endAfter returns in how many milliseconds a job ends if work core-milliseconds, the last of them its own, are done on a
+// number of cores.
+func (p *pendingJob) endAfter(work, cores float64) float64 {
+	return max(work/cores, max(work-p.coreMs, 0)/cores+spanShare*float64(p.spanMs))
+}
+
 // ratioJob is a job with its loss ratio.
 type ratioJob struct {
 	ratio float64
