dispatch: use learned durations for remaining work, draining and slow runs

Cause: remaining work, objectives, evictions and the speed of workers were measured by declared durations, which are off by up to 0.9 on turbine monitoring. A sound worker looked slow, and its runs were stopped, when a declared duration was too short; a slow one was not found when it was too long.

Change: a stage's duration comes from its kind and from its tasks that ended or progressed, from unthrottled runs on sound workers. Runs are compared with tasks of their step on other workers, and a task that is long by itself does not count against a worker that another task shows to be sound. Options.Durations keeps declared durations.

--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -61,7 +61,9 @@
 func (s *State) markTaskDone(w *worker, t *task, run int, current bool) {
 	st := t.stage
 	if current {
-		w.health.recordSuccess(s.now.BootMs, t)
+		b := s.baseline(t, w)
+		s.recordDuration(w, t)
+		w.health.recordSuccess(s.now.BootMs, t, b)
 	}
 	members := []*task{t}
 	if st.step.Gang {
@@ -85,6 +87,7 @@
 			s.stopRun(m, "another run of the task finished first")
 		}
 	}
+	s.learnStage(st)
 	s.markDirty(st.job)
 	s.placePending = true
 	s.finalizeJob(st.job)
@@ -198,7 +201,7 @@
 	if t.phase == starting {
 		s.markStarted(t.stage.job)
 		t.phase = running
-		t.startedMs, t.progressedMs, t.percent = s.now.BootMs, s.now.BootMs, r.ProgressPercent
+		t.startedMs, t.progressedMs, t.percent, t.firstPercent = s.now.BootMs, s.now.BootMs, r.ProgressPercent, r.ProgressPercent
 	}
 	if r.ProgressPercent != t.percent {
 		t.percent, t.progressedMs = r.ProgressPercent, s.now.BootMs
--- /dev/null
+++ b/fleet/dispatch/durations_test.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+)
+
+// newRunningStep returns a simulation in which the tasks of one step run, one on each of three of four workers, with a declared
+// duration, and a function that sets how far a task is after a time in milliseconds.
+func newRunningStep(t *testing.T, declaredMs int64) (s *State, st *stage, progress func(index, percent int, ageMs int64)) {
+	sim := newConnectedSimulation(t, 4)
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 3, CPU: 500, MemMB: 10, EstMs: declaredMs, MaxPerWorker: 1}}})
+	s = sim.state
+	s.Step(sim.at(), Place{})
+	st = s.jobs[jobID(1)].stages[0]
+	assert.Equal(t, st.waiting, 0)
+	return s, st, func(index, percent int, ageMs int64) {
+		task := &st.tasks[index]
+		task.phase, task.recorded, task.percent = running, true, percent
+		task.startedMs, task.orderedMs, task.progressedMs = s.now.BootMs-ageMs, s.now.BootMs-ageMs, s.now.BootMs
+		task.worker.lastReportMs = s.now.BootMs
+		st.durationMs = 0
+	}
+}
+
+// Guards against remaining work and objectives by the declared durations of turbine monitoring, which are off by up to 0.9,
+// when the progress of tasks of the step shows their durations, and against durations of throttled runs.
+func TestProgressTellsDurationOfTheStep(t *testing.T) {
+	s, st, progress := newRunningStep(t, 400)
+	before := st.job.objectiveMs
+	progress(0, 25, 1000)
+	progress(1, 24, 1000)
+	progress(2, 0, 1000)
+	ms := s.taskMs(st)
+	assert.Assert(t, ms > 3000 && ms < 4500, "%d", ms)
+	r := s.remainingWork(st.job)
+	assert.Assert(t, r.spanMs > 3000 && st.job.objectiveMs > 2*before, "%+v, objective %d", r, st.job.objectiveMs)
+	s.options.Durations = DurationsDeclared
+	assert.Equal(t, s.taskMs(st), int64(400))
+	s.options.Durations = DurationsLearned
+	st.tasks[0].wasThrottled, st.tasks[1].wasThrottled, st.durationMs = true, true, 0
+	assert.Equal(t, s.taskMs(st), int64(400))
+}
+
+// Guards against durations that are not learned from one job for the next, with a slow worker and throttled runs left out.
+func TestDurationsAreLearnedForTheNextJob(t *testing.T) {
+	s, st, progress := newRunningStep(t, 400)
+	for i := range st.tasks {
+		progress(i, 90, 2000)
+	}
+	st.tasks[2].worker.health.slowdown = 4
+	for i := range st.tasks {
+		s.markTaskDone(st.tasks[i].worker, &st.tasks[i], st.tasks[i].run, true)
+	}
+	assert.Equal(t, len(st.samples), 2)
+	e := s.durations.Duration(durationKey(st.job, 0), 400)
+	assert.Assert(t, e.Weight > 0 && e.MeanMs > 450, "%+v", e)
+}
+
+// Guards against a sound worker that looks slow, and runs that are stopped over and over, because a declared duration is a
+// tenth of the real one, and against a slow worker that is no longer found if the declared duration is ten times too long.
+func TestWrongDeclaredDurationDoesNotHideOrInventSlowWorkers(t *testing.T) {
+	for declaredMs, slow := range map[int64]bool{200: false, 20_000: true} {
+		s, st, progress := newRunningStep(t, declaredMs)
+		progress(0, 50, 1000)
+		progress(1, 50, 1000)
+		progress(2, 50, 1000)
+		if slow {
+			progress(2, 8, 2000)
+		}
+		w := st.tasks[2].worker
+		s.moveSlowRuns(w)
+		if slow {
+			assert.Assert(t, w.health.slowdownFactor() > 3, "declared %d ms: slowdown %g", declaredMs, w.health.slowdown)
+			assert.Equal(t, st.tasks[2].phase, stopping, "declared %d ms", declaredMs)
+		} else {
+			assert.Equal(t, w.health.slowdownFactor(), 1.0, "declared %d ms", declaredMs)
+			assert.Equal(t, st.tasks[2].phase, running, "declared %d ms", declaredMs)
+		}
+	}
+}
+
+// Guards against a worker that looks slow because of the 3% of the tasks of music previews that take 7 times as long as
+// their siblings, if another task of the step shows that the worker is sound.
+func TestLongTaskDoesNotMakeItsWorkerSlow(t *testing.T) {
+	s, st, progress := newRunningStep(t, 1000)
+	progress(0, 50, 500)
+	progress(1, 50, 500)
+	progress(2, 10, 1000)
+	w := st.tasks[2].worker
+	st.samples = append(st.samples, durationSample{w, 1000})
+	s.moveSlowRuns(w)
+	assert.Equal(t, w.health.slowdownFactor(), 1.0)
+	assert.Equal(t, st.tasks[2].phase, running)
+}
--- a/fleet/dispatch/health.go
+++ b/fleet/dispatch/health.go
@@ -14,6 +14,8 @@
 	slowdownWeight = 0.3
 	// maxSlowdown bounds a measured slowdown.
 	maxSlowdown = 10.0
+	// slowFactor is the slowdown from which a worker or a run counts as slow. Less is within the error of the estimates.
+	slowFactor = 1.7
 	// minSpeedSampleMs is the minimum age of a run whose speed is measured.
 	minSpeedSampleMs = 400
 	// stallTimeoutMs is how long a run may make no progress.
@@ -24,6 +26,9 @@
 	maxStallShift = 4
 	// minMoveFactor is how many times longer the rest of a run must take than a new run elsewhere before it is moved.
 	minMoveFactor = 1.6
+	// minSuspectFactor is how many times longer than any estimate a run must take before it is compared with others, as that
+	// costs a walk over the tasks of its step.
+	minSuspectFactor = 1.2
 	// minMoveGainMs is the minimum time that a move must gain.
 	minMoveGainMs = 700
 )
@@ -41,10 +46,17 @@
 	slowdown float64
 }
 
-func (h *health) recordSuccess(now int64, t *task) {
+// recordSuccess records that a run ended as done. The baseline is how long the task was expected to take.
+func (h *health) recordSuccess(now int64, t *task, b baseline) {
 	h.streak, h.probe, h.quarantinedUntilMs = 0, nil, 0
 	if t.startedMs > 0 && !t.stage.step.BestEffort {
-		h.updateSlowdown(float64(now-t.startedMs) / float64(estimateMs(t.stage.step)))
+		since := t.startedMs
+		if b.fromOrder && t.orderedMs > 0 {
+			since = t.orderedMs
+		}
+		if ratio := float64(now-since) / float64(b.ms); ratio < slowFactor || !b.soundHere {
+			h.updateSlowdown(ratio)
+		}
 	}
 }
 
@@ -90,10 +102,9 @@
 	return now >= h.quarantinedUntilMs && now >= h.fullUntilMs && h.probe == nil
 }
 
-// slowdownFactor returns the slowdown used for placement, at least 1. Small slowdowns are within the error of the
-// estimates.
+// slowdownFactor returns the slowdown used for placement, at least 1.
 func (h *health) slowdownFactor() float64 {
-	if h.slowdown < 1.7 {
+	if h.slowdown < slowFactor {
 		return 1
 	}
 	return h.slowdown
@@ -141,7 +152,7 @@
 		limit = s.bounds.MaxStartDelay.Milliseconds()
 	}
 	// A task that stalled before may just be slow to report progress, so each attempt doubles its timeout.
-	limit = max(limit, estimateMs(step)/8) << min(t.stalls, maxStallShift)
+	limit = max(limit, s.taskMs(t.stage)/8) << min(t.stalls, maxStallShift)
 	if w.lastReportMs-t.progressedMs < limit {
 		return false
 	}
@@ -155,13 +166,17 @@
 	if step.LongRunning || step.BestEffort || age < minSpeedSampleMs || t.percent >= 95 {
 		return
 	}
-	estimate := estimateMs(step)
-	if age < estimate/3 {
-		return
-	}
 	rate := float64(t.percent+1) / float64(age) // percent a millisecond
 	remainingMs := float64(100-t.percent) / rate
-	if float64(age)+remainingMs > 1.7*float64(estimate) {
+	if float64(age)+remainingMs < minSuspectFactor*float64(min(s.taskMs(t.stage), s.stepMs(t.stage.job, t.stage.index), estimateMs(step))) {
+		return
+	}
+	b := s.baseline(t, w)
+	estimate := b.ms
+	if age < estimate/3 || b.soundHere {
+		return
+	}
+	if float64(age)+remainingMs > slowFactor*float64(estimate) {
 		w.health.updateSlowdown((float64(age) + remainingMs) / float64(estimate))
 	}
 	newRunMs := float64(estimate)
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -42,7 +42,7 @@
 	j := &job{def: e.Job}
 	age := min(max(s.now.WallMs-e.Job.AcceptedMs, 0), maxAgeMs)
 	j.dueMs = s.now.BootMs - age
-	j.computeObjective()
+	j.computeObjective(func(i int) int64 { return s.stepMs(j, i) })
 	s.jobs[id] = j
 	s.addQueueService(e.Job.Queue)
 	if e.Progress != nil {
@@ -59,12 +59,12 @@
 }
 
 // computeObjective computes the objective and, for each step, the time from its start to the end of the job.
-func (j *job) computeObjective() {
+func (j *job) computeObjective(stepMs func(index int) int64) {
 	n := len(j.def.Steps)
 	j.remainingPathMs = make([]int64, n)
 	criticalPathMs := int64(0)
 	for i := n - 1; i >= 0; i-- {
-		j.remainingPathMs[i] += estimateMs(&j.def.Steps[i])
+		j.remainingPathMs[i] += stepMs(i)
 		criticalPathMs = max(criticalPathMs, j.remainingPathMs[i])
 		for _, d := range j.def.Steps[i].DependsOn {
 			j.remainingPathMs[d] = max(j.remainingPathMs[d], j.remainingPathMs[i])
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -69,19 +69,22 @@
 }
 
 // cachedRemainingWork returns remainingWork as of at most remainingTTLMs ago.
-func (j *job) cachedRemainingWork(now int64) remaining {
+func (s *State) cachedRemainingWork(j *job) remaining {
+	now := s.now.BootMs
 	if j.remainingMs == 0 || now-j.remainingMs >= remainingTTLMs {
-		j.remaining, j.remainingMs = j.remainingWork(), now
+		j.remaining, j.remainingMs = s.remainingWork(j), now
 	}
 	return j.remaining
 }
 
 // remainingWork returns the work that is left of a job.
-func (j *job) remainingWork() remaining {
+func (s *State) remainingWork(j *job) remaining {
+	s.updateObjective(j)
 	var r remaining
 	for _, st := range j.stages {
 		cores := float64(max(st.step.CPU, 1)) / 1000
-		r.wholeCoreMs += float64(len(st.tasks)) * float64(estimateMs(st.step)) * cores
+		durationMs := s.taskMs(st)
+		r.wholeCoreMs += float64(len(st.tasks)) * float64(durationMs) * cores
 		if st.done == len(st.tasks) {
 			continue
 		}
@@ -91,7 +94,7 @@
 			if t.phase == done {
 				continue
 			}
-			ms := float64(estimateMs(st.step)) * float64(100-t.percent) / 100
+			ms := s.remainingTaskMs(t)
 			stageMs += ms
 			longestMs = max(longestMs, ms)
 		}
@@ -99,7 +102,7 @@
 		if st.step.BestEffort {
 			r.bestEffortCoreMs += stageMs * cores
 		}
-		r.spanMs = max(r.spanMs, j.remainingPathMs[st.index]-estimateMs(st.step)+int64(longestMs))
+		r.spanMs = max(r.spanMs, j.remainingPathMs[st.index]-durationMs+int64(longestMs))
 	}
 	return r
 }
@@ -132,7 +135,7 @@
 	pending := make([]pendingJob, len(jobs))
 	order := make([]*pendingJob, len(jobs))
 	for i, j := range jobs {
-		pending[i] = pendingJob{remaining: j.cachedRemainingWork(s.now.BootMs), priority: s.queue(j).Priority, deadlineMs: j.deadline(), objectiveMs: j.objectiveMs,
+		pending[i] = pendingJob{remaining: s.cachedRemainingWork(j), priority: s.queue(j).Priority, deadlineMs: j.deadline(), objectiveMs: j.objectiveMs,
 			longRunning: j.def.LongRunning(), begun: j.started || j.active > 0}
 		order[i] = &pending[i]
 	}
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -10,6 +10,7 @@
 	"sort"
 
 	"github.com/verbenakeel/verbenakeel/fleet/bounds"
+	"github.com/verbenakeel/verbenakeel/fleet/estimate"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
@@ -87,6 +88,11 @@
 	exhaustedPass uint64
 	// scannedMs is when the stage was last compared with all workers.
 	scannedMs int64
+	// duration is the estimate for the tasks of the stage as of durationMs; 0 if there is none yet.
+	duration   estimate.Estimate
+	durationMs int64
+	// samples holds the durations of tasks that ended, from unthrottled runs on sound workers.
+	samples []durationSample
 	// gangRun is the run number of the newest run of a gang.
 	gangRun int
 	// gangCheckpoint is the newest known checkpoint of a gang, from any of its members. All members of a run start with it.
@@ -125,6 +131,11 @@
 	startedMs    int64
 	percent      int
 	progressedMs int64
+	// orderedMs is when the start was ordered; 0 if an earlier decider ordered it. firstPercent is the progress when the run
+	// was first listed, and wasThrottled tells whether its CPU share was ever reduced.
+	orderedMs    int64
+	firstPercent int
+	wasThrottled bool
 	// stalls counts runs that were stopped for lack of progress.
 	stalls int
 	// load is the tail latency in milliseconds of a latency-critical task, and the CPU use of any other.
@@ -174,6 +185,7 @@
 	sortedWorkers  []*worker // by instance, so that decisions do not depend on map order
 	evacuatedZones map[string]bool
 	interference   interferenceModel
+	durations      *estimate.Model
 	stages         []*stage // stages of unfinished jobs with unfinished tasks
 
 	dirty []*job
@@ -273,7 +285,7 @@
 func New(b bounds.Bounds, o Options, epoch uint64, now Now) *State {
 	return &State{bounds: b, options: o, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
 		queues: map[string]work.Queue{}, queueServices: map[string]map[string]bool{}, services: map[string]work.Service{},
-		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), pendingAcks: map[string]bool{}}
+		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), durations: estimate.New(), pendingAcks: map[string]bool{}}
 }
 
 // Event is an input of the state machine.
@@ -373,7 +385,7 @@
 		}
 		if t.worker.connected {
 			byWorker[t.worker] = append(byWorker[t.worker], s.startOrder(t))
-			t.orderNumber = t.worker.ordersSent + 1
+			t.orderNumber, t.orderedMs = t.worker.ordersSent+1, s.now.BootMs
 		}
 	}
 	for _, w := range s.sortedWorkers {
@@ -395,7 +407,7 @@
 		t.cpuShare = s.initialCPUShare(t, t.worker)
 		t.sentCPUShare = t.cpuShare
 		if t.cpuShare < fullCPUShare {
-			o.CPUPercent = t.cpuShare
+			o.CPUPercent, t.wasThrottled = t.cpuShare, true
 		}
 	}
 	if tk, ok := t.stage.tickets[t.worker.instance]; ok {
--- a/fleet/dispatch/stops.go
+++ b/fleet/dispatch/stops.go
@@ -72,7 +72,7 @@
 		if t.phase != running || s.now.BootMs-w.lastReportMs > maxUnresponsiveMs {
 			continue
 		}
-		remainingMs := estimateMs(t.stage.step) * int64(100-t.percent) / 100
+		remainingMs := int64(s.remainingTaskMs(t))
 		if t.stage.step.LongRunning || remainingMs > max(w.info.RemainingMs, minDrainingMs) {
 			s.stopRun(t, fmt.Sprintf("its worker is draining and terminates in %d ms", w.info.RemainingMs))
 		}
--- a/fleet/dispatch/throttle.go
+++ b/fleet/dispatch/throttle.go
@@ -78,6 +78,7 @@
 		if be.cpuShare >= moveShare && to < moveShare {
 			be.throttledMs = s.now.BootMs
 		}
+		be.wasThrottled = be.wasThrottled || to < fullCPUShare
 		if to != be.cpuShare {
 			be.cpuShare, be.progressedMs = to, s.now.BootMs
 		}
--- a/fleet/estimate/estimate.go
+++ b/fleet/estimate/estimate.go
@@ -22,7 +22,7 @@
 	priorWeight = 4.0
 	// priorSpread is the spread of the logarithm of a ratio of which nothing is known: declared durations are off by up to
 	// 0.9.
-	priorSpread = 0.5
+	priorSpread = 0.8
 	// minSpread is the least spread of a kind, as tasks of one step already differ by 15%.
 	minSpread = 0.15
 	// siblingSpread is the spread of the logarithms of the durations of tasks of one step, which differ by 15 to 30%, and
