settings: select the order of jobs and the source of durations

Cause: the order under scarcity and the learned durations had no setting, and nothing showed what they do.

Change: scheduling.order (scarcity by default) and scheduling.durations (learned by default), passed to the decider; event 853 every 2 s with the numbers of deferred, hopeless and yielding jobs, the cores counted for both kinds of capacity, and the learned ratio and its spread.

--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -146,7 +146,8 @@
 		for i, j := range jobs {
 			pending[i].overdueStart = s.startOverdue(j, scarce)
 		}
-		rankByScarcity(order, s.now.BootMs, s.capacity(), scarce)
+		s.poolCapacity = s.capacity()
+		rankByScarcity(order, s.now.BootMs, s.poolCapacity, scarce)
 	}
 	for i, j := range jobs {
 		j.rank = pending[i].rank
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -213,6 +213,7 @@
 	// bestEffortUsed is the mean CPU use of best-effort tasks in thousandths of a core, and poolFullAtMs when one of them last
 	// found no worker.
 	bestEffortUsed float64
+	poolCapacity   poolCores // as of the last ranking
 	poolFullAtMs   int64
 	// overload tells what is not done because the decider is behind.
 	overload overload
--- a/fleet/dispatch/summary.go
+++ b/fleet/dispatch/summary.go
@@ -70,3 +70,35 @@
 		m.OthersDemand += step.CPU
 	}
 }
+
+// OrderSummary describes the order of jobs and what was learned of durations.
+type OrderSummary struct {
+	// Deferred counts unfinished jobs that cannot meet their objective but can still be of use, TooLate those that cannot,
+	// Yielding long-running ones that wait behind jobs on time, as of the last ranking.
+	Deferred, TooLate, Yielding int
+	// ReservedCores and BestEffortCores are the cores counted for jobs that reserve CPU and for best-effort jobs; 0 if the
+	// order does not count them apart.
+	ReservedCores, BestEffortCores int
+	// Kinds counts the observed kinds of steps. RatioPercent is the mean ratio of actual to declared durations,
+	// SpreadPercent the standard deviation of its logarithm.
+	Kinds, RatioPercent, SpreadPercent int
+}
+
+// SummarizeOrder describes the order of jobs and what was learned of durations.
+func (s *State) SummarizeOrder() OrderSummary {
+	o := OrderSummary{ReservedCores: int(s.poolCapacity.reserved), BestEffortCores: int(s.poolCapacity.bestEffort)}
+	kinds, ratio, spread := s.durations.Kinds()
+	o.Kinds, o.RatioPercent, o.SpreadPercent = kinds, int(ratio*100), int(spread*100)
+	for _, j := range s.jobs {
+		switch {
+		case j.state.Final():
+		case j.rank.late == deferred:
+			o.Deferred++
+		case j.rank.late >= tooLate:
+			o.TooLate++
+		case j.rank.late == yielding:
+			o.Yielding++
+		}
+	}
+	return o
+}
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -71,7 +71,7 @@
 	now := clock.BootMs()
 	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize),
 		sides: map[string]*sideLink{}, dialSide: dialSide, seq: claimSeq(claim), confirmedMs: now, sentMs: now}
-	d.state = dispatch.New(e.set.Bounds, dispatch.Options{}, epoch, d.now())
+	d.state = dispatch.New(e.set.Bounds, dispatchOptions(e.set), epoch, d.now())
 	e.election.consumeClaim()
 	e.log.Log(logevent.BecameDecider, logevent.Int("epoch", epoch))
 	e.deciding.Store(epoch)
@@ -211,6 +211,7 @@
 		logevent.Int("fillers_used", m.BestEffortUsed), logevent.Int("fillers_want", m.BestEffortDemand), logevent.Int("others_used", m.OthersUsed), logevent.Int("others_want", m.OthersDemand),
 		logevent.Int("mem_mb", m.MemMB), logevent.Int("mem_committed", m.MemCommitted), logevent.Int("paced", m.Throttled),
 		logevent.Int("event_wait_ms", d.maxWait.Milliseconds()), logevent.Int("event_batch", d.maxBatch), logevent.Int("events_queued", len(d.events)))
+	d.logOrder()
 	d.maxWait, d.maxBatch = 0, 0
 }
 
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -112,6 +112,7 @@
 	CPUShareChanged        = define(850, zerolog.InfoLevel, "CPU share of best-effort work changed")
 	AdviserUnavailable     = define(851, zerolog.WarnLevel, "the adviser does not answer")
 	FleetState             = define(852, zerolog.InfoLevel, "state of the fleet")
+	OrderState             = define(853, zerolog.InfoLevel, "order of jobs and learned durations")
 	WorkerRegistered       = define(860, zerolog.InfoLevel, "the worker of this instance registered")
 	WorkerDraining         = define(861, zerolog.InfoLevel, "the worker of this instance drains or deregistered")
 	WorkerUnresponsive     = define(862, zerolog.WarnLevel, "the worker of this instance does not answer")
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -32,6 +32,9 @@
 	Worker, Service string
 	// Bounds are the deployment's bounds and the times derived from them.
 	Bounds bounds.Bounds
+	// Order is the order of jobs within a priority, deadline or scarcity; Durations is the source of the durations of tasks,
+	// declared or learned.
+	Order, Durations string
 }
 
 // PeerAddress returns the address at which other processes reach the peer listener that is bound to the given address.
@@ -44,7 +47,7 @@
 
 // DefaultFleet returns the default settings. The default bounds are the platform's usual values.
 func DefaultFleet() Fleet {
-	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
+	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Order: "scarcity", Durations: "learned", Bounds: bounds.Bounds{
 		MaxLease: 6 * time.Second, Grace: 6 * time.Second,
 		MaxOverTarget: 4 * time.Second, MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}}
@@ -80,6 +83,8 @@
 		{"bounds", "far_factor", false, optional(fraction(&b.OffRackFactor, 1, 1000)), "write a factor, for example 1.5"},
 		{"bounds", "restore", false, optionalDuration(&b.Restore), durationRemedy},
 		{"bounds", "finish", false, optionalDuration(&b.StarvationLimit), durationRemedy},
+		{"scheduling", "order", false, optional(oneOf(&f.Order, "deadline", "scarcity")), "use deadline or scarcity"},
+		{"scheduling", "durations", false, optional(oneOf(&f.Durations, "declared", "learned")), "use declared or learned"},
 	}
 }
 
--- a/settings/fleet_test.go
+++ b/settings/fleet_test.go
@@ -54,7 +54,12 @@
 	assert.Equal(t, f.Bounds.OffRackFactor, 3.0)
 	assert.Equal(t, f.Bounds.Restore, DefaultFleet().Bounds.Restore)
 	assert.Assert(t, f.Bounds.Lease > 0 && f.Bounds.Lease < f.Bounds.MaxLease)
+	assert.Equal(t, f.Order+" "+f.Durations, "scarcity learned")
+	f, problems = CheckFleet([]byte(goodFleet+"[scheduling]\norder = deadline\ndurations =\n"), true)
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, f.Order+" "+f.Durations, "deadline learned")
 	for text, want := range map[string]string{
+		"[scheduling]\norder = fifo\n":    "scheduling.order",
 		"[bounds]\nhold_max = soon\n":     "bounds.hold_max",
 		"[bounds]\nfar_factor = near\n":   "bounds.far_factor",
 		"[limits]\ncores = 0\n":           "limits.cores",
