dispatch: serve large jobs at least half as often under scarcity

Cause: an order that defers the jobs with the most work serves the largest ones last for as long as capacity does not suffice. Objectives of scheduled jobs counted from their acceptance, so that they were late when they started.

Change: the decider compares, for each queue, how often its largest tenth and the fifth below it meet their objective with the queue, and halves the loss ratio of a class that does less than 0.6 as often. The deadline of a scheduled job is that of its oldest unfinished occurrence.

--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -43,6 +43,7 @@
 	age := min(max(s.now.WallMs-e.Job.AcceptedMs, 0), maxAgeMs)
 	j.dueMs = s.now.BootMs - age
 	j.computeObjective(func(i int) int64 { return s.stepMs(j, i) })
+	s.classifySize(j)
 	s.jobs[id] = j
 	s.addQueueService(e.Job.Queue)
 	if e.Progress != nil {
@@ -190,6 +191,7 @@
 			}
 		}
 		j.state = work.Completed
+		s.recordServed(j, true)
 		s.markDirty(j)
 		s.logDecision(Decision{Kind: DecisionJobFinished, Job: j.def.ID, Reason: work.Completed.String()})
 	}
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -110,6 +110,20 @@
 // deadline returns the boot time at which the job's objective ends.
 func (j *job) deadline() int64 { return j.dueMs + j.objectiveMs }
 
+// occurrenceDeadline returns the boot time at which the objective of a job's oldest unfinished occurrence ends: that of a
+// scheduled job counts from its start time.
+func (s *State) occurrenceDeadline(j *job) int64 {
+	if j.def.Repeat == 0 && j.def.StartAtMs == 0 {
+		return j.deadline()
+	}
+	for _, st := range j.stages {
+		if st.done < len(st.tasks) {
+			return max(st.dueMs, j.dueMs) + j.objectiveMs
+		}
+	}
+	return j.deadline()
+}
+
 // pendingJob is a job with the inputs of its rank, and its rank.
 type pendingJob struct {
 	remaining
@@ -118,7 +132,9 @@
 	longRunning, begun      bool
 	// overdueStart is true if one task of the job has to be placed before other jobs.
 	overdueStart bool
-	rank         rank
+	// preferred is true if jobs of this size are served too seldom.
+	preferred bool
+	rank      rank
 }
 
 // bestEffort reports whether most of the remaining work is best-effort.
@@ -144,7 +160,9 @@
 	} else {
 		scarce := s.reservedCPUScarce()
 		for i, j := range jobs {
-			pending[i].overdueStart = s.startOverdue(j, scarce)
+			s.recordServed(j, false)
+			pending[i].deadlineMs = s.occurrenceDeadline(j)
+			pending[i].overdueStart, pending[i].preferred = s.startOverdue(j, scarce), s.balance(j).prefers(j.size)
 		}
 		s.poolCapacity = s.capacity()
 		rankByScarcity(order, s.now.BootMs, s.poolCapacity, scarce)
--- a/fleet/dispatch/order_compare_test.go
+++ b/fleet/dispatch/order_compare_test.go
@@ -18,6 +18,9 @@
 	steps, tasks, cpu   int
 	taskMs, objectiveMs int64
 	longRunning         bool
+	balance             *sizeBalance // nil if sizes are not treated alike
+	size                sizeClass
+	recorded            bool
 
 	step, started, ended int // steps done, tasks of the current step that began and ended
 	endedMs              int64
@@ -29,9 +32,20 @@
 	left := float64((j.steps-j.step)*j.tasks-j.ended) / float64(j.steps*j.tasks) * j.workMs()
 	return &pendingJob{remaining: remaining{coreMs: left, wholeCoreMs: j.workMs(), spanMs: int64(j.steps-j.step) * j.taskMs},
 		deadlineMs: j.atMs + j.objectiveMs, objectiveMs: j.objectiveMs, longRunning: j.longRunning, begun: j.step+j.started > 0,
+		preferred:    j.balance != nil && j.balance.prefers(j.size),
 		overdueStart: j.longRunning && j.started == 0 && now-j.atMs > 9000}
 }
 
+// record counts a job in the size balance once it ended or its objective has passed.
+func (j *loadJob) record(now int64) {
+	late := now-j.atMs > j.objectiveMs
+	if j.balance == nil || j.recorded || j.step < j.steps && !late {
+		return
+	}
+	j.recorded = true
+	j.balance.record(j.size, !late)
+}
+
 // rankingFunc ranks jobs with the cores that jobs other than long-running ones can use.
 type rankingFunc func(list []*pendingJob, now int64, cores float64)
 
@@ -104,6 +118,7 @@
 		var list []*pendingJob
 		ranks := map[*loadJob]*pendingJob{}
 		for _, j := range jobs {
+			j.record(now)
 			if j.atMs <= now && j.step < j.steps {
 				p := j.pending(now)
 				open, list, ranks[j] = append(open, j), append(list, p), p
--- a/fleet/dispatch/scarcity.go
+++ b/fleet/dispatch/scarcity.go
@@ -79,7 +79,11 @@
 	if p.wholeCoreMs+ownWeight <= 0 {
 		return 0
 	}
-	return p.coreMs / (p.wholeCoreMs + ownWeight)
+	ratio := p.coreMs / (p.wholeCoreMs + ownWeight)
+	if p.preferred {
+		ratio *= preferredFactor
+	}
+	return ratio
 }
 
 // selectJobs chooses from jobs that are sorted by deadline those that can end within a multiple of their objective, after
--- a/fleet/dispatch/scarcity_test.go
+++ b/fleet/dispatch/scarcity_test.go
@@ -109,3 +109,14 @@
 	s.now.BootMs += s.bounds.StarvationLimit.Milliseconds()
 	assert.Assert(t, s.startOverdue(long, true), "the job has no active run after 14 s")
 }
+
+// Guards against a scheduled job that counts as hopeless when it starts, because its objective counts from its acceptance.
+func TestScheduledJobIsNotLateAtItsStart(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	sim.submit(&work.Job{ID: jobID(1), StartAtMs: sim.at().WallMs + 60_000, Steps: []work.Step{{Count: 1, CPU: 500, MemMB: 10, EstMs: 500}}})
+	sim.now += 60_000
+	sim.state.Step(sim.at(), Tick{})
+	j := sim.state.jobs[jobID(1)]
+	sim.state.rankJobs([]*job{j})
+	assert.Equal(t, j.rank.late, onTime)
+}
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -47,6 +47,9 @@
 	// dueMs is the boot time from which the objective counts, and objectiveMs is the objective.
 	dueMs       int64
 	objectiveMs int64
+	// size is the size of the job among those of its queue. servedRecorded is true once it was recorded how it was served.
+	size           sizeClass
+	servedRecorded bool
 	// stages holds the stages of the first opened occurrences: all steps of one occurrence after those of the one before.
 	stages []*stage
 	opened int
@@ -186,7 +189,8 @@
 	evacuatedZones map[string]bool
 	interference   interferenceModel
 	durations      *estimate.Model
-	stages         []*stage // stages of unfinished jobs with unfinished tasks
+	sizes          map[string]*sizeBalance // by queue
+	stages         []*stage                // stages of unfinished jobs with unfinished tasks
 
 	dirty []*job
 	// checkpointsDirty holds jobs whose checkpoints have changed since they were stored.
@@ -286,7 +290,7 @@
 func New(b bounds.Bounds, o Options, epoch uint64, now Now) *State {
 	return &State{bounds: b, options: o, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
 		queues: map[string]work.Queue{}, queueServices: map[string]map[string]bool{}, services: map[string]work.Service{},
-		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), durations: estimate.New(), pendingAcks: map[string]bool{}}
+		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), durations: estimate.New(), sizes: map[string]*sizeBalance{}, pendingAcks: map[string]bool{}}
 }
 
 // Event is an input of the state machine.
