dispatch: test the first task of an overdue job and the best-effort capacity

Cause: that an overdue job gets one task before others, and how the capacity for best-effort jobs follows what their tasks get, had no test. The upper bound of the comparison took cubic time.

Change: a test each; the bound keeps the room left below each limit.

--- a/fleet/dispatch/order_compare_test.go
+++ b/fleet/dispatch/order_compare_test.go
@@ -191,31 +191,27 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *loadJob) int { return cmp.Compare(value(b)/b.workMs(), value(a)/a.workMs()) })
-	bound := func(limited func(taken, next *loadJob) bool, room func(*loadJob) float64) float64 {
+	// bound takes the limits in their order: a job counts for its own limit and for all later ones.
+	bound := func(order func(a, b *loadJob) int, room func(*loadJob) float64) float64 {
+		limits := slices.SortedStableFunc(slices.Values(list), order)
+		left := make([]float64, len(limits))
+		for i, k := range limits {
+			left[i] = room(k)
+		}
 		sum := 0.0
-		taken := map[*loadJob]float64{}
 		for _, j := range list {
-			can := j.workMs()
-			for _, k := range list { // the bound that each deadline or arrival sets
-				if !limited(j, k) {
-					continue
-				}
-				left := room(k)
-				for o, work := range taken {
-					if limited(o, k) {
-						left -= work
-					}
-				}
-				can = min(can, max(left, 0))
+			from, _ := slices.BinarySearchFunc(limits, j, order)
+			can := max(min(j.workMs(), slices.Min(left[from:])), 0)
+			for i := from; i < len(left); i++ {
+				left[i] -= can
 			}
-			taken[j] = can
 			sum += value(j) * can / j.workMs()
 		}
 		return sum
 	}
-	byDeadline := bound(func(j, k *loadJob) bool { return j.atMs+j.objectiveMs <= k.atMs+k.objectiveMs },
+	byDeadline := bound(func(a, b *loadJob) int { return cmp.Compare(a.atMs+a.objectiveMs, b.atMs+b.objectiveMs) },
 		func(k *loadJob) float64 { return capacity(first, k.atMs+k.objectiveMs) })
-	byArrival := bound(func(j, k *loadJob) bool { return j.atMs >= k.atMs },
+	byArrival := bound(func(a, b *loadJob) int { return cmp.Compare(b.atMs, a.atMs) },
 		func(k *loadJob) float64 { return capacity(k.atMs, last) })
 	return min(byDeadline, byArrival)
 }
--- a/fleet/dispatch/scarcity_test.go
+++ b/fleet/dispatch/scarcity_test.go
@@ -120,3 +120,56 @@
 	sim.state.rankJobs([]*job{j})
 	assert.Equal(t, j.rank.late, onTime)
 }
+
+// Guards against a long-running job that takes all the room at once when one of its tasks is placed before short jobs
+// because it has waited for long.
+func TestOverdueJobGetsOneTaskFirst(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s := sim.state
+	w := s.sortedWorkers[0]
+	free := w.info.CPU
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: free, MemMB: 10, EstMs: 60_000}}})
+	for range 4 {
+		sim.advance()
+	}
+	sim.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 8, CPU: free / 4, MemMB: 10, EstMs: 400, LongRunning: true, TargetMs: 50, Image: "s"}}})
+	sim.now += s.bounds.StarvationLimit.Milliseconds()
+	w.lastReportMs = sim.now
+	sim.submit(&work.Job{ID: jobID(3), Steps: []work.Step{{Count: 8, CPU: free / 4, MemMB: 10, EstMs: 900}}})
+	s.Step(sim.at(), Tick{})
+	assert.Equal(t, s.jobs[jobID(2)].rank.late, dueFirst)
+	s.release(&s.jobs[jobID(1)].stages[0].tasks[0])
+	s.jobs[jobID(1)].stages[0].tasks[0].notBeforeMs = sim.now + 60_000
+	for range 3 {
+		w.lastReportMs = sim.now
+		s.Step(sim.at(), Tick{})
+	}
+	assert.Equal(t, s.jobs[jobID(2)].active, 1)
+	assert.Equal(t, s.jobs[jobID(3)].active, 3)
+}
+
+// Guards against best-effort jobs that are chosen for CPU that best-effort tasks do not get: on turbine monitoring they
+// waited beside latency-critical tasks that used less than half of what was reserved for them.
+func TestBestEffortCapacityIsWhatTheyGet(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s := sim.state
+	w := s.sortedWorkers[0]
+	w.committedCPU, w.criticalCPU = w.info.CPU, w.info.CPU
+	be := &task{stage: &stage{step: &work.Step{CPU: 2000, BestEffort: true}, job: &job{}}, phase: running, cpuShare: fullCPUShare, load: 300}
+	w.tasks = []*task{be}
+	most := float64(w.info.CPU) / 1000 * (1 - criticalUtilization) * usableShare
+	assert.Assert(t, s.capacity().bestEffort > 0.99*most, "nothing showed that the pool is full")
+	s.poolFullAtMs = s.now.BootMs
+	got := s.capacity().bestEffort
+	assert.Assert(t, got > 0.29 && got < 0.31, "%g", got)
+	be.load = 100_000
+	for range 400 {
+		s.capacity()
+	}
+	assert.Assert(t, s.capacity().bestEffort <= most+0.001)
+	w.committedCPU, be.load = w.info.CPU/2, 1
+	for range 1000 {
+		s.capacity()
+	}
+	assert.Assert(t, s.capacity().bestEffort >= float64(w.info.CPU)/2000*usableShare-0.001)
+}
