dispatch: skip workers that are known to be full in the comparison of orders

Change: a job whose tasks are as large as one that found no worker in the same step is not compared with the workers again.

--- a/fleet/dispatch/order_compare_test.go
+++ b/fleet/dispatch/order_compare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -137,7 +138,11 @@
 		}
 		rankJobs(list, now, float64(total-l.longCPU)/1000*usableShare)
 		slices.SortStableFunc(open, func(a, b *loadJob) int { return ranks[a].rank.compare(ranks[b].rank) })
+		unplaced := math.MaxInt // the smallest task that found no worker; larger ones find none either
 		for _, j := range open {
+			if j.cpu >= unplaced {
+				continue
+			}
 			most := j.tasks
 			if ranks[j].rank.late == dueFirst {
 				most = 1
@@ -147,6 +152,9 @@
 					l.start(w, j, now)
 				}
 			}
+			if j.started < most {
+				unplaced = j.cpu
+			}
 		}
 	}
 }
