--- a/fleet/dispatch/backlog_test.go
+++ b/fleet/dispatch/backlog_test.go
@@ -24,11 +24,11 @@
 	n        int
 	// owed is the work in core-milliseconds that is to be submitted.
 	owed float64
-	jobs []loadJob
+	jobs []loadSubmission
 }
 
-// loadJob is a submission and the decision on it.
-type loadJob struct {
+// loadSubmission is a submission and the decision on it.
+type loadSubmission struct {
 	id              string
 	atMs, limitMs   int64
 	work            float64
@@ -61,7 +61,7 @@
 		b, err = admission.Decode(l.sim.backlog)
 		assert.NilError(l.sim.t, err)
 	}
-	s := loadJob{id: j.ID, atMs: l.sim.now, urgent: urgent}
+	s := loadSubmission{id: j.ID, atMs: l.sim.now, urgent: urgent}
 	for i := range steps {
 		s.work += declaredWork(&steps[i]) * float64(steps[i].Count)
 		s.limitMs += steps[i].EstMs // the steps form a chain
@@ -101,7 +101,7 @@
 }
 
 // refusedShare returns the refused share of the jobs from an index on that a condition holds for, and their number.
-func (l *admissionLoad) refusedShare(from int, of func(*loadJob) bool) (share float64, n int) {
+func (l *admissionLoad) refusedShare(from int, of func(*loadSubmission) bool) (share float64, n int) {
 	refused := 0
 	for i := range l.jobs[from:] {
 		j := &l.jobs[from+i]
@@ -116,7 +116,7 @@
 	return float64(refused) / float64(max(n, 1)), n
 }
 
-func isLong(j *loadJob) bool { return !j.urgent }
+func isLong(j *loadSubmission) bool { return !j.urgent }
 
 // Guards against refusals of short urgent jobs because of long ones of lower priority, and against refusals that follow the
 // size of a job. Load: long jobs at three times the cores, as a burst of turbine monitoring that lasts (best-effort), and
@@ -139,7 +139,7 @@
 // checkWhoIsRefused checks the refused shares by priority and size.
 func (l *admissionLoad) checkWhoIsRefused(t *testing.T) {
 	all, n := l.refusedShare(0, isLong)
-	urgent, urgents := l.refusedShare(0, func(j *loadJob) bool { return j.urgent })
+	urgent, urgents := l.refusedShare(0, func(j *loadSubmission) bool { return j.urgent })
 	works := make([]float64, 0, n)
 	for _, j := range l.jobs {
 		if isLong(&j) {
@@ -148,8 +148,8 @@
 	}
 	slices.SortFunc(works, func(a, b float64) int { return cmp.Compare(b, a) })
 	largest, larger := works[len(works)/10], works[3*len(works)/10]
-	tenth, tenths := l.refusedShare(0, func(j *loadJob) bool { return isLong(j) && j.work >= largest })
-	fifth, fifths := l.refusedShare(0, func(j *loadJob) bool { return isLong(j) && j.work < largest && j.work >= larger })
+	tenth, tenths := l.refusedShare(0, func(j *loadSubmission) bool { return isLong(j) && j.work >= largest })
+	fifth, fifths := l.refusedShare(0, func(j *loadSubmission) bool { return isLong(j) && j.work < largest && j.work >= larger })
 	t.Logf("refused: %.2f of %d long jobs, %.2f of the %d largest, %.2f of the %d below, %.2f of %d urgent", all, n, tenth, tenths, fifth, fifths, urgent, urgents)
 	assert.Assert(t, all > 0.2, "hardly any job was refused")
 	assert.Equal(t, urgent, 0.0)
@@ -208,7 +208,7 @@
 func TestNoBacklogWithoutOverload(t *testing.T) {
 	l := newAdmissionLoad(t, true)
 	l.run(40_000, 0.4)
-	share, _ := l.refusedShare(0, func(*loadJob) bool { return true })
+	share, _ := l.refusedShare(0, func(*loadSubmission) bool { return true })
 	assert.Equal(t, share, 0.0)
 }
 
@@ -267,7 +267,7 @@
 		l.submit(q, []work.Step{step}, false)
 	}
 	l.run(15_000, 0.3)
-	share, _ := l.refusedShare(0, func(*loadJob) bool { return true })
+	share, _ := l.refusedShare(0, func(*loadSubmission) bool { return true })
 	assert.Equal(t, share, 0.0)
 	assert.Equal(t, len(l.sim.state.backlog.rows), 0)
 }
--- a/fleet/dispatch/options.go
+++ b/fleet/dispatch/options.go
@@ -2,6 +2,30 @@
 
 // Options are the settings of a decider. The zero value turns every option off.
 type Options struct {
+	// Order is the order of jobs within a priority.
+	Order Order
+	// Durations tells where the durations of tasks come from.
+	Durations Durations
 	// PublishBacklog makes the decider publish the expected wait of new work while there is too little capacity.
 	PublishBacklog bool
 }
+
+// Order is a way to order the jobs of one priority.
+type Order uint8
+
+const (
+	// OrderDeadline orders by deadline and defers the jobs with the most remaining work.
+	OrderDeadline Order = iota
+	// OrderScarcity defers, where capacity does not suffice, the jobs with the most remaining work for their weight.
+	OrderScarcity
+)
+
+// Durations is a source of the durations of tasks.
+type Durations uint8
+
+const (
+	// DurationsDeclared uses the declared durations as they are.
+	DurationsDeclared Durations = iota
+	// DurationsLearned corrects declared durations by those that were measured.
+	DurationsLearned
+)
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -136,11 +136,16 @@
 	neverEnds = 1 << 60
 )
 
+// allOptions turns every option of a decider on.
+var allOptions = Options{Order: OrderScarcity, Durations: DurationsLearned, PublishBacklog: true}
+
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
 		cancels: map[string]int64{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failures: map[string][]int64{}}
 	// Every other seed, so that the course of seedsThatFailed stays the same.
-	sim.options.PublishBacklog = seed%2 == 0
+	if seed%2 == 0 {
+		sim.options = allOptions
+	}
 	sim.bounds = bounds.Bounds{MaxLease: 6 * time.Second, MaxOverTarget: 4 * time.Second,
 		MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}.Derive()
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -10,6 +10,7 @@
 	"sort"
 
 	"github.com/verbenakeel/verbenakeel/fleet/bounds"
+	"github.com/verbenakeel/verbenakeel/fleet/estimate"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
@@ -46,6 +47,9 @@
 	// dueMs is the boot time from which the objective counts, and objectiveMs is the objective.
 	dueMs       int64
 	objectiveMs int64
+	// size is the size of the job among those of its queue. servedRecorded is true once it was recorded how it was served.
+	size           sizeClass
+	servedRecorded bool
 	// stages holds the stages of the first opened occurrences: all steps of one occurrence after those of the one before.
 	stages []*stage
 	opened int
@@ -63,9 +67,9 @@
 	// rank is the job's position in the placement order, listedPass the pass that listed the job last.
 	rank       rank
 	listedPass uint64
-	// remainingCoreMs and remainingSpanMs are remainingWork as of remainingMs; 0 if it was not computed yet.
-	remainingCoreMs              float64
-	remainingSpanMs, remainingMs int64
+	// remaining is remainingWork as of remainingMs; 0 if it was not computed yet.
+	remaining   remaining
+	remainingMs int64
 	// remainingPathMs holds, for each step, the expected time from its start to the end of the job (its critical path).
 	remainingPathMs []int64
 }
@@ -81,10 +85,17 @@
 	tasks []task
 	// done counts completed tasks, waiting those in phase waiting.
 	done, waiting int
+	// waitingSinceMs is since when a task of the stage waits; 0 if one has since the stage was due.
+	waitingSinceMs int64
 	// exhaustedPass is the last placement pass that found no worker for a task of the stage; 0 if there is none.
 	exhaustedPass uint64
 	// scannedMs is when the stage was last compared with all workers.
 	scannedMs int64
+	// duration is the estimate for the tasks of the stage as of durationMs; 0 if there is none yet.
+	duration   estimate.Estimate
+	durationMs int64
+	// samples holds the durations of tasks that ended, from unthrottled runs on sound workers.
+	samples []durationSample
 	// gangRun is the run number of the newest run of a gang.
 	gangRun int
 	// gangCheckpoint is the newest known checkpoint of a gang, from any of its members. All members of a run start with it.
@@ -125,6 +136,12 @@
 	progressedMs int64
 	// countedPercent is the progress that the measured capacity includes.
 	countedPercent int
+	// orderedMs is when the start was ordered; 0 if an earlier decider ordered it. firstPercent is the progress when the run
+	// was first listed. wasThrottled tells whether its CPU share was ever reduced, resumed whether it began at a checkpoint.
+	orderedMs    int64
+	firstPercent int
+	wasThrottled bool
+	resumed      bool
 	// stalls counts runs that were stopped for lack of progress.
 	stalls int
 	// load is the tail latency in milliseconds of a latency-critical task, and the CPU use of any other.
@@ -157,9 +174,10 @@
 
 // State is the decider's scheduling state.
 type State struct {
-	bounds bounds.Bounds
-	now    Now
-	epoch  uint64
+	bounds  bounds.Bounds
+	options Options
+	now     Now
+	epoch   uint64
 	// claimedMs is when this decider claimed its epoch. Leases granted by the previous decider may last for Lead and
 	// Lease from then.
 	claimedMs int64
@@ -174,7 +192,9 @@
 	evacuatedZones map[string]bool
 	interference   interferenceModel
 	backlog        backlog
-	stages         []*stage // stages of unfinished jobs with unfinished tasks
+	durations      *estimate.Model
+	sizes          map[string]*sizeBalance // by queue
+	stages         []*stage                // stages of unfinished jobs with unfinished tasks
 
 	dirty []*job
 	// checkpointsDirty holds jobs whose checkpoints have changed since they were stored.
@@ -198,6 +218,11 @@
 	// rankedMs is when jobs were ranked, ranksStale is true if a stage was added since.
 	rankedMs   int64
 	ranksStale bool
+	// bestEffortUsed is the mean CPU use of best-effort tasks in thousandths of a core, and poolFullAtMs when one of them last
+	// found no worker.
+	bestEffortUsed float64
+	poolCapacity   poolCores // as of the last ranking
+	poolFullAtMs   int64
 	// overload tells what is not done because the decider is behind.
 	overload overload
 	// readyStages and unfinishedJobs are buffers of place.
@@ -268,9 +293,9 @@
 
 // New returns the initial state of a decider that claimed the epoch.
 func New(b bounds.Bounds, epoch uint64, now Now, o Options) *State {
-	return &State{bounds: b, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
+	return &State{bounds: b, options: o, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
 		queues: map[string]work.Queue{}, queueServices: map[string]map[string]bool{}, services: map[string]work.Service{},
-		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), pendingAcks: map[string]bool{},
+		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), durations: estimate.New(), sizes: map[string]*sizeBalance{}, pendingAcks: map[string]bool{},
 		backlog: backlog{enabled: o.PublishBacklog}}
 }
 
@@ -374,7 +399,7 @@
 		}
 		if t.worker.connected {
 			byWorker[t.worker] = append(byWorker[t.worker], s.startOrder(t))
-			t.orderNumber = t.worker.ordersSent + 1
+			t.orderNumber, t.orderedMs = t.worker.ordersSent+1, s.now.BootMs
 		}
 	}
 	for _, w := range s.sortedWorkers {
@@ -392,11 +417,12 @@
 // startOrder returns the start order for the task's run.
 func (s *State) startOrder(t *task) link.Start {
 	o := link.Start{Task: t.name().String(), Run: t.run, Spec: t.stage.job.def.Spec, Checkpoint: t.checkpoint}
+	t.resumed = t.checkpoint != ""
 	if t.stage.step.BestEffort && t.worker.criticalTasks > 0 {
 		t.cpuShare = s.initialCPUShare(t, t.worker)
 		t.sentCPUShare = t.cpuShare
 		if t.cpuShare < fullCPUShare {
-			o.CPUPercent = t.cpuShare
+			o.CPUPercent, t.wasThrottled = t.cpuShare, true
 		}
 	}
 	if tk, ok := t.stage.tickets[t.worker.instance]; ok {
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -151,9 +151,13 @@
 	}
 	if t.phase != done {
 		t.phase = waiting
+		if t.stage.waiting == 0 {
+			t.stage.waitingSinceMs = s.now.BootMs
+		}
 		t.stage.waiting++
 	}
 	t.orderNumber, t.recorded, t.startedMs, t.percent, t.countedPercent, t.load, t.stopSentMs = 0, false, 0, 0, 0, 0, 0
+	t.orderedMs, t.firstPercent, t.wasThrottled, t.resumed = 0, 0, false, false
 	t.cpuShare, t.sentCPUShare, t.shareSentMs, t.headroomFactor, t.overTargetSinceMs = fullCPUShare, fullCPUShare, 0, 0, 0
 	s.placePending = true
 	s.markDirty(t.stage.job)
--- /dev/null
+++ b/fleet/entry/scheduling_test.go
@@ -0,0 +1,18 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/fleet/dispatch"
+	"github.com/verbenakeel/verbenakeel/settings"
+)
+
+// Guards against settings of the order and the durations that do not reach the decider.
+func TestSchedulingSettingsReachTheDecider(t *testing.T) {
+	set := settings.DefaultFleet()
+	assert.Equal(t, dispatchOptions(&set), dispatch.Options{}, "nothing is on by default")
+	set.Order, set.Durations, set.Admission = settings.OrderScarcity, settings.DurationsLearned, settings.AdmissionBacklog
+	assert.Equal(t, dispatchOptions(&set), dispatch.Options{Order: dispatch.OrderScarcity, Durations: dispatch.DurationsLearned, PublishBacklog: true})
+}
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -34,12 +34,19 @@
 	Admission string
 	// Bounds are the deployment's bounds and the times derived from them.
 	Bounds bounds.Bounds
+	// Order is the order of jobs within a priority, deadline or scarcity; Durations is the source of the durations of tasks,
+	// declared or learned.
+	Order, Durations string
 }
 
-// Values of Fleet.Admission.
+// Values of Fleet.Admission, Fleet.Order and Fleet.Durations.
 const (
-	AdmissionOff     = "off"
-	AdmissionBacklog = "backlog"
+	AdmissionOff      = "off"
+	AdmissionBacklog  = "backlog"
+	OrderDeadline     = "deadline"
+	OrderScarcity     = "scarcity"
+	DurationsDeclared = "declared"
+	DurationsLearned  = "learned"
 )
 
 // PeerAddress returns the address at which other processes reach the peer listener that is bound to the given address.
@@ -52,7 +59,7 @@
 
 // DefaultFleet returns the default settings. The default bounds are the platform's usual values.
 func DefaultFleet() Fleet {
-	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Admission: AdmissionBacklog, Bounds: bounds.Bounds{
+	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Admission: AdmissionOff, Order: OrderDeadline, Durations: DurationsDeclared, Bounds: bounds.Bounds{
 		MaxLease: 6 * time.Second, Grace: 6 * time.Second,
 		MaxOverTarget: 4 * time.Second, MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}}
@@ -89,6 +96,8 @@
 		{"bounds", "restore", false, optionalDuration(&b.Restore), durationRemedy},
 		{"bounds", "finish", false, optionalDuration(&b.StarvationLimit), durationRemedy},
 		{"scheduling", "admission", false, optional(oneOf(&f.Admission, AdmissionOff, AdmissionBacklog)), "use off or backlog"},
+		{"scheduling", "order", false, optional(oneOf(&f.Order, OrderDeadline, OrderScarcity)), "use deadline or scarcity"},
+		{"scheduling", "durations", false, optional(oneOf(&f.Durations, DurationsDeclared, DurationsLearned)), "use declared or learned"},
 	}
 }
 
