Place best-effort tasks at lower shares where the load is predicted

A task was placed where it could have 0.6 of the full CPU share in the mean and 0.8 at its start. That reserve covers a rise of the load, which a forecast shows. Beside tasks whose load is predicted, 0.5 in the mean and 0.3 at the start now suffice, and the mean prediction error is added to the highest load. While the decider is behind, the highest load covers its longer interval between shares. The period is estimated from 4 s of samples on, every 2 s.

--- a/fleet/dispatch/besteffortfit.go
+++ b/fleet/dispatch/besteffortfit.go
@@ -70,28 +70,41 @@
 	return list
 }
 
-// bestEffortShares returns the CPU share at which another best-effort task could run on a worker, as expectedCPUShare
-// does, the lowest share during its run, and the share for which there is headroom now, as startShare does. The task is not
-// on the worker.
-func (s *State) bestEffortShares(be *task, w *worker) (expected, lowest, start float64) {
+// placementShares tells what CPU share another best-effort task could have on a worker.
+type placementShares struct {
+	// expected is the mean share over its run, lowest the lowest one, and start the share for which there is headroom at its
+	// start.
+	expected, lowest, start float64
+	// predicted is true if the loads of all latency-critical tasks with interference are predicted.
+	predicted bool
+}
+
+// suffice reports whether the shares suffice to place the task.
+func (p placementShares) suffice() bool {
+	if p.predicted {
+		return p.expected >= minPredictedShare && p.lowest >= minRunShare && p.start >= minPredictedStart
+	}
+	return p.expected >= minPlacementShare && p.lowest >= minRunShare && p.start >= minStartShare
+}
+
+// bestEffortShares returns the CPU shares that another best-effort task could have on a worker, on which it is not: the
+// expected one as expectedCPUShare does, and the one at its start as startShare does.
+func (s *State) bestEffortShares(be *task, w *worker) placementShares {
 	f := s.bestEffortFit(w)
 	demand := demandShare(be, w)
 	shares := newRunShares(be)
-	start = 1
+	p := placementShares{start: 1, predicted: true}
 	for i, k := range f.coefficientsOf(&s.interference, be) {
 		c := &f.critical[i]
 		if own := k.expected * demand; own >= negligibleSlowdown {
 			shares.limit(c, own+c.expected)
+			p.predicted = p.predicted && c.predicted
 		}
 		if own := k.conservative * demand; own >= negligibleSlowdown {
-			start = min(start, max(c.startAvailable/own, 0))
+			p.start = min(p.start, max(c.startAvailable/own, 0))
+			p.predicted = p.predicted && c.predicted
 		}
 	}
-	expected, lowest = shares.mean()
-	return expected, lowest, start
-}
-
-// acceptsBestEffort reports whether the CPU shares that a best-effort task could have on a worker suffice to place it there.
-func acceptsBestEffort(expected, lowest, start float64) bool {
-	return expected >= minPlacementShare && lowest >= minRunShare && start >= minStartShare
+	p.expected, p.lowest = shares.mean()
+	return p
 }
--- a/fleet/dispatch/candidates.go
+++ b/fleet/dispatch/candidates.go
@@ -93,11 +93,11 @@
 	if w.unusedCPU() < minDemandShare*float64(t.stage.step.CPU) {
 		return 0, false
 	}
-	expected, lowest, start := s.bestEffortShares(t, w)
-	if !acceptsBestEffort(expected, lowest, start) {
+	shares := s.bestEffortShares(t, w)
+	if !shares.suffice() {
 		return 0, false
 	}
-	return s.baseCost(t, w, expected), true
+	return s.baseCost(t, w, shares.expected), true
 }
 
 // update evaluates a worker again after its reservations have changed.
--- a/fleet/dispatch/predictedload.go
+++ b/fleet/dispatch/predictedload.go
@@ -8,10 +8,12 @@
 	readingAgeMs = 275
 	// shareEffectMs is the time until a CPU share that is ordered now takes effect: the way to the worker and pace_ms.
 	shareEffectMs = 150
-	// shareIntervalMs is the time from there until the share that follows the next report takes effect.
-	shareIntervalMs = 450
+	// reportIntervalMs is the time between two reports of a worker, each of which may change its CPU shares.
+	reportIntervalMs = 450
 	// sharePoints is the number of moments within that interval whose load is predicted.
 	sharePoints = 4
+	// errorMargin is the part of the mean prediction error that is added to the highest load.
+	errorMargin = 1.0
 	// startIntervalMs is the time from the start of a best-effort task until a CPU share that follows a report on it takes
 	// effect.
 	startIntervalMs = 1000
@@ -48,6 +50,7 @@
 	if l.series == nil || !l.series.Usable() {
 		return l.projected()
 	}
+	err, _ := l.series.Error()
 	highest := 0.0
 	for i := range int64(sharePoints) {
 		r, ok := l.series.At(fromMs + durationMs*i/(sharePoints-1))
@@ -56,12 +59,20 @@
 		}
 		highest = max(highest, r)
 	}
-	return highest
+	return min(highest+errorMargin*err, maxLoad)
 }
 
 // untilNextShare returns the highest load expected while a CPU share that is ordered now is in effect.
-func (l *load) untilNextShare(nowMs int64) float64 {
-	return l.highest(nowMs+shareEffectMs, shareIntervalMs)
+func (l *load) untilNextShare(nowMs, intervalMs int64) float64 {
+	return l.highest(nowMs+shareEffectMs, intervalMs)
+}
+
+// shareIntervalMs returns the time between two settings of the CPU shares on a worker.
+func (s *State) shareIntervalMs() int64 {
+	if s.overload >= fewerShares {
+		return overloadSharesMs
+	}
+	return reportIntervalMs
 }
 
 // afterStart returns the highest load expected until the CPU share of a task that starts now can be changed.
--- a/fleet/dispatch/throttle.go
+++ b/fleet/dispatch/throttle.go
@@ -99,7 +99,7 @@
 		}
 		return
 	}
-	excess := -s.interference.headroom(t, t.stage.job.load.untilNextShare(s.now.BootMs)) * t.headroomShare()
+	excess := -s.interference.headroom(t, t.stage.job.load.untilNextShare(s.now.BootMs, s.shareIntervalMs())) * t.headroomShare()
 	for _, be := range bestEffort {
 		excess += s.interference.expectedSlowdown(be, t, w) * shares[be]
 	}
--- a/fleet/forecast/period.go
+++ b/fleet/forecast/period.go
@@ -10,9 +10,9 @@
 	periodCandidates = 60
 	// scoreIntervalMs is the time between two comparisons of the candidates by one series, which cost as much as some
 	// tens of fits.
-	scoreIntervalMs = 3000
+	scoreIntervalMs = 2000
 	// minScoreBins is the number of observations from which on a series is compared with the candidates.
-	minScoreBins = 10
+	minScoreBins = 8
 	// scoreDecayMs is the age at which the evidence of a series has 1/e of the weight.
 	scoreDecayMs = 8000
 	// minEvidence is the mean logarithm, for each observation, of the ratio of the variance around the mean to that
