Check the simulation's invariants with predicted loads

The simulated load was constant, so no decision of TestSimulationInvariants used a forecast. 30 further seeds have a load that is a wave, and the test checks that some loads are predicted; the seeds of the existing test run as before. A wrong value of scheduling.load_forecast is refused by a test of the settings.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -81,38 +81,60 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			sim := newSimulation(t, seed, 4)
-			n := 0
-			for sim.now < 100_000+40_000 {
-				if sim.rng.IntN(15) == 0 {
-					n++
-					sim.submit(sim.randomJob(n))
-				}
-				if n > 0 && sim.rng.IntN(120) == 0 {
-					id := jobID(1 + sim.rng.IntN(n))
-					if _, ok := sim.cancels[id]; !ok {
-						sim.cancels[id] = sim.now
-						sim.step(JobCancelled{ID: id})
-					}
-				}
-				sim.advance()
-			}
-			sim.faultFree = true
-			// Cancel some long-running jobs to free capacity, so that every other job can complete.
-			for i := 1; i <= n; i++ {
-				if id := jobID(i); sim.jobs[id].LongRunning() && i%4 != 0 {
-					sim.cancels[id] = sim.now
-					sim.step(JobCancelled{ID: id})
-				}
-			}
-			for range 2400 {
-				sim.advance()
-			}
-			sim.checkFinalStates(n)
+			newSimulation(t, seed, 4).checkInvariants()
 		})
 	}
 }
 
+// checkInvariants submits and cancels random jobs under faults, and then lets all of them end.
+func (sim *simulation) checkInvariants() {
+	n := 0
+	for sim.now < 100_000+40_000 {
+		if sim.rng.IntN(15) == 0 {
+			n++
+			sim.submit(sim.randomJob(n))
+		}
+		if n > 0 && sim.rng.IntN(120) == 0 {
+			id := jobID(1 + sim.rng.IntN(n))
+			if _, ok := sim.cancels[id]; !ok {
+				sim.cancels[id] = sim.now
+				sim.step(JobCancelled{ID: id})
+			}
+		}
+		sim.advance()
+	}
+	sim.faultFree = true
+	// Cancel some long-running jobs to free capacity, so that every other job can complete.
+	for i := 1; i <= n; i++ {
+		if id := jobID(i); sim.jobs[id].LongRunning() && i%4 != 0 {
+			sim.cancels[id] = sim.now
+			sim.step(JobCancelled{ID: id})
+		}
+	}
+	for range 2400 {
+		sim.advance()
+	}
+	sim.checkFinalStates(n)
+}
+
+// Guards against broken invariants where decisions use predicted loads: the same as TestSimulationInvariants with loads that
+// are a wave.
+func TestSimulationInvariantsWithForecast(t *testing.T) {
+	predicted := make([]bool, 30)
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range predicted {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				sim := newSimulation(t, uint64(seed), 4)
+				sim.periodicLoad = true
+				sim.checkInvariants()
+				predicted[seed] = sim.state.summarizeForecast().Usable > 0
+			})
+		}
+	})
+	assert.Assert(t, slices.Contains(predicted, true), "no load was predicted")
+}
+
 // checkFinalStates checks that every job that can finish has finished, and its final state.
 func (sim *simulation) checkFinalStates(n int) {
 	for i := 1; i <= n; i++ {
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -43,6 +44,8 @@
 	failures map[string][]int64
 	// faultFree turns faults off, as at the end of a simulation.
 	faultFree bool
+	// periodicLoad makes the load of latency-critical tasks a wave, so that the decider predicts it.
+	periodicLoad bool
 	// learned is the interference model that the decider stored last.
 	learned []byte
 	// delayedStarts holds starts that are carried out later.
@@ -591,7 +594,11 @@
 	if step.TargetMs == 0 {
 		return step.CPU
 	}
-	const idle, load, heavy = 10.0, 0.4, 4.0
+	const idle, heavy = 10.0, 4.0
+	load := 0.4
+	if sim.periodicLoad {
+		load += 0.2 * math.Sin(2*math.Pi*float64(sim.now)/14_000)
+	}
 	slowdown := 1.0
 	for other := range sw.runs {
 		o := sim.stepOf(other)
--- a/fleet/forecast/fit.go
+++ b/fleet/forecast/fit.go
@@ -77,8 +77,7 @@
 		b := &s.bins[i]
 		weight := math.Exp((b.atMs - f.originMs) / ageDecayMs)
 		if previous.valid {
-			b.residual = b.load - previous.wave(b.atMs)
-			weight *= outlierWeight(b.residual)
+			weight *= outlierWeight(b.load - previous.wave(b.atMs))
 		}
 		e.add(f.row(b.atMs), b.load-s.period.mean, weight)
 	}
--- a/fleet/forecast/series.go
+++ b/fleet/forecast/series.go
@@ -52,11 +52,7 @@
 )
 
 // bin is one observation: the median of the samples of about binMs.
-type bin struct {
-	atMs, load float64
-	// residual is the difference of the load to the newest fit.
-	residual float64
-}
+type bin struct{ atMs, load float64 }
 
 // Series holds the samples of the load of one job and predicts it. Its zero value is not usable, see NewSeries.
 type Series struct {
@@ -114,9 +110,6 @@
 // verify compares an observation with the prediction that was made for it.
 func (s *Series) verify(b bin) {
 	f := &s.fits[verifyBins-1]
-	if n := len(s.bins); n > 0 {
-		s.bins[n-1].residual = s.bins[n-1].load - s.fits[0].wave(s.bins[n-1].atMs)
-	}
 	if !f.valid {
 		return
 	}
--- a/settings/fleet_test.go
+++ b/settings/fleet_test.go
@@ -55,11 +55,12 @@
 	assert.Equal(t, f.Bounds.Restore, DefaultFleet().Bounds.Restore)
 	assert.Assert(t, f.Bounds.Lease > 0 && f.Bounds.Lease < f.Bounds.MaxLease)
 	for text, want := range map[string]string{
-		"[bounds]\nhold_max = soon\n":     "bounds.hold_max",
-		"[bounds]\nfar_factor = near\n":   "bounds.far_factor",
-		"[limits]\ncores = 0\n":           "limits.cores",
-		"[worker]\naddress = elsewhere\n": "worker.address",
-		"[bounds]\nhold_min = 1s\n":       "bounds.hold_min",
+		"[bounds]\nhold_max = soon\n":        "bounds.hold_max",
+		"[bounds]\nfar_factor = near\n":      "bounds.far_factor",
+		"[limits]\ncores = 0\n":              "limits.cores",
+		"[worker]\naddress = elsewhere\n":    "worker.address",
+		"[bounds]\nhold_min = 1s\n":          "bounds.hold_min",
+		"[scheduling]\nload_forecast = on\n": "scheduling.load_forecast",
 	} {
 		_, problems := CheckFleet([]byte(goodFleet+text), true)
 		assert.Equal(t, len(problems), 1, "%s: %v", text, problems)
