--- a/fleet/dispatch/predictedload_test.go
+++ b/fleet/dispatch/predictedload_test.go
@@ -334,6 +334,25 @@
 	}
 }
 
+// Guards against a task that is moved by its first report because it started with a low CPU share: it is throttled since its
+// start.
+func TestStartAtLowShareIsThrottledSinceThen(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	s := sim.state
+	sim.submit(&work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 1000, MemMB: 10, EstMs: 400, LongRunning: true, TargetMs: waveTargetMs, Image: "s"}}})
+	sim.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 1, CPU: 1000, MemMB: 10, EstMs: 6000, BestEffort: true, Image: "f"}}})
+	for range 20 {
+		sim.advance()
+	}
+	be := &s.jobs[jobID(2)].stages[0].tasks[0]
+	s.interference.coefficients[pair{"f", "s"}] = coefficient{6, 0.01}
+	s.jobs[jobID(1)].load = measuredLoad(s.now.BootMs, 0.6)
+	be.throttledMs = 0
+	s.startOrder(be)
+	assert.Assert(t, be.cpuShare < moveShare, "share %d%%", be.cpuShare)
+	assert.Equal(t, be.throttledMs, s.now.BootMs)
+}
+
 // Guards against a setting without effect, and against series of jobs that have no load.
 func TestOptionSwitchesForecast(t *testing.T) {
 	long := &job{def: criticalJob(1, 1, "s", 0)}
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -394,6 +394,9 @@
 		if t.cpuShare < fullCPUShare {
 			o.CPUPercent = t.cpuShare
 		}
+		if t.cpuShare < moveShare {
+			t.throttledMs = s.now.BootMs
+		}
 	}
 	if tk, ok := t.stage.tickets[t.worker.instance]; ok {
 		o.Ticket = tk.text
