Use the forecast for CPU shares by default, for placement by choice

In trials with the whole decider, whose interference coefficients are learned, placement by the forecast gave no more best-effort CPU, and lower thresholds gave less: tasks were placed beside images that they interfere with before that was known. scheduling.load_forecast has a third value: shares, the default, uses the forecast for CPU shares only, harmonic also for placement and moves, and the thresholds of placement are those of before.

--- a/fleet/dispatch/besteffortfit.go
+++ b/fleet/dispatch/besteffortfit.go
@@ -75,15 +75,10 @@
 	// expected is the mean share over its run, lowest the lowest one, and start the share for which there is headroom at its
 	// start.
 	expected, lowest, start float64
-	// predicted is true if the loads of all latency-critical tasks with interference are predicted.
-	predicted bool
 }
 
 // suffice reports whether the shares suffice to place the task.
 func (p placementShares) suffice() bool {
-	if p.predicted {
-		return p.expected >= minPredictedShare && p.lowest >= minRunShare && p.start >= minPredictedStart
-	}
 	return p.expected >= minPlacementShare && p.lowest >= minRunShare && p.start >= minStartShare
 }
 
@@ -93,16 +88,14 @@
 	f := s.bestEffortFit(w)
 	demand := demandShare(be, w)
 	shares := newRunShares(be)
-	p := placementShares{start: 1, predicted: true}
+	p := placementShares{start: 1}
 	for i, k := range f.coefficientsOf(&s.interference, be) {
 		c := &f.critical[i]
 		if own := k.expected * demand; own >= negligibleSlowdown {
 			shares.limit(c, own+c.expected)
-			p.predicted = p.predicted && c.predicted
 		}
 		if own := k.conservative * demand; own >= negligibleSlowdown {
 			p.start = min(p.start, max(c.startAvailable/own, 0))
-			p.predicted = p.predicted && c.predicted
 		}
 	}
 	p.expected, p.lowest = shares.mean()
--- a/fleet/dispatch/checkpoints_test.go
+++ b/fleet/dispatch/checkpoints_test.go
@@ -108,7 +108,7 @@
 	assert.Equal(t, started(s, 2), "b2", "the value that was reported last as new")
 
 	restored := func(c *work.Checkpoints) *State {
-		next := New(sim.bounds, 2, sim.at(), Options{LoadForecast: true})
+		next := New(sim.bounds, 2, sim.at(), Options{LoadForecast: true, PlaceByForecast: true})
 		next.Step(sim.at(), ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
 		next.Step(sim.at(), JobSubmitted{Job: j, Checkpoints: c})
 		for _, sw := range sim.workers {
--- a/fleet/dispatch/cost_bench_test.go
+++ b/fleet/dispatch/cost_bench_test.go
@@ -73,7 +73,7 @@
 		StatusRetention: 120 * time.Second, OffRackFactor: 3, Restore: 250 * time.Millisecond, StarvationLimit: 14 * time.Second}.Derive()
 	l := &costLoad{rng: rand.New(rand.NewPCG(7, uint64(workers))), now: 100_000, index: map[string]*costWorker{}, steps: map[string]*work.Step{},
 		spent: map[string]time.Duration{}, count: map[string]int{}}
-	l.state = New(b, 1, l.at(), Options{LoadForecast: true})
+	l.state = New(b, 1, l.at(), Options{LoadForecast: true, PlaceByForecast: true})
 	l.apply("config", ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
 	for i := range workers {
 		w := &costWorker{name: fmt.Sprintf("side-%04d", i), runs: map[string]costRun{}, info: link.Worker{Service: "app", CPU: 16000, MemMB: 62_500,
--- a/fleet/dispatch/model_store_test.go
+++ b/fleet/dispatch/model_store_test.go
@@ -33,7 +33,7 @@
 	var in work.Interference
 	assert.NilError(t, work.Decode(kept.Value, &in))
 
-	next := New(sim.bounds, 2, sim.at(), Options{LoadForecast: true})
+	next := New(sim.bounds, 2, sim.at(), Options{LoadForecast: true, PlaceByForecast: true})
 	next.Step(sim.at(), ModelRestored{Interference: &in})
 	got := next.interference.coefficients[pair{"f", "s"}]
 	assert.Assert(t, got.mean > 3.4 && got.mean < 3.6 && got.variance > 0.03 && got.variance < 0.06, "%+v", got)
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -15,10 +15,6 @@
 	// minStartShare is the minimum CPU share for which there must be headroom where a best-effort task starts: it runs
 	// unthrottled until its first CPU share reaches the worker.
 	minStartShare = 0.8
-	// minPredictedShare and minPredictedStart are minPlacementShare and minStartShare beside latency-critical tasks whose load
-	// is predicted: no reserve is needed for a rise of the load, and a low share at the start is one that rises.
-	minPredictedShare = 0.5
-	minPredictedStart = 0.3
 	// minRunShare is the minimum CPU share that a best-effort task is expected to have at any moment of its run where it is
 	// placed. Below it the task holds memory without making progress.
 	minRunShare = 0.08
--- a/fleet/dispatch/predictedload.go
+++ b/fleet/dispatch/predictedload.go
@@ -149,8 +149,8 @@
 	c := criticalHeadroom{task: t}
 	l := &t.stage.job.load
 	p := l.profileAt(s.now.BootMs)
-	c.predicted = p.ok
-	if !p.ok {
+	c.predicted = p.ok && s.options.PlaceByForecast
+	if !c.predicted {
 		c.points[0] = s.interference.headroom(t, l.projected()) * t.headroomShare()
 		c.points[1] = s.interference.headroom(t, l.recentPeak())
 		c.startAvailable = c.points[0]
--- a/fleet/dispatch/predictedload_test.go
+++ b/fleet/dispatch/predictedload_test.go
@@ -148,7 +148,7 @@
 func (f *waveFleet) colocate(workMs float64) colocation {
 	workers := make([][]*bestEffortRun, len(f.jobs))
 	var res colocation
-	s := &State{interference: f.model}
+	s := &State{interference: f.model, options: Options{PlaceByForecast: true}}
 	be := &task{stage: &stage{job: &job{}, step: &work.Step{EstMs: int64(workMs)}}}
 	steps := 0.0
 	for end := f.now + 60_000; f.now < end; {
@@ -209,7 +209,7 @@
 	shares.limit(&c, c.expected+heavySlowdown)
 	expected, lowest := shares.mean()
 	start := c.startAvailable / heavySlowdown
-	if !(placementShares{expected, lowest, start, c.predicted}).suffice() {
+	if !(placementShares{expected, lowest, start}).suffice() {
 		return runs
 	}
 	return append(runs, &bestEffortRun{next: min(start, 1), leftMs: float64(be.stage.step.EstMs), fromMs: s.now.BootMs + shareEffectMs})
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -170,7 +170,7 @@
 		}
 		sw.connected = false
 	}
-	sim.state = New(sim.bounds, sim.epoch, sim.at(), Options{LoadForecast: true})
+	sim.state = New(sim.bounds, sim.epoch, sim.at(), Options{LoadForecast: true, PlaceByForecast: true})
 	sim.step(ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
 	if sim.learned != nil {
 		var in work.Interference
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -72,7 +72,7 @@
 	now := clock.BootMs()
 	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize),
 		sides: map[string]*sideLink{}, dialSide: dialSide, seq: claimSeq(claim), confirmedMs: now, sentMs: now}
-	d.state = dispatch.New(e.set.Bounds, epoch, d.now(), dispatch.Options{LoadForecast: e.set.LoadForecast == settings.ForecastHarmonic})
+	d.state = dispatch.New(e.set.Bounds, epoch, d.now(), dispatch.Options{LoadForecast: e.set.LoadForecast != settings.ForecastOff, PlaceByForecast: e.set.LoadForecast == settings.ForecastHarmonic})
 	e.election.consumeClaim()
 	e.log.Log(logevent.BecameDecider, logevent.Int("epoch", epoch))
 	e.deciding.Store(epoch)
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -32,13 +32,15 @@
 	Worker, Service string
 	// Bounds are the deployment's bounds and the times derived from them.
 	Bounds bounds.Bounds
-	// LoadForecast is ForecastOff or ForecastHarmonic.
+	// LoadForecast is ForecastOff, ForecastShares or ForecastHarmonic.
 	LoadForecast string
 }
 
-// Values of Fleet.LoadForecast: the loads of long-running jobs are not predicted, or predicted by their period.
+// Values of Fleet.LoadForecast: the loads of long-running jobs are not predicted, or predicted by their period for CPU shares
+// only, or for CPU shares and placement.
 const (
 	ForecastOff      = "off"
+	ForecastShares   = "shares"
 	ForecastHarmonic = "harmonic"
 )
 
@@ -52,7 +54,7 @@
 
 // DefaultFleet returns the default settings. The default bounds are the platform's usual values.
 func DefaultFleet() Fleet {
-	return Fleet{LogLevel: "info", LoadForecast: ForecastHarmonic, MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
+	return Fleet{LogLevel: "info", LoadForecast: ForecastShares, MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
 		MaxLease: 6 * time.Second, Grace: 6 * time.Second,
 		MaxOverTarget: 4 * time.Second, MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}}
@@ -88,7 +90,7 @@
 		{"bounds", "far_factor", false, optional(fraction(&b.OffRackFactor, 1, 1000)), "write a factor, for example 1.5"},
 		{"bounds", "restore", false, optionalDuration(&b.Restore), durationRemedy},
 		{"bounds", "finish", false, optionalDuration(&b.StarvationLimit), durationRemedy},
-		{"scheduling", "load_forecast", false, optional(oneOf(&f.LoadForecast, ForecastOff, ForecastHarmonic)), "use off or harmonic"},
+		{"scheduling", "load_forecast", false, optional(oneOf(&f.LoadForecast, ForecastOff, ForecastShares, ForecastHarmonic)), "use off, shares or harmonic"},
 	}
 }
 
