Check invariants with both uses of the forecast

Half of the seeds of TestSimulationInvariantsWithForecast use predicted loads for CPU shares only, which is the default.

DISPATCH_SEEDS=300 go test ./fleet/dispatch -run TestSimulationInvariants passed.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -126,7 +126,8 @@
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				sim := newSimulation(t, uint64(seed), 4)
-				sim.periodicLoad = true
+				sim.periodicLoad, sim.sharesOnly = true, seed%2 == 0
+				sim.electDecider()
 				sim.checkInvariants()
 				predicted[seed] = sim.state.summarizeForecast().Usable > 0
 			})
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -46,6 +46,8 @@
 	faultFree bool
 	// periodicLoad makes the load of latency-critical tasks a wave, so that the decider predicts it.
 	periodicLoad bool
+	// sharesOnly makes the decider use predicted loads for CPU shares only.
+	sharesOnly bool
 	// learned is the interference model that the decider stored last.
 	learned []byte
 	// delayedStarts holds starts that are carried out later.
@@ -170,7 +172,7 @@
 		}
 		sw.connected = false
 	}
-	sim.state = New(sim.bounds, sim.epoch, sim.at(), Options{LoadForecast: true, PlaceByForecast: true})
+	sim.state = New(sim.bounds, sim.epoch, sim.at(), Options{LoadForecast: true, PlaceByForecast: !sim.sharesOnly})
 	sim.step(ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
 	if sim.learned != nil {
 		var in work.Interference
