--- a/fleet/dispatch/besteffortfit.go
+++ b/fleet/dispatch/besteffortfit.go
@@ -18,16 +18,6 @@
 	coefficients map[string][]fitCoefficient
 }
 
-// criticalHeadroom is the headroom of a latency-critical task.
-type criticalHeadroom struct {
-	task *task
-	// expected is the slowdown that the best-effort tasks on the worker are expected to cause without throttling.
-	expected float64
-	// atNow and atPeak are the headroom at the current and at the peak load, startAvailable is what running best-effort
-	// tasks leave of it now.
-	atNow, atPeak, startAvailable float64
-}
-
 // fitCoefficient is the coefficient of a best-effort image on a latency-critical task: the expected one, and one with a
 // margin for its uncertainty.
 type fitCoefficient struct{ expected, conservative float64 }
@@ -44,9 +34,7 @@
 		if t.stage.step.TargetMs == 0 || t.phase == stopping {
 			continue
 		}
-		l := &t.stage.job.load
-		c := criticalHeadroom{task: t, atNow: s.interference.headroom(t, l.projected()) * t.headroomShare(), atPeak: s.interference.headroom(t, l.recentPeak())}
-		c.startAvailable = c.atNow
+		c := s.headroomOf(t)
 		for _, o := range w.tasks {
 			if !o.stage.step.BestEffort {
 				continue
@@ -82,21 +70,34 @@
 	return list
 }
 
-// bestEffortShares returns the CPU share at which another best-effort task could run on a worker, as expectedCPUShare
-// does, and the share for which there is headroom now, as startShare does. The task is not on the worker.
-func (s *State) bestEffortShares(be *task, w *worker) (expected, start float64) {
+// placementShares tells what CPU share another best-effort task could have on a worker.
+type placementShares struct {
+	// expected is the mean share over its run, lowest the lowest one, and start the share for which there is headroom at its
+	// start.
+	expected, lowest, start float64
+}
+
+// suffice reports whether the shares suffice to place the task.
+func (p placementShares) suffice() bool {
+	return p.expected >= minPlacementShare && p.lowest >= minRunShare && p.start >= minStartShare
+}
+
+// bestEffortShares returns the CPU shares that another best-effort task could have on a worker, on which it is not: the
+// expected one as expectedCPUShare does, and the one at its start as startShare does.
+func (s *State) bestEffortShares(be *task, w *worker) placementShares {
 	f := s.bestEffortFit(w)
 	demand := demandShare(be, w)
-	expected, start = 1, 1
+	shares := newRunShares(be)
+	p := placementShares{start: 1}
 	for i, k := range f.coefficientsOf(&s.interference, be) {
 		c := &f.critical[i]
 		if own := k.expected * demand; own >= negligibleSlowdown {
-			sum := own + c.expected
-			expected = min(expected, (min(c.atNow/sum, 1)+min(c.atPeak/sum, 1))/2)
+			shares.limit(c, own+c.expected)
 		}
 		if own := k.conservative * demand; own >= negligibleSlowdown {
-			start = min(start, max(c.startAvailable/own, 0))
+			p.start = min(p.start, max(c.startAvailable/own, 0))
 		}
 	}
-	return expected, start
+	p.expected, p.lowest = shares.mean()
+	return p
 }
--- a/fleet/dispatch/options.go
+++ b/fleet/dispatch/options.go
@@ -8,6 +8,12 @@
 	Durations Durations
 	// PublishBacklog makes the decider publish the expected wait of new work while there is too little capacity.
 	PublishBacklog bool
+	// LoadForecast predicts the load of long-running jobs by their period, for the CPU shares of best-effort tasks. Otherwise
+	// the current load and its slope are used.
+	LoadForecast bool
+	// PlaceByForecast uses the predicted loads, if there are any, also for the placement of best-effort tasks and for moves
+	// of throttled ones. Otherwise the current load, its slope and its last peak are used.
+	PlaceByForecast bool
 }
 
 // Order is a way to order the jobs of one priority.
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenakeel/verbenakeel/fleet/bounds"
 	"github.com/verbenakeel/verbenakeel/fleet/estimate"
+	"github.com/verbenakeel/verbenakeel/fleet/forecast"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
@@ -194,7 +195,9 @@
 	backlog        backlog
 	durations      *estimate.Model
 	sizes          map[string]*sizeBalance // by queue
-	stages         []*stage                // stages of unfinished jobs with unfinished tasks
+	// loadPeriod is the period that the loads of the long-running jobs have in common.
+	loadPeriod *forecast.Period
+	stages     []*stage // stages of unfinished jobs with unfinished tasks
 
 	dirty []*job
 	// checkpointsDirty holds jobs whose checkpoints have changed since they were stored.
@@ -293,7 +296,7 @@
 
 // New returns the initial state of a decider that claimed the epoch.
 func New(b bounds.Bounds, epoch uint64, now Now, o Options) *State {
-	return &State{bounds: b, options: o, now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
+	return &State{bounds: b, options: o, loadPeriod: forecast.NewPeriod(), now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
 		queues: map[string]work.Queue{}, queueServices: map[string]map[string]bool{}, services: map[string]work.Service{},
 		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), durations: estimate.New(), sizes: map[string]*sizeBalance{}, pendingAcks: map[string]bool{},
 		backlog: backlog{enabled: o.PublishBacklog}}
@@ -424,6 +427,9 @@
 		if t.cpuShare < fullCPUShare {
 			o.CPUPercent, t.wasThrottled = t.cpuShare, true
 		}
+		if t.cpuShare < moveShare {
+			t.throttledMs = s.now.BootMs
+		}
 	}
 	if tk, ok := t.stage.tickets[t.worker.instance]; ok {
 		o.Ticket = tk.text
--- a/fleet/entry/scheduling.go
+++ b/fleet/entry/scheduling.go
@@ -8,7 +8,11 @@
 
 // dispatchOptions returns the options of the decider that the settings select.
 func dispatchOptions(set *settings.Fleet) dispatch.Options {
-	o := dispatch.Options{PublishBacklog: set.Admission == settings.AdmissionBacklog}
+	o := dispatch.Options{
+		PublishBacklog:  set.Admission == settings.AdmissionBacklog,
+		LoadForecast:    set.LoadForecast != settings.ForecastOff,
+		PlaceByForecast: set.LoadForecast == settings.ForecastHarmonic,
+	}
 	if set.Order == settings.OrderScarcity {
 		o.Order = dispatch.OrderScarcity
 	}
--- a/fleet/entry/scheduling_test.go
+++ b/fleet/entry/scheduling_test.go
@@ -14,5 +14,6 @@
 	set := settings.DefaultFleet()
 	assert.Equal(t, dispatchOptions(&set), dispatch.Options{}, "nothing is on by default")
 	set.Order, set.Durations, set.Admission = settings.OrderScarcity, settings.DurationsLearned, settings.AdmissionBacklog
-	assert.Equal(t, dispatchOptions(&set), dispatch.Options{Order: dispatch.OrderScarcity, Durations: dispatch.DurationsLearned, PublishBacklog: true})
+	set.LoadForecast = settings.ForecastShares
+	assert.Equal(t, dispatchOptions(&set), dispatch.Options{Order: dispatch.OrderScarcity, Durations: dispatch.DurationsLearned, PublishBacklog: true, LoadForecast: true})
 }
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -37,6 +37,8 @@
 	// Order is the order of jobs within a priority, deadline or scarcity; Durations is the source of the durations of tasks,
 	// declared or learned.
 	Order, Durations string
+	// LoadForecast is ForecastOff, ForecastShares or ForecastHarmonic.
+	LoadForecast string
 }
 
 // Values of Fleet.Admission, Fleet.Order and Fleet.Durations.
@@ -49,6 +51,14 @@
 	DurationsLearned  = "learned"
 )
 
+// Values of Fleet.LoadForecast: the loads of long-running jobs are not predicted, or predicted by their period for CPU shares
+// only, or for CPU shares and placement.
+const (
+	ForecastOff      = "off"
+	ForecastShares   = "shares"
+	ForecastHarmonic = "harmonic"
+)
+
 // PeerAddress returns the address at which other processes reach the peer listener that is bound to the given address.
 func (f *Fleet) PeerAddress(bound net.Addr) string {
 	if f.Advertise != "" {
@@ -59,7 +69,7 @@
 
 // DefaultFleet returns the default settings. The default bounds are the platform's usual values.
 func DefaultFleet() Fleet {
-	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Admission: AdmissionOff, Order: OrderDeadline, Durations: DurationsDeclared, Bounds: bounds.Bounds{
+	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Admission: AdmissionOff, Order: OrderDeadline, Durations: DurationsDeclared, LoadForecast: ForecastOff, Bounds: bounds.Bounds{
 		MaxLease: 6 * time.Second, Grace: 6 * time.Second,
 		MaxOverTarget: 4 * time.Second, MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
 		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}}
@@ -98,6 +108,7 @@
 		{"scheduling", "admission", false, optional(oneOf(&f.Admission, AdmissionOff, AdmissionBacklog)), "use off or backlog"},
 		{"scheduling", "order", false, optional(oneOf(&f.Order, OrderDeadline, OrderScarcity)), "use deadline or scarcity"},
 		{"scheduling", "durations", false, optional(oneOf(&f.Durations, DurationsDeclared, DurationsLearned)), "use declared or learned"},
+		{"scheduling", "load_forecast", false, optional(oneOf(&f.LoadForecast, ForecastOff, ForecastShares, ForecastHarmonic)), "use off, shares or harmonic"},
 	}
 }
 
--- a/settings/fleet_test.go
+++ b/settings/fleet_test.go
@@ -59,13 +59,14 @@
 	assert.Equal(t, len(problems), 0, "%v", problems)
 	assert.Equal(t, f.Order+" "+f.Durations, "scarcity declared")
 	for text, want := range map[string]string{
-		"[scheduling]\norder = fifo\n":    "scheduling.order",
-		"[bounds]\nhold_max = soon\n":     "bounds.hold_max",
-		"[bounds]\nfar_factor = near\n":   "bounds.far_factor",
-		"[limits]\ncores = 0\n":           "limits.cores",
-		"[worker]\naddress = elsewhere\n": "worker.address",
-		"[bounds]\nhold_min = 1s\n":       "bounds.hold_min",
-		"[scheduling]\nadmission = on\n":  "scheduling.admission",
+		"[scheduling]\norder = fifo\n":       "scheduling.order",
+		"[bounds]\nhold_max = soon\n":        "bounds.hold_max",
+		"[bounds]\nfar_factor = near\n":      "bounds.far_factor",
+		"[limits]\ncores = 0\n":              "limits.cores",
+		"[worker]\naddress = elsewhere\n":    "worker.address",
+		"[bounds]\nhold_min = 1s\n":          "bounds.hold_min",
+		"[scheduling]\nadmission = on\n":     "scheduling.admission",
+		"[scheduling]\nload_forecast = on\n": "scheduling.load_forecast",
 	} {
 		_, problems := CheckFleet([]byte(goodFleet+text), true)
 		assert.Equal(t, len(problems), 1, "%s: %v", text, problems)
