Drop hold requests that arrive after the zone is back in service

Cause: a Hold call between entries did not say which state of the log it belongs to.

Change: HoldRequest has a new optional field, revision, with the configuration revision that the sender had applied before it made the hold. The check is part of the reducer, so that no record can be applied between the check and the hold, and exchanges use it too. A request without the field, from an earlier version, is kept as before. The response says whether the zone is held.

TestHoldReachesEntryThatStartsLater checked the holds of the first entry before that entry was known to have read the records; it now waits for them and makes the same assertions.

Without the guard TestLateHoldIsDropped printed "request(&made) is true: made before the zone was taken out of service", and TestHoldRequestCarriesRevision found a request without a revision.

go test -race -run TestHoldReachesEntryThatStartsLater -count 30 ./entry: 30 passes, and 30 passes of 30 beside one busy process. The tests of ./entry, ./core/... and ./control pass.

--- a/core/config/state.go
+++ b/core/config/state.go
@@ -231,6 +231,12 @@
 	return v != nil && v.Zone.Out
 }
 
+// ZoneBackAfter reports whether the newest change of a zone is later than a revision and left the zone in service.
+func (s *State) ZoneBackAfter(zone string, revision uint64) bool {
+	v := s.Zones[zone]
+	return v != nil && !v.Zone.Out && v.Revision > revision
+}
+
 // Customers returns the names of all customers in order.
 func (s *State) Customers() []string {
 	names := make([]string, 0, len(s.Contracts))
--- a/core/core.go
+++ b/core/core.go
@@ -113,6 +113,9 @@
 	Duration time.Duration
 	// Relayed is true for a hold that was requested at another entry.
 	Relayed bool
+	// Revision is the configuration that the requesting entry had applied; nil if it is not known. The hold is dropped if a
+	// later change that is applied here has brought the zone back into service.
+	Revision *uint64
 }
 
 // IncarnationRaised reports that other entries know this run of the process by a higher incarnation from now on.
@@ -215,6 +218,9 @@
 // HoldBegan reports that starts in a zone are now held and were not before.
 type HoldBegan struct{ Zone string }
 
+// HoldDropped reports that a requested hold belongs to an order that has ended.
+type HoldDropped struct{ Zone string }
+
 // Routed names the endpoint for a try; nil if there is none.
 type Routed struct {
 	// Endpoint is a copy taken when it was chosen.
@@ -236,5 +242,6 @@
 func (Answered) coreEffect()           {}
 func (AnnouncementResult) coreEffect() {}
 func (HoldBegan) coreEffect()          {}
+func (HoldDropped) coreEffect()        {}
 func (Routed) coreEffect()             {}
 func (AlertRaised) coreEffect()        {}
--- a/core/step.go
+++ b/core/step.go
@@ -35,6 +35,9 @@
 	case ReleaseReceived:
 		s.Authority.Released(now, ev.Epoch)
 	case ZoneHoldRequested:
+		if ev.Revision != nil && s.Config.ZoneBackAfter(ev.Zone, *ev.Revision) {
+			return []Effect{HoldDropped{ev.Zone}}
+		}
 		if s.Decider.Hold(now, ev.Zone, ev.Duration, ev.Relayed) {
 			return []Effect{HoldBegan{ev.Zone}}
 		}
--- a/entry/change.go
+++ b/entry/change.go
@@ -117,15 +117,17 @@
 }
 
 // holdZoneAtAllEntries stops starts in the zone at all entries before the record is in force. A hold can only prevent
-// starts. Every entry keeps it, so that it survives a change of decider.
+// starts. Every entry keeps it, so that it survives a change of decider. A request that reaches a peer after the zone is back
+// in service is dropped there by its revision, which is read before the hold begins so that it is never too high.
 func (e *Entry) holdZoneAtAllEntries(zone, operator string) {
-	e.hold(zone, zoneHoldDuration)
+	revision := e.revision()
+	e.hold(zone, zoneHoldDuration, nil)
 	for _, p := range e.peers.live() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 			defer cancel()
 			_, _ = e.client(p.address).Hold(ctx, &control.HoldRequest{
-				Zone: zone, DurationMs: uint32(zoneHoldDuration.Milliseconds()), Operator: operator,
+				Zone: zone, DurationMs: uint32(zoneHoldDuration.Milliseconds()), Operator: operator, Revision: &revision,
 			})
 		}()
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -199,13 +199,19 @@
 	if r.Zone == "" {
 		return nil, twirp.RequiredArgumentError("zone")
 	}
-	s.e.hold(r.Zone, time.Duration(r.DurationMs)*time.Millisecond)
-	return &control.HoldResponse{Held: true}, nil
+	return &control.HoldResponse{Held: s.e.hold(r.Zone, time.Duration(r.DurationMs)*time.Millisecond, r.Revision)}, nil
 }
 
-func (e *Entry) hold(zone string, d time.Duration) {
+// hold stops starts in a zone for the duration. Revision is the configuration that the requesting entry had applied; nil if
+// it is not known. hold returns false if a later change has brought the zone back into service, so that nothing is held.
+func (e *Entry) hold(zone string, d time.Duration, revision *uint64) bool {
+	for _, eff := range e.step(core.ZoneHoldRequested{Zone: zone, Duration: d, Revision: revision}) {
+		if _, ok := eff.(core.HoldDropped); ok {
+			return false
+		}
+	}
 	e.log.Log(logevent.ZoneHeld, logevent.Str("zone", zone), logevent.Int("ms", d.Milliseconds()))
-	e.step(core.ZoneHoldRequested{Zone: zone, Duration: d})
+	return true
 }
 
 // Export implements control.Entry.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -143,16 +143,8 @@
 // reach, receives them here. A hold is ignored if its sender has not yet read that the zone is back in service.
 func (e *Entry) applyHolds(list []*control.ZoneHold, revision uint64) {
 	for _, h := range list {
-		lifted := false
-		e.read(func(s *core.State) {
-			z := s.Config.Zones[h.Zone]
-			lifted = z != nil && !z.Zone.Out && z.Revision > revision
-		})
-		if lifted {
-			continue
-		}
 		d := time.Duration(h.RemainingMs) * time.Millisecond
-		for _, eff := range e.step(core.ZoneHoldRequested{Zone: h.Zone, Duration: d, Relayed: true}) {
+		for _, eff := range e.step(core.ZoneHoldRequested{Zone: h.Zone, Duration: d, Relayed: true, Revision: &revision}) {
 			if _, ok := eff.(core.HoldBegan); ok {
 				e.log.Log(logevent.ZoneHeld, logevent.Str("zone", h.Zone), logevent.Int("ms", d.Milliseconds()))
 			}
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -117,7 +119,7 @@
 func TestHoldReachesEntryThatStartsLater(t *testing.T) {
 	log := memlog.New(memlog.Options{})
 	a, _ := runEntry(t, "entry-1", log, unchanged)
-	a.hold("midshire-b", 20*time.Second)
+	a.hold("midshire-b", 20*time.Second, nil)
 	b, _ := runEntry(t, "entry-2", log, unchanged, a.ControlAddress())
 	eventually(t, "the hold at the new entry", func() bool { return zoneHeld(b, "midshire-b") })
 	assert.Assert(t, !zoneHeld(b, "midshire-c"))
@@ -130,6 +132,9 @@
 	assert.Assert(t, !zoneHeld(b, "midshire-d"), "the sender has not yet read that the zone is back in service")
 	b.applyHolds(holds, b.revision())
 	assert.Assert(t, zoneHeld(b, "midshire-d"))
+	// The first entry holds the zone itself until it has read that it is back in service; a request that arrives later is
+	// dropped.
+	eventually(t, "the records at the first entry", func() bool { return a.revision() == b.revision() })
 	assert.Equal(t, len(a.ownHolds()), 1)
 	assert.Equal(t, len(b.ownHolds()), 0, "a hold received from a peer is not relayed")
 }
@@ -203,3 +208,56 @@
 		assert.Assert(t, !ep.EndpointUp, "an earlier version reports a down endpoint by zero slots")
 	})
 }
+
+// Guards against a hold request that arrives after the record that ends it and then stops starts in a zone that is in
+// service, for its whole duration. A request without a revision comes from an earlier version and is kept.
+func TestLateHoldIsDropped(t *testing.T) {
+	e, _ := runEntry(t, "entry-1", memlog.New(memlog.Options{}), unchanged)
+	made := e.revision()
+	for i, out := range []string{"true", "false"} {
+		status, body := post(t, "http://"+e.OperatorAddress()+"/v1/config", "", "", fmt.Sprintf(`{"base":%d,"zone":{"zone":"midshire-d","out":%s}}`, i, out))
+		assert.Equal(t, status, 200, string(body))
+	}
+	request := func(revision *uint64) bool {
+		r, err := (&controlServer{e}).Hold(t.Context(), &control.HoldRequest{Zone: "midshire-d", DurationMs: 20_000, Revision: revision})
+		assert.NilError(t, err)
+		return r.Held
+	}
+	assert.Assert(t, !request(&made), "made before the zone was taken out of service")
+	assert.Assert(t, !request(proto.Uint64(e.revision()-1)), "made before the zone was back in service")
+	assert.Equal(t, len(e.ownHolds()), 0)
+	assert.Assert(t, !zoneHeld(e, "midshire-d"))
+	assert.Assert(t, request(nil), "made by an earlier version")
+	assert.Equal(t, len(e.ownHolds()), 1)
+	assert.Assert(t, request(proto.Uint64(e.revision())), "made for a new order")
+}
+
+// holdRecorder is a peer that records the hold requests that it receives.
+type holdRecorder struct {
+	control.Entry
+	requests chan *control.HoldRequest
+}
+
+func (h *holdRecorder) Hold(_ context.Context, r *control.HoldRequest) (*control.HoldResponse, error) {
+	h.requests <- r
+	return &control.HoldResponse{Held: true}, nil
+}
+
+func (h *holdRecorder) Exchange(context.Context, *control.ExchangeRequest) (*control.ExchangeResponse, error) {
+	return &control.ExchangeResponse{}, nil
+}
+
+// Guards against a hold request without the revision that it belongs to, which peers keep however late it arrives.
+func TestHoldRequestCarriesRevision(t *testing.T) {
+	e, _ := runEntry(t, "entry-1", memlog.New(memlog.Options{}), unchanged)
+	recorder := &holdRecorder{requests: make(chan *control.HoldRequest, 1)}
+	server := httptest.NewServer(control.NewEntryServer(recorder))
+	defer server.Close()
+	e.peers.observe(peer{id: "entry-2", incarnation: 1, sequence: 1, address: server.Listener.Addr().String()}, 0, 0)
+	made := e.revision()
+	status, body := post(t, "http://"+e.OperatorAddress()+"/v1/config", "", "", `{"base":0,"zone":{"zone":"midshire-d","out":true}}`)
+	assert.Equal(t, status, 200, string(body))
+	r := <-recorder.requests
+	assert.Equal(t, r.Zone, "midshire-d")
+	assert.Assert(t, r.Revision != nil && *r.Revision == made, "%v", r)
+}
