Test the offsets of own records and late answers to abandoned orders

Cause: three guards had no test that fails without them: the offsets that an entry's own records get in the topic reader, the order tracker's bound on answers that come after their orders were given up, and the check in finishOrder that drops such an answer with its refusal.

Change: one test each.

--- a/fleet/entry/history_test.go
+++ b/fleet/entry/history_test.go
@@ -99,6 +99,20 @@
 	assert.Equal(t, next, int64(5))
 }
 
+// Guards against a decider whose own record is reverted by a snapshot that began before it was stored: without its offset the
+// record counts as older than the snapshot, and its absence as its removal.
+func TestOlderSnapshotKeepsOwnRecords(t *testing.T) {
+	r, values := newKeyReader()
+	older := work.Snapshot{Records: []work.Record{record("a", "1", 0)}, Next: 1}
+	r.applySnapshot(older)
+	r.applyOwn([]work.Record{record("own", "1", 0), record("other", "1", 0)}, 3)
+	assert.Equal(t, r.applySnapshot(older), 0)
+	assert.DeepEqual(t, values, map[string]string{"a": "1", "own": "1", "other": "1"})
+	// A snapshot that began after the first of them shows that it is gone.
+	assert.Equal(t, r.applySnapshot(work.Snapshot{Records: []work.Record{record("a", "1", 0)}, Next: 2}), 1)
+	assert.DeepEqual(t, values, map[string]string{"a": "1", "other": "1"})
+}
+
 // Guards against a decider that takes jobs as known to the end of the topic although it has read only a snapshot, behind
 // which records may follow.
 func TestSnapshotIsNotTheEnd(t *testing.T) {
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -320,6 +320,35 @@
 	assert.Equal(t, tr.giveUp(), 0)
 }
 
+// Guards against a call that returns after its order was given up and leaves the number of unanswered orders below 0, so that
+// no later order of the connection ever counts as carried out.
+func TestTrackerIgnoresLateAnswers(t *testing.T) {
+	var tr orderTracker
+	tr.add(1, 2)
+	assert.Equal(t, tr.giveUp(), 2)
+	tr.add(2, 1)
+	tr.finish(1)
+	tr.finish(1)
+	assert.Equal(t, tr.completedUpTo(), uint64(1), "the late answers do not end the order of the next message")
+	tr.finish(2)
+	assert.Equal(t, tr.completedUpTo(), uint64(2))
+	assert.Equal(t, tr.giveUp(), 0)
+}
+
+// Guards against a call that returns after its order was given up and reports a refusal to the decider, which takes it as one
+// by the next incarnation of the worker and starts the task again although the call of the earlier one may have reached it.
+func TestLateRefusalIsNotReported(t *testing.T) {
+	s := &Side{}
+	inc := &incarnation{side: s}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &connection{}
+	c.orders.add(1, 1)
+	c.orders.giveUp()
+	cancel()
+	inc.finishOrder(ctx, c, 1, &link.Refusal{Task: task, Run: 1, Reason: link.ReasonUnhealthy})
+	assert.Equal(t, len(c.orders.refusals), 0)
+}
+
 // Guards against a task that is started elsewhere while the next incarnation of its worker runs it (TWICE): a call in
 // transit to the earlier incarnation may be carried out by the next one under the same id, and no lease that was sent to
 // that one bounds the run.
