--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -171,8 +171,8 @@
 			s.log.Log(logevent.RowsUnreadable, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("rows", ans.Unreadable))
 		}
 		inc.recordAnswer(ans.ClockMs)
-		if got.fence > inc.inheritedFence && len(ans.Runs) == 0 {
-			// The worker has met a higher fence, so that it refuses calls that are still in transit.
+		if got.fence > inc.inheritedFence && len(ans.Runs) == 0 && ans.Complete {
+			// The worker has met a higher fence, so that it refuses calls that are still in transit, and it runs nothing.
 			inc.inheritedLeaseMs = 0
 		}
 		got.runs, got.completions, got.complete = ans.Runs, ans.Ended, ans.Complete
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -374,6 +374,29 @@
 	assert.Assert(t, rep.LeaseLeftMs < maxLease/2, "no call for the earlier id reaches the worker, but %d ms are left", rep.LeaseLeftMs)
 }
 
+// Guards against a task that is started elsewhere while the next incarnation of its worker runs it (TWICE): a list that lacks
+// its runs, or shows one in a row that cannot be read, does not show that no call in transit has been carried out.
+func TestIncompleteListKeepsInheritedLease(t *testing.T) {
+	for _, body := range []string{`{"clock_ms":1000}`, `{"clock_ms":1000,"running":[["` + task + `","x"]],"ended":[]}`} {
+		r := newTestSide(t)
+		r.register(r.incarnation, 1, false)
+		r.connect(1)
+		r.await("of the first incarnation", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+		r.worker.Lock()
+		r.worker.ListBody = body
+		r.worker.Unlock()
+		second := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1}
+		r.register(second, 1, false)
+		const raised = 1<<16 + 1
+		r.order(link.Orders{Fence: raised})
+		rep := r.await("with a list under the raised fence", func(rep *link.Report) bool { return rep.Listed && rep.Fence == raised })
+		assert.Assert(t, !rep.Complete)
+		r.side.mu.Lock()
+		assert.Check(t, r.side.incarnation.inheritedLeaseMs != 0, "%s: the lease of calls in transit was ended", body)
+		r.side.mu.Unlock()
+	}
+}
+
 // Guards against reports that overtake each other: a list without a run that arrives before the report with the run's
 // completion makes the decider start the task again (TWICE). A report must not be created before the one ahead of it is
 // sent.
