Await the lease of a worker that refuses connections

Cause: after three refused connections the side process took the worker's process as ended and reported that no lease was left. A worker may also have closed its listener while its runs go on, and the lease that was sent to it bounds them.

Change: refused connections no longer end the lease. From the third one on it is not renewed either, since no call reaches the worker; before, the renewals that could not be delivered went on for 1.2 s and made tasks wait longer. The lease is renewed again once the worker answers.

Before the change TestRefusedConnectionsEndRenewal printed "0 (inc.leaseUntilMs int64) != 4930236 (s.leaseEndMs int64): a run may be active until the lease that was sent has expired". TestRunsOfClosedListenerKeepTheirLease passed before it too. Both pass 5 times of 5, and the tests of ./fleet/side pass.

--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -33,8 +33,9 @@
 	minStartLease = 600 * time.Millisecond
 	// maxCalls bounds concurrent calls to the worker, not counting the list call.
 	maxCalls = 4
-	// refusalsUntilExited is the number of consecutive refused connections that show that the worker's process has ended.
-	refusalsUntilExited = 3
+	// refusalsUntilUnreachable is the number of consecutive refused connections from which the worker counts as unreachable:
+	// this is logged, and its lease is no longer renewed. One or two may be due to a restart of the listener.
+	refusalsUntilUnreachable = 3
 	// unresponsiveAfterMs is the time without an answer after which the worker counts as unresponsive: this is logged, and its
 	// lease is no longer renewed.
 	unresponsiveAfterMs = 1200
@@ -58,7 +59,7 @@
 	leaving    bool
 	// clockMs is the worker's clock at clockAtMs of the local clock.
 	clockMs, clockAtMs int64
-	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if its process has ended.
+	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
 	leaseUntilMs int64
 	// inheritedLeaseMs bounds the leases of runs that calls to the earlier incarnation started here, 0 if there are none.
 	// inheritedFence is the highest fence of those calls.
@@ -67,6 +68,7 @@
 	// answeredMs is when the worker last answered, unresponsive is true once a longer time without answers was logged.
 	answeredMs   int64
 	unresponsive bool
+	// refusedConns is the number of consecutive refused connections.
 	refusedConns int
 	// unreadable is the number of unreadable rows in the worker's last list.
 	unreadable int
@@ -131,10 +133,10 @@
 }
 
 // leaseDeadline returns the lease expiry to send to the worker, by its clock, and records it. It returns 0 if less than minMs
-// remains, the worker's clock is unknown or the worker is unresponsive.
+// remains, the worker's clock is unknown or the worker is unresponsive or unreachable.
 func (inc *incarnation) leaseDeadline(now, minMs int64) int64 {
 	leaseEnd := inc.side.leaseEndMs
-	if leaseEnd-now < minMs || inc.clockMs == 0 || now-inc.answeredMs > unresponsiveAfterMs {
+	if leaseEnd-now < minMs || inc.clockMs == 0 || now-inc.answeredMs > unresponsiveAfterMs || inc.refusedConns >= refusalsUntilUnreachable {
 		// The lease of an unresponsive worker is not renewed: a call without an answer may have been carried out, and the runs
 		// on the worker must be known to end.
 		return 0
@@ -211,9 +213,9 @@
 	defer s.mu.Unlock()
 	now := clock.BootMs()
 	if errors.Is(err, platform.ErrNoListener) {
-		if inc.refusedConns++; inc.refusedConns == refusalsUntilExited {
-			// The worker's process has ended, and its runs with it.
-			inc.leaseUntilMs = 0
+		// A process without a listener may have ended, or it may have closed the listener while its runs go on. Only the end
+		// of its lease tells that they have ended too.
+		if inc.refusedConns++; inc.refusedConns == refusalsUntilUnreachable {
 			s.log.Log(logevent.WorkerUnresponsive, logevent.Str("id", inc.info.Incarnation.ID), logevent.Err(err))
 		}
 	} else {
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -19,6 +19,7 @@
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/platform/platformtest"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/telemetry"
@@ -234,6 +235,41 @@
 	})
 }
 
+// Guards against a task that is started elsewhere while its worker still runs it (TWICE): a worker that has closed its
+// listener refuses connections as if its process had ended, but its runs go on until their leases expire.
+func TestRunsOfClosedListenerKeepTheirLease(t *testing.T) {
+	r := newTestSideWith(t, func(set *settings.Fleet) { set.Bounds.Lease = 2500 * time.Millisecond })
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}}})
+	r.await("with the run", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 1 })
+	_ = r.server.Listener.Close()
+	r.server.CloseClientConnections()
+	r.await("without a lease left", func(rep *link.Report) bool { return rep.Worker != nil && rep.LeaseLeftMs == 0 })
+	r.worker.ExpireLeases()
+	r.worker.Lock()
+	defer r.worker.Unlock()
+	assert.Equal(t, r.worker.Running[task], 0, "the run is active although no lease is left")
+}
+
+// Guards against a lease that refused connections end, or that is renewed although no call reaches the worker.
+func TestRefusedConnectionsEndRenewal(t *testing.T) {
+	s := &Side{log: logevent.Nop(), set: settings.DefaultFleet()}
+	inc := &incarnation{side: s, clockMs: 1, answeredMs: clock.BootMs()}
+	s.incarnation, s.leaseEndMs = inc, clock.BootMs()+3_600_000
+	assert.Assert(t, inc.leaseDeadline(clock.BootMs(), 0) > 0)
+	for range refusalsUntilUnreachable {
+		inc.listFailed(platform.ErrNoListener)
+	}
+	assert.Equal(t, inc.leaseUntilMs, s.leaseEndMs, "a run may be active until the lease that was sent has expired")
+	s.leaseEndMs += 1000
+	assert.Equal(t, inc.leaseDeadline(clock.BootMs(), 0), int64(0))
+	assert.Equal(t, inc.leaseUntilMs, s.leaseEndMs-1000)
+	inc.recordAnswer(0)
+	assert.Assert(t, inc.leaseDeadline(clock.BootMs(), 0) > 0, "the worker answers again")
+}
+
 // Guards against orders for an earlier incarnation of the worker being carried out by the next one.
 func TestOrdersForEarlierIncarnationAreRefused(t *testing.T) {
 	r := newTestSide(t)
