Bound the stored progress of jobs with many occurrences

Cause: the progress of a scheduled job names every step of every occurrence that is done. With 10,000 occurrences of four steps the record takes 318,863 bytes, which is above the 262,144 that the store takes; the decider repeats an append that is refused, and stores nothing else.

Change: above 128 KB, occurrences that are done as a whole are stored as ranges, in a new field of the record; steps of other occurrences are named as before. The record of the test takes 27 bytes. Below 128 KB the record is unchanged, so that an earlier version can still take over; one that reads ranges would run these occurrences again, but it could not have stored their progress much longer either. Restoring is bounded as for named occurrences, and a task that a record names twice counts once.

Not bounded by this: an append of one job whose tasks in flight, in overlapping occurrences, take 256 KB alone.

Before the change TestProgressOfManyOccurrencesFitsARecord printed "the progress takes 318863 bytes" and TestDamagedOccurrenceRangesAreBounded "2 (restored.opened int) != 4 (int)". The tests of ./fleet/dispatch pass.

--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -55,6 +55,8 @@
 	// started is true once a worker has listed a run of any task. A start that was only recorded may never reach its worker.
 	started bool
 	dirty   bool
+	// doneAsRanges is true if the stored progress holds the occurrences that are done as ranges.
+	doneAsRanges bool
 	// checkpointsDirty is true if checkpoints have changed since they were stored, at checkpointsStoredMs.
 	checkpointsDirty    bool
 	checkpointsStoredMs int64
@@ -330,7 +332,7 @@
 	b := &Batch{Tombstones: s.tombstones, starts: s.pendingStarts, acks: map[string]completionAck{}}
 	for _, j := range s.dirty {
 		j.dirty = false
-		b.Schedule = append(b.Schedule, work.Record{Key: work.PrefixProgress + j.def.ID, Value: work.Encode(j.progress())})
+		b.Schedule = append(b.Schedule, work.Record{Key: work.PrefixProgress + j.def.ID, Value: j.encodeProgress()})
 	}
 	b.Schedule = append(b.Schedule, s.dueCheckpoints()...)
 	b.Schedule = append(b.Schedule, s.scheduleTombstones...)
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -285,6 +285,15 @@
 	// Stages holds the steps of which a task was started. A step that is absent has not started, whether its occurrence is
 	// before or after those that are named; it is not done.
 	Stages []StageProgress `cbor:"3,keyasint,omitempty"`
+	// Done holds occurrences all of whose tasks have completed and that Stages does not name, in ascending order. It is used
+	// only if Stages alone would make the record too large, as earlier versions do not know it.
+	Done []OccurrenceRange `cbor:"4,keyasint,omitempty"`
+}
+
+// OccurrenceRange is a range of occurrences, From included and To excluded.
+type OccurrenceRange struct {
+	_        struct{} `cbor:",toarray"`
+	From, To int
 }
 
 // HasActiveRuns reports whether a run may still be active.
