--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 PKGS ?= ./...
 
-.PHONY: all build test test-red check demo demo-processes bench slopes generate bench-state bench-requests test-frozen fuzz soak
+.PHONY: all build test test-red check vet-arch demo demo-processes bench slopes generate bench-state bench-requests test-frozen fuzz soak
 
 all: build
 
@@ -15,6 +15,12 @@
 	$(GO) vet $(PKGS)
 	$(GO) tool staticcheck $(PKGS)
 
+# vet-arch type-checks code and tests for each processor architecture that the processes run on. Without cgo no cross compiler
+# is needed.
+ARCHS ?= amd64 arm64
+vet-arch:
+	for arch in $(ARCHS); do GOARCH=$$arch CGO_ENABLED=0 $(GO) vet $(PKGS) || exit 1; done
+
 test:
 	@sh .ci/known-red.sh check
 	$(GO) test -race -timeout 20m -skip "$$(sh .ci/known-red.sh pattern)" $$($(GO) list $(PKGS) | grep -vE '/(integration|soak)$$')
