--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 fuzz:
 	$(GO) test ./core -run '^$$' -fuzz FuzzFold -fuzztime $(FUZZTIME)
 	$(GO) test ./scheduler -run '^$$' -fuzz FuzzPolicy -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecoders -fuzztime $(FUZZTIME)
 
 bench:
 	@$(GO) run ./cmd/bench --seed $(SEED)
