--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -19,6 +19,7 @@
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/platform/platformtest"
 	"github.com/verbenakeel/verbenakeel/settings"
 	"github.com/verbenakeel/verbenakeel/telemetry"
@@ -234,6 +235,41 @@
 	})
 }
 
+// Guards against a task that is started elsewhere while its worker still runs it (TWICE): a worker that has closed its
+// listener refuses connections as if its process had ended, but its runs go on until their leases expire.
+func TestRunsOfClosedListenerKeepTheirLease(t *testing.T) {
+	r := newTestSideWith(t, func(set *settings.Fleet) { set.Bounds.Lease = 2500 * time.Millisecond })
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}}})
+	r.await("with the run", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 1 })
+	_ = r.server.Listener.Close()
+	r.server.CloseClientConnections()
+	r.await("without a lease left", func(rep *link.Report) bool { return rep.Worker != nil && rep.LeaseLeftMs == 0 })
+	r.worker.ExpireLeases()
+	r.worker.Lock()
+	defer r.worker.Unlock()
+	assert.Equal(t, r.worker.Running[task], 0, "the run is active although no lease is left")
+}
+
+// Guards against a lease that refused connections end, or that is renewed although no call reaches the worker.
+func TestRefusedConnectionsEndRenewal(t *testing.T) {
+	s := &Side{log: logevent.Nop(), set: settings.DefaultFleet()}
+	inc := &incarnation{side: s, clockMs: 1, answeredMs: clock.BootMs()}
+	s.incarnation, s.leaseEndMs = inc, clock.BootMs()+3_600_000
+	assert.Assert(t, inc.leaseDeadline(clock.BootMs(), 0) > 0)
+	for range refusalsUntilUnreachable {
+		inc.listFailed(platform.ErrNoListener)
+	}
+	assert.Equal(t, inc.leaseUntilMs, s.leaseEndMs, "a run may be active until the lease that was sent has expired")
+	s.leaseEndMs += 1000
+	assert.Equal(t, inc.leaseDeadline(clock.BootMs(), 0), int64(0))
+	assert.Equal(t, inc.leaseUntilMs, s.leaseEndMs-1000)
+	inc.recordAnswer(0)
+	assert.Assert(t, inc.leaseDeadline(clock.BootMs(), 0) > 0, "the worker answers again")
+}
+
 // Guards against orders for an earlier incarnation of the worker being carried out by the next one.
 func TestOrdersForEarlierIncarnationAreRefused(t *testing.T) {
 	r := newTestSide(t)
@@ -320,6 +356,35 @@
 	assert.Equal(t, tr.giveUp(), 0)
 }
 
+// Guards against a call that returns after its order was given up and leaves the number of unanswered orders below 0, so that
+// no later order of the connection ever counts as carried out.
+func TestTrackerIgnoresLateAnswers(t *testing.T) {
+	var tr orderTracker
+	tr.add(1, 2)
+	assert.Equal(t, tr.giveUp(), 2)
+	tr.add(2, 1)
+	tr.finish(1)
+	tr.finish(1)
+	assert.Equal(t, tr.completedUpTo(), uint64(1), "the late answers do not end the order of the next message")
+	tr.finish(2)
+	assert.Equal(t, tr.completedUpTo(), uint64(2))
+	assert.Equal(t, tr.giveUp(), 0)
+}
+
+// Guards against a call that returns after its order was given up and reports a refusal to the decider, which takes it as one
+// by the next incarnation of the worker and starts the task again although the call of the earlier one may have reached it.
+func TestLateRefusalIsNotReported(t *testing.T) {
+	s := &Side{}
+	inc := &incarnation{side: s}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &connection{}
+	c.orders.add(1, 1)
+	c.orders.giveUp()
+	cancel()
+	inc.finishOrder(ctx, c, 1, &link.Refusal{Task: task, Run: 1, Reason: link.ReasonUnhealthy})
+	assert.Equal(t, len(c.orders.refusals), 0)
+}
+
 // Guards against a task that is started elsewhere while the next incarnation of its worker runs it (TWICE): a call in
 // transit to the earlier incarnation may be carried out by the next one under the same id, and no lease that was sent to
 // that one bounds the run.
@@ -345,6 +410,29 @@
 	assert.Assert(t, rep.LeaseLeftMs < maxLease/2, "no call for the earlier id reaches the worker, but %d ms are left", rep.LeaseLeftMs)
 }
 
+// Guards against a task that is started elsewhere while the next incarnation of its worker runs it (TWICE): a list that lacks
+// its runs, or shows one in a row that cannot be read, does not show that no call in transit has been carried out.
+func TestIncompleteListKeepsInheritedLease(t *testing.T) {
+	for _, body := range []string{`{"clock_ms":1000}`, `{"clock_ms":1000,"running":[["` + task + `","x"]],"ended":[]}`} {
+		r := newTestSide(t)
+		r.register(r.incarnation, 1, false)
+		r.connect(1)
+		r.await("of the first incarnation", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+		r.worker.Lock()
+		r.worker.ListBody = body
+		r.worker.Unlock()
+		second := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1}
+		r.register(second, 1, false)
+		const raised = 1<<16 + 1
+		r.order(link.Orders{Fence: raised})
+		rep := r.await("with a list under the raised fence", func(rep *link.Report) bool { return rep.Listed && rep.Fence == raised })
+		assert.Assert(t, !rep.Complete)
+		r.side.mu.Lock()
+		assert.Check(t, r.side.incarnation.inheritedLeaseMs != 0, "%s: the lease of calls in transit was ended", body)
+		r.side.mu.Unlock()
+	}
+}
+
 // Guards against reports that overtake each other: a list without a run that arrives before the report with the run's
 // completion makes the decider start the task again (TWICE). A report must not be created before the one ahead of it is
 // sent.
