fleet: bound what entries and side processes read

Change: one intake for each process, shared by its listeners, with defaults from limits.memory_mb and the descriptors ([intake] and limits.max_fds in the settings). Bodies are read up to the limit of the configuration in force. Messages between processes are read into buffers that grow with what arrives; the first message of a decider is at most 4 KB. A connection of a decider, or of a call that was read whole, is not closed in favour of others. An entry carries out an eighth as many requests at once as it may open descriptors, as each may need one for the store; above that it answers 503.

--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
+	"github.com/verbenakeel/verbenakeel/fleet/intake"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
@@ -38,6 +39,13 @@
 	notReadyPeriod = 2300 * time.Millisecond
 	// stopMargin is subtracted from the platform's grace period.
 	stopMargin = 500 * time.Millisecond
+	// maxReadyBody bounds the body of a readiness check in bytes. It has none.
+	maxReadyBody = 16 << 10
+	// requestShare is the divisor of the descriptors that gives the number of requests of callers that are carried out at
+	// once: each may open a connection to the store. The decider needs connections to it as well.
+	requestShare = 8
+	// minRequests is the lowest such number.
+	minRequests = 16
 )
 
 // Entry is the entry process.
@@ -61,7 +69,9 @@
 	operator *topicReader
 	sides    *topicReader
 	peers    *topicReader
-	config   atomic.Pointer[work.Config]
+	config   *atomic.Pointer[work.Config]
+	// requests bounds the requests of callers that are carried out at once.
+	requests chan struct{}
 	// stopping is true once a shutdown was requested.
 	stopping atomic.Bool
 
@@ -81,11 +91,14 @@
 
 // New creates an entry and binds its listeners.
 func New(set settings.Fleet, store work.Store, log logevent.Logger, m *Meters) (*Entry, error) {
-	public, err := httpserver.Listen(set.Public)
+	in := intake.New(set, log, m.intake)
+	config := new(atomic.Pointer[work.Config])
+	public, err := httpserver.ListenBounded(set.Public, httpserver.Bounded{Intake: in, BodyLimit: bodyLimit(config), RefusalBody: platform.EncodeError})
 	if err != nil {
 		return nil, err
 	}
-	ready, err := httpserver.Listen(set.Ready)
+	ready, err := httpserver.ListenBounded(set.Ready, httpserver.Bounded{Intake: in, BodyLimit: func() int { return maxReadyBody },
+		RefusalBody: platform.EncodeError})
 	if err != nil {
 		return nil, err
 	}
@@ -94,8 +107,9 @@
 		return nil, fmt.Errorf("listen for entries: %w", errdefs.New(errdefs.Unavailable, err.Error(), "choose a free address in the settings"))
 	}
 	r := newRelay(m.withTiming(store), set.Instance)
-	e := &Entry{set: set, store: r, relay: r, peer: peer, log: log, meters: m, public: public, ready: ready, view: newView(log),
-		bridges: make(chan struct{}, maxBridges), evacuated: map[string]bool{}, addresses: map[string]work.ProcessAddress{}}
+	e := &Entry{set: set, store: r, relay: r, peer: in.Listener(peer), log: log, meters: m, public: public, ready: ready, view: newView(log), config: config,
+		requests: make(chan struct{}, max(minRequests, httpserver.Descriptors(set.MaxFDs)/requestShare)),
+		bridges:  make(chan struct{}, maxBridges), evacuated: map[string]bool{}, addresses: map[string]work.ProcessAddress{}}
 	if set.Adviser != "" {
 		e.adviser = platform.NewAdviser(set.Adviser)
 	}
@@ -114,6 +128,16 @@
 	return e, nil
 }
 
+// bodyLimit returns the limit on bodies of the configuration in force; its default before one is known or if it has none.
+func bodyLimit(config *atomic.Pointer[work.Config]) func() int {
+	return func() int {
+		if cfg := config.Load(); cfg != nil && cfg.MaxBody > 0 {
+			return cfg.MaxBody
+		}
+		return httpserver.MaxBody
+	}
+}
+
 // logPanic logs the panic of a request's handler.
 func logPanic(log logevent.Logger, v any, stack []byte) {
 	log.Log(logevent.HandlerPanicked, logevent.Str("reason", fmt.Sprint(v)), logevent.Str("stack", string(stack)))
--- a/fleet/entry/metrics.go
+++ b/fleet/entry/metrics.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/fleet/intake"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/telemetry"
@@ -17,6 +18,7 @@
 	store     telemetry.Histogram
 	eventWait telemetry.Histogram
 	decisions telemetry.Counter
+	intake    *intake.Meters
 	// deciding points to the epoch in which the entry is the decider, which is 0 if it is not; nil until it is set.
 	deciding atomic.Pointer[atomic.Uint64]
 }
@@ -25,6 +27,9 @@
 func NewMeters(r *telemetry.Registry) (*Meters, error) {
 	m := &Meters{}
 	var err error
+	if m.intake, err = intake.NewMeters(r); err != nil {
+		return nil, err
+	}
 	if m.request, err = r.Histogram(telemetry.FleetRequests); err != nil {
 		return nil, err
 	}
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -53,7 +53,13 @@
 	if e.stopping.Load() {
 		c.Response.SetConnectionClose()
 	}
-	e.dispatchRequest(ctx, c, method, string(c.Path()))
+	select {
+	case e.requests <- struct{}{}:
+		defer func() { <-e.requests }()
+		e.dispatchRequest(ctx, c, method, string(c.Path()))
+	default:
+		e.refuse(c, http.StatusServiceUnavailable, "", "too many requests are in progress; come back after the time given")
+	}
 	e.meters.request.Record(time.Since(began), callName(method), strconv.Itoa(c.Response.StatusCode()))
 }
 
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -14,6 +14,7 @@
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
 )
 
@@ -348,10 +349,16 @@
 		return // the peer retries a call that was not received whole
 	}
 	if call.Bridge != "" {
+		if !httpserver.Protect(conn) {
+			return
+		}
 		release()
 		e.serveBridge(ctx, conn, call.Bridge)
 		return
 	}
+	if !httpserver.Protect(conn) {
+		return // it gave way to others; nothing was carried out
+	}
 	var reply link.PeerReply
 	reply.Deciding = e.deciding.Load()
 	var err error
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -22,6 +22,11 @@
 	WriteTimeout = 2 * time.Second
 	// frameHeader is the size of the length prefix in bytes.
 	frameHeader = 4
+	// maxHello bounds the first message on a connection in bytes. It holds two names of instances.
+	maxHello = 4 << 10
+	// firstRead is the size in bytes of the buffer with which the reading of a message begins. It grows with the bytes that
+	// arrive: the announced length may be false.
+	firstRead = 4 << 10
 )
 
 // Hello opens a connection.
@@ -210,19 +215,67 @@
 	return nil
 }
 
-// ReadMessage reads one message into v.
-func ReadMessage(r io.Reader, v any) error {
+// Budget admits the bytes of a message before they are read. Connections of listeners that are open to others implement it.
+type Budget interface {
+	// Reserve admits n more bytes, or returns false. Unreserve frees n bytes.
+	Reserve(n int) bool
+	Unreserve(n int)
+}
+
+// ReadMessage reads one message into v. If r implements Budget, the message is read within it.
+func ReadMessage(r io.Reader, v any) error { return readMessage(r, v, maxFrame) }
+
+// ReadHello reads the first message on a connection of a decider.
+func ReadHello(r io.Reader, h *Hello) error { return readMessage(r, h, maxHello) }
+
+func readMessage(r io.Reader, v any, limit int) error {
 	var header [frameHeader]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return fmt.Errorf("receive %T: %w", v, err)
 	}
 	n := binary.BigEndian.Uint32(header[:])
-	if n > maxFrame {
+	if n > uint32(limit) {
 		return fmt.Errorf("receive %T: %w", v, errdefs.New(errdefs.Invalid, fmt.Sprintf("message of %d bytes exceeds the limit", n), "close the connection"))
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	budget, _ := r.(Budget)
+	body, free, err := readBody(r, int(n), budget)
+	defer free()
+	if err != nil {
 		return fmt.Errorf("receive %T: %w", v, err)
 	}
 	return work.Decode(body, v)
 }
+
+// errBudget means that other messages in reading leave no room.
+var errBudget = errdefs.New(errdefs.Unavailable, "too many bytes are in reading", "send the message again")
+
+// readBody reads n bytes into a buffer that grows with what arrives. The function free is to be called when the buffer is no
+// longer used.
+func readBody(r io.Reader, n int, budget Budget) (body []byte, free func(), err error) {
+	held := 0
+	free = func() {
+		if budget != nil {
+			budget.Unreserve(held)
+		}
+	}
+	for len(body) < n {
+		size := min(n, max(2*cap(body), firstRead))
+		// Both buffers exist until the contents are copied.
+		if budget != nil && !budget.Reserve(size) {
+			return nil, free, errBudget
+		}
+		held += size
+		larger := append(make([]byte, 0, size), body...)
+		if budget != nil {
+			budget.Unreserve(cap(body))
+		}
+		held -= cap(body)
+		body = larger
+		read, err := io.ReadFull(r, body[len(body):size])
+		body = body[:len(body)+read]
+		if err != nil {
+			return nil, free, err
+		}
+	}
+	return body, free, nil
+}
--- a/fleet/side/metrics.go
+++ b/fleet/side/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/fleet/intake"
 	"github.com/verbenakeel/verbenakeel/telemetry"
 )
 
@@ -10,6 +11,7 @@
 type Meters struct {
 	answerAge       telemetry.Histogram
 	unansweredCalls telemetry.Counter
+	intake          *intake.Meters
 }
 
 // NewMeters returns the metrics of a side process.
@@ -22,7 +24,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Meters{lease, lost}, nil
+	in, err := intake.NewMeters(r)
+	if err != nil {
+		return nil, err
+	}
+	return &Meters{lease, lost, in}, nil
 }
 
 // recordAnswerAge records the age of the report that a decider answered.
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -11,10 +11,12 @@
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
+	"github.com/verbenakeel/verbenakeel/fleet/intake"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
 )
 
@@ -27,6 +29,8 @@
 	helloTimeout = 2 * time.Second
 	// acceptRetry is the pause after a failed accept.
 	acceptRetry = 400 * time.Millisecond
+	// maxHeartbeat bounds the body of a request of the worker in bytes; a heartbeat has some hundred.
+	maxHeartbeat = 64 << 10
 	// stopGrace bounds heartbeats in progress at the end of the process.
 	stopGrace = 200 * time.Millisecond
 )
@@ -57,10 +61,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for the decider: %w", errdefs.New(errdefs.Unavailable, err.Error(), "choose a free address in the settings"))
 	}
-	control, err := httpserver.Listen(set.Control)
+	in := intake.New(set, log, m.intake)
+	control, err := httpserver.ListenBounded(set.Control, httpserver.Bounded{Intake: in, BodyLimit: func() int { return maxHeartbeat },
+		RefusalBody: platform.EncodeError})
 	if err != nil {
 		return nil, err
 	}
+	peer = in.Listener(peer)
 	s := &Side{set: set, store: store, log: log, meters: m, control: control, peer: peer, startedMs: clock.BootMs()}
 	control.NoRoute(s.serveWorker)
 	control.OnPanic = func(v any, stack []byte) {
@@ -132,7 +139,7 @@
 	defer conn.Close()
 	var hello link.Hello
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
-	if err := link.ReadMessage(conn, &hello); err != nil {
+	if err := link.ReadHello(conn, &hello); err != nil {
 		s.log.Log(logevent.DeciderUnlinked, logevent.Err(err))
 		return
 	}
@@ -141,6 +148,9 @@
 			logevent.Str("reason", "it means another instance, which had this address before"))
 		return
 	}
+	if !httpserver.Protect(conn) {
+		return // it gave way to others, before it was known as a decider's
+	}
 	c, epoch := s.acceptConnection(conn, hello)
 	if c == nil {
 		// Tells the decider that there is a newer one.
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -122,6 +122,7 @@
 	StartAnswered          = define(867, zerolog.InfoLevel, "the worker answered a start")
 	StartUnanswered        = define(868, zerolog.WarnLevel, "the worker did not answer a start")
 	RowsUnreadable         = define(869, zerolog.WarnLevel, "rows of the worker's list cannot be read and were skipped")
+	IntakeRefused          = define(870, zerolog.WarnLevel, "requests or connections were refused by the bounds on intake")
 	HandlerPanicked        = define(804, zerolog.ErrorLevel, "the handler of a request failed unexpectedly")
 	RecordPanicked         = define(805, zerolog.ErrorLevel, "handling a record failed unexpectedly; it was skipped")
 	ConnectionPanicked     = define(806, zerolog.ErrorLevel, "handling a connection failed unexpectedly; it was closed")
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -17,6 +17,10 @@
 	// MemoryMB and Cores limit the resources of the process; Cores may be a fraction of a core.
 	MemoryMB int
 	Cores    float64
+	// MaxFDs limits the descriptors of the process; 0 for the limit of the operating system alone.
+	MaxFDs int
+	// Intake holds the bounds on what the process reads from its listeners.
+	Intake Intake
 	// Public is the listen address for callers, Ready that for the load balancer's readiness checks; both are empty at side
 	// processes.
 	Public, Ready string
@@ -34,6 +38,23 @@
 	Bounds bounds.Bounds
 }
 
+// Intake holds the bounds on what a process reads from its listeners.
+type Intake struct {
+	// BudgetKB bounds the bytes in reading of all connections, ReserveKB is the reserve for small requests, Connections bounds
+	// the open connections; 0 for shares of the memory and the descriptors.
+	BudgetKB, ReserveKB, Connections int
+	// HeaderTimeout and BodyTimeout bound the time for a header and a body.
+	HeaderTimeout, BodyTimeout time.Duration
+	// MinRate is the lowest rate of a body in bytes per second, applied after its first 4 s.
+	MinRate int
+}
+
+// Default bounds on intake. A client inside the limits sends its request within its timeout of 3 s.
+const (
+	defaultIntakeTimeout = 10 * time.Second
+	defaultMinRate       = 16 << 10
+)
+
 // PeerAddress returns the address at which other processes reach the peer listener that is bound to the given address.
 func (f *Fleet) PeerAddress(bound net.Addr) string {
 	if f.Advertise != "" {
@@ -44,10 +65,11 @@
 
 // DefaultFleet returns the default settings. The default bounds are the platform's usual values.
 func DefaultFleet() Fleet {
-	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1, Bounds: bounds.Bounds{
-		MaxLease: 6 * time.Second, Grace: 6 * time.Second,
-		MaxOverTarget: 4 * time.Second, MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
-		Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}}
+	return Fleet{LogLevel: "info", MemoryMB: 128, Cores: 1,
+		Intake: Intake{HeaderTimeout: defaultIntakeTimeout, BodyTimeout: defaultIntakeTimeout, MinRate: defaultMinRate}, Bounds: bounds.Bounds{
+			MaxLease: 6 * time.Second, Grace: 6 * time.Second,
+			MaxOverTarget: 4 * time.Second, MaxStartDelay: 4500 * time.Millisecond, StatusRetention: 120 * time.Second, OffRackFactor: 1.5,
+			Restore: 600 * time.Millisecond, StarvationLimit: 14 * time.Second}}
 }
 
 func (f *Fleet) keys(entry bool) []key {
@@ -62,6 +84,13 @@
 		{"process", "log_level", false, oneOf(&f.LogLevel, "debug", "info", "warn", "error"), "use debug, info, warn or error"},
 		{"limits", "memory_mb", false, number(&f.MemoryMB, 16, 1<<20), "write a number of MB"},
 		{"limits", "cores", false, fraction(&f.Cores, 0.01, 1024), "write a number of cores, for example 0.25"},
+		{"limits", "max_fds", false, optional(number(&f.MaxFDs, 0, 1<<20)), "write a number of descriptors, or nothing"},
+		{"intake", "budget_kb", false, optional(number(&f.Intake.BudgetKB, 0, 1<<30)), "write a number of KB, or nothing"},
+		{"intake", "reserve_kb", false, optional(number(&f.Intake.ReserveKB, 0, 1<<30)), "write a number of KB, or nothing"},
+		{"intake", "connections", false, optional(number(&f.Intake.Connections, 0, 1<<20)), "write a number of connections, or nothing"},
+		{"intake", "header_timeout", false, optional(duration(&f.Intake.HeaderTimeout, time.Second, time.Hour)), durationRemedy},
+		{"intake", "body_timeout", false, optional(duration(&f.Intake.BodyTimeout, time.Second, time.Hour)), durationRemedy},
+		{"intake", "min_rate", false, optional(number(&f.Intake.MinRate, 1, 1<<30)), "write a number of bytes per second"},
 		{"listen", "public", entry, optional(address(&f.Public)), addr},
 		{"listen", "ready", entry, optional(address(&f.Ready)), addr},
 		{"listen", "control", !entry, optional(address(&f.Control)), addr},
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -117,7 +117,10 @@
 		"time of calls to the store; outcome is done, refused or unknown", "call", "outcome")
 	FleetEventWait = define(HistogramKind, EntryRole, "decider_event_wait_seconds",
 		"time that an event waits for the decider's loop; a decider that falls behind shows here first")
-	FleetDecisions = define(CounterKind, EntryRole, "decisions_total", "decisions of this decider", "kind")
-	FleetDeciding  = define(GaugeKind, EntryRole, "deciding", "1 while this entry decides")
-	FleetDropped   = define(GaugeKind, BothRoles, "log_lines_dropped", "log lines dropped since the start")
+	FleetDecisions    = define(CounterKind, EntryRole, "decisions_total", "decisions of this decider", "kind")
+	FleetDeciding     = define(GaugeKind, EntryRole, "deciding", "1 while this entry decides")
+	IntakeBytes       = define(GaugeKind, BothRoles, "intake_bytes", "buffers of requests and messages that are read or carried out, in bytes")
+	IntakeConnections = define(GaugeKind, BothRoles, "intake_connections", "open connections that this process accepted")
+	IntakeRefusals    = define(CounterKind, BothRoles, "intake_refusals_total", "requests and connections refused by the bounds on intake; none of them ran", "reason")
+	FleetDropped      = define(GaugeKind, BothRoles, "log_lines_dropped", "log lines dropped since the start")
 )
