fleet: bound the connections to the metrics listener

Cause: the metrics listener took any number of connections without a time limit, so its clients could use up the descriptors of a process.

Change: 16 connections, 10 s for a request and for its response, headers of 16 KB. A changed [intake] or [limits] section is named when the settings are reloaded.

--- a/cmd/verbenakeel-fleet/main.go
+++ b/cmd/verbenakeel-fleet/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -17,6 +18,7 @@
 	"github.com/verbenakeel/verbenakeel/fleet/entry"
 	"github.com/verbenakeel/verbenakeel/fleet/side"
 	"github.com/verbenakeel/verbenakeel/fleet/why"
+	"github.com/verbenakeel/verbenakeel/httpserver"
 	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform"
 	"github.com/verbenakeel/verbenakeel/settings"
@@ -46,6 +48,13 @@
 	memoryShare = 0.6
 	// gcPercent limits heap growth between collections to half: peak memory is billed, and heaps are small.
 	gcPercent = 50
+	// metricsConns bounds the open connections to the metrics listener, metricsTimeout the time for a request and that for its
+	// response, metricsIdleTimeout the time without a request, and metricsHeaderBytes a header in bytes. A few collectors
+	// scrape it.
+	metricsConns       = 16
+	metricsTimeout     = 10 * time.Second
+	metricsIdleTimeout = 2 * time.Minute
+	metricsHeaderBytes = 16 << 10
 )
 
 func main() {
@@ -146,7 +155,11 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", registry.Handler())
-	go func() { _ = http.Serve(ln, mux) }()
+	// The listener has bounds of its own, so that a crowd of callers and a scrape do not compete.
+	bounds := httpserver.NewIntake(httpserver.IntakeLimits{Conns: metricsConns}, nil)
+	server := &http.Server{Handler: mux, ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, IdleTimeout: metricsIdleTimeout,
+		MaxHeaderBytes: metricsHeaderBytes}
+	go func() { _ = server.Serve(bounds.Listener(ln)) }()
 	return nil
 }
 
@@ -159,6 +172,9 @@
 	if a.Bounds != b.Bounds {
 		changes = append(changes, "bounds")
 	}
+	if a.Intake != b.Intake || a.MemoryMB != b.MemoryMB || a.MaxFDs != b.MaxFDs {
+		changes = append(changes, "limits")
+	}
 	if a.Store != b.Store || a.Adviser != b.Adviser {
 		changes = append(changes, "services")
 	}
--- a/intake/process_linux_test.go
+++ b/intake/process_linux_test.go
@@ -73,7 +73,8 @@
 	store *platformtest.Store
 	// public and ready are listeners of an entry, control that of a side process; peer is one of both.
 	public, ready, control, peer string
-	worker                       string
+	// metrics is the listener for metrics, worker the address of the worker of a side process.
+	metrics, worker string
 
 	maxResidentKB, maxOpen atomic.Int64
 }
@@ -105,8 +106,8 @@
 func start(t *testing.T, role string) *process {
 	t.Helper()
 	store, storeAddress := startStore(t)
-	p := &process{t: t, store: store, peer: freeAddress(t)}
-	text := fmt.Sprintf("[process]\ninstance = n\nzone = z\n[limits]\nmemory_mb = %d\ncores = 0.5\n[services]\nstore = %s\n[listen]\npeer = %s\n", memoryMB, storeAddress, p.peer)
+	p := &process{t: t, store: store, peer: freeAddress(t), metrics: freeAddress(t)}
+	text := fmt.Sprintf("[process]\ninstance = n\nzone = z\n[limits]\nmemory_mb = %d\ncores = 0.5\n[services]\nstore = %s\n[listen]\npeer = %s\nmetrics = %s\n", memoryMB, storeAddress, p.peer, p.metrics)
 	if role == "entry" {
 		p.public, p.ready = freeAddress(t), freeAddress(t)
 		text += fmt.Sprintf("public = %s\nready = %s\n", p.public, p.ready)
