platform, fleet: bound what a request inside the limits expands to

Cause: a body of 256 KB with empty steps, or with many dependencies, was decoded into up to a hundred times its size; a page that an entry reads for another one was kept and encoded without a bound over all calls; an answer above 8 MB was cut and decoded as if it were whole.

Pages for other entries are admitted by the intake. The budget of the intake is a sixteenth of the memory instead of an eighth, since a submission in progress exists four times.

--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -373,11 +373,28 @@
 		err = e.callStoreFor(ctx, &call, &reply)
 		e.relay.recordDirect(err, probe)
 	}
+	if err == nil && !admitReply(conn, &reply) {
+		reply, err = link.PeerReply{Deciding: reply.Deciding}, errdefs.New(errdefs.Unavailable, "too many bytes are in reading", "try another entry")
+	}
 	reply.Problem = link.ProblemOf(err)
 	// A peer that receives no reply treats it as lost and retries the call.
 	_ = link.WriteMessage(conn, reply)
 }
 
+// replyCopies is how often a page exists while it is sent: decoded and encoded.
+const replyCopies = 2
+
+// admitReply reserves the memory of a reply within the budget of the process, until its connection is closed. Only replies to
+// reads are large; one that is refused was carried out without effect.
+func admitReply(conn net.Conn, reply *link.PeerReply) bool {
+	budget, ok := conn.(link.Budget)
+	size := 0
+	for i := range reply.Page.Records {
+		size += len(reply.Page.Records[i].Key) + len(reply.Page.Records[i].Value)
+	}
+	return !ok || size == 0 || budget.Reserve(replyCopies*size)
+}
+
 // callStoreFor calls the store on behalf of a peer.
 func (e *Entry) callStoreFor(ctx context.Context, call *link.PeerCall, reply *link.PeerReply) error {
 	var err error
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -18,8 +18,8 @@
 const (
 	// maxSpec bounds a spec in bytes, as the platform documents.
 	maxSpec = 4000
-	// maxSteps and maxTasks bound a job, so that one progress record fits the store's limit of 256 KB.
-	maxSteps = 64
+	// MaxSteps and maxTasks bound the steps and the tasks of a job, so that one progress record fits the store's limit of 256 KB.
+	MaxSteps = 64
 	maxTasks = 8000
 	// maxSize bounds each resource amount and duration of a task, so that sums cannot overflow.
 	maxSize = 1 << 40
@@ -173,8 +173,8 @@
 	if len(j.Spec) > maxSpec {
 		return errdefs.Field("spec", fmt.Sprintf("has %d bytes", len(j.Spec)), fmt.Sprintf("send at most %d", maxSpec))
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return errdefs.Field("steps", fmt.Sprintf("has %d entries", len(j.Steps)), fmt.Sprintf("send 1 to %d", maxSteps))
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return errdefs.Field("steps", fmt.Sprintf("has %d entries", len(j.Steps)), fmt.Sprintf("send 1 to %d", MaxSteps))
 	}
 	if j.Repeat < 0 || j.IntervalMs < 0 || j.StartAtMs < 0 {
 		return errdefs.Field("repeat", "is negative", "send numbers from 0 on")
--- a/httpserver/intake.go
+++ b/httpserver/intake.go
@@ -40,9 +40,9 @@
 
 const (
 	// memoryShareBytes, memoryShareSmall and memoryShareConns are the divisors of the memory of a process that give the
-	// bytes in reading, their reserve, and the memory for connections. Together they are less than a third of it: the rest
-	// is for the state of the process and for garbage.
-	memoryShareBytes = 8
+	// bytes in reading, their reserve, and the memory for connections. They leave most of it: a submission that is stored
+	// exists four times, in its buffer, decoded, encoded and as the request to the store, and garbage adds half.
+	memoryShareBytes = 16
 	memoryShareSmall = 16
 	memoryShareConns = 8
 	// connBytes is the memory that an open connection is counted with: its stack and its state.
--- a/intake/process_linux_test.go
+++ b/intake/process_linux_test.go
@@ -76,6 +76,8 @@
 	// metrics is the listener for metrics, worker the address of the worker of a side process.
 	metrics, worker string
 
+	// hangAppends is true while the store does not answer appends.
+	hangAppends            atomic.Bool
 	maxResidentKB, maxOpen atomic.Int64
 }
 
@@ -107,6 +109,7 @@
 	t.Helper()
 	store, storeAddress := startStore(t)
 	p := &process{t: t, store: store, peer: freeAddress(t), metrics: freeAddress(t)}
+	store.Fault = p.fault
 	text := fmt.Sprintf("[process]\ninstance = n\nzone = z\n[limits]\nmemory_mb = %d\ncores = 0.5\n[services]\nstore = %s\n[listen]\npeer = %s\nmetrics = %s\n", memoryMB, storeAddress, p.peer, p.metrics)
 	if role == "entry" {
 		p.public, p.ready = freeAddress(t), freeAddress(t)
