Fuzz the decoders of what others send

Cause: bodies, heartbeats, records, messages and chunked framing come from clients that nobody controls, and no test feeds the decoders arbitrary bytes.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,10 @@
 fuzz:
 	$(GO) test ./core -run '^$$' -fuzz FuzzFold -fuzztime $(FUZZTIME)
 	$(GO) test ./scheduler -run '^$$' -fuzz FuzzPolicy -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeJob -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeOthers -fuzztime $(FUZZTIME)
+	$(GO) test ./fleet/link -run '^$$' -fuzz FuzzReadMessage -fuzztime $(FUZZTIME)
+	$(GO) test ./httpserver -run '^$$' -fuzz FuzzChunkDecoder -fuzztime $(FUZZTIME)
 
 bench:
 	@$(GO) run ./cmd/bench --seed $(SEED)
