--- a/intake/process_linux_test.go
+++ b/intake/process_linux_test.go
@@ -69,7 +69,7 @@
 // process is a started entry or side process with its listeners.
 type process struct {
 	*launch.Process
-	t     *testing.T
+	t     testing.TB
 	store *platformtest.Store
 	// public and ready are listeners of an entry, control that of a side process; peer is one of both.
 	public, ready, control, peer string
@@ -81,7 +81,7 @@
 	maxResidentKB, maxOpen atomic.Int64
 }
 
-func startStore(t *testing.T) (*platformtest.Store, string) {
+func startStore(t testing.TB) (*platformtest.Store, string) {
 	t.Helper()
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
@@ -96,7 +96,7 @@
 }
 
 // freeAddress returns an address that nothing listens on.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -105,7 +105,7 @@
 }
 
 // start starts an entry or a side process and waits until it answers an ordinary request.
-func start(t *testing.T, role string) *process {
+func start(t testing.TB, role string) *process {
 	t.Helper()
 	store, storeAddress := startStore(t)
 	p := &process{t: t, store: store, peer: freeAddress(t), metrics: freeAddress(t)}
