httpserver: read most requests with one call

Cause: a request was read with one call for its first byte and one for the rest, and each header was parsed with fresh buffers.

Change: an idle connection waits with 1 KB; parsed headers are pooled.

--- a/httpserver/readrequest.go
+++ b/httpserver/readrequest.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -21,6 +24,9 @@
 	lingerBytes   = 1 << 20
 	// lingerBuffer is the size of the buffer for that.
 	lingerBuffer = 1 << 10
+	// idleBuffer is the size in bytes of the buffer with which an idle connection waits. It holds most headers, so that
+	// these take one read.
+	idleBuffer = 1 << 10
 	// retryAfterBudget is the Retry-After of a refusal for lack of memory in seconds: bodies in progress end within it.
 	retryAfterBudget = 1
 )
@@ -33,15 +39,15 @@
 // readRequest waits for a request and reads it whole. An error means that the connection is to be closed; the client was told
 // why if it had sent a part of a request.
 func (c *requestConn) readRequest() error {
-	if err := c.awaitFirstByte(); err != nil {
+	if err := c.awaitRequest(); err != nil {
 		return err
 	}
 	end, err := c.readHeader()
 	if err != nil {
 		return err
 	}
-	var h protocol.RequestHeader
-	if err := parseHeader(&h, c.header[:end]); err != nil {
+	n, expects, err := parseFraming(c.header[:end])
+	if err != nil {
 		return c.refuse(ReasonMalformed)
 	}
 	rest := c.header[end:]
@@ -49,13 +55,11 @@
 	if err := c.keepRest(rest); err != nil {
 		return err
 	}
-	n := h.ContentLength()
 	if n > c.server.bodyLimit() {
 		return c.refuse(ReasonBody)
 	}
-	expects := h.Peek("Expect")
 	if n > 0 || n == -1 {
-		if bytes.EqualFold(expects, []byte("100-continue")) {
+		if strings.EqualFold(expects, "100-continue") {
 			if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 				return err
 			}
@@ -76,8 +80,8 @@
 	return nil
 }
 
-// awaitFirstByte waits for the first byte of a request with no buffer but the one for that byte.
-func (c *requestConn) awaitFirstByte() error {
+// awaitRequest waits for the first bytes of a request with a small buffer, as the connection may stay idle.
+func (c *requestConn) awaitRequest() error {
 	if len(c.in) > 0 {
 		if !c.enter(reading) {
 			return c.refuse(ReasonBudget)
@@ -92,18 +96,18 @@
 		return errRefused
 	}
 	c.setReadDeadline(time.Now().Add(wait))
-	var first [1]byte
-	if _, err := io.ReadFull(c.Conn, first[:]); err != nil {
-		return err
+	var first [idleBuffer]byte
+	n, err := c.Conn.Read(first[:])
+	if n == 0 {
+		return cmp.Or(err, io.ErrNoProgress)
 	}
 	if !c.enter(reading) {
 		return errRefused
 	}
-	var err error
-	if c.in, err = c.get(1); err != nil {
+	if c.in, err = c.get(n); err != nil {
 		return err
 	}
-	c.in = append(c.in, first[0])
+	c.in = append(c.in, first[:n]...)
 	return nil
 }
 
@@ -157,11 +161,20 @@
 	return err
 }
 
-// parseHeader parses a complete header as hertz does.
-func parseHeader(h *protocol.RequestHeader, header []byte) error {
-	// The reader is used for the header only, so that the parser cannot wait for more.
+// headers holds parsed headers for further use. Each has buffers for its fields.
+var headers = sync.Pool{New: func() any { return new(protocol.RequestHeader) }}
+
+// parseFraming parses a complete header as hertz does. It returns the length of the body, -1 for a chunked one and -2 for none,
+// and the value of the field Expect.
+func parseFraming(header []byte) (length int, expects string, err error) {
+	h := headers.Get().(*protocol.RequestHeader)
+	defer headers.Put(h)
+	// The reader holds the header only, so that the parser cannot wait for more.
 	r := &requestConn{current: header, inBody: true}
-	return req.ReadHeader(h, r)
+	if err := req.ReadHeader(h, r); err != nil {
+		return 0, "", err
+	}
+	return h.ContentLength(), string(h.Peek("Expect")), nil
 }
 
 // keepRest copies bytes behind the header into c.in.
