httpserver: let clients that do not read their responses give way

Cause: a connection whose client does not read its response counted as carrying out a request for up to 10 s, so that such clients could hold all connections.

Change: a connection whose response is being written for 500 ms may be closed in favour of a new one, as an idle one.

Measured: TestUnreadResponsesGiveWay passes; without the rule it does not end within 30 s. go test -race ./httpserver and go test ./intake pass.

--- a/httpserver/bounded_test.go
+++ b/httpserver/bounded_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -248,3 +249,46 @@
 	assert.Equal(t, resp.StatusCode, 200)
 	assert.NilError(t, <-done)
 }
+
+// Guards against clients that do not read their responses and keep every other caller out.
+func TestUnreadResponsesGiveWay(t *testing.T) {
+	const conns = 4
+	b := startBounded(t, func(l *IntakeLimits) { l.Conns = conns })
+	// The responses exceed the buffers of the operating system, so that the server waits for the client.
+	request := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", testBodyLimit, make([]byte, testBodyLimit))
+	for range conns {
+		conn := dial(t, b.address)
+		go func() {
+			for {
+				if _, err := io.WriteString(conn, request); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	until(t, "responses that nobody reads on all connections", func() bool {
+		b.intake.mu.Lock()
+		defer b.intake.mu.Unlock()
+		blocked := 0
+		for c := range b.intake.conns {
+			if c.state == writing && time.Since(c.since) > stallTime {
+				blocked++
+			}
+		}
+		// The time limit of writes would let new callers in later too.
+		return blocked == conns && b.intake.connVictim() != nil
+	})
+	until(t, "a response on a new connection", func() bool {
+		conn, err := net.Dial("tcp", b.address)
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(time.Second))
+		if _, err := io.WriteString(conn, "GET /ordinary HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			return false
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		return err == nil && resp.StatusCode == 200
+	})
+}
--- a/httpserver/intake.go
+++ b/httpserver/intake.go
@@ -60,7 +60,8 @@
 	slowGrace = 4 * time.Second
 	// defaultMinRate is below what a client needs to send any body within its timeout.
 	defaultMinRate = 16 << 10
-	// stallTime is the time without a byte from which a connection is closed before one that progresses.
+	// stallTime is the time without a byte from which a connection is closed before one that progresses. A response fits the
+	// buffers of the operating system, so that its writing takes no time if the client reads.
 	stallTime = 500 * time.Millisecond
 )
 
@@ -123,10 +124,11 @@
 
 const (
 	// idle connections carry no request, reading ones an incomplete one. A running one has a complete request; it is never
-	// evicted.
+	// closed in favour of others. A writing one is closed only if its client does not read the response.
 	idle connState = iota
 	reading
 	running
+	writing
 )
 
 // intakeConn is what the intake knows about a connection. Its fields are guarded by Intake.mu.
@@ -180,11 +182,13 @@
 
 // connVictim returns the connection to close when there are too many: one that never completed a request before one that
 // is reading another, and that before an idle one; among these of the address that has most of them, the one that holds
-// most bytes, and the oldest. Requests that are carried out are not touched. It returns nil if there is none.
+// most bytes, and the oldest. A client that does not read its response counts as idle; requests that are carried out are not
+// touched. It returns nil if there is none.
 func (in *Intake) connVictim() *intakeConn {
+	now := time.Now()
 	class := func(c *intakeConn) int {
 		switch {
-		case c.state == running || c.evicted:
+		case c.state == running || c.evicted || c.state == writing && now.Sub(c.since) < stallTime:
 			return 3
 		case !c.served:
 			return 0
--- a/httpserver/requestconn.go
+++ b/httpserver/requestconn.go
@@ -116,6 +116,9 @@
 	}
 	out := c.out
 	c.out = nil
+	if !c.enter(writing) {
+		return errRefused
+	}
 	// A client that does not read its response must not hold the connection.
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := out.WriteTo(c.Conn)
