--- a/httpserver/bounded_test.go
+++ b/httpserver/bounded_test.go
@@ -276,7 +276,7 @@
 			}
 		}
 		// The time limit of writes would let new callers in later too.
-		return blocked == conns && b.intake.connVictim() != nil
+		return blocked == conns && b.intake.connVictim(time.Now()) != nil
 	})
 	until(t, "a response on a new connection", func() bool {
 		conn, err := net.Dial("tcp", b.address)
--- a/httpserver/intake.go
+++ b/httpserver/intake.go
@@ -158,7 +158,7 @@
 	var victim *intakeConn
 	full := len(in.conns) >= in.limits.Conns
 	if full {
-		victim = in.connVictim()
+		victim = in.connVictim(now)
 	}
 	if full && victim == nil {
 		in.mu.Unlock()
@@ -184,8 +184,7 @@
 // is reading another, and that before an idle one; among these of the address that has most of them, the one that holds
 // most bytes, and the oldest. A client that does not read its response counts as idle; requests that are carried out are not
 // touched. It returns nil if there is none.
-func (in *Intake) connVictim() *intakeConn {
-	now := time.Now()
+func (in *Intake) connVictim(now time.Time) *intakeConn {
 	class := func(c *intakeConn) int {
 		switch {
 		case c.state == running || c.evicted || c.state == writing && now.Sub(c.since) < stallTime:
