intake: start processes at ports that nothing else takes

Cause: one of seven runs of ./intake failed, as an outgoing connection had taken the port of a process before it listened (listen tcp: address already in use).

Change: ports below the range of outgoing connections, each used once, and another start if one is taken all the same. Crowds and bounds are as they were.

--- a/intake/process_linux_test.go
+++ b/intake/process_linux_test.go
@@ -95,21 +95,57 @@
 	return store, strings.TrimPrefix(server.URL, "http://")
 }
 
-// freeAddress returns an address that nothing listens on.
+// lastPort is the last port that freeAddress returned. The ports are below the range from which the operating system takes
+// those of outgoing connections, and each is used once.
+var lastPort atomic.Int64
+
+const (
+	firstPort = 21000
+	portCount = 9000
+)
+
+// freeAddress returns an address that nothing listens on. Another program may still take it; start tries again then.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for range portCount {
+		port := firstPort + (int64(os.Getpid())*41+lastPort.Add(1))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if ln, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, ln.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // start starts an entry or a side process and waits until it answers an ordinary request.
 func start(t testing.TB, role string) *process {
 	t.Helper()
 	store, storeAddress := startStore(t)
-	p := &process{t: t, store: store, peer: freeAddress(t), metrics: freeAddress(t)}
+	p := &process{t: t, store: store}
 	store.Fault = p.fault
+	for !p.launch(role, storeAddress) {
+		t.Log("another program took an address; the process is started with others")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	sampled := make(chan struct{})
+	go func() {
+		defer close(sampled)
+		for ctx.Err() == nil {
+			p.sample()
+			time.Sleep(sampleInterval)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-sampled })
+	return p
+}
+
+// launch starts the process at free addresses. It returns false if another program has taken one of them.
+func (p *process) launch(role, storeAddress string) bool {
+	t := p.t
+	t.Helper()
+	p.peer, p.metrics = freeAddress(t), freeAddress(t)
 	text := fmt.Sprintf("[process]\ninstance = n\nzone = z\n[limits]\nmemory_mb = %d\ncores = 0.5\n[services]\nstore = %s\n[listen]\npeer = %s\nmetrics = %s\n", memoryMB, storeAddress, p.peer, p.metrics)
 	if role == "entry" {
 		p.public, p.ready = freeAddress(t), freeAddress(t)
@@ -125,18 +161,15 @@
 	var err error
 	p.Process, err = launch.ForTest(t).Start(launch.Spec{Name: role, Path: "/bin/sh", Args: []string{"-c", script}})
 	assert.NilError(t, err)
-	p.waitFor("the start", startTimeout, p.ordinary)
-	ctx, cancel := context.WithCancel(context.Background())
-	sampled := make(chan struct{})
-	go func() {
-		defer close(sampled)
-		for ctx.Err() == nil {
-			p.sample()
-			time.Sleep(sampleInterval)
+	taken := false
+	p.waitFor("the start", startTimeout, func() error {
+		err := p.ordinary()
+		if taken = !p.alive() && strings.Contains(p.Output(), "address already in use"); taken {
+			return nil
 		}
-	}()
-	t.Cleanup(func() { cancel(); <-sampled })
-	return p
+		return err
+	})
+	return !taken
 }
 
 // sample records the resident memory and the open descriptors.
@@ -168,12 +201,16 @@
 	p.t.Helper()
 	var err error
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if !p.alive() {
-			p.t.Fatalf("%s: the process ended: %.2000s", what, p.Output())
-		}
 		if err = cond(); err == nil {
 			return
 		}
+		// The process may have ended while the condition was checked.
+		if !p.alive() {
+			if cond() == nil {
+				return
+			}
+			p.t.Fatalf("%s: the process ended: %.2000s", what, p.Output())
+		}
 	}
 	p.t.Fatalf("%s: %v", what, err)
 }
