--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,10 @@
 
 test:
 	@sh .ci/known-red.sh check
-	$(GO) test -race -timeout 20m -skip "$$(sh .ci/known-red.sh pattern)" $$($(GO) list $(PKGS) | grep -vE '/(integration|soak)$$')
+	$(GO) test -race -timeout 20m -skip "$$(sh .ci/known-red.sh pattern)" $$($(GO) list $(PKGS) | grep -vE '/(integration|soak|intake)$$')
 	$(GO) test -race -timeout 20m -skip "$$(sh .ci/known-red.sh pattern)" ./soak
 	$(GO) test -race -timeout 20m -skip "$$(sh .ci/known-red.sh pattern)" ./integration
+	$(GO) test -p 1 -count=1 -timeout 10m -skip "$$(sh .ci/known-red.sh pattern)" ./intake
 
 test-red:
 	$(GO) test -race -timeout 20m -run "$$(sh .ci/known-red.sh pattern)" $(PKGS)
@@ -53,6 +54,10 @@
 	$(GO) test ./core -run '^$$' -fuzz FuzzFold -fuzztime $(FUZZTIME)
 	$(GO) test ./scheduler -run '^$$' -fuzz FuzzPolicy -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDecoders -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeJob -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeOthers -fuzztime $(FUZZTIME)
+	$(GO) test ./fleet/link -run '^$$' -fuzz FuzzReadMessage -fuzztime $(FUZZTIME)
+	$(GO) test ./httpserver -run '^$$' -fuzz FuzzChunkDecoder -fuzztime $(FUZZTIME)
 
 bench:
 	@$(GO) run ./cmd/bench --seed $(SEED)
