httpserver: refuse requests with ambiguous framing

The bounded listener took over from hertz that a transfer coding overrides a length, that the last of several lengths counts, that any coding but identity means chunked, and that folded lines are joined in place, which shifts the header and hands its tail to the handler as the body. Its chunk decoder ended lines at a bare LF and skipped a bare CR inside a size. A proxy that decides otherwise sees other requests on the connection.

Such a request is now answered with 400 before hertz's parser runs, and the connection is closed.

--- a/httpserver/chunked.go
+++ b/httpserver/chunked.go
@@ -31,6 +31,8 @@
 	line, digits int
 	extension    bool
 	trailer      int
+	// cr is true behind a carriage return, which only a line feed may follow.
+	cr bool
 }
 
 // decode consumes bytes of in and returns how many, together with the data among them, which is a part of in. It stops after
@@ -38,6 +40,13 @@
 func (d *chunkDecoder) decode(in []byte, limit int) (consumed int, data []byte, err error) {
 	for i := 0; i < len(in); i++ {
 		b := in[i]
+		// A proxy that ends a line elsewhere would find other chunks, so that only CR LF ends a line.
+		if d.state != chunkData && d.state != chunkDone {
+			if d.cr != (b == '\n') {
+				return i, nil, errChunk
+			}
+			d.cr = b == '\r'
+		}
 		switch d.state {
 		case chunkSize:
 			if err := d.sizeByte(b, limit); err != nil {
@@ -50,9 +59,9 @@
 			}
 			return i + n, in[i : i+n], nil
 		case chunkDataEnd:
-			if d.line++; b == '\n' {
-				d.state, d.line = chunkSize, 0
-			} else if b != '\r' || d.line > 1 {
+			if b == '\n' {
+				d.state = chunkSize
+			} else if b != '\r' {
 				return i, nil, errChunk
 			}
 		case chunkTrailer:
--- a/httpserver/readrequest.go
+++ b/httpserver/readrequest.go
@@ -167,6 +167,9 @@
 // parseFraming parses a complete header as hertz does. It returns the length of the body, -1 for a chunked one and -2 for none,
 // and the value of the field Expect.
 func parseFraming(header []byte) (length int, expects string, err error) {
+	if err := checkFraming(header); err != nil {
+		return 0, "", err
+	}
 	h := headers.Get().(*protocol.RequestHeader)
 	defer headers.Put(h)
 	// The reader holds the header only, so that the parser cannot wait for more.
