httpserver, fleet/entry: let requests that arrive at a stop complete

A stop waited for requests whose handler had been started. Reading a request whole before its handler made the time before that longer: a body from a client that needs up to 3 s was cut off when the process ended.

A bounded server now counts requests from their first byte to their response (Pending). Serve and the stop of an entry wait for them, within the grace time that they had before.

--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -171,14 +171,14 @@
 	return nil
 }
 
-// stop reports not ready, resigns as the decider, and waits for requests in progress.
+// stop reports not ready, resigns as the decider, and waits for requests in progress and for those that still arrive.
 func (e *Entry) stop() {
 	e.log.Log(logevent.Stopping, logevent.Int("in_progress", e.public.InProgress()))
 	e.stopping.Store(true)
 	e.resign()
 	began := time.Now()
 	limit := max(e.set.Bounds.Grace-stopMargin, notReadyPeriod)
-	for time.Since(began) < notReadyPeriod || e.public.InProgress() > 0 && time.Since(began) < limit {
+	for time.Since(began) < notReadyPeriod || e.public.Pending() > 0 && time.Since(began) < limit {
 		time.Sleep(50 * time.Millisecond)
 	}
 	e.log.Log(logevent.Stopped, logevent.Int("in_progress", e.public.InProgress()))
--- a/httpserver/bounded.go
+++ b/httpserver/bounded.go
@@ -39,13 +39,15 @@
 	if t.refusalBody == nil {
 		t.refusalBody = problemBody
 	}
-	return newServer(ln, server.WithTransport(func(*hconfig.Options) network.Transporter { return t }),
+	s := newServer(ln, server.WithTransport(func(*hconfig.Options) network.Transporter { return t }),
 		// The transport waits for the next request itself, with no buffer and no request context.
 		server.WithIdleTimeout(0),
 		// The transport has applied the limits of the configuration in force, which may be above MaxBody.
 		server.WithMaxRequestBodySize(0), server.WithMaxHeaderBytes(0),
 		// Forms would be parsed into memory and files before any handler.
-		server.WithDisablePreParseMultipartForm(true)), nil
+		server.WithDisablePreParseMultipartForm(true))
+	s.pending = func() int { return int(t.requests.Load()) }
+	return s, nil
 }
 
 func problemBody(message string) []byte {
@@ -66,7 +68,8 @@
 	bodyLimit   func() int
 	refusalBody func(message string) []byte
 
-	active atomic.Int64
+	// active counts open connections, requests those with a request of which a part has arrived and that is not answered.
+	active, requests atomic.Int64
 }
 
 // ListenAndServe implements network.Transporter.
@@ -95,10 +98,12 @@
 		c.drop(&c.in)
 		_ = c.Release()
 		_ = c.intakeConn.Close()
+		c.setPending(false)
 	}()
 	for c.readRequest() == nil {
 		err := handle(context.Background(), c)
 		_ = c.Release()
+		c.setPending(false)
 		if err != nil {
 			return
 		}
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -39,6 +39,8 @@
 	*server.Hertz
 	ln       net.Listener
 	requests requestTracker
+	// pending returns the number of requests of which a part has arrived and that are not answered; nil if unknown.
+	pending func() int
 	// OnPanic is called with the value and the stack of a panic of a handler; nil for none. It must be set before Serve.
 	OnPanic func(value any, stack []byte)
 }
@@ -112,7 +114,8 @@
 const idleCloseWait = 20 * time.Millisecond
 
 // Serve accepts connections until ctx ends. It then closes the listener and waits for at most the grace time until the
-// responses of all requests in progress are written; a grace time of zero waits without limit.
+// responses of all requests in progress are written; a grace time of zero waits without limit. A bounded server waits for
+// requests of which a part has arrived as well; those that are still incomplete at the end are no error.
 func (s *Server) Serve(ctx context.Context, grace time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- s.Engine.Run() }()
@@ -124,7 +127,7 @@
 	stop, cancel := context.WithTimeout(context.Background(), idleCloseWait)
 	defer cancel()
 	err := s.Engine.Shutdown(stop)
-	if !s.requests.wait(grace) {
+	if !s.drain(grace) {
 		return fmt.Errorf("stop serving %s: %w", s.Address(), errdefs.New(errdefs.Unavailable,
 			"requests were still in progress when the grace time ended", "raise the grace time, or let requests end before the stop"))
 	}
@@ -134,6 +137,27 @@
 	return nil
 }
 
+// drain returns true once no request is pending or in progress, and false if one is in progress after the grace time.
+func (s *Server) drain(grace time.Duration) bool {
+	began := time.Now()
+	for s.Pending() > 0 && (grace == 0 || time.Since(began) < grace) {
+		time.Sleep(shutdownPoll)
+	}
+	if grace > 0 {
+		grace = max(grace-time.Since(began), time.Nanosecond)
+	}
+	return s.requests.wait(grace)
+}
+
+// Pending returns the number of requests that a stop would cut off: those of which a part has arrived and that are not
+// answered. If the server is not bounded it counts those whose handler was started only.
+func (s *Server) Pending() int {
+	if s.pending == nil {
+		return s.requests.count()
+	}
+	return max(s.pending(), s.requests.count())
+}
+
 // InProgress returns the number of requests whose response is not completely written yet. A client may read its response
 // a moment before the request is no longer counted.
 func (s *Server) InProgress() int { return s.requests.count() }
--- a/httpserver/readrequest.go
+++ b/httpserver/readrequest.go
@@ -83,6 +83,7 @@
 // awaitRequest waits for the first bytes of a request with a small buffer, as the connection may stay idle.
 func (c *requestConn) awaitRequest() error {
 	if len(c.in) > 0 {
+		c.setPending(true)
 		if !c.enter(reading) {
 			return c.refuse(ReasonBudget)
 		}
@@ -101,6 +102,7 @@
 	if n == 0 {
 		return cmp.Or(err, io.ErrNoProgress)
 	}
+	c.setPending(true)
 	if !c.enter(reading) {
 		return errRefused
 	}
--- a/httpserver/requestconn.go
+++ b/httpserver/requestconn.go
@@ -22,6 +22,8 @@
 	inBody       bool
 	// out is the response until it is flushed.
 	out net.Buffers
+	// pending is true while the connection counts in boundedTransport.requests.
+	pending bool
 }
 
 // errRefused means that the request was refused and the connection is to be closed.
@@ -149,6 +151,17 @@
 // SetWriteTimeout implements network.Conn. Flush sets the deadline of writes.
 func (c *requestConn) SetWriteTimeout(time.Duration) error { return nil }
 
+// setPending counts the connection as one with a request that is not answered, or no longer.
+func (c *requestConn) setPending(pending bool) {
+	switch {
+	case pending && !c.pending:
+		c.server.requests.Add(1)
+	case !pending && c.pending:
+		c.server.requests.Add(-1)
+	}
+	c.pending = pending
+}
+
 // get returns an empty buffer for n bytes that the intake has admitted.
 func (c *requestConn) get(n int) ([]byte, error) {
 	if !c.reserve(bufferSize(n)) {
