httpserver: do not take a pause of the process for slow clients

The deadlines of headers, bodies and idle connections run on while the process does not, as on a machine that is suspended. When it ran again, every read in progress failed although the bytes had arrived: each client that was sending got 408 at once, and a request on an idle connection was lost.

A deadline that is noticed more than 500 ms late now moves by that time for the current request, and what arrived is read. A client that sends nothing is refused 500 ms later.

--- a/httpserver/readrequest.go
+++ b/httpserver/readrequest.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	// idleBuffer is the size in bytes of the buffer with which an idle connection waits. It holds most headers, so that
 	// these take one read.
 	idleBuffer = 1 << 10
+	// lateTolerance is how late a deadline may be noticed on a busy machine. Beyond it the process did not run.
+	lateTolerance = 500 * time.Millisecond
 	// retryAfterBudget is the Retry-After of a refusal for lack of memory in seconds: bodies in progress end within it.
 	retryAfterBudget = 1
 )
@@ -82,6 +85,7 @@
 
 // awaitRequest waits for the first bytes of a request with a small buffer, as the connection may stay idle.
 func (c *requestConn) awaitRequest() error {
+	c.late = 0
 	if len(c.in) > 0 {
 		c.setPending(true)
 		if !c.enter(reading) {
@@ -96,9 +100,9 @@
 	if !c.enter(idle) {
 		return errRefused
 	}
-	c.setReadDeadline(time.Now().Add(wait))
 	var first [idleBuffer]byte
-	n, err := c.Conn.Read(first[:])
+	n, err := c.readBefore(first[:], time.Now().Add(wait))
+	c.late = 0
 	if n == 0 {
 		return cmp.Or(err, io.ErrNoProgress)
 	}
@@ -142,10 +146,25 @@
 	}
 }
 
+// readBefore reads what arrives before the deadline. Time that this process did not run, for example because its machine was
+// suspended, is not the client's: a deadline that is noticed late is moved by as much, for the rest of the request too. What
+// arrived meanwhile is read then. The time comes from the steady clock.
+func (c *requestConn) readBefore(b []byte, deadline time.Time) (int, error) {
+	for {
+		due := deadline.Add(c.late)
+		c.setReadDeadline(due)
+		n, err := c.Conn.Read(b)
+		late := time.Since(due)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || late < lateTolerance || c.wasEvicted() {
+			return n, err
+		}
+		c.late += late + lateTolerance
+	}
+}
+
 // receive appends what arrives to a buffer with free capacity.
 func (c *requestConn) receive(b *[]byte, deadline time.Time) error {
-	c.setReadDeadline(deadline)
-	n, err := c.Conn.Read((*b)[len(*b):cap(*b)])
+	n, err := c.readBefore((*b)[len(*b):cap(*b)], deadline)
 	if n > 0 {
 		*b = (*b)[:len(*b)+n]
 		c.received()
--- a/httpserver/requestconn.go
+++ b/httpserver/requestconn.go
@@ -22,6 +22,8 @@
 	inBody       bool
 	// out is the response until it is flushed.
 	out net.Buffers
+	// late is the time by which the deadlines of the current request are moved.
+	late time.Duration
 	// pending is true while the connection counts in boundedTransport.requests.
 	pending bool
 }
