httpserver: keep the last response of a connection from being reset

After a response with Connection: close, as each one during a stop, the bounded listener closed the connection at once. If the client had sent bytes behind the request, such as the next request of a pipeline, the close reset the connection and the client lost what it had not read of the response.

The connection now closes its sending side and drops what still arrives, within the bounds that refusals have. TestLastResponseArrivesWhole fails with 'connection reset by peer' without the change and passes 20 of 20 with it.

--- a/httpserver/bounded.go
+++ b/httpserver/bounded.go
@@ -11,6 +11,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hconfig "github.com/cloudwego/hertz/pkg/common/config"
+	errs "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
@@ -103,6 +104,10 @@
 	for c.readRequest() == nil {
 		err := handle(context.Background(), c)
 		_ = c.Release()
+		if errors.Is(err, errs.ErrShortConnection) {
+			// The response is written. Unread bytes behind the request would reset the connection before the client has read it.
+			c.linger()
+		}
 		c.setPending(false)
 		if err != nil {
 			return
--- a/httpserver/readrequest.go
+++ b/httpserver/readrequest.go
@@ -19,8 +19,8 @@
 const (
 	// writeTimeout bounds the writing of a response.
 	writeTimeout = 10 * time.Second
-	// lingerTimeout and lingerBytes bound what is read and dropped after a refusal, so that the client reads the refusal
-	// instead of a reset connection.
+	// lingerTimeout and lingerBytes bound what is read and dropped after a refusal or a last response, so that the client
+	// reads it instead of a reset connection.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
 	// lingerBuffer is the size of the buffer for that.
