dispatch: do not starve late jobs where CPU is not what is scarce

A job without an active run for long was placed before others only while tasks that wait for reserved CPU needed half of all free CPU. Where memory, a label or the workers of one service are full and CPU is free elsewhere, a job past its useful deadline waited behind every new job that could be on time.

The time without an active run now counts regardless of free CPU.

--- a/fleet/dispatch/capacity.go
+++ b/fleet/dispatch/capacity.go
@@ -73,7 +73,7 @@
 // CPU and has had no active run for long, or that of a long-running job that is being moved, or waits although a worker has
 // room for it twice over. The rest of the job is placed in the ordinary order.
 func (s *State) startOverdue(j *job, scarce bool) bool {
-	if !scarce || j.state.Final() {
+	if j.state.Final() {
 		return false
 	}
 	for _, st := range j.stages {
@@ -82,9 +82,10 @@
 		}
 		limit := (s.bounds.StarvationLimit - starvationMargin).Milliseconds()
 		if j.active == 0 && s.now.BootMs-max(j.lastActiveMs, st.dueMs, j.dueMs) > limit {
+			// Also where CPU is free: memory, a label or the workers of the service may be scarce.
 			return true
 		}
-		if !st.step.LongRunning {
+		if !scarce || !st.step.LongRunning {
 			continue
 		}
 		for i := range st.tasks {
--- a/fleet/dispatch/scarcity_test.go
+++ b/fleet/dispatch/scarcity_test.go
@@ -173,3 +173,34 @@
 	}
 	assert.Assert(t, s.capacity().bestEffort >= float64(w.info.CPU)/2000*usableShare-0.001)
 }
+
+// Guards against a late job that waits for ever behind jobs on time where memory is short and CPU is not: it had to wait for
+// scarce CPU before it counted as waiting too long. The same holds for a service that is full beside an idle one.
+func TestLateJobIsNotStarvedWhereMemoryIsShort(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	step := work.Step{Count: 1, CPU: 100, MemMB: sim.workers[0].info.MemMB, EstMs: 400}
+	late := step
+	late.EstMs = 100
+	n := 1
+	submit := func(s work.Step) *job {
+		n++
+		sim.submit(&work.Job{ID: jobID(n), Steps: []work.Step{s}})
+		return sim.state.jobs[jobID(n)]
+	}
+	submit(step)
+	submit(step)
+	waiting := submit(late)
+	waiting.dueMs -= 2 * lateFactor * waiting.objectiveMs
+	for from := sim.now; !waiting.started && sim.now-from < 2*sim.bounds.StarvationLimit.Milliseconds(); sim.advance() {
+		queued := 0
+		for _, j := range sim.state.jobs {
+			if j != waiting && !j.state.Final() && j.active == 0 {
+				queued++
+			}
+		}
+		if queued == 0 {
+			submit(step)
+		}
+	}
+	assert.Assert(t, waiting.started, "not started after %d other jobs", n)
+}
