estimate: drop kinds independently of map order

At the bound of 1,024 kinds the one that was observed longest ago is dropped. Of kinds with the same time, as for steps that end at one event, map order chose, so that the same events could lead to different estimates. The lowest key is dropped now, and the mean over the queues in the log is summed in the order of their names.

TestSameKindsAreDropped failed before the change.

--- a/fleet/estimate/estimate.go
+++ b/fleet/estimate/estimate.go
@@ -3,8 +3,11 @@
 package estimate
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 )
 
 const (
@@ -92,14 +95,30 @@
 		return
 	}
 	x := min(max(math.Log(float64(actualMs)/float64(declaredMs)), -maxLogRatio), maxLogRatio)
-	q := entry(m.queues, k.Queue)
+	q := entry(m.queues, k.Queue, strings.Compare)
 	prior := q.shrunk(0)
-	entry(m.kinds, k).add(x, prior, now)
+	entry(m.kinds, k, Key.compare).add(x, prior, now)
 	q.add(x, 0, now)
 }
 
-// entry returns the ratios of a key. It makes room by dropping the one that was observed longest ago.
-func entry[K comparable](list map[K]*ratios, k K) *ratios {
+// compare orders keys.
+func (k Key) compare(o Key) int {
+	return cmp.Or(strings.Compare(k.Queue, o.Queue), cmp.Compare(k.Step, o.Step), strings.Compare(k.Image, o.Image), compareBools(k.BestEffort, o.BestEffort))
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// entry returns the ratios of a key. It makes room by dropping the one that was observed longest ago, of those the lowest
+// key, so that the result does not depend on map order.
+func entry[K comparable](list map[K]*ratios, k K, compare func(a, b K) int) *ratios {
 	if r := list[k]; r != nil {
 		return r
 	}
@@ -107,7 +126,7 @@
 		var oldest K
 		found := false
 		for key, r := range list {
-			if !found || r.atMs < list[oldest].atMs {
+			if !found || cmp.Or(cmp.Compare(r.atMs, list[oldest].atMs), compare(key, oldest)) < 0 {
 				oldest, found = key, true
 			}
 		}
@@ -177,7 +196,8 @@
 // their observations; 1 and 0 if there is none.
 func (m *Model) Kinds() (kinds int, ratio, spread float64) {
 	mean, weight := 0.0, 0.0
-	for _, q := range m.queues {
+	for _, name := range slices.Sorted(maps.Keys(m.queues)) {
+		q := m.queues[name]
 		mean, spread, weight = mean+q.weight*q.mean, spread+q.weight*q.spread, weight+q.weight
 	}
 	if weight == 0 {
--- a/fleet/estimate/estimate_test.go
+++ b/fleet/estimate/estimate_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -91,3 +92,24 @@
 	assert.Equal(t, len(m.queues), maxKeys)
 	assert.Assert(t, ratio > 1 && spread > 0 && !math.IsNaN(ratio+spread))
 }
+
+// Guards against a decider that forgets other kinds than one with the same observations: steps that end at the same time
+// were dropped in the order of a map.
+func TestSameKindsAreDropped(t *testing.T) {
+	kept := func() string {
+		m := New()
+		for i := range maxKeys + maxKeys/2 {
+			m.Observe(Key{Queue: fmt.Sprint(i % 2), Step: i % 3, Image: fmt.Sprint(i), BestEffort: i%5 == 0}, 1000, 2000, 1)
+		}
+		list := make([]string, 0, maxKeys)
+		for k := range m.kinds {
+			list = append(list, fmt.Sprint(k))
+		}
+		slices.Sort(list)
+		return fmt.Sprint(list)
+	}
+	first := kept()
+	for range 3 {
+		assert.Assert(t, kept() == first)
+	}
+}
