dispatch: bound the progress that workers report

A worker may report any integer as progress. Out of range it made the remaining work of a job negative or overflow: the work of the whole priority then counted as done, and all of its jobs as on time. Progress is now taken as 0 to 100.

TestProgressOutOfRangeIsBounded failed before the change, with -5.5e19 core-milliseconds left of 600.

--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -199,16 +199,17 @@
 
 // updateRun updates the progress and the load of a run.
 func (s *State) updateRun(t *task, r link.Run) {
+	percent := min(max(r.ProgressPercent, 0), 100) // a faulty worker may report anything
 	if t.phase == starting {
 		s.markStarted(t.stage.job)
 		t.phase = running
-		t.startedMs, t.progressedMs, t.percent, t.firstPercent = s.now.BootMs, s.now.BootMs, r.ProgressPercent, r.ProgressPercent
+		t.startedMs, t.progressedMs, t.percent, t.firstPercent = s.now.BootMs, s.now.BootMs, percent, percent
 		if t.checkpoint != "" {
-			t.countedPercent = r.ProgressPercent // done by earlier runs
+			t.countedPercent = percent // done by earlier runs
 		}
 	}
-	if r.ProgressPercent != t.percent {
-		t.percent, t.progressedMs = r.ProgressPercent, s.now.BootMs
+	if percent != t.percent {
+		t.percent, t.progressedMs = percent, s.now.BootMs
 	}
 	if t.stage.step.LongRunning && t.percent >= 100 {
 		t.worker.health.recordUp(t)
--- a/fleet/dispatch/durations_test.go
+++ b/fleet/dispatch/durations_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/fleet/estimate"
+	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
@@ -141,3 +143,16 @@
 	assert.Assert(t, results["learned"].onTime > results["declared"].onTime)
 	assert.Assert(t, results["learned"].weight > results["declared"].weight)
 }
+
+// Guards against one faulty worker that reports a progress out of range: the work of its job became negative, so that all
+// other jobs of the priority counted as on time, or overflowed.
+func TestProgressOutOfRangeIsBounded(t *testing.T) {
+	s, st, _ := newRunningStep(t, 400)
+	for _, percent := range []int{math.MinInt, -1, 101, math.MaxInt} {
+		for i := range st.tasks {
+			s.updateRun(&st.tasks[i], link.Run{ProgressPercent: percent})
+		}
+		r := s.remainingWork(st.job)
+		assert.Assert(t, r.coreMs >= 0 && r.coreMs <= r.wholeCoreMs && r.spanMs <= 400, "%d%%: %+v", percent, r)
+	}
+}
