dispatch: compute remaining work as before where durations are declared

With durations = declared the remaining work was the declared duration times a rounded part, and summed by step: 29% of 100 ms were 28 ms, and work that had been equal differed in the last digits, which decides ties of the order and when runs leave a draining worker. The part is divided last and the work added by task again, as before durations were learned.

--- a/fleet/dispatch/durations.go
+++ b/fleet/dispatch/durations.go
@@ -99,13 +99,13 @@
 // remainingTaskMs returns the time in milliseconds that the rest of a task is expected to take, by its own progress if that
 // shows it, else by the estimate of its stage.
 func (s *State) remainingTaskMs(t *task) float64 {
-	left := float64(100-t.percent) / 100
+	left := float64(100 - t.percent) // in percent; divided last, so that whole milliseconds stay whole
 	if s.options.Durations == DurationsLearned && t.phase == running && !t.wasThrottled && !t.stage.step.LongRunning {
 		if ms, ok := t.projectedMs(); ok {
-			return float64(ms) * left
+			return float64(ms) * left / 100
 		}
 	}
-	return float64(s.taskMs(t.stage)) * left
+	return float64(s.taskMs(t.stage)) * left / 100
 }
 
 // recordDuration records how long a run that ended as done took. It counts from when the start was ordered, as a run is
--- a/fleet/dispatch/durations_test.go
+++ b/fleet/dispatch/durations_test.go
@@ -156,3 +156,22 @@
 		assert.Assert(t, r.coreMs >= 0 && r.coreMs <= r.wholeCoreMs && r.spanMs <= 400, "%d%%: %+v", percent, r)
 	}
 }
+
+// Guards against an order or a move from a draining worker that differs by rounding from the one before durations were
+// learned, where declared ones are used: 29% of 100 ms were 28 ms.
+func TestDeclaredRemainingWorkIsExact(t *testing.T) {
+	s, st, _ := newRunningStep(t, 100)
+	s.options.Durations = DurationsDeclared
+	for percent := range 101 {
+		for _, declaredMs := range []int64{100, 333, 7000, 1 << 40} {
+			st.step.EstMs = declaredMs
+			want := 0.0
+			for i := range st.tasks {
+				st.tasks[i].percent = percent
+				want += float64(declaredMs) * float64(100-percent) / 100 * float64(st.step.CPU) / 1000
+			}
+			assert.Equal(t, int64(s.remainingTaskMs(&st.tasks[0])), declaredMs*int64(100-percent)/100, "%d%% of %d ms", percent, declaredMs)
+			assert.Equal(t, s.remainingWork(st.job).coreMs, want, "%d%% of %d ms", percent, declaredMs)
+		}
+	}
+}
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -82,26 +82,26 @@
 	s.updateObjective(j)
 	var r remaining
 	for _, st := range j.stages {
-		cores := float64(max(st.step.CPU, 1)) / 1000
+		cpu := float64(max(st.step.CPU, 1))
 		durationMs := s.taskMs(st)
-		r.wholeCoreMs += float64(len(st.tasks)) * float64(durationMs) * cores
+		r.wholeCoreMs += float64(len(st.tasks)) * float64(durationMs) * cpu / 1000
 		if st.done == len(st.tasks) {
 			continue
 		}
-		longestMs, stageMs := 0.0, 0.0
+		longestMs := 0.0
 		for i := range st.tasks {
 			t := &st.tasks[i]
 			if t.phase == done {
 				continue
 			}
 			ms := s.remainingTaskMs(t)
-			stageMs += ms
+			coreMs := ms * cpu / 1000
+			r.coreMs += coreMs
+			if st.step.BestEffort {
+				r.bestEffortCoreMs += coreMs
+			}
 			longestMs = max(longestMs, ms)
 		}
-		r.coreMs += stageMs * cores
-		if st.step.BestEffort {
-			r.bestEffortCoreMs += stageMs * cores
-		}
 		r.spanMs = max(r.spanMs, j.remainingPathMs[st.index]-durationMs+int64(longestMs))
 	}
 	return r
