dispatch: keep the mean of equal CPU shares exact

The expected share of a best-effort task is a mean over the points of its run. Without the forecast, shares are compared as before now.

TestMeanOfEqualSharesIsExact failed before the change.

--- a/fleet/dispatch/predictedload.go
+++ b/fleet/dispatch/predictedload.go
@@ -193,14 +193,14 @@
 	}
 }
 
-// mean returns the mean and the lowest share over the run.
+// mean returns the mean and the lowest share over the run. The mean of equal shares is not rounded.
 func (r *runShares) mean() (mean, lowest float64) {
-	lowest = 1
-	for _, v := range r.points[:r.n] {
-		mean += v / float64(r.n)
+	lowest = r.points[0]
+	for _, v := range r.points[1:r.n] {
+		mean += (v - r.points[0]) / float64(r.n)
 		lowest = min(lowest, v)
 	}
-	return mean, lowest
+	return r.points[0] + mean, lowest
 }
 
 // ForecastSummary tells how well the loads of long-running jobs are predicted.
--- a/fleet/dispatch/predictedload_test.go
+++ b/fleet/dispatch/predictedload_test.go
@@ -374,3 +374,18 @@
 	assert.Equal(t, m.Measured, 4)
 	assert.Equal(t, m.Usable, 4)
 }
+
+// Guards against a share that is not the one at the current and the peak load where loads are not predicted: the mean over a
+// run of 4 s differed by rounding, and with it the choice between workers.
+func TestMeanOfEqualSharesIsExact(t *testing.T) {
+	for n := 1; n <= profilePoints; n++ {
+		for _, v := range []float64{1, minPlacementShare, 0.7, 1.0 / 3} {
+			r := runShares{n: n}
+			for i := range n {
+				r.points[i] = v
+			}
+			mean, lowest := r.mean()
+			assert.Assert(t, mean == v && lowest == v, "%d points of %g: mean %g, lowest %g", n, v, mean, lowest)
+		}
+	}
+}
