dispatch: count hopeless work that has not begun as hopeless for admission

A lack of room is published only while work waits that can still be of use, as new work goes before the rest. Under the order by scarcity, jobs that cannot end while they are of use and have not begun are of a class of their own, which was taken for useful work: new work was refused because of them.

--- a/fleet/dispatch/backlog.go
+++ b/fleet/dispatch/backlog.go
@@ -230,7 +230,7 @@
 				k.work[q.Priority] += declaredWork(st.step) * float64(100-t.percent) / 100
 			}
 		}
-		if j.rank.late != tooLate && st.waiting > 0 && st.exhaustedPass == s.pass && st.ready(s.now.BootMs) {
+		if j.rank.late < tooLate && st.waiting > 0 && st.exhaustedPass == s.pass && st.ready(s.now.BootMs) {
 			k.waiting[q.Priority] = true
 		}
 	}
--- a/fleet/dispatch/backlog_test.go
+++ b/fleet/dispatch/backlog_test.go
@@ -271,3 +271,31 @@
 	assert.Equal(t, share, 0.0)
 	assert.Equal(t, len(l.sim.state.backlog.rows), 0)
 }
+
+// Guards against new work that is refused because of work that is of no use any more, which it goes before: under the order
+// by scarcity such work is of another class if none of it has begun.
+func TestHopelessWorkIsNoLackOfRoom(t *testing.T) {
+	for _, order := range []Order{OrderDeadline, OrderScarcity} {
+		sim := newConnectedSimulation(t, 1)
+		s := sim.state
+		s.options.Order, s.backlog.enabled = order, true
+		submit := func(n int, estMs int64) *job {
+			sim.submit(&work.Job{ID: jobID(n), Steps: []work.Step{{Count: 1, CPU: sim.workers[0].info.CPU, MemMB: 10, EstMs: estMs}}})
+			return s.jobs[jobID(n)]
+		}
+		run := func() {
+			for range 3000 / stepMs {
+				sim.advance()
+			}
+		}
+		submit(1, 60_000)
+		run()
+		hopeless := submit(2, 400)
+		hopeless.dueMs -= 2 * lateFactor * hopeless.objectiveMs
+		run()
+		assert.Equal(t, len(s.backlog.rows), 0, "order %d: %+v", order, s.backlog.rows)
+		submit(3, 10_000)
+		run()
+		assert.Assert(t, len(s.backlog.rows) > 0, "order %d: work of use waits", order)
+	}
+}
