dispatch: leave progress under an earlier decider out of the capacity

The first list of a run that an earlier decider had ordered counted its whole progress as work done since the last sample, so that the first waits that a new decider published could be too short. Such progress is left out, as that before a checkpoint is.

TestProgressBeforeTakeoverIsNotMeasured failed before the change: 600 instead of 300 core-milliseconds.

--- a/fleet/dispatch/backlog_test.go
+++ b/fleet/dispatch/backlog_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/fleet/admission"
+	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
@@ -299,3 +300,17 @@
 		assert.Assert(t, len(s.backlog.rows) > 0, "order %d: work of use waits", order)
 	}
 }
+
+// Guards against work of the time of an earlier decider that counts as done under this one: the first waits that it published
+// were too short.
+func TestProgressBeforeTakeoverIsNotMeasured(t *testing.T) {
+	s, st, _ := newRunningStep(t, 1000)
+	s.backlog.enabled = true
+	st.tasks[0].orderedMs, st.tasks[1].orderedMs = 0, s.now.BootMs
+	for i := range 2 {
+		st.tasks[i].phase = starting
+		s.updateRun(&st.tasks[i], link.Run{ProgressPercent: 60})
+		s.measureTask(st.tasks[i].worker, &st.tasks[i])
+	}
+	assert.Equal(t, s.backlog.kind("app", false).doneWork, 300.0)
+}
--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -204,8 +204,8 @@
 		s.markStarted(t.stage.job)
 		t.phase = running
 		t.startedMs, t.progressedMs, t.percent, t.firstPercent = s.now.BootMs, s.now.BootMs, percent, percent
-		if t.checkpoint != "" {
-			t.countedPercent = percent // done by earlier runs
+		if t.checkpoint != "" || t.orderedMs == 0 {
+			t.countedPercent = percent // done by earlier runs or under an earlier decider
 		}
 	}
 	if percent != t.percent {
