dispatch: do not defer jobs for one that is deferred itself

The order by scarcity leaves jobs out until the newest one fits. Where the newest one itself is left out, it still compared its own span with the work of the others, and left out jobs that had been on time without it.

TestJobIsNotDeferredForDeferredOne failed before the change.

--- a/fleet/dispatch/scarcity.go
+++ b/fleet/dispatch/scarcity.go
@@ -104,6 +104,9 @@
 			out := heap.Pop(&kept).(ratioJob).job
 			work -= out.coreMs
 			left[out] = true
+			if out == p {
+				break // the others were chosen without it
+			}
 		}
 	}
 	for _, p := range list {
--- a/fleet/dispatch/scarcity_test.go
+++ b/fleet/dispatch/scarcity_test.go
@@ -204,3 +204,16 @@
 	}
 	assert.Assert(t, waiting.started, "not started after %d other jobs", n)
 }
+
+// Guards against a job that is deferred for the sake of a long one that is deferred itself.
+func TestJobIsNotDeferredForDeferredOne(t *testing.T) {
+	kept, long := newPending(10_000, 5, 100), newPending(10_000, 1, 1)
+	long.spanMs = 9000
+	list := []*pendingJob{kept, long}
+	for range 8 {
+		list = append(list, newPending(1_000_000, 0.001, 0.001)) // so that the mean size is small
+	}
+	rankByScarcity(list, 0, poolCores{reserved: 1}, true)
+	assert.Equal(t, kept.rank.late, onTime)
+	assert.Equal(t, long.rank.late, deferred)
+}
