entry: take only reads to the end of a topic for such

Before a submission is refused because of the backlog, the entry reads the jobs to their end, or waits for a read that was sent since. A successful read of a part of the topic, as after a restart or in a burst, counted as one to the end, so that an id which another entry had accepted could be refused, which promises that the job never runs.

TestPartOfATopicIsNotItsEnd failed before the change: one record of three had been read.

--- a/fleet/entry/history_test.go
+++ b/fleet/entry/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -126,3 +127,23 @@
 	assert.Assert(t, !atEnd, "the snapshot after records have expired")
 	assert.DeepEqual(t, values, map[string]string{"a": "1"})
 }
+
+// threePages is a store whose topic has three records and gives out one with each read.
+type threePages struct{ work.Store }
+
+func (threePages) Read(_ context.Context, _ string, from int64, _ time.Duration) (work.Page, error) {
+	return work.Page{Records: []work.Record{record(fmt.Sprint(from), "1", from)}, Next: from + 1, End: 3}, nil
+}
+
+// Guards against an id that is refused because of the backlog although another entry has accepted it: a read that has not
+// reached the end of the topic was taken for one that has.
+func TestPartOfATopicIsNotItsEnd(t *testing.T) {
+	r, values := newKeyReader()
+	r.applySnapshot(work.Snapshot{})
+	r.store = threePages{}
+	_, atEnd, err := r.read(context.Background(), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, !atEnd)
+	assert.NilError(t, r.refreshSince(context.Background(), 0))
+	assert.Equal(t, len(values), 3)
+}
--- a/fleet/entry/topicreader.go
+++ b/fleet/entry/topicreader.go
@@ -54,7 +54,9 @@
 	// okMs is when the last successful read was sent, 0 if there was none, failingSinceMs since when reads have failed; 0 if the last succeeded.
 	okMs, failingSinceMs int64
 	attempts             int
-	paused               bool
+	// endMs is when the last read was sent that reached the end of the topic, 0 if there was none.
+	endMs  int64
+	paused bool
 	// eager is true while reads aren't paused for batching.
 	eager bool
 }
@@ -119,6 +121,11 @@
 		return 0, false, err
 	}
 	r.recordResult(sent, err)
+	if atEnd && err == nil {
+		r.mu.Lock()
+		r.endMs = max(r.endMs, sent)
+		r.mu.Unlock()
+	}
 	return n, atEnd, err
 }
 
@@ -264,7 +271,15 @@
 	arrivedMs := clock.BootMs()
 	r.sharedMu.Lock()
 	defer r.sharedMu.Unlock()
-	if clock.BootMs()-r.ageMs() > arrivedMs {
+	return r.refreshSince(ctx, arrivedMs)
+}
+
+// refreshSince reads to the end unless a read that was sent after a time has reached it.
+func (r *topicReader) refreshSince(ctx context.Context, sinceMs int64) error {
+	r.mu.Lock()
+	reached := r.endMs > sinceMs
+	r.mu.Unlock()
+	if reached {
 		return nil
 	}
 	return r.refresh(ctx)
