--- a/fleet/dispatch/durations_test.go
+++ b/fleet/dispatch/durations_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/verbenakeel/verbenakeel/fleet/estimate"
+	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
@@ -141,3 +143,35 @@
 	assert.Assert(t, results["learned"].onTime > results["declared"].onTime)
 	assert.Assert(t, results["learned"].weight > results["declared"].weight)
 }
+
+// Guards against one faulty worker that reports a progress out of range: the work of its job became negative, so that all
+// other jobs of the priority counted as on time, or overflowed.
+func TestProgressOutOfRangeIsBounded(t *testing.T) {
+	s, st, _ := newRunningStep(t, 400)
+	for _, percent := range []int{math.MinInt, -1, 101, math.MaxInt} {
+		for i := range st.tasks {
+			s.updateRun(&st.tasks[i], link.Run{ProgressPercent: percent})
+		}
+		r := s.remainingWork(st.job)
+		assert.Assert(t, r.coreMs >= 0 && r.coreMs <= r.wholeCoreMs && r.spanMs <= 400, "%d%%: %+v", percent, r)
+	}
+}
+
+// Guards against an order or a move from a draining worker that differs by rounding from the one before durations were
+// learned, where declared ones are used: 29% of 100 ms were 28 ms.
+func TestDeclaredRemainingWorkIsExact(t *testing.T) {
+	s, st, _ := newRunningStep(t, 100)
+	s.options.Durations = DurationsDeclared
+	for percent := range 101 {
+		for _, declaredMs := range []int64{100, 333, 7000, 1 << 40} {
+			st.step.EstMs = declaredMs
+			want := 0.0
+			for i := range st.tasks {
+				st.tasks[i].percent = percent
+				want += float64(declaredMs) * float64(100-percent) / 100 * float64(st.step.CPU) / 1000
+			}
+			assert.Equal(t, int64(s.remainingTaskMs(&st.tasks[0])), declaredMs*int64(100-percent)/100, "%d%% of %d ms", percent, declaredMs)
+			assert.Equal(t, s.remainingWork(st.job).coreMs, want, "%d%% of %d ms", percent, declaredMs)
+		}
+	}
+}
