dispatch: name what keeps a worker from a task

Placement only told whether a worker could take a task. The same checks now return the first obstacle, so that an explanation to operators rests on the code that decides.

--- a/fleet/dispatch/candidates.go
+++ b/fleet/dispatch/candidates.go
@@ -81,23 +81,8 @@
 // evaluate returns the placement cost of a task that is not on the worker, without the cost of the instance that the
 // task avoids, and whether the worker has capacity for it.
 func (s *State) evaluate(t *task, w *worker) (float64, bool) {
-	if !s.schedulable(w) || !s.fitsExceptCPU(t, w) {
-		return 0, false
-	}
-	if !t.stage.step.BestEffort {
-		if w.committedCPU+t.stage.step.CPU > w.info.CPU {
-			return 0, false
-		}
-		return s.baseCost(t, w, 1), true
-	}
-	if w.unusedCPU() < minDemandShare*float64(t.stage.step.CPU) {
-		return 0, false
-	}
-	shares := s.bestEffortShares(t, w)
-	if !shares.suffice() {
-		return 0, false
-	}
-	return s.baseCost(t, w, shares.expected), true
+	cost, o := s.assess(t, w)
+	return cost, o == noObstacle
 }
 
 // update evaluates a worker again after its reservations have changed.
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -282,10 +282,7 @@
 }
 
 // schedulable reports whether the worker may be given new tasks.
-func (s *State) schedulable(w *worker) bool {
-	return w.reachable() && w.listed && !w.info.Draining && !w.leaving && len(w.unknownRuns) == 0 &&
-		!s.evacuatedZones[w.info.Zone] && s.now.BootMs-w.lastReportMs < maxUnresponsiveMs && w.health.acceptsWork(s.now.BootMs)
-}
+func (s *State) schedulable(w *worker) bool { return s.unavailability(w) == noObstacle }
 
 // fits reports whether the worker has the capacity for the task and may run it.
 func (s *State) fits(t *task, w *worker) bool {
@@ -308,29 +305,10 @@
 }
 
 // fitsExceptCPU reports whether the worker may run the task and has the memory and accelerators for it.
-func (s *State) fitsExceptCPU(t *task, w *worker) bool {
-	st := t.stage.step
-	return w.committedMem+st.MemMB <= w.info.MemMB && w.committedGPU+st.GPU <= w.info.GPU && s.eligible(t, w)
-}
+func (s *State) fitsExceptCPU(t *task, w *worker) bool { return s.misfit(t, w) == noObstacle }
 
 // eligible reports whether the worker may run the task, whatever its capacity.
-func (s *State) eligible(t *task, w *worker) bool {
-	st := t.stage.step
-	q := s.queue(t.stage.job)
-	if q.Service != w.info.Service {
-		return false
-	}
-	if st.Requires != "" && !hasLabel(w, st.Requires) {
-		return false
-	}
-	if q.Advice != nil {
-		tk, ok := t.stage.tickets[w.instance]
-		if !ok || tk.incarnation != w.info.Incarnation || s.now.BootMs >= tk.expiresMs {
-			return false
-		}
-	}
-	return st.MaxPerWorker == 0 || s.countSameStage(t, w) < st.MaxPerWorker
-}
+func (s *State) eligible(t *task, w *worker) bool { return s.ineligibility(t, w) == noObstacle }
 
 func hasLabel(w *worker, label string) bool {
 	for _, l := range w.info.Labels {
