fleet: ask the running system where a job would go

Cause: operators could not learn why a job would be refused or wait, or which worker it would go to, without sending it. Change: 'verbenakeel-fleet explain' asks any entry over the peer protocol. An entry that is not the decider forwards the question once; the event loop of the decider answers it between two events. One explanation at a time is worked on per entry, within the budget of the peer listener. An entry of an earlier version reads the question as an empty call; the command says so. Nothing is stored or sent to workers.

--- a/cmd/verbenakeel-fleet/main.go
+++ b/cmd/verbenakeel-fleet/main.go
@@ -35,9 +35,10 @@
 }
 
 type args struct {
-	Why   *whyArgs  `arg:"subcommand:why" help:"show the history of a job from saved logs"`
-	Entry *roleArgs `arg:"subcommand:entry" help:"run an entry"`
-	Side  *roleArgs `arg:"subcommand:side" help:"run the side process of a worker"`
+	Why     *whyArgs     `arg:"subcommand:why" help:"show the history of a job from saved logs"`
+	Explain *explainArgs `arg:"subcommand:explain" help:"ask the running system where a job would go now, without sending it"`
+	Entry   *roleArgs    `arg:"subcommand:entry" help:"run an entry"`
+	Side    *roleArgs    `arg:"subcommand:side" help:"run the side process of a worker"`
 }
 
 // Description implements arg.Described.
@@ -66,9 +67,14 @@
 	case a.Side != nil:
 		daemon.Exit(run(a.Side.Settings, false))
 	case a.Why != nil:
-		daemon.Exit(explain(a.Why))
+		daemon.Exit(showHistory(a.Why))
+	case a.Explain != nil:
+		ctx, stop := daemon.Context()
+		err := explainPlacement(ctx, a.Explain, os.Stdout)
+		stop()
+		daemon.Exit(err)
 	default:
-		p.Fail("name a command: entry, side or why")
+		p.Fail("name a command: entry, side, why or explain")
 	}
 }
 
@@ -123,8 +129,8 @@
 	return s.Run(ctx)
 }
 
-// explain prints the history of a job.
-func explain(a *whyArgs) error {
+// showHistory prints the history of a job.
+func showHistory(a *whyArgs) error {
 	logs := []io.Reader{os.Stdin}
 	if len(a.Files) > 0 {
 		logs = logs[:0]
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -158,6 +158,16 @@
 	return e.newest
 }
 
+// decider returns the newest claim; nil if there is none, or if its decider has resigned or is known to have stopped.
+func (e *election) decider() *work.Claim {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.newest == nil || e.newest.Resigned || e.newest.Epoch == e.lostEpoch {
+		return nil
+	}
+	return e.newest
+}
+
 // markLost records that the decider of an epoch has stopped.
 func (e *election) markLost(epoch uint64) {
 	e.mu.Lock()
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -62,6 +62,8 @@
 	peer    net.Listener
 	relay   *relay
 	bridges chan struct{}
+	// explains bounds the explanations that are worked on at once.
+	explains chan struct{}
 
 	view *view
 	// refusalLog limits the log lines on refusals because of the backlog.
@@ -113,7 +115,7 @@
 	r := newRelay(m.withTiming(store), set.Instance)
 	e := &Entry{set: set, store: r, relay: r, peer: in.Listener(peer), log: log, meters: m, public: public, ready: ready, view: newView(log), config: config,
 		requests: make(chan struct{}, max(minRequests, httpserver.Descriptors(set.MaxFDs)/requestShare)),
-		bridges:  make(chan struct{}, maxBridges), evacuated: map[string]bool{}, addresses: map[string]work.ProcessAddress{}}
+		bridges:  make(chan struct{}, maxBridges), explains: make(chan struct{}, maxExplains), evacuated: map[string]bool{}, addresses: map[string]work.ProcessAddress{}}
 	if set.Adviser != "" {
 		e.adviser = platform.NewAdviser(set.Adviser)
 	}
--- a/fleet/entry/relay.go
+++ b/fleet/entry/relay.go
@@ -361,6 +361,11 @@
 	}
 	var reply link.PeerReply
 	reply.Deciding = e.deciding.Load()
+	if call.Explain != nil {
+		reply.Explained = e.explain(ctx, conn, call.Explain)
+		_ = link.WriteMessage(conn, reply)
+		return
+	}
 	var err error
 	switch direct, probe := e.relay.useDirect(); {
 	case call.Append == nil && call.Read == nil && call.Newest == "":
--- a/fleet/link/peer.go
+++ b/fleet/link/peer.go
@@ -18,6 +18,56 @@
 	Newest string `cbor:"3,keyasint,omitempty"`
 	// Bridge is the address of a side process to which the connection is to be forwarded after the reply.
 	Bridge string `cbor:"4,keyasint,omitempty"`
+	// Explain asks where a job would go. An entry of an earlier version takes the call for an empty one and replies without
+	// Explained.
+	Explain *ExplainCall `cbor:"5,keyasint,omitempty"`
+}
+
+// ExplainCall asks where a job would go if it were submitted now.
+type ExplainCall struct {
+	// Job is the job without its queue, Queue the name of the queue.
+	Job   work.Job `cbor:"1,keyasint"`
+	Queue string   `cbor:"2,keyasint"`
+	// Workers asks for a list of all workers.
+	Workers bool `cbor:"3,keyasint,omitempty"`
+	// Forwarded is true if another entry forwards the call. It is not forwarded again.
+	Forwarded bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Explained is the response to an ExplainCall.
+type Explained struct {
+	// Answer is the encoded answer; empty if Failure is set.
+	Answer []byte `cbor:"1,keyasint,omitempty"`
+	// Failure is the error of the call; nil if it succeeded.
+	Failure *Failure `cbor:"2,keyasint,omitempty"`
+}
+
+// Failure is the encoded form of an error with its kind and remedy.
+type Failure struct {
+	Kind    string `cbor:"1,keyasint"`
+	Field   string `cbor:"2,keyasint,omitempty"`
+	Message string `cbor:"3,keyasint"`
+	Remedy  string `cbor:"4,keyasint,omitempty"`
+}
+
+// FailureOf returns the encoded form of an error, or nil.
+func FailureOf(err error) *Failure {
+	if err == nil {
+		return nil
+	}
+	var e *errdefs.Error
+	if !errors.As(err, &e) {
+		return &Failure{Kind: string(errdefs.Unknown), Message: err.Error(), Remedy: "read the logs of the entry"}
+	}
+	return &Failure{Kind: string(e.Kind), Field: e.Field, Message: e.Message, Remedy: e.Remedy}
+}
+
+// Err returns the error that f encodes, or nil.
+func (f *Failure) Err() error {
+	if f == nil {
+		return nil
+	}
+	return &errdefs.Error{Kind: errdefs.Kind(f.Kind), Field: f.Field, Message: f.Message, Remedy: f.Remedy}
 }
 
 // ReadCall is a read of a topic.
@@ -36,6 +86,8 @@
 	Problem Problem `cbor:"3,keyasint,omitempty"`
 	// Deciding is the epoch in which the responding entry is the decider; 0 if it is not.
 	Deciding uint64 `cbor:"4,keyasint,omitempty"`
+	// Explained is the response to PeerCall.Explain; nil if the entry does not know such calls.
+	Explained *Explained `cbor:"5,keyasint,omitempty"`
 }
 
 // SnapshotReply returns the reply that carries a snapshot.
