--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -125,6 +125,11 @@
 	if err := work.Check(q.Job); err != nil {
 		return nil, fmt.Errorf("explain a job: %w", err)
 	}
+	for i := range q.Job.Steps {
+		if n := len(q.Job.Steps[i].DependsOn); n > work.MaxSteps {
+			return nil, fmt.Errorf("explain a job: %w", errdefs.Field(fmt.Sprintf("steps[%d].depends_on", i), fmt.Sprintf("has %d entries", n), "name each earlier step once"))
+		}
+	}
 	if s.jobs[q.Job.ID] != nil {
 		return nil, fmt.Errorf("explain a job: %w", errdefs.Field("id", q.Job.ID, "choose an id that no accepted job has"))
 	}
--- a/fleet/dispatch/explain_test.go
+++ b/fleet/dispatch/explain_test.go
@@ -91,6 +91,10 @@
 		e, err := s.Explain(now, Query{Job: j, Workers: true})
 		assert.NilError(t, err)
 		assert.Assert(t, dump(s) == before, "seed %d: the explanation has changed the state", seed)
+		// A second later deadlines have passed and caches are too old, so that more is computed.
+		_, err = s.Explain(Now{BootMs: now.BootMs + 1000, WallMs: now.WallMs + 1000}, Query{Job: j})
+		assert.NilError(t, err)
+		assert.Assert(t, dump(s) == before, "seed %d: a later explanation has changed the state", seed)
 		able := 0
 		for _, w := range e.Steps[0].Workers {
 			if w.Obstacle == noObstacle {
