--- a/httpserver/chunked_test.go
+++ b/httpserver/chunked_test.go
@@ -1,9 +1,10 @@
 package httpserver
 
 import (
+	"bufio"
 	"bytes"
 	"io"
-	"net/http/httputil"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -24,6 +25,16 @@
 	return data, d.state == chunkDone, nil
 }
 
+// standardDecode decodes a chunked body with the standard library.
+func standardDecode(in []byte) ([]byte, error) {
+	head := strings.NewReader("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+	req, err := http.ReadRequest(bufio.NewReader(io.MultiReader(head, bytes.NewReader(in))))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(req.Body)
+}
+
 // Guards against chunked bodies whose decoding depends on how they arrive, and against ones that the standard library decodes
 // to other data.
 func FuzzChunkDecoder(f *testing.F) {
@@ -37,7 +48,7 @@
 		assert.Assert(t, bytes.Equal(whole, single))
 		assert.Equal(t, done, doneSingle)
 		assert.Equal(t, err, errSingle)
-		if want, errWant := io.ReadAll(httputil.NewChunkedReader(bytes.NewReader(in))); errWant == nil && done {
+		if want, errWant := standardDecode(in); errWant == nil && done {
 			assert.Assert(t, bytes.Equal(whole, want), "%q instead of %q", whole, want)
 		}
 	})
