--- /dev/null
+++ b/review/standin2/worker.go
@@ -0,0 +1,455 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// worker is a stand-in of a worker with a capacity that it enforces, leases and fences. One life of it is an incarnation.
+type worker struct {
+	w       *world
+	address string
+	cpu     int64
+	// control is the address of the side process.
+	control string
+	ln      net.Listener
+
+	mu   sync.Mutex
+	life *life
+	// starts counts the starts by task.
+	starts map[string]int
+	// disturbed is how much filling tasks disturb serving ones on this worker.
+	disturbed float64
+	// load is the load of the serving tasks on this worker, from 0 to 1.
+	load float64
+	// onStop is called before a run is ended by an order; nil for none. It may not use the worker.
+	onStop func(task string, r *workerRun)
+	// onStart is called for each start; nil for none. It may not use the worker.
+	onStart func(task string)
+}
+
+// workerRun is a run on a worker.
+type workerRun struct {
+	run   int
+	began time.Time
+	ends  time.Time
+	lease time.Time
+	pace  int64
+	spec  spec
+}
+
+// spec is what the spec of a job says about its tasks: fields like ms=500, separated by spaces.
+type spec struct {
+	// ms is how long a task runs, cpu its thousandths of a core.
+	ms  int
+	cpu int64
+	// how is how a task ends, lasts for one that has no end of its own.
+	how string
+	// role is serve for a task with a tail latency, fill for one that disturbs such tasks.
+	role string
+}
+
+func parseSpec(text string) spec {
+	sp := spec{ms: 1000, cpu: 500, how: "done"}
+	for _, field := range strings.Fields(text) {
+		name, value, _ := strings.Cut(field, "=")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "ms":
+			sp.ms = n
+		case "cpu":
+			sp.cpu = int64(n)
+		case "how":
+			sp.how = value
+		case "role":
+			sp.role = value
+		}
+	}
+	return sp
+}
+
+const (
+	// startup is how long a task that lasts needs until it is at work.
+	startup = 400 * time.Millisecond
+	// paceDelay is how long a pace takes to have an effect.
+	paceDelay = 100 * time.Millisecond
+	// idleTail is the tail latency of a serving task without load in milliseconds. Its tail latency is
+	// idleTail * s / (1 - load * s), where s is 1 and worker.disturbed times the share of the worker that filling tasks use.
+	idleTail = 10.0
+)
+
+// tail returns the tail latency of serving tasks in milliseconds. The caller holds mu.
+func (k *worker) tail(l *life) int64 {
+	s := 1.0
+	for _, r := range l.runs {
+		if r.spec.role == "fill" && time.Since(r.began) > startup {
+			s += k.disturbed * float64(r.spec.cpu*r.pace) / 100 / float64(k.cpu)
+		}
+	}
+	return int64(min(idleTail*s/max(1-k.load*s, 0.02), 500))
+}
+
+// life is one incarnation of a worker.
+type life struct {
+	id        string
+	born      int64
+	began     time.Time
+	seq       int64
+	fence     uint64
+	runs      map[string]*workerRun
+	blocked   map[string]int
+	ended     [][]any
+	number    int64
+	forgotten int64
+	draining  bool
+	gone      bool
+	changed   chan struct{}
+	cancel    context.CancelFunc
+}
+
+const (
+	clockStart = 1000
+	holdMax    = 6 * time.Second
+	beatEvery  = 1500 * time.Millisecond
+)
+
+func (w *world) newWorker(cpu int64) (*worker, error) {
+	a := w.address()
+	ln, err := net.Listen("tcp", a)
+	if err != nil {
+		return nil, err
+	}
+	k := &worker{w: w, address: a, cpu: cpu, ln: ln, starts: map[string]int{}}
+	go func() { _ = (&http.Server{Handler: k}).Serve(ln) }()
+	go k.tick()
+	return k, nil
+}
+
+// begin starts a life with an id. The worker's time of day is ahead by a time when it starts.
+func (k *worker) begin(id string, ahead time.Duration) {
+	born := time.Now().Add(ahead).UnixMilli()
+	k.end()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &life{id: id, born: born, began: time.Now(), runs: map[string]*workerRun{}, blocked: map[string]int{}, changed: make(chan struct{}), cancel: cancel}
+	k.mu.Lock()
+	k.life = l
+	k.mu.Unlock()
+	k.w.rec("worker %s: life %s begins, born %d", k.address, id, born)
+	go k.beat(ctx, l)
+}
+
+// end ends the current life: nothing runs any more and nothing is told to anybody.
+func (k *worker) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.life != nil && !k.life.gone {
+		k.life.gone = true
+		k.life.cancel()
+		k.w.rec("worker %s: life %s ends with %d runs", k.address, k.life.id, len(k.life.runs))
+	}
+}
+
+func (k *worker) stop() {
+	k.end()
+	_ = k.ln.Close()
+}
+
+func (k *worker) beat(ctx context.Context, l *life) {
+	client := &http.Client{Timeout: time.Second}
+	for ctx.Err() == nil {
+		k.sendBeat(client, l)
+		select {
+		case <-ctx.Done():
+		case <-time.After(beatEvery):
+		}
+	}
+}
+
+func (k *worker) sendBeat(client *http.Client, l *life) {
+	k.mu.Lock()
+	l.seq++
+	seq := l.seq
+	state, remaining := "ready", ""
+	if l.draining {
+		state, remaining = "draining", `"remaining_ms":2000,`
+	}
+	body := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"v1","slots":8,"state":%q,%s"cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":64000,"gpu":0},"labels":["a","r1-1"],"clock_ms":%d,"seq":%d,"born":%d}`,
+		service, k.address, zone, state, remaining, k.cpu, l.clock(), seq, l.born)
+	control := k.control
+	k.mu.Unlock()
+	resp, err := client.Post("http://"+control+"/-/Instances.Heartbeat/"+l.id, "application/json", strings.NewReader(body))
+	status := 0
+	if err == nil {
+		status = resp.StatusCode
+		_ = resp.Body.Close()
+	}
+	k.w.rec("worker %s: heartbeat %d (%s) of the life born %d: %d", k.address, seq, state, l.born, status)
+}
+
+// drain reports that the life is about to end, and sends that it leaves after the time. It does not wait for the answer.
+func (k *worker) drain(wait time.Duration) {
+	client := &http.Client{Timeout: time.Second}
+	k.mu.Lock()
+	l := k.life
+	l.draining = true
+	k.mu.Unlock()
+	k.sendBeat(client, l)
+	time.Sleep(wait)
+	k.w.rec("worker %s: the life born %d sends that it leaves", k.address, l.born)
+	go func() {
+		resp, err := client.Post("http://"+k.control+"/-/Instances.Leave/"+l.id, "application/json", nil)
+		if err != nil {
+			k.w.rec("worker %s: no acknowledgement of the leave of the life born %d", k.address, l.born)
+			return
+		}
+		_ = resp.Body.Close()
+		k.w.rec("worker %s: the leave of the life born %d is acknowledged: %d", k.address, l.born, resp.StatusCode)
+	}()
+}
+
+func (l *life) clock() int64 { return clockStart + time.Since(l.began).Milliseconds() }
+
+// tick ends runs that are finished or whose lease has lapsed.
+func (k *worker) tick() {
+	for {
+		time.Sleep(10 * time.Millisecond)
+		k.mu.Lock()
+		if k.life != nil && !k.life.gone {
+			now := time.Now()
+			for task, r := range k.life.runs {
+				switch {
+				case now.After(r.lease):
+					k.endRun(task, "lapsed")
+				case now.After(r.ends):
+					k.endRun(task, r.spec.how)
+				}
+			}
+		}
+		k.mu.Unlock()
+	}
+}
+
+// endRun ends a run and lists it. The caller holds mu.
+func (k *worker) endRun(task, how string) {
+	l := k.life
+	r := l.runs[task]
+	delete(l.runs, task)
+	l.blocked[task] = max(l.blocked[task], r.run)
+	l.number++
+	l.ended = append(l.ended, []any{l.number, task, r.run, how, ""})
+	close(l.changed)
+	l.changed = make(chan struct{})
+	k.w.rec("worker %s: %s run %d ended %s", k.address, task, r.run, how)
+}
+
+type workerCall struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	DeadlineMs int64  `json:"deadline_ms"`
+	Fence      uint64 `json:"fence"`
+	SeenUpto   int64  `json:"seen_upto"`
+	WaitMs     int64  `json:"wait_ms"`
+	Percent    int64  `json:"percent"`
+}
+
+// ServeHTTP implements http.Handler.
+func (k *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	var c workerCall
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	k.mu.Lock()
+	l := k.life
+	if l == nil || l.gone {
+		k.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	if want := r.Header.Get("Verbenakeel-Expect-Instance"); want != "" && want != l.id {
+		k.mu.Unlock()
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	reason := k.execute(l, r.URL.Path, &c)
+	k.mu.Unlock()
+	if reason == "" && r.URL.Path == "/-/hold" {
+		k.await(r.Context(), l, time.Duration(c.WaitMs)*time.Millisecond)
+	}
+	k.mu.Lock()
+	answer := map[string]any{"clock_ms": l.clock()}
+	if reason != "" {
+		answer["reason"] = reason
+	} else if r.URL.Path == "/-/hold" {
+		answer["born"] = l.born
+		answer["running"], answer["ended"] = k.lists(l)
+	}
+	k.mu.Unlock()
+	if reason != "" {
+		rw.WriteHeader(http.StatusConflict)
+	}
+	_ = json.NewEncoder(rw).Encode(answer)
+}
+
+// execute carries out a call and returns the reason of a refusal. The caller holds mu.
+func (k *worker) execute(l *life, path string, c *workerCall) string {
+	if c.Fence < l.fence {
+		return "fence"
+	}
+	l.fence = c.Fence
+	until := l.began.Add(time.Duration(c.DeadlineMs-clockStart) * time.Millisecond)
+	if latest := time.Now().Add(holdMax); until.After(latest) {
+		until = latest
+	}
+	if c.DeadlineMs > 0 {
+		for _, r := range l.runs {
+			if until.After(r.lease) {
+				r.lease = until
+			}
+		}
+	}
+	switch path {
+	case "/-/run-start":
+		return k.startRun(l, c, until)
+	case "/-/run-stop":
+		l.blocked[c.Task] = max(l.blocked[c.Task], c.Run)
+		if r := l.runs[c.Task]; r != nil && r.run <= c.Run {
+			if k.onStop != nil {
+				k.onStop(c.Task, r)
+			}
+			k.endRun(c.Task, "stopped")
+		}
+	case "/-/pace":
+		if r := l.runs[c.Task]; r != nil && r.run == c.Run {
+			k.w.rec("worker %s: %s run %d is paced to %d%%", k.address, c.Task, c.Run, c.Percent)
+			time.AfterFunc(paceDelay, func() {
+				k.mu.Lock()
+				r.pace = c.Percent
+				k.mu.Unlock()
+			})
+		}
+	case "/-/hold":
+		l.forgotten = max(l.forgotten, min(c.SeenUpto, l.number))
+	}
+	return ""
+}
+
+// startRun starts a run. The spec holds the duration of the tasks in milliseconds.
+func (k *worker) startRun(l *life, c *workerCall, until time.Time) string {
+	if r := l.runs[c.Task]; r != nil && r.run == c.Run {
+		return ""
+	}
+	sp := parseSpec(c.Spec)
+	used := int64(0)
+	for _, r := range l.runs {
+		if r.spec.role != "fill" {
+			used += r.spec.cpu
+		}
+	}
+	switch {
+	case c.Run <= l.blocked[c.Task] || l.runs[c.Task] != nil:
+		return "old"
+	case !time.Now().Before(until):
+		return "late"
+	case sp.role != "fill" && used+sp.cpu > k.cpu:
+		return "room"
+	}
+	now := time.Now()
+	r := &workerRun{run: c.Run, began: now, lease: until, pace: 100, spec: sp}
+	r.ends = now.Add(time.Duration(sp.ms) * time.Millisecond)
+	if sp.how == "lasts" {
+		r.ends = now.Add(time.Hour)
+	}
+	l.runs[c.Task] = r
+	k.starts[c.Task]++
+	k.w.rec("worker %s: %s run %d starts", k.address, c.Task, c.Run)
+	if k.onStart != nil {
+		k.onStart(c.Task)
+	}
+	return ""
+}
+
+// lists returns the running and the ended runs. The caller holds mu.
+func (k *worker) lists(l *life) (running, ended [][]any) {
+	running, ended = [][]any{}, [][]any{}
+	names := make([]string, 0, len(l.runs))
+	for task := range l.runs {
+		names = append(names, task)
+	}
+	sort.Strings(names)
+	for _, task := range names {
+		r := l.runs[task]
+		percent := min(100*time.Since(r.began).Milliseconds()/max(r.ends.Sub(r.began).Milliseconds(), 1), 99)
+		if r.spec.how == "lasts" {
+			percent = min(100*int64(time.Since(r.began))/int64(startup), 100)
+		}
+		load := r.spec.cpu * r.pace / 100
+		if r.spec.role == "serve" {
+			load = k.tail(l)
+		}
+		running = append(running, []any{task, r.run, "", percent, load})
+	}
+	for _, e := range l.ended {
+		if e[0].(int64) > l.forgotten && len(ended) < 500 {
+			ended = append(ended, e)
+		}
+	}
+	return running, ended
+}
+
+// await waits until a run has ended that is not forgotten.
+func (k *worker) await(ctx context.Context, l *life, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		k.mu.Lock()
+		listed, changed := l.number > l.forgotten, l.changed
+		k.mu.Unlock()
+		if listed || wait == 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// startsOf returns the number of starts of tasks of a job.
+func (k *worker) startsOf(id string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for task, count := range k.starts {
+		if strings.HasPrefix(task, id+".") {
+			n += count
+		}
+	}
+	return n
+}
+
+// running returns the number of runs of a job's tasks that are at work.
+func (k *worker) running(id string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	if k.life != nil && !k.life.gone {
+		for task := range k.life.runs {
+			if strings.HasPrefix(task, id+".") {
+				n++
+			}
+		}
+	}
+	return n
+}
