Show that steps with advice are never allowed beyond the first hundred workers

The decider asks the adviser about the same hundred workers each second, the first by name. A step that only a later worker may run never starts, although that worker is idle.

--- a/review/standin2/case_lost.go
+++ b/review/standin2/case_lost.go
@@ -70,7 +70,7 @@
 	time.Sleep(2 * time.Second)
 	k.end()
 	time.Sleep(500 * time.Millisecond)
-	k.begin("i-1", 0)
+	k.begin("i-001", 0)
 	time.Sleep(1400 * time.Millisecond)
 	if trouble {
 		w.rec("trouble: the path is whole again")
@@ -95,7 +95,7 @@
 	time.Sleep(time.Second)
 	k.end()
 	time.Sleep(500 * time.Millisecond)
-	k.begin("i-1", ahead)
+	k.begin("i-001", ahead)
 	time.Sleep(500 * time.Millisecond)
 	if trouble {
 		w.rec("trouble: the time of day of the worker's machine jumps back")
@@ -103,7 +103,7 @@
 	time.Sleep(200 * time.Millisecond)
 	k.end()
 	time.Sleep(500 * time.Millisecond)
-	k.begin("i-1", 0)
+	k.begin("i-001", 0)
 	time.Sleep(2 * contact)
 	return w.judgeLost(fronts[0], workers)
 }
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -49,6 +49,9 @@
 	server *httptest.Server
 	// intercept handles a request to the store in place of it, and reports whether it did; nil for none.
 	intercept func(w http.ResponseWriter, r *http.Request, body []byte, serve http.Handler) bool
+	// adviser is the address of the service that knows which workers may run a step; empty if there is none. policy is the field
+	// of the queue that says so.
+	adviser, policy string
 	// used holds the ports that were given out.
 	used map[int]bool
 }
@@ -182,7 +185,7 @@
 metrics = %s
 [services]
 store = %s
-adviser =
+adviser = %s
 [worker]
 address = %s
 service = %s
@@ -200,7 +203,7 @@
 order = scarcity
 durations = learned
 load_forecast = harmonic
-`, n.name, zone, n.memoryMB, cores, n.public, n.ready, n.control, n.peer, n.meter, strings.TrimPrefix(n.w.server.URL, "http://"), workerAddress, serviceName)
+`, n.name, zone, n.memoryMB, cores, n.public, n.ready, n.control, n.peer, n.meter, strings.TrimPrefix(n.w.server.URL, "http://"), n.w.adviser, workerAddress, serviceName)
 	path := filepath.Join(n.w.dir, n.name+".ini")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
@@ -351,8 +354,8 @@
 // putConfig publishes the configuration with one queue.
 func (w *world) putConfig() {
 	w.store.Put(topicOperator, "config", []byte(fmt.Sprintf(`{"version":7,"routes":[{"name":"q","host":%q,"path_prefix":"/q/","kind":"unsafe","timeout_ms":3000,`+
-		`"target_latency_ms":1000,"priority":1,"service":%q,"attempts":3,"stretch":2.0}],"services":[{"name":%q,"enforces_capacity":true}],"limits":{"max_body_bytes":262144}}`,
-		host, service, service)))
+		`"target_latency_ms":1000,"priority":1,"service":%q,"attempts":3,"stretch":2.0%s}],"services":[{"name":%q,"enforces_capacity":true}],"limits":{"max_body_bytes":262144}}`,
+		host, service, w.policy, service)))
 }
 
 // small starts a deployment of entries and of workers of 16 cores with their side processes, and waits until it serves.
@@ -391,7 +394,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := w.addSide(fmt.Sprintf("side-%d", number), k)
+	s, err := w.addSide(fmt.Sprintf("side-%03d", number), k)
 	if err != nil {
 		return nil, err
 	}
@@ -399,7 +402,7 @@
 	if err := awaitListener(s.control); err != nil {
 		return nil, err
 	}
-	k.begin(fmt.Sprintf("i-%d", number), 0)
+	k.begin(fmt.Sprintf("i-%03d", number), 0)
 	return k, nil
 }
 
