--- a/review/standin2/case_advice.go
+++ b/review/standin2/case_advice.go
@@ -9,12 +9,21 @@
 	"time"
 )
 
-func init() { cases["advice"] = playAdvice }
+func init() {
+	cases["advice"] = playAdvice
+	cases["late-advice"] = playLateAdvice
+	cases["silent-advice"] = func(w *world, trouble bool) (string, error) { return playAdviserOut(w, trouble, 0) }
+	cases["busy-advice"] = func(w *world, trouble bool) (string, error) {
+		return playAdviserOut(w, trouble, http.StatusTooManyRequests)
+	}
+}
 
 const (
 	// fleetSize is the number of workers, and added the number of those that scale_out adds: a quarter more.
 	fleetSize = 88
 	added     = fleetSize / 4
+	// siteSize is the number of workers of the small sites.
+	siteSize = 11
 	// decideTime and eachTime are how long the adviser takes for a call and for a worker in it, validMs how long a ticket is valid.
 	decideTime = 20 * time.Millisecond
 	eachTime   = 200 * time.Microsecond
@@ -23,12 +32,26 @@
 	maxNamed = 100
 )
 
-// adviser is a stand-in of the service that knows which workers may run a step. It handles one call at a time.
+// maxWaiting is the number of waiting calls from which the adviser answers 429.
+const maxWaiting = 32
+
+// adviser is a stand-in of the service that knows which workers may run a step. It handles one call at a time, in turn.
 type adviser struct {
-	w       *world
-	mu      sync.Mutex
-	allowed string
-	calls   int
+	w *world
+	// turn is held by the call that is handled; calls wait for it in the order of their arrival.
+	turn sync.Mutex
+	mu   sync.Mutex
+	// waiting is the number of calls that wait, handled and abandoned count those that were handled and whose caller had left
+	// before.
+	waiting, handled, abandoned int
+	allowed                     string
+	// decide and each are how long a call takes, and each worker in it.
+	decide, each time.Duration
+	// out is true while the adviser refuses calls with a status, or answers none if that is 0.
+	out bool
+	// skips is true if a call whose caller has left is not handled.
+	skips  bool
+	status int
 }
 
 // ServeHTTP implements http.Handler.
@@ -42,32 +65,74 @@
 		return
 	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	time.Sleep(decideTime + time.Duration(len(call.Workers))*eachTime)
+	out, status, allowed := a.out, a.status, a.allowed
+	a.mu.Unlock()
+	if out && status == 0 {
+		<-r.Context().Done()
+		return
+	}
+	if out {
+		rw.WriteHeader(status)
+		return
+	}
+	a.mu.Lock()
+	full := a.waiting >= maxWaiting
+	if !full {
+		a.waiting++
+	}
+	a.mu.Unlock()
+	if full {
+		a.w.rec("adviser: %s: %d calls wait; 429", call.Step, maxWaiting)
+		rw.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	a.turn.Lock()
+	defer a.turn.Unlock()
+	a.mu.Lock()
+	a.waiting--
+	a.handled++
+	if r.Context().Err() != nil {
+		a.abandoned++
+		if a.skips {
+			a.mu.Unlock()
+			return
+		}
+	}
+	took := a.decide + time.Duration(len(call.Workers))*a.each
+	a.mu.Unlock()
+	time.Sleep(took)
 	good := [][2]string{}
 	for _, id := range call.Workers {
-		if a.allowed == "" || id == a.allowed {
+		if allowed == "" || id == allowed {
 			good = append(good, [2]string{id, "ticket-" + call.Step})
 		}
 	}
-	a.calls++
 	a.w.rec("adviser: %s with %d workers: %d may run it", call.Step, len(call.Workers), len(good))
 	_ = json.NewEncoder(rw).Encode(map[string]any{"good": good, "valid_ms": validMs})
 }
 
+// startAdviser starts an adviser and makes the queue one that needs it.
+func (w *world) startAdviser(decide, each time.Duration) (*adviser, *http.Server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	a := &adviser{w: w, decide: decide, each: each}
+	server := &http.Server{Handler: a}
+	go func() { _ = server.Serve(ln) }()
+	w.adviser = ln.Addr().String()
+	w.policy = fmt.Sprintf(`,"advice":{"decide_ms":%g,"each_ms":%g,"valid_ms":%d}`, float64(decide)/1e6, float64(each)/1e6, validMs)
+	return a, server, nil
+}
+
 // playAdvice has a fleet to which a quarter more workers are added, so that it has more than one call to the adviser may name.
 // The policy allows one of the newest workers only to run the step of a job.
 func playAdvice(w *world, trouble bool) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	a, server, err := w.startAdviser(decideTime, eachTime)
 	if err != nil {
 		return "", err
 	}
-	a := &adviser{w: w}
-	server := &http.Server{Handler: a}
-	go func() { _ = server.Serve(ln) }()
 	defer server.Close()
-	w.adviser = ln.Addr().String()
-	w.policy = fmt.Sprintf(`,"advice":{"decide_ms":20,"each_ms":0.2,"valid_ms":%d}`, validMs)
 	fronts, workers, err := w.small(1, fleetSize)
 	if err != nil {
 		return "", err
@@ -90,3 +155,52 @@
 	a.mu.Unlock()
 	return w.judgeLost(fronts[0], workers)
 }
+
+// playLateAdvice has an adviser that takes 2.1 s for a call on all workers, as its queue says.
+func playLateAdvice(w *world, trouble bool) (string, error) {
+	a, server, err := w.startAdviser(decideTime, eachTime)
+	if err != nil {
+		return "", err
+	}
+	defer server.Close()
+	if trouble {
+		w.policy = fmt.Sprintf(`,"advice":{"decide_ms":1000,"each_ms":100,"valid_ms":%d}`, validMs)
+	}
+	fronts, workers, err := w.small(1, siteSize)
+	if err != nil {
+		return "", err
+	}
+	if trouble {
+		a.mu.Lock()
+		a.decide, a.each = time.Second, 100*time.Millisecond
+		a.mu.Unlock()
+	}
+	time.Sleep(contact)
+	return w.judgeLost(fronts[0], workers)
+}
+
+// playAdviserOut has an adviser that is out for 6 s, with a job that is handed in meanwhile.
+func playAdviserOut(w *world, trouble bool, status int) (string, error) {
+	a, server, err := w.startAdviser(decideTime, eachTime)
+	if err != nil {
+		return "", err
+	}
+	defer server.Close()
+	fronts, workers, err := w.small(1, siteSize)
+	if err != nil {
+		return "", err
+	}
+	if trouble {
+		w.rec("trouble: the adviser is out for 6 s")
+		a.mu.Lock()
+		a.out, a.status = true, status
+		a.mu.Unlock()
+		time.AfterFunc(6*time.Second, func() {
+			a.mu.Lock()
+			a.out = false
+			a.mu.Unlock()
+			w.rec("trouble: the adviser is back")
+		})
+	}
+	return w.judgeLost(fronts[0], workers)
+}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -439,14 +439,14 @@
 	return n
 }
 
-// running returns the number of runs of a job's tasks that are at work.
+// running returns the number of runs of a job's tasks that are at work, or of all tasks if the id is empty.
 func (k *worker) running(id string) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	n := 0
 	if k.life != nil && !k.life.gone {
 		for task := range k.life.runs {
-			if strings.HasPrefix(task, id+".") {
+			if id == "" || strings.HasPrefix(task, id+".") {
 				n++
 			}
 		}
