--- a/review/standin2/case_advice.go
+++ b/review/standin2/case_advice.go
@@ -153,7 +153,7 @@
 	a.allowed = workers[len(workers)-1].life.id
 	w.rec("adviser: the policy allows %s only to run the steps of the queue", a.allowed)
 	a.mu.Unlock()
-	return w.judgeLost(fronts[0], workers)
+	return w.judgeLost(fronts[0], workers, ordinary(300))
 }
 
 // playLateAdvice has an adviser that takes 2.1 s for a call on all workers, as its queue says.
@@ -176,7 +176,7 @@
 		a.mu.Unlock()
 	}
 	time.Sleep(contact)
-	return w.judgeLost(fronts[0], workers)
+	return w.judgeLost(fronts[0], workers, ordinary(300))
 }
 
 // playAdviserOut has an adviser that is out for 6 s, with a job that is handed in meanwhile.
@@ -202,5 +202,5 @@
 			w.rec("trouble: the adviser is back")
 		})
 	}
-	return w.judgeLost(fronts[0], workers)
+	return w.judgeLost(fronts[0], workers, ordinary(300))
 }
--- a/review/standin2/case_lost.go
+++ b/review/standin2/case_lost.go
@@ -19,11 +19,11 @@
 	contact = 3 * time.Second
 )
 
-// judgeLost hands in an ordinary job while everything is calm, and returns what broke the rule if none of its tasks is started
+// judgeLost hands in a job while everything is calm, and returns what broke the rule if none of its tasks is started
 // within finish_s and 3 s, with a whole worker free.
-func (w *world) judgeLost(n *node, workers []*worker) (string, error) {
+func (w *world) judgeLost(n *node, workers []*worker, body string) (string, error) {
 	const id = "00000000000000c1"
-	if !w.submit(n, id, ordinary(300)) {
+	if !w.submit(n, id, body) {
 		return "", fmt.Errorf("the job was not accepted")
 	}
 	at := time.Now()
@@ -38,19 +38,27 @@
 			return "", nil
 		}
 	}
-	status, body := w.call(n, http.MethodGet, "/q/"+id, "", 3*time.Second)
+	status, state := w.call(n, http.MethodGet, "/q/"+id, "", 3*time.Second)
 	return fmt.Sprintf("LOST: %d ms after its acceptance the job has nothing at work and had nothing, and all of the service's capacity is free; it is answered with %d %s",
-		time.Since(at).Milliseconds(), status, body), nil
+		time.Since(at).Milliseconds(), status, state), nil
 }
 
+// leaveWorkers is the number of workers beside the one that is cut off, of a share of 0.2.
+const leaveWorkers = 4
+
 // playLeave has a worker that is restarted in an orderly way while the path to its side process is cut. The message that the
-// earlier life leaves arrives after the heartbeat of the next one.
+// earlier life leaves arrives after the heartbeat of the next one. A job requires a label that this worker alone has.
 func playLeave(w *world, trouble bool) (string, error) {
-	fronts, workers, err := w.small(1, 1)
+	fronts, workers, err := w.small(1, leaveWorkers)
 	if err != nil {
 		return "", err
 	}
-	k := workers[0]
+	k, err := w.addLabelled(leaveWorkers+1, "b")
+	if err != nil {
+		return "", err
+	}
+	workers = append(workers, k)
+	time.Sleep(contact)
 	p, err := newProxy(k.control)
 	if err != nil {
 		return "", err
@@ -70,14 +78,14 @@
 	time.Sleep(2 * time.Second)
 	k.end()
 	time.Sleep(500 * time.Millisecond)
-	k.begin("i-001", 0)
+	k.begin(k.life.id, 0)
 	time.Sleep(1400 * time.Millisecond)
 	if trouble {
 		w.rec("trouble: the path is whole again")
 		p.setCut(false)
 	}
 	time.Sleep(4*time.Second + 2*contact)
-	return w.judgeLost(fronts[0], workers)
+	return w.judgeLost(fronts[0], workers, `{"spec":"ms=300","steps":[{"count":1,"cpu":500,"mem_mb":100,"est_ms":300,"requires":"b"}]}`)
 }
 
 // playBorn has a worker that crashes twice while the time of day of its machine jumps ahead and back.
@@ -105,5 +113,5 @@
 	time.Sleep(500 * time.Millisecond)
 	k.begin("i-001", 0)
 	time.Sleep(2 * contact)
-	return w.judgeLost(fronts[0], workers)
+	return w.judgeLost(fronts[0], workers, ordinary(300))
 }
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -30,6 +30,10 @@
 	disturbed float64
 	// load is the load of the serving tasks on this worker, from 0 to 1.
 	load float64
+	// label is what the worker is beside its rack.
+	label string
+	// quiet leaves starts and ends of runs out of the record.
+	quiet bool
 	// onStop is called before a run is ended by an order; nil for none. It may not use the worker.
 	onStop func(task string, r *workerRun)
 	// onStart is called for each start; nil for none. It may not use the worker.
@@ -127,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &worker{w: w, address: a, cpu: cpu, ln: ln, starts: map[string]int{}}
+	k := &worker{w: w, address: a, cpu: cpu, ln: ln, starts: map[string]int{}, label: "a"}
 	go func() { _ = (&http.Server{Handler: k}).Serve(ln) }()
 	go k.tick()
 	return k, nil
@@ -181,8 +185,8 @@
 	if l.draining {
 		state, remaining = "draining", `"remaining_ms":2000,`
 	}
-	body := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"v1","slots":8,"state":%q,%s"cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":64000,"gpu":0},"labels":["a","r1-1"],"clock_ms":%d,"seq":%d,"born":%d}`,
-		service, k.address, zone, state, remaining, k.cpu, l.clock(), seq, l.born)
+	body := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"v1","slots":8,"state":%q,%s"cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":64000,"gpu":0},"labels":[%q,"r1-1"],"clock_ms":%d,"seq":%d,"born":%d}`,
+		service, k.address, zone, state, remaining, k.cpu, k.label, l.clock(), seq, l.born)
 	control := k.control
 	k.mu.Unlock()
 	resp, err := client.Post("http://"+control+"/-/Instances.Heartbeat/"+l.id, "application/json", strings.NewReader(body))
@@ -247,7 +251,9 @@
 	l.ended = append(l.ended, []any{l.number, task, r.run, how, ""})
 	close(l.changed)
 	l.changed = make(chan struct{})
-	k.w.rec("worker %s: %s run %d ended %s", k.address, task, r.run, how)
+	if !k.quiet {
+		k.w.rec("worker %s: %s run %d ended %s", k.address, task, r.run, how)
+	}
 }
 
 type workerCall struct {
@@ -370,7 +376,9 @@
 	}
 	l.runs[c.Task] = r
 	k.starts[c.Task]++
-	k.w.rec("worker %s: %s run %d starts", k.address, c.Task, c.Run)
+	if !k.quiet {
+		k.w.rec("worker %s: %s run %d starts", k.address, c.Task, c.Run)
+	}
 	if k.onStart != nil {
 		k.onStart(c.Task)
 	}
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -389,11 +389,15 @@
 }
 
 // addWorker starts a side process and its worker.
-func (w *world) addWorker(number int) (*worker, error) {
+func (w *world) addWorker(number int) (*worker, error) { return w.addLabelled(number, "a") }
+
+// addLabelled starts a side process and its worker, which has a label.
+func (w *world) addLabelled(number int, label string) (*worker, error) {
 	k, err := w.newWorker(16000)
 	if err != nil {
 		return nil, err
 	}
+	k.label = label
 	s, err := w.addSide(fmt.Sprintf("side-%03d", number), k)
 	if err != nil {
 		return nil, err
