--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec target/review-2 schedule target/verbenakeel-fleet review/6/record.txt
+exec target/review-2 progress target/verbenakeel-fleet review/6/record.txt
