--- a/review/standin2/case_progress.go
+++ b/review/standin2/case_progress.go
@@ -80,5 +80,35 @@
 		}
 		w.rec("check: %d starts of the job; the largest record has %d bytes, %d appends were refused", starts, largest.Load(), refused.Load())
 	}
-	return w.judgeLost(fronts[1], workers, ordinary(300))
+	w.recordRuns(workers, first)
+	return w.judgeLost(fronts[1], workers, workers, ordinary(300))
+}
+
+// recordRuns records which tasks of a job were run, in place of a line for each start.
+func (w *world) recordRuns(workers []*worker, id string) {
+	type tally struct{ tasks, starts, lowest, highest int }
+	steps := map[int]*tally{}
+	for _, k := range workers {
+		k.mu.Lock()
+		for task, starts := range k.starts {
+			var occurrence, step, index int
+			if n, _ := fmt.Sscanf(task, id+".%d.%d.%d", &occurrence, &step, &index); n != 3 {
+				continue
+			}
+			if steps[step] == nil {
+				steps[step] = &tally{lowest: occurrence, highest: occurrence}
+			}
+			t := steps[step]
+			t.tasks, t.starts = t.tasks+1, t.starts+starts
+			t.lowest, t.highest = min(t.lowest, occurrence), max(t.highest, occurrence)
+		}
+		k.mu.Unlock()
+	}
+	for step := range 2 {
+		if t := steps[step]; t != nil {
+			w.rec("run: step %d of %s: %d tasks with %d starts, of the occurrences %d to %d", step, id, t.tasks, t.starts, t.lowest, t.highest)
+		} else {
+			w.rec("run: step %d of %s: none", step, id)
+		}
+	}
 }
