dispatch: bound the calls to the adviser by what it can answer

Cause: a step was asked for once a second whether or not its last call was answered, each call was given up after a constant 2 s, and the adviser also handles calls that were given up, one after the other. Once 2 s of calls waited it answered nobody any more.

Ruled out: capacity of the adviser (the usual traffic uses half of it and 14 s without traffic changed nothing), tickets that expire before use (no start was refused), the runner (the simulation without it shows the same).

Change: steps wait for their call in the decider. At most two calls are outstanding, at most one for a step, by priority and then by the longest wait. The timeout follows from decide_ms and each_ms of the queue, the workers named and the calls before it; after a failure one call at a time tests the adviser. The end of each call is reported to the state machine. A histogram of the calls and the inputs in event 851 tell a slow adviser from one that is out.

--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sort"
 	"time"
-
-	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
 const (
@@ -64,6 +62,7 @@
 	for _, st := range readyStages {
 		s.placeStage(st)
 	}
+	s.askAdviser(readyStages)
 }
 
 // placeStage places the waiting tasks of a stage.
@@ -71,7 +70,7 @@
 	if s.shedsStarts(st) {
 		return
 	}
-	if s.queue(st.job).Advice != nil && !s.hasTickets(st) {
+	if s.queue(st.job).Advice != nil && !s.hasTicket(st) {
 		return
 	}
 	if st.step.Gang {
@@ -351,81 +350,3 @@
 	}
 	return c + spreadWeight*float64(w.committedCPU+w.bestEffortCPU)/cpu
 }
-
-// hasTickets reports whether the stage has valid tickets. It asks the adviser if none are valid or the last query is
-// older than adviserRetryMs.
-func (s *State) hasTickets(st *stage) bool {
-	valid := 0
-	for instance, tk := range st.tickets {
-		w := s.workers[instance]
-		if w != nil && w.info != nil && w.info.Incarnation == tk.incarnation && s.now.BootMs < tk.expiresMs {
-			valid++
-		}
-	}
-	if valid > 0 && s.now.BootMs-st.askedMs < adviserRetryMs {
-		return true
-	}
-	if s.now.BootMs-st.askedMs >= adviserRetryMs {
-		s.askAdviser(st)
-	}
-	return valid > 0
-}
-
-const (
-	// adviserRetryMs is the time after which the adviser is asked again for a step that still has waiting tasks.
-	adviserRetryMs = 1000
-	// maxWorkersPerQuery is the maximum number of workers in one question.
-	maxWorkersPerQuery = 100
-)
-
-// askAdviser asks the adviser about the workers that could run a step.
-func (s *State) askAdviser(st *stage) {
-	q := Question{Step: st.stepName(), Workers: map[string]string{}}
-	for _, w := range s.sortedWorkers {
-		if len(q.Workers) < maxWorkersPerQuery && s.schedulable(w) && w.info.Service == s.queue(st.job).Service &&
-			(st.step.Requires == "" || hasLabel(w, st.step.Requires)) {
-			q.Workers[w.info.Incarnation.ID] = w.instance
-		}
-	}
-	if len(q.Workers) == 0 {
-		return
-	}
-	st.askedMs = s.now.BootMs
-	s.effects.Questions = append(s.effects.Questions, q)
-}
-
-// AdviceReceived is the adviser's answer.
-type AdviceReceived struct {
-	// Step is the step of the question.
-	Step string
-	// Tickets maps instances to permissions.
-	Tickets map[string]string
-	// IDs maps instances to the ids of the workers that the permissions are for.
-	IDs map[string]string
-	// ValidMs is the validity of the tickets.
-	ValidMs int64
-}
-
-// ticketMarginMs is subtracted from the validity of a ticket to allow for its delivery to the worker.
-const ticketMarginMs = 300
-
-func (e AdviceReceived) apply(s *State) {
-	n, ok := work.ParseTaskName(e.Step + ".0")
-	if !ok || s.jobs[n.Job] == nil {
-		return
-	}
-	st := s.jobs[n.Job].stage(n.Occurrence, n.Step)
-	if st == nil {
-		return
-	}
-	st.tickets = map[string]ticket{}
-	for instance, text := range e.Tickets {
-		w := s.workers[instance]
-		if w == nil || w.info == nil || w.info.Incarnation.ID != e.IDs[instance] {
-			continue
-		}
-		st.tickets[instance] = ticket{incarnation: w.info.Incarnation, text: text, expiresMs: s.now.BootMs + e.ValidMs - ticketMarginMs}
-	}
-	st.exhaustedPass = 0
-	s.placePending = true
-}
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -57,6 +57,8 @@
 	delayedStarts []delayedStart
 	// replaced holds deciders that do not know yet that another one has claimed.
 	replaced []replacedDecider
+	// adviser answers the questions of the decider; nil if no queue needs it.
+	adviser *simAdviser
 }
 
 // replacedDecider is a decider that was frozen or waits for the answer of the store, while another one has claimed. The
@@ -236,6 +238,11 @@
 			}
 		}
 	}
+	if sim.adviser != nil {
+		for _, q := range eff.Questions {
+			sim.adviser.call(sim, q)
+		}
+	}
 }
 
 func (sim *simulation) handleOrders(sw *simWorker, o link.Orders) {
@@ -397,6 +404,9 @@
 // advance advances the simulation by one step.
 func (sim *simulation) advance() {
 	sim.now += stepMs
+	if sim.adviser != nil {
+		sim.adviser.answer(sim)
+	}
 	sim.runDelayedStarts()
 	sim.runReplacedDeciders()
 	for _, sw := range sim.workers {
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -8,6 +8,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/verbenakeel/verbenakeel/fleet/bounds"
 	"github.com/verbenakeel/verbenakeel/fleet/estimate"
@@ -105,8 +106,10 @@
 	gangCheckpoint string
 	// tickets holds the adviser's permissions by instance.
 	tickets map[string]ticket
-	// askedMs is when the adviser was last asked.
-	askedMs int64
+	// asking is true while a call to the adviser for the stage is outstanding. askedMs is when it was last asked, and askAfterMs
+	// when it may be asked next.
+	asking              bool
+	askedMs, askAfterMs int64
 }
 
 // ticket is the adviser's permission to run a step on one incarnation of a worker.
@@ -195,6 +198,7 @@
 	evacuatedZones map[string]bool
 	interference   interferenceModel
 	backlog        backlog
+	adviser        adviserCalls
 	durations      *estimate.Model
 	sizes          map[string]*sizeBalance // by queue
 	// loadPeriod is the period that the loads of the long-running jobs have in common.
@@ -243,7 +247,7 @@
 	Orders []SideOrders
 	// Decisions are log entries on decisions.
 	Decisions []Decision
-	// Questions go to the adviser.
+	// Questions go to the adviser. Each of them is followed by an AdviceReceived or an AdviceFailed event.
 	Questions []Question
 }
 
@@ -259,6 +263,8 @@
 	Step string
 	// Workers maps worker ids to their instances.
 	Workers map[string]string
+	// Timeout is how long the call may take, at least 2 s. The runner reports AdviceReceived or AdviceFailed within it.
+	Timeout time.Duration
 }
 
 // Decision is a log entry on a decision.
@@ -300,7 +306,7 @@
 func New(b bounds.Bounds, epoch uint64, now Now, o Options) *State {
 	return &State{bounds: b, options: o, loadPeriod: forecast.NewPeriod(), now: now, epoch: epoch, claimedMs: now.BootMs, jobs: map[string]*job{}, finished: map[string]int64{},
 		queues: map[string]work.Queue{}, queueServices: map[string]map[string]bool{}, services: map[string]work.Service{},
-		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), durations: estimate.New(), sizes: map[string]*sizeBalance{}, pendingAcks: map[string]bool{},
+		workers: map[string]*worker{}, evacuatedZones: map[string]bool{}, interference: newInterferenceModel(), adviser: newAdviserCalls(), durations: estimate.New(), sizes: map[string]*sizeBalance{}, pendingAcks: map[string]bool{},
 		backlog: backlog{enabled: o.PublishBacklog}}
 }
 
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -324,30 +324,6 @@
 // sideAddressChanged is called when the address of a side process has been read.
 func (d *decider) sideAddressChanged(a work.ProcessAddress) { d.post(func() { d.connectSide(a) }) }
 
-// askAdviser asks the adviser which of the workers may run a step.
-func (d *decider) askAdviser(q dispatch.Question) {
-	ids := make([]string, 0, len(q.Workers))
-	for id := range q.Workers {
-		ids = append(ids, id)
-	}
-	if d.entry.adviser == nil {
-		d.entry.log.Log(logevent.AdviserUnavailable, logevent.Str("step", q.Step), logevent.Str("reason", "no adviser is configured"))
-		return
-	}
-	tickets, valid, err := d.entry.adviser.RequestTickets(d.ctx, q.Step, ids)
-	if err != nil {
-		d.entry.log.Log(logevent.AdviserUnavailable, logevent.Str("step", q.Step), logevent.Err(err))
-		return
-	}
-	answer := dispatch.AdviceReceived{Step: q.Step, Tickets: map[string]string{}, IDs: map[string]string{}, ValidMs: valid}
-	for id, text := range tickets {
-		if instance, ok := q.Workers[id]; ok {
-			answer.Tickets[instance], answer.IDs[instance] = text, id
-		}
-	}
-	d.post(func() { d.applyEvent(answer) })
-}
-
 // resign hands over to another decider if this entry is the decider.
 func (e *Entry) resign() {
 	d := e.currentDecider()
--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -40,6 +40,8 @@
 	fault platformtest.Fault
 	// only restricts the fault to a path; empty means all.
 	only string
+	// adviser is the address of the adviser; empty for none.
+	adviser string
 	// wrap changes the store of the entries that are started; nil for none.
 	wrap func(work.Store) work.Store
 }
@@ -77,6 +79,7 @@
 	set.LoadForecast = settings.ForecastHarmonic
 	set.Instance, set.Zone, set.Service = name, "a", "s"
 	set.Public, set.Ready, set.Control, set.Peer, set.Store = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", s.addr
+	set.Adviser = s.adviser
 	set.Bounds = set.Bounds.Derive()
 	return set
 }
--- a/fleet/entry/metrics.go
+++ b/fleet/entry/metrics.go
@@ -17,6 +17,7 @@
 	request   telemetry.Histogram
 	store     telemetry.Histogram
 	eventWait telemetry.Histogram
+	adviser   telemetry.Histogram
 	decisions telemetry.Counter
 	refused   telemetry.Counter
 	intake    *intake.Meters
@@ -40,6 +41,9 @@
 	if m.eventWait, err = r.Histogram(telemetry.FleetEventWait); err != nil {
 		return nil, err
 	}
+	if m.adviser, err = r.Histogram(telemetry.FleetAdviser); err != nil {
+		return nil, err
+	}
 	if m.decisions, err = r.Counter(telemetry.FleetDecisions); err != nil {
 		return nil, err
 	}
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -54,8 +54,15 @@
 type Advice struct {
 	// ValidMs is how long a ticket is valid.
 	ValidMs int64 `cbor:"1,keyasint"`
+	// DecideMs is how long the adviser takes for a call, and EachMs how much longer for each worker that the call names, both
+	// in milliseconds. Records of earlier versions have neither.
+	DecideMs float64 `cbor:"2,keyasint,omitempty"`
+	EachMs   float64 `cbor:"3,keyasint,omitempty"`
 }
 
+// CallMs returns how long the adviser takes for a call that names workers, in milliseconds.
+func (a *Advice) CallMs(workers int) float64 { return a.DecideMs + a.EachMs*float64(workers) }
+
 // Service is a pool of workers.
 type Service struct {
 	Name string
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -117,6 +117,8 @@
 		"time of calls to the store; outcome is done, refused or unknown", "call", "outcome")
 	FleetEventWait = define(HistogramKind, EntryRole, "decider_event_wait_seconds",
 		"time that an event waits for the decider's loop; a decider that falls behind shows here first")
+	FleetAdviser = define(HistogramKind, EntryRole, "adviser_call_duration_seconds",
+		"time of calls to the adviser; outcome is done or failed", "outcome")
 	FleetDecisions    = define(CounterKind, EntryRole, "decisions_total", "decisions of this decider", "kind")
 	FleetDeciding     = define(GaugeKind, EntryRole, "deciding", "1 while this entry decides")
 	IntakeBytes       = define(GaugeKind, BothRoles, "intake_bytes", "buffers of requests and messages that are read or carried out, in bytes")
