dispatch: ask the adviser about every worker and keep what it said

Cause: a call names at most a hundred workers, and each call for a step named the same ones, the first by name. An answer replaced what was known.

A step that waits for room has its ticket renewed ahead while the adviser is idle; otherwise it loses the room to steps that need none. An answer that is cut or malformed denies nothing, and one about an earlier life of a worker is not used.

--- a/fleet/dispatch/adviser.go
+++ b/fleet/dispatch/adviser.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
@@ -22,14 +23,15 @@
 	// adviserBackoffMs is the pause after a failed call. It doubles with each further failure up to maxAdviserBackoffMs.
 	adviserBackoffMs    = 250
 	maxAdviserBackoffMs = 2000
-	// adviserRetryMs is the time after which the adviser is asked again for a step that still has waiting tasks.
-	adviserRetryMs = 1000
-	// adviserRescanMs is the time after which a step is compared with the workers again if there was none to ask about.
+	// adviserRescanMs is the time after which a step is compared with the workers again if there was none to ask about, and
+	// rescanMsPerWorker is added for each worker.
 	adviserRescanMs = 100
-	// maxWorkersPerQuery is the maximum number of workers in one question.
-	maxWorkersPerQuery = 100
-	// ticketMarginMs is subtracted from the validity of a ticket to allow for its delivery to the worker.
-	ticketMarginMs = 300
+	// maxAdviserScans is the number of steps that one placement pass compares with all workers to ask about those that have room,
+	// and maxAheadScans the number that it compares to ask about any.
+	maxAdviserScans = 6
+	maxAheadScans   = 2
+	// renewalIntervalMs is the minimum time between two comparisons of a step that waits for room.
+	renewalIntervalMs = 1000
 )
 
 // adviserCalls tracks the outstanding calls to the adviser. Steps wait here, in order, for their call: a call that is sent to an
@@ -80,34 +82,37 @@
 	a.notBeforeMs = nowMs + backoff
 }
 
-// hasTicket reports whether the stage has a valid ticket.
-func (s *State) hasTicket(st *stage) bool {
-	for instance, tk := range st.tickets {
-		w := s.workers[instance]
-		if w != nil && w.info != nil && w.info.Incarnation == tk.incarnation && s.now.BootMs < tk.expiresMs {
-			return true
+// askAdviser asks the adviser for the stages that still have waiting tasks, as many as may be asked for now.
+func (s *State) askAdviser() {
+	waiting := s.advisedStages[:0]
+	for _, st := range s.advisedStages {
+		if st.waiting > 0 && (st.advice == nil || st.advice.asked == nil) {
+			waiting = append(waiting, st)
 		}
 	}
-	return false
-}
-
-// askAdviser asks the adviser for the stages that still have waiting tasks, as many as may be asked for now.
-func (s *State) askAdviser(readyStages []*stage) {
-	for s.adviser.mayCall(s.now.BootMs) {
-		next := s.nextToAdvise(readyStages)
-		if next == nil {
-			return
+	clear(s.advisedStages[len(waiting):])
+	s.advisedStages = waiting
+	for scans := 0; scans < maxAdviserScans && s.adviser.mayCall(s.now.BootMs); scans++ {
+		st := s.nextToAdvise()
+		if st == nil {
+			break
 		}
-		s.askAdviserFor(next)
+		workers := s.unadvisedWorkers(st, false)
+		st.consideredMs = s.now.BootMs
+		st.askAfterMs = s.now.BootMs + adviserRescanMs + rescanMsPerWorker*int64(len(s.sortedWorkers))
+		s.ask(st, workers)
+	}
+	if len(s.adviser.outstanding) == 0 && s.adviser.mayCall(s.now.BootMs) {
+		s.askAhead()
 	}
 }
 
-// nextToAdvise returns the stage for which the adviser is asked next, or nil: of those with the highest priority the one that has
-// waited longest since it was due or was last asked for, so that no step is passed over for good.
-func (s *State) nextToAdvise(readyStages []*stage) *stage {
+// nextToAdvise returns the stage to ask for next if a worker has room for it, or nil: of those with the highest priority the one that
+// has waited longest since it was due or was last considered, so that no step is passed over for good.
+func (s *State) nextToAdvise() *stage {
 	var next *stage
-	for _, st := range readyStages {
-		if st.waiting == 0 || st.asking || s.now.BootMs < st.askAfterMs || s.queue(st.job).Advice == nil || s.shedsStarts(st) {
+	for _, st := range s.advisedStages {
+		if s.now.BootMs < st.askAfterMs || st.advice != nil && st.advice.asked != nil {
 			continue
 		}
 		if next == nil || st.job.rank.priority < next.job.rank.priority ||
@@ -118,26 +123,50 @@
 	return next
 }
 
-// lacksAdviceSinceMs returns since when the stage has waited without being asked for.
-func (st *stage) lacksAdviceSinceMs() int64 { return max(st.dueMs, st.waitingSinceMs, st.askedMs) }
+// lacksAdviceSinceMs returns since when the stage has waited without being considered.
+func (st *stage) lacksAdviceSinceMs() int64 {
+	return max(st.dueMs, st.waitingSinceMs, st.consideredMs)
+}
 
-// askAdviserFor asks the adviser about the workers that could run a step.
-func (s *State) askAdviserFor(st *stage) {
-	queue := s.queue(st.job)
-	q := Question{Step: st.stepName(), Workers: map[string]string{}}
-	for _, w := range s.sortedWorkers {
-		if len(q.Workers) < maxWorkersPerQuery && s.schedulable(w) && w.info.Service == queue.Service &&
-			(st.step.Requires == "" || hasLabel(w, st.step.Requires)) {
-			q.Workers[w.info.Incarnation.ID] = w.instance
+// askAhead asks for the first stage in the placement order that waits for room and has no valid ticket. Without one it would lose
+// the next room to a step that needs none, whatever its rank.
+func (s *State) askAhead() {
+	scans := 0
+	for _, st := range s.advisedStages {
+		if s.now.BootMs < st.askAheadAfterMs || s.hasTicket(st) {
+			continue
+		}
+		if scans++; scans > maxAheadScans {
+			return
+		}
+		st.askAheadAfterMs = s.now.BootMs + renewalIntervalMs
+		if s.ask(st, s.unadvisedWorkers(st, true)) {
+			return
 		}
 	}
-	if len(q.Workers) == 0 {
-		st.askAfterMs = s.now.BootMs + adviserRescanMs
-		return
+}
+
+// ask asks the adviser about workers that could run a step, and reports whether there are any.
+func (s *State) ask(st *stage, workers []unadvised) bool {
+	if len(workers) == 0 {
+		return false
+	}
+	if st.advice == nil {
+		st.advice = newAdvice()
 	}
-	st.asking, st.askedMs, st.askAfterMs = true, s.now.BootMs, s.now.BootMs+adviserRetryMs
-	q.Timeout = s.adviser.begin(q.Step, queue.Advice.CallMs(len(q.Workers)))
+	q := Question{Step: st.stepName(), Workers: map[string]string{}}
+	st.advice.asked = map[string]link.Incarnation{}
+	for _, u := range workers {
+		incarnation := u.worker.info.Incarnation
+		if _, taken := q.Workers[incarnation.ID]; taken {
+			continue // two instances that report one id; an answer is for one of them
+		}
+		q.Workers[incarnation.ID] = u.worker.instance
+		st.advice.asked[u.worker.instance] = incarnation
+	}
+	q.Timeout = s.adviser.begin(q.Step, s.queue(st.job).Advice.CallMs(len(q.Workers)))
 	s.effects.Questions = append(s.effects.Questions, q)
+	return true
 }
 
 // findStep returns the stage of the step that a question names, or nil.
@@ -159,25 +188,19 @@
 	IDs map[string]string
 	// ValidMs is the validity of the tickets.
 	ValidMs int64
+	// Complete is true if the answer covers all workers of the question: one without a ticket may not run the step.
+	Complete bool
 }
 
 func (e AdviceReceived) apply(s *State) {
 	s.adviser.answered(e.Step)
 	s.placePending = true
 	st := s.findStep(e.Step)
-	if st == nil {
+	if st == nil || st.advice == nil {
 		return
 	}
-	st.asking = false
-	st.tickets = map[string]ticket{}
-	for instance, text := range e.Tickets {
-		w := s.workers[instance]
-		if w == nil || w.info == nil || w.info.Incarnation.ID != e.IDs[instance] {
-			continue
-		}
-		st.tickets[instance] = ticket{incarnation: w.info.Incarnation, text: text, expiresMs: s.now.BootMs + e.ValidMs - ticketMarginMs}
-	}
-	st.exhaustedPass = 0
+	st.advice.record(s, e)
+	st.askAfterMs, st.exhaustedPass = 0, 0
 }
 
 // AdviceFailed means that the call for a step has failed or was given up. The adviser may still handle it.
@@ -189,7 +212,7 @@
 func (e AdviceFailed) apply(s *State) {
 	s.adviser.failed(e.Step, s.now.BootMs)
 	s.placePending = true
-	if st := s.findStep(e.Step); st != nil {
-		st.asking = false
+	if st := s.findStep(e.Step); st != nil && st.advice != nil {
+		st.advice.asked, st.askAfterMs = nil, 0
 	}
 }
--- a/fleet/dispatch/adviser_test.go
+++ b/fleet/dispatch/adviser_test.go
@@ -112,7 +112,7 @@
 }
 
 func (a *simAdviser) reply(q Question) Event {
-	e := AdviceReceived{Step: q.Step, Tickets: map[string]string{}, IDs: map[string]string{}, ValidMs: a.validMs}
+	e := AdviceReceived{Step: q.Step, Tickets: map[string]string{}, IDs: map[string]string{}, ValidMs: a.validMs, Complete: true}
 	for id, instance := range q.Workers {
 		if a.permits == nil || a.permits(q.Step, id) {
 			e.Tickets[instance], e.IDs[instance] = "ticket", id
--- a/fleet/dispatch/batch.go
+++ b/fleet/dispatch/batch.go
@@ -103,9 +103,7 @@
 			t.throttledMs = s.now.BootMs
 		}
 	}
-	if tk, ok := t.stage.tickets[t.worker.instance]; ok {
-		o.Ticket = tk.text
-	}
+	o.Ticket = t.stage.advice.ticketText(t.worker)
 	return o
 }
 
--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -89,6 +89,9 @@
 		}
 	}
 	s.learnStage(st)
+	if st.done == len(st.tasks) {
+		st.advice = nil
+	}
 	s.markDirty(st.job)
 	s.placePending = true
 	s.finalizeJob(st.job)
@@ -152,7 +155,7 @@
 		case link.ReasonNoCapacity:
 			w.health.recordFull(s.now.BootMs)
 		case link.ReasonTicket:
-			delete(t.stage.tickets, w.instance)
+			t.stage.advice.dropTicket(w)
 		case link.ReasonStale:
 			// The run was already active here; the lists show how it ended.
 			continue
--- a/fleet/dispatch/obstacle.go
+++ b/fleet/dispatch/obstacle.go
@@ -25,14 +25,15 @@
 	ObstacleService Obstacle = "other_service"
 	// ObstacleLabel means that the worker lacks the label that the step requires.
 	ObstacleLabel Obstacle = "label"
-	// ObstaclePermission means that the adviser has not permitted the step on the worker.
-	ObstaclePermission Obstacle = "no_permission"
 	// ObstacleLimit means that the step has as many tasks on the worker as it may have.
 	ObstacleLimit Obstacle = "limit_per_worker"
 	// ObstacleCPU means that too much CPU is reserved or used.
 	ObstacleCPU Obstacle = "cpu"
 	// ObstacleHeadroom means that a best-effort task would get too little CPU beside the latency-critical tasks.
 	ObstacleHeadroom Obstacle = "no_headroom"
+	// ObstaclePermission means that the adviser has not permitted the step on the worker, or that the ticket has expired. It is
+	// examined last: nothing else keeps the worker from the task.
+	ObstaclePermission Obstacle = "no_permission"
 )
 
 // unavailability returns why the worker may not be given any new task.
@@ -76,32 +77,30 @@
 	if st.Requires != "" && !hasLabel(w, st.Requires) {
 		return ObstacleLabel
 	}
-	if q.Advice != nil {
-		tk, ok := t.stage.tickets[w.instance]
-		if !ok || tk.incarnation != w.info.Incarnation || s.now.BootMs >= tk.expiresMs {
-			return ObstaclePermission
-		}
-	}
 	if st.MaxPerWorker != 0 && s.countSameStage(t, w) >= st.MaxPerWorker {
 		return ObstacleLimit
 	}
+	if q.Advice != nil && !s.holdsTicket(t.stage, w) {
+		return ObstaclePermission
+	}
 	return noObstacle
 }
 
 // assess returns the placement cost of a task that is not on the worker, without the cost of the instance that the task
-// avoids, or what keeps the worker from it.
+// avoids, or what keeps the worker from it. The cost is also returned if that is only the adviser's permission.
 func (s *State) assess(t *task, w *worker) (float64, Obstacle) {
 	if o := s.unavailability(w); o != noObstacle {
 		return 0, o
 	}
-	if o := s.misfit(t, w); o != noObstacle {
-		return 0, o
+	permission := s.misfit(t, w)
+	if permission != noObstacle && permission != ObstaclePermission {
+		return 0, permission
 	}
 	if !t.stage.step.BestEffort {
 		if w.committedCPU+t.stage.step.CPU > w.info.CPU {
 			return 0, ObstacleCPU
 		}
-		return s.baseCost(t, w, 1), noObstacle
+		return s.baseCost(t, w, 1), permission
 	}
 	if w.unusedCPU() < minDemandShare*float64(t.stage.step.CPU) {
 		return 0, ObstacleCPU
@@ -110,5 +109,5 @@
 	if !shares.suffice() {
 		return 0, ObstacleHeadroom
 	}
-	return s.baseCost(t, w, shares.expected), noObstacle
+	return s.baseCost(t, w, shares.expected), permission
 }
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -59,10 +59,11 @@
 	}
 	s.rankIfStale(jobs)
 	slices.SortStableFunc(readyStages, func(a, b *stage) int { return a.job.rank.compare(b.job.rank) })
+	s.advisedStages = s.advisedStages[:0]
 	for _, st := range readyStages {
 		s.placeStage(st)
 	}
-	s.askAdviser(readyStages)
+	s.askAdviser()
 }
 
 // placeStage places the waiting tasks of a stage.
@@ -70,8 +71,11 @@
 	if s.shedsStarts(st) {
 		return
 	}
-	if s.queue(st.job).Advice != nil && !s.hasTicket(st) {
-		return
+	if s.queue(st.job).Advice != nil {
+		s.advisedStages = append(s.advisedStages, st)
+		if !s.hasTicket(st) {
+			return
+		}
 	}
 	if st.step.Gang {
 		s.placeGang(st)
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -104,19 +104,11 @@
 	gangRun int
 	// gangCheckpoint is the newest known checkpoint of a gang, from any of its members. All members of a run start with it.
 	gangCheckpoint string
-	// tickets holds the adviser's permissions by instance.
-	tickets map[string]ticket
-	// asking is true while a call to the adviser for the stage is outstanding. askedMs is when it was last asked, and askAfterMs
-	// when it may be asked next.
-	asking              bool
-	askedMs, askAfterMs int64
-}
-
-// ticket is the adviser's permission to run a step on one incarnation of a worker.
-type ticket struct {
-	incarnation link.Incarnation
-	text        string
-	expiresMs   int64
+	// advice is what is known of the adviser's policy for the stage; nil if it was not asked for.
+	advice *advice
+	// consideredMs is when the stage was last compared with the workers to ask the adviser about them. askAfterMs and askAheadAfterMs
+	// are when it may next be compared with those that have room, and with all.
+	consideredMs, askAfterMs, askAheadAfterMs int64
 }
 
 // task is one task of a stage.
@@ -234,9 +226,9 @@
 	poolFullAtMs   int64
 	// overload tells what is not done because the decider is behind.
 	overload overload
-	// readyStages and unfinishedJobs are buffers of place.
-	readyStages    []*stage
-	unfinishedJobs []*job
+	// readyStages, advisedStages and unfinishedJobs are buffers of place.
+	readyStages, advisedStages []*stage
+	unfinishedJobs             []*job
 
 	effects Effects
 }
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -41,6 +41,8 @@
 	connected, listed, leaving bool
 	// unresponsiveMs is for how long the worker had not answered its side process as of the last report.
 	unresponsiveMs int64
+	// lives counts incarnations of the worker under this decider.
+	lives int
 	// fenceSeq counts connections to the side process and incarnations of the worker under this decider.
 	fenceSeq int
 	// ordersSent counts messages with orders on this connection.
@@ -267,6 +269,7 @@
 		}
 	}
 	s.raiseFence(w)
+	w.lives++
 	w.info, w.listed, w.lastCompletion, w.ackedCompletion, w.unresponsiveMs = info, false, 0, 0, 0
 	w.unknownRuns = map[string]int{}
 	w.health = health{}
--- a/fleet/entry/adviser.go
+++ b/fleet/entry/adviser.go
@@ -43,12 +43,12 @@
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, q.Timeout)
 	defer cancel()
-	tickets, valid, err := d.entry.adviser.RequestTickets(ctx, q.Step, ids)
+	advice, err := d.entry.adviser.RequestTickets(ctx, q.Step, ids)
 	if err != nil {
 		return dispatch.AdviceReceived{}, err
 	}
-	answer := dispatch.AdviceReceived{Step: q.Step, Tickets: map[string]string{}, IDs: map[string]string{}, ValidMs: valid}
-	for id, text := range tickets {
+	answer := dispatch.AdviceReceived{Step: q.Step, Tickets: map[string]string{}, IDs: map[string]string{}, ValidMs: advice.ValidMs, Complete: advice.Complete}
+	for id, text := range advice.Tickets {
 		if instance, ok := q.Workers[id]; ok {
 			answer.Tickets[instance], answer.IDs[instance] = text, id
 		}
