dispatch: keep the limit on unavailable tasks in the one place that stops runs

Cause: the limit was kept on one of the paths that stop runs by choice, moves of latency-critical tasks. The move of throttled tasks did not look at the other tasks of the step.

Ruled out: a second decider (one epoch in the simulation, same result), stops that are repeated (each is of another task), slow starts (the first task was started again 26 ms after its stop).

Change: each caller of stopRun names its cause, and causes by choice pass mayDisrupt: fewer others of the step than the limit may be away, as far as this decider has seen them at work for 1 s. Stops that cannot wait are exempt as the rule has it, and so are runs that are not at work. Moves of latency-critical tasks use the same count.

--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -85,7 +85,7 @@
 		if m == t && current || st.step.Gang && m.worker != nil && m.run == run {
 			s.release(m)
 		} else {
-			s.stopRun(m, "another run of the task finished first")
+			s.stopRun(m, stopRedundant, "another run of the task finished first")
 		}
 	}
 	s.learnStage(st)
@@ -135,7 +135,7 @@
 	st := t.stage
 	if st.step.Gang && t.phase != done {
 		for i := range st.tasks {
-			s.stopRun(&st.tasks[i], "another member of the gang ended")
+			s.stopRun(&st.tasks[i], stopGangEnded, "another member of the gang ended")
 		}
 	}
 	s.finalizeJob(st.job)
--- a/fleet/dispatch/health.go
+++ b/fleet/dispatch/health.go
@@ -121,10 +121,11 @@
 			continue
 		}
 		if s.stalled(w, t) {
-			stalled++
-			t.avoidInstance = w.instance
-			t.stalls++
-			s.stopRun(t, fmt.Sprintf("no progress at %d%% for %d ms", t.percent, s.now.BootMs-t.progressedMs))
+			if s.stopRun(t, stopStalled, fmt.Sprintf("no progress at %d%% for %d ms", t.percent, s.now.BootMs-t.progressedMs)) {
+				stalled++
+				t.avoidInstance = w.instance
+				t.stalls++
+			}
 			continue
 		}
 		s.moveIfSlow(w, t)
@@ -188,6 +189,6 @@
 	}
 	if to := s.choose(t, w); to != nil && to.health.slowdownFactor() == 1 {
 		t.avoidInstance = w.instance
-		s.stopRun(t, fmt.Sprintf("at %d%% after %d ms, %.0f ms left; elsewhere %.0f ms", t.percent, age, remainingMs, newRunMs))
+		s.stopRun(t, stopSlow, fmt.Sprintf("at %d%% after %d ms, %.0f ms left; elsewhere %.0f ms", t.percent, age, remainingMs, newRunMs))
 	}
 }
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -177,7 +177,7 @@
 	s.logDecision(Decision{Kind: DecisionJobFinished, Job: j.def.ID, Reason: state.String() + ": " + reason})
 	for _, st := range j.stages {
 		for i := range st.tasks {
-			s.stopRun(&st.tasks[i], reason)
+			s.stopRun(&st.tasks[i], stopJobEnded, reason)
 		}
 	}
 	s.finalizeJob(j)
--- a/fleet/dispatch/rebalance.go
+++ b/fleet/dispatch/rebalance.go
@@ -77,23 +77,28 @@
 }
 
 func (s *State) moveCritical(t *task, to *worker, gain float64) {
-	t.avoidInstance, t.moveTarget, t.moveUntilMs = t.worker.instance, to, s.now.BootMs+moveTimeoutMs
-	s.stopRun(t, fmt.Sprintf("%s has more similar tasks, co-location cost %.2f less", to.instance, gain))
+	from := t.worker.instance
+	if s.stopRun(t, stopRebalanced, fmt.Sprintf("%s has more similar tasks, co-location cost %.2f less", to.instance, gain)) {
+		t.avoidInstance, t.moveTarget, t.moveUntilMs = from, to, s.now.BootMs+moveTimeoutMs
+	}
 }
 
 // movable reports whether a latency-critical task may be stopped to be started elsewhere: it is up, and no other task
-// of its step is starting or stopping. If a step limits how many of its tasks may be down (MaxUnavailable), none may be down
-// for any reason.
+// of its step is starting or stopping. If a step limits how many of its tasks may be unavailable (MaxUnavailable), all others must
+// be at work.
 func (s *State) movable(t *task) bool {
 	if !s.isStable(t) {
 		return false
 	}
+	if t.stage.step.MaxUnavailable > 0 {
+		return s.unavailableBeside(t) == 0
+	}
 	for i := range t.stage.tasks {
 		o := &t.stage.tasks[i]
 		if o == t || o.phase == running && o.percent >= 100 {
 			continue
 		}
-		if o.phase != waiting || t.stage.step.MaxUnavailable > 0 {
+		if o.phase != waiting {
 			return false
 		}
 	}
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -44,6 +44,12 @@
 	done map[string]bool
 	// failures holds when the acknowledged runs of each task ended that failed.
 	failures map[string][]int64
+	// stopped holds the tasks whose last run an order has ended, until they are started again, and endedAt when the last run of a
+	// task ended for any cause.
+	stopped map[string]bool
+	endedAt map[string]int64
+	// stopsAtWork counts the runs of limited steps at work that an order has ended.
+	stopsAtWork int
 	// faultFree turns faults off, as at the end of a simulation.
 	faultFree bool
 	// periodicLoad makes the load of latency-critical tasks a wave, so that the decider predicts it.
@@ -146,7 +152,8 @@
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
-		cancels: map[string]int64{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failures: map[string][]int64{}}
+		cancels: map[string]int64{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failures: map[string][]int64{},
+		stopped: map[string]bool{}, endedAt: map[string]int64{}}
 	// Every other seed, so that the course of seedsThatFailed stays the same.
 	if seed%2 == 0 {
 		sim.options = allOptions
@@ -168,6 +175,9 @@
 	zone := string(rune('a' + sim.rng.IntN(3)))
 	sw.info = link.Worker{Incarnation: link.Incarnation{ID: "i-" + sw.instance, StartedMs: sim.now}, Service: "app", Zone: zone, CPU: 4000, MemMB: 16000,
 		Labels: []string{"a", fmt.Sprintf("r%s-1", "1")}}
+	for task := range sw.runs {
+		sim.endedAt[task] = sim.now
+	}
 	sw.runs, sw.completions, sw.lastCompletion, sw.ackedCompletion, sw.fence, sw.blocked = map[string]*simRun{}, nil, 0, 0, 0, map[string]int{}
 	sw.latestLease, sw.leasesExpiredAt, sw.endedAt = 0, map[int64]int{}, map[int64]int64{}
 }
@@ -335,13 +345,52 @@
 	sw.fence = fence
 	sw.blocked[st.Task] = max(sw.blocked[st.Task], st.Run)
 	if r := sw.runs[st.Task]; r != nil && r.run <= st.Run {
+		sim.checkUnavailable(sw, st.Task)
 		sim.end(sw, st.Task, link.Stopped)
+		sim.stopped[st.Task] = true
+	}
+}
+
+// noticeMs is how long a task may be away for any cause before the rule on AVAIL counts it.
+const noticeMs = 4500
+
+// checkUnavailable checks the rule on AVAIL when an order ends a run: of a step that limits how many of its tasks may be unavailable
+// fewer others are so, by an order or for longer than noticeMs.
+func (sim *simulation) checkUnavailable(sw *simWorker, stopped string) {
+	name, _ := work.ParseTaskName(stopped)
+	step := sim.stepOf(stopped)
+	if _, cancelled := sim.cancels[name.Job]; cancelled || step.MaxUnavailable == 0 || !step.LongRunning || sw.info.Draining ||
+		sw.runs[stopped].percent(sim.now) < 100 {
+		return
+	}
+	sim.stopsAtWork++
+	away := 0
+	for k := range step.Count {
+		name.Index = k
+		other := name.String()
+		if other != stopped && !sim.runs(other) && (sim.stopped[other] || sim.now-sim.endedAt[other] > noticeMs) {
+			away++
+		}
+	}
+	if away >= step.MaxUnavailable {
+		sim.t.Fatalf("%d: %s, which is at work on %s, is stopped while %d others of its step are away; it allows %d", sim.now, stopped, sw.instance, away, step.MaxUnavailable)
+	}
+}
+
+// runs reports whether a run of a task is active.
+func (sim *simulation) runs(task string) bool {
+	for _, sw := range sim.workers {
+		if sw.runs[task] != nil {
+			return true
+		}
 	}
+	return false
 }
 
 func (sim *simulation) end(sw *simWorker, name string, how link.Outcome) {
 	r := sw.runs[name]
 	delete(sw.runs, name)
+	sim.endedAt[name] = sim.now
 	sw.lastCompletion++
 	sw.blocked[name] = max(sw.blocked[name], r.run)
 	sw.leasesExpiredAt[sw.lastCompletion], sw.endedAt[sw.lastCompletion] = sw.leasesExpired, sim.now
@@ -398,6 +447,7 @@
 	}
 	sw.runs[st.Task] = r
 	sim.started[st.Task] = sim.now
+	delete(sim.stopped, st.Task)
 	sim.checkFailures(st.Task)
 }
 
--- a/fleet/dispatch/stops.go
+++ b/fleet/dispatch/stops.go
@@ -6,15 +6,41 @@
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 )
 
-// stopRun orders the task's run to stop.
-func (s *State) stopRun(t *task, reason string) {
+// stopCause is why a run is stopped.
+type stopCause uint8
+
+const (
+	// stopJobEnded stops the runs of a job that is cancelled or has failed, and stopRedundant runs of a task that is done.
+	stopJobEnded stopCause = iota
+	stopRedundant
+	// stopGangEnded stops the members of a gang of which one has ended.
+	stopGangEnded
+	// stopDraining stops a run that would end with its worker.
+	stopDraining
+	// stopStalled and stopSlow stop a run that makes no progress, or would end much sooner elsewhere.
+	stopStalled
+	stopSlow
+	// stopThrottled moves a best-effort task to a worker that has CPU for it, stopRebalanced a latency-critical one to where it is
+	// disturbed less.
+	stopThrottled
+	stopRebalanced
+)
+
+// byChoice reports whether a stop can be left out or come later. Such stops keep to MaxUnavailable.
+func (c stopCause) byChoice() bool { return c >= stopStalled }
+
+// stopRun orders the task's run to stop and reports whether it did. A stop by choice that the step does not allow now is left out.
+func (s *State) stopRun(t *task, cause stopCause, reason string) bool {
 	if t.worker == nil || t.phase == stopping {
-		return
+		return false
+	}
+	if cause.byChoice() && !s.mayDisrupt(t) {
+		return false
 	}
 	if !t.recorded {
 		// The start was never ordered; Committed skips it.
 		s.release(t)
-		return
+		return true
 	}
 	s.logTaskDecision(DecisionStop, t, reason)
 	if t.phase != done {
@@ -22,6 +48,35 @@
 	}
 	s.touch(t.worker)
 	s.sendStop(t)
+	return true
+}
+
+// disruptionSettleMs is how long this decider must have seen a run at work. A run that an earlier decider has stopped may still be
+// listed until the stop has taken effect, which takes up to 200 ms after it has arrived.
+const disruptionSettleMs = 1000
+
+// mayDisrupt reports whether a run may be stopped by choice. If the step limits how many of its tasks may be unavailable at once
+// (MaxUnavailable), fewer others must be so, whatever the cause. A run that is not at work may always be stopped.
+func (s *State) mayDisrupt(t *task) bool {
+	limit := t.stage.step.MaxUnavailable
+	return limit == 0 || t.phase != running || t.percent < 100 || s.unavailableBeside(t) < limit
+}
+
+// unavailableBeside counts the other tasks of the step that are not known to be at work.
+func (s *State) unavailableBeside(t *task) int {
+	n := 0
+	for i := range t.stage.tasks {
+		if o := &t.stage.tasks[i]; o != t && !s.atWork(o) {
+			n++
+		}
+	}
+	return n
+}
+
+// atWork reports whether a task of a long-running step is known to be at work.
+func (s *State) atWork(t *task) bool {
+	return t.phase == running && t.percent >= 100 && s.now.BootMs-t.startedMs >= disruptionSettleMs && t.worker.reachable() &&
+		s.now.BootMs-t.worker.lastReportMs < maxUnresponsiveMs
 }
 
 func (s *State) sendStop(t *task) {
@@ -74,7 +129,7 @@
 		}
 		remainingMs := int64(s.remainingTaskMs(t))
 		if t.stage.step.LongRunning || remainingMs > max(w.info.RemainingMs, minDrainingMs) {
-			s.stopRun(t, fmt.Sprintf("its worker is draining and terminates in %d ms", w.info.RemainingMs))
+			s.stopRun(t, stopDraining, fmt.Sprintf("its worker is draining and terminates in %d ms", w.info.RemainingMs))
 		}
 	}
 }
--- a/fleet/dispatch/throttle.go
+++ b/fleet/dispatch/throttle.go
@@ -189,9 +189,9 @@
 		if to == nil {
 			continue
 		}
-		if there, _ := s.expectedCPUShare(be, to); there > minMoveSpeedup*here {
+		there, _ := s.expectedCPUShare(be, to)
+		if there > minMoveSpeedup*here && s.stopRun(be, stopThrottled, fmt.Sprintf("throttled to %d%%; %s has capacity for it", be.cpuShare, to.instance)) {
 			be.avoidInstance = w.instance
-			s.stopRun(be, fmt.Sprintf("throttled to %d%%; %s has capacity for it", be.cpuShare, to.instance))
 			return // one at a time, so that the next decision takes this reservation into account
 		}
 	}
