dispatch: bound the occurrences of a job that are open at once

Cause: all due occurrences of a job were opened at once and kept until the job ended. Memory, the stored progress and the time of each placement pass grew with them.

Change: of a job with more than 256 occurrences or 4,000 tasks only unfinished occurrences are kept, at most 1,000 or as many as have 4,000 tasks; those that are due beyond wait until others have finished, in whatever order. The record names the open ones and holds finished ones as ranges. A long-running job with more occurrences than may be open is refused at submission. Smaller jobs are kept as before.

Two tests looked up finished occurrences in memory; they now take one that was opened and is not kept as finished, and check the same numbers. The simulated workers list 500 ended runs and fail none where thousands of short runs would otherwise quarantine all of them.

--- a/fleet/dispatch/batch.go
+++ b/fleet/dispatch/batch.go
@@ -35,7 +35,7 @@
 	b := &Batch{Tombstones: s.tombstones, starts: s.pendingStarts, acks: map[string]completionAck{}}
 	for _, j := range s.dirty {
 		j.dirty = false
-		b.Schedule = append(b.Schedule, work.Record{Key: work.PrefixProgress + j.def.ID, Value: j.encodeProgress()})
+		b.Schedule = append(b.Schedule, work.Record{Key: work.PrefixProgress + j.def.ID, Value: work.Encode(j.progress())})
 	}
 	b.Schedule = append(b.Schedule, s.dueCheckpoints()...)
 	b.Schedule = append(b.Schedule, s.scheduleTombstones...)
--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -94,6 +94,7 @@
 	}
 	s.markDirty(st.job)
 	s.placePending = true
+	s.closeOccurrence(st.job, st.occurrence)
 	s.finalizeJob(st.job)
 }
 
@@ -138,6 +139,7 @@
 			s.stopRun(&st.tasks[i], stopGangEnded, "another member of the gang ended")
 		}
 	}
+	s.closeOccurrence(st.job, st.occurrence)
 	s.finalizeJob(st.job)
 }
 
--- a/fleet/dispatch/durations.go
+++ b/fleet/dispatch/durations.go
@@ -129,10 +129,11 @@
 
 // updateObjective applies the estimates to the objective and the paths of a job.
 func (s *State) updateObjective(j *job) {
-	if s.options.Durations == DurationsDeclared || j.opened == 0 {
+	if s.options.Durations == DurationsDeclared || len(j.open) == 0 {
 		return
 	}
-	j.computeObjective(func(i int) int64 { return s.taskMs(j.stage(j.opened-1, i)) })
+	latest := j.open[len(j.open)-1]
+	j.computeObjective(func(i int) int64 { return s.taskMs(j.stage(latest, i)) })
 }
 
 // baseline is how long a run on a sound worker would take.
--- a/fleet/dispatch/jobs.go
+++ b/fleet/dispatch/jobs.go
@@ -1,19 +1,13 @@
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"strconv"
 
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 )
 
 const (
-	// openAheadMs is how long before its start time the stages of an occurrence are created.
-	openAheadMs = 1000
-	// maxClockSkewMs is by how much the wall clocks of two deciders may differ. Clocks jump by seconds.
-	maxClockSkewMs = 3_600_000
 	// maxAgeMs bounds the age of a submission, which is derived from two clocks that may differ by seconds.
 	maxAgeMs = 30_000
 	// defaultEstMs is the duration estimate of a step that has none.
@@ -39,7 +33,7 @@
 		s.finished[id] = s.now.BootMs
 		return
 	}
-	j := &job{def: e.Job}
+	j := &job{def: e.Job, windowed: windowed(e.Job)}
 	j.load.series = s.newSeries(j)
 	age := min(max(s.now.WallMs-e.Job.AcceptedMs, 0), maxAgeMs)
 	j.dueMs = s.now.BootMs - age
@@ -51,7 +45,7 @@
 		s.restoreProgress(j, e.Progress)
 	}
 	s.logDecision(Decision{Kind: DecisionJobAccepted, Job: id, AgeMs: age,
-		Reason: fmt.Sprintf("queue %s, objective %d ms, state %s, %d of %d occurrences open", e.Job.Queue.Name, j.objectiveMs, j.state, j.opened, e.Job.Occurrences())})
+		Reason: fmt.Sprintf("queue %s, objective %d ms, state %s, %d of %d occurrences opened", e.Job.Queue.Name, j.objectiveMs, j.state, j.opened, e.Job.Occurrences())})
 	s.openOccurrences(j)
 	if e.Checkpoints != nil {
 		j.restoreCheckpoints(e.Checkpoints)
@@ -82,70 +76,6 @@
 	return s.EstMs
 }
 
-// openOccurrences creates the stages of occurrences that are due within openAheadMs.
-func (s *State) openOccurrences(j *job) {
-	if j.state.Final() {
-		return
-	}
-	for j.opened < j.def.Occurrences() {
-		if s.occurrenceDue(j, j.opened)-s.now.BootMs > openAheadMs {
-			return
-		}
-		s.openOccurrence(j)
-	}
-}
-
-// openOccurrence creates the stages of the next occurrence.
-func (s *State) openOccurrence(j *job) {
-	for i := range j.def.Steps {
-		s.addStage(j, j.opened, i)
-	}
-	j.opened++
-}
-
-// occurrenceDue returns the boot time at which an occurrence is due.
-func (s *State) occurrenceDue(j *job, k int) int64 {
-	if j.def.Repeat == 0 && j.def.StartAtMs == 0 {
-		return j.dueMs
-	}
-	return s.now.BootMs + j.def.StartAtMs + int64(k)*j.def.IntervalMs - s.now.WallMs
-}
-
-func (s *State) addStage(j *job, occurrence, index int) {
-	st := &stage{job: j, step: &j.def.Steps[index], occurrence: occurrence, index: index, dueMs: s.occurrenceDue(j, occurrence)}
-	st.tasks = make([]task, st.step.Count)
-	for i := range st.tasks {
-		st.tasks[i] = task{stage: st, index: i, cpuShare: fullCPUShare, sentCPUShare: fullCPUShare}
-	}
-	st.waiting = len(st.tasks)
-	j.stages = append(j.stages, st)
-	s.stages = append(s.stages, st)
-	s.ranksStale = true
-}
-
-// stage returns the stage of a step, or nil if its occurrence is not open or the job has no such step.
-func (j *job) stage(occurrence, index int) *stage {
-	if occurrence < 0 || occurrence >= j.opened || index < 0 || index >= len(j.def.Steps) {
-		return nil
-	}
-	return j.stages[occurrence*len(j.def.Steps)+index]
-}
-
-// openDueOccurrences opens the due occurrences of all jobs, in the order of their IDs: the order in which stages are opened
-// decides ties, and the same events have to lead to the same decisions.
-func (s *State) openDueOccurrences() {
-	var due []*job
-	for _, j := range s.jobs {
-		if j.opened < j.def.Occurrences() {
-			due = append(due, j)
-		}
-	}
-	slices.SortFunc(due, func(a, b *job) int { return cmp.Compare(a.def.ID, b.def.ID) })
-	for _, j := range due {
-		s.openOccurrences(j)
-	}
-}
-
 // ready reports whether the stage is due and the steps that it depends on are done.
 func (st *stage) ready(now int64) bool {
 	if st.job.state.Final() || now < st.dueMs {
--- a/fleet/dispatch/occurrences_test.go
+++ b/fleet/dispatch/occurrences_test.go
@@ -109,6 +109,17 @@
 	assert.Equal(t, sim.state.jobs[j.ID].opened, 31)
 }
 
+// tasksIn counts the tasks of a step that are done and that wait. An occurrence that was opened and is not open any more is finished.
+func (j *job) tasksIn(occurrence, step int) (done, waiting int) {
+	if st := j.stage(occurrence, step); st != nil {
+		return st.done, st.waiting
+	}
+	if occurrence < j.opened {
+		return j.def.Steps[step].Count, 0
+	}
+	return -1, -1
+}
+
 // maxRecordBytes is the size above which the store refuses a record.
 const maxRecordBytes = 256 << 10
 
@@ -161,8 +172,9 @@
 				if k >= ended || k == gap && i > 0 {
 					want = 0
 				}
-				assert.Equal(t, restored.stage(k, i).done, want, "occurrence %d, step %d", k, i)
-				assert.Equal(t, restored.stage(k, i).waiting, 2-want)
+				done, waiting := restored.tasksIn(k, i)
+				assert.Equal(t, done, want, "occurrence %d, step %d", k, i)
+				assert.Equal(t, waiting, 2-want)
 			}
 		}
 		assert.DeepEqual(t, collect(), first)
@@ -183,8 +195,122 @@
 	assert.Equal(t, restored.opened, 4, "the occurrences that are due within the difference of clocks")
 	for k, want := range []int{2, 2, 0, 2} {
 		for i := range j.Steps {
-			assert.Equal(t, restored.stage(k, i).done, want)
-			assert.Equal(t, restored.stage(k, i).waiting, 2-want)
+			done, waiting := restored.tasksIn(k, i)
+			assert.Equal(t, done, want)
+			assert.Equal(t, waiting, 2-want)
 		}
 	}
 }
+
+// scheduled returns a job of which all occurrences are due.
+func (sim *simulation) scheduled(n, occurrences int, steps ...work.Step) *work.Job {
+	return &work.Job{ID: jobID(n), Repeat: occurrences, IntervalMs: 1000, StartAtMs: sim.at().WallMs - int64(occurrences)*1000, Steps: steps}
+}
+
+// progressBytes returns the size of the job's stored progress.
+func (j *job) progressBytes() int { return len(work.Encode(j.progress())) }
+
+// Guards against one client's job that stops everybody's work: with a year of due occurrences every decider ran out of memory (review-2
+// schedule), and with half a day of which the second step can never be done its progress outgrew the store's limit (review/6, LOST).
+func TestOpenOccurrencesAreBounded(t *testing.T) {
+	for _, steps := range []int{1, 2} {
+		t.Run(fmt.Sprint(steps, " steps"), func(t *testing.T) {
+			sim := newConnectedSimulation(t, 4)
+			sim.soundTasks, sim.listedEnds = true, 500
+			j := sim.scheduled(1, 525_600, work.Step{Count: 1, CPU: 10, MemMB: 1, EstMs: 1})
+			if steps == 2 {
+				j.Steps = append(j.Steps, work.Step{Count: 1, CPU: 10, MemMB: 1, EstMs: 1, DependsOn: []int{0}, Requires: "nobody"})
+			}
+			sim.submit(j)
+			for i := range 200 {
+				if i == 100 {
+					sim.electDecider()
+				}
+				sim.advance()
+				held := sim.state.jobs[j.ID]
+				assert.Assert(t, len(held.stages) <= steps*work.MaxOpenOccurrences, "%d stages are open", len(held.stages))
+				assert.Assert(t, len(sim.state.stages) <= 3*steps*work.MaxOpenOccurrences, "%d stages are kept", len(sim.state.stages))
+				assert.Assert(t, held.progressBytes() < maxRecordBytes/2, "the progress takes %d bytes", held.progressBytes())
+			}
+			sim.submit(&work.Job{ID: jobID(2), Steps: []work.Step{{Count: 1, CPU: 1000, MemMB: 10, EstMs: 300}}})
+			submitted := sim.now
+			for sim.state.jobs[jobID(2)] != nil && sim.now < submitted+5000 {
+				sim.advance()
+			}
+			assert.Assert(t, sim.state.jobs[jobID(2)] == nil, "the other client's job has not ended after 5 s")
+		})
+	}
+}
+
+// Guards against due occurrences beyond the bound that never run, run twice or are forgotten by the next decider, whatever the order in
+// which the ones before them end.
+func TestOccurrencesBeyondTheBoundRun(t *testing.T) {
+	sim := newConnectedSimulation(t, 8)
+	j := sim.scheduled(1, 2500, work.Step{Count: 1, CPU: 20, MemMB: 1, EstMs: 400}, work.Step{Count: 1, CPU: 20, MemMB: 1, EstMs: 20, DependsOn: []int{0}})
+	sim.submit(j)
+	for i := range 4000 {
+		if i%70 == 35 {
+			sim.electDecider()
+		}
+		sim.advance()
+		if sim.state.jobs[j.ID] == nil {
+			break
+		}
+	}
+	assert.Assert(t, sim.state.jobs[j.ID] == nil, "the job has not ended")
+	for _, name := range taskNames(j) {
+		assert.Assert(t, sim.done[name.String()], "%s was never done", name)
+	}
+}
+
+// Guards against a record that the store refuses: the largest progress of a job by the checks at submission and the bounds on what is
+// open, with the longest ranges, names of instances and numbers.
+func TestLargestProgressFitsARecord(t *testing.T) {
+	for _, c := range []struct{ occurrences, steps, count int }{{1_000_000, 1, 1}, {1_000_000, 4, 1}, {1_000_000, 64, 1}, {1_000_000, 1, 8000}, {1_000_000, 2, 2000}, {257, 15, 1}, {256, 15, 1}, {1, 1, 8000}, {1, 64, 125}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			sim := newConnectedSimulation(t, 1)
+			s := sim.state
+			var steps []work.Step
+			for range c.steps {
+				steps = append(steps, work.Step{Count: c.count, CPU: 1, MemMB: 1, EstMs: 1})
+			}
+			j := sim.scheduled(1, c.occurrences, steps...)
+			if c.occurrences == 1 {
+				j.Repeat = 0
+			}
+			j.Queue = work.Queue{Name: "q", Service: "app", Attempts: 5}
+			assert.NilError(t, work.Check(j))
+			held := &job{def: j, windowed: windowed(j)}
+			s.jobs[j.ID] = held
+			for len(held.open) < j.MaxOpen() && held.opened < c.occurrences {
+				if held.windowed {
+					held.opened = max(held.opened, c.occurrences-2*j.MaxOpen()) + 1 // every other one has finished
+				}
+				if held.opened >= c.occurrences {
+					break
+				}
+				s.openOccurrence(held)
+			}
+			for _, st := range held.stages {
+				for i := range st.tasks {
+					tk := &st.tasks[i]
+					tk.worker, tk.run = s.ensureWorker(fmt.Sprintf("side-midshire-a-%d", (st.occurrence+i)%710)), 300
+					tk.failed = []int{296, 297, 298, 299}
+				}
+			}
+			size := held.progressBytes()
+			t.Logf("%d bytes, %d occurrences open", size, len(held.open))
+			assert.Assert(t, size < maxRecordBytes, "the progress takes %d bytes", size)
+		})
+	}
+}
+
+// Guards against an accepted job whose later occurrences can never be opened, as those before them do not end.
+func TestLongRunningOccurrencesFitTheBound(t *testing.T) {
+	j := &work.Job{ID: jobID(1), Repeat: 400, IntervalMs: 1000, Steps: []work.Step{{Count: 10, LongRunning: true}}}
+	assert.NilError(t, work.Check(j))
+	j.Repeat = 401
+	assert.ErrorContains(t, work.Check(j), "send at most 400")
+	j.Steps[0].LongRunning = false
+	assert.NilError(t, work.Check(j))
+}
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -52,6 +52,10 @@
 	stopsAtWork int
 	// faultFree turns faults off, as at the end of a simulation.
 	faultFree bool
+	// listedEnds is the number of ended runs that a worker lists at once.
+	listedEnds int
+	// soundTasks makes no run fail by itself. With thousands of short runs those that do would put every worker into quarantine.
+	soundTasks bool
 	// periodicLoad makes the load of latency-critical tasks a wave, so that the decider predicts it.
 	periodicLoad bool
 	// learned is the interference model that the decider stored last.
@@ -141,8 +145,8 @@
 	stepMs = 50
 	// gangWaitMs is how long members of a gang wait for each other.
 	gangWaitMs = 3000
-	// maxListedEnds is the number of ended runs that a worker lists at once.
-	maxListedEnds = 3
+	// fewListedEnds is the number of ended runs that a worker lists at once, so that lists are cut. Workers list 500.
+	fewListedEnds = 3
 	// neverEnds is the end time of a long-running run.
 	neverEnds = 1 << 60
 )
@@ -151,7 +155,7 @@
 var allOptions = Options{Order: OrderScarcity, Durations: DurationsLearned, PublishBacklog: true, LoadForecast: true, PlaceByForecast: true}
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
-	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
+	sim := &simulation{t: t, listedEnds: fewListedEnds, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
 		cancels: map[string]int64{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failures: map[string][]int64{},
 		stopped: map[string]bool{}, endedAt: map[string]int64{}}
 	// Every other seed, so that the course of seedsThatFailed stays the same.
@@ -442,7 +446,7 @@
 	if step.LongRunning {
 		r.endsAt = neverEnds
 	}
-	if sim.rng.IntN(15) == 0 {
+	if sim.rng.IntN(15) == 0 && !sim.soundTasks {
 		r.how = link.Failed
 	}
 	sw.runs[st.Task] = r
@@ -647,7 +651,7 @@
 		if e.Number <= sw.ackedCompletion {
 			continue
 		}
-		if len(rep.Completions) == maxListedEnds {
+		if len(rep.Completions) == sim.listedEnds {
 			rep.Complete = false
 			break
 		}
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -52,17 +52,19 @@
 	// size is the size of the job among those of its queue. servedRecorded is true once it was recorded how it was served.
 	size           sizeClass
 	servedRecorded bool
-	// stages holds the stages of the first opened occurrences: all steps of one occurrence after those of the one before.
+	// stages holds the stages of the open occurrences: all steps of one occurrence after those of the one before. opened is the number
+	// of occurrences that were ever opened, and open holds in ascending order those of them that still are.
 	stages []*stage
 	opened int
+	open   []int
+	// windowed is true if finished occurrences are dropped and the number of unfinished ones is bounded.
+	windowed bool
 	// active counts tasks whose run may be active. lastActiveMs is when there last was one.
 	active       int
 	lastActiveMs int64
 	// started is true once a worker has listed a run of any task. A start that was only recorded may never reach its worker.
 	started bool
 	dirty   bool
-	// doneAsRanges is true if the stored progress holds the occurrences that are done as ranges.
-	doneAsRanges bool
 	// checkpointsDirty is true if checkpoints have changed since they were stored, at checkpointsStoredMs.
 	checkpointsDirty    bool
 	checkpointsStoredMs int64
--- a/fleet/work/work.go
+++ b/fleet/work/work.go
@@ -25,6 +25,10 @@
 	maxSize = 1 << 40
 	// maxRepeat bounds the occurrences of a scheduled job: one a minute for more than a year.
 	maxRepeat = 1_000_000
+	// MaxOpenOccurrences and MaxOpenTasks bound the unfinished occurrences of a job that are open at once, and their tasks, so that
+	// memory and progress record stay bounded. One occurrence may have more tasks. Further ones wait until others have finished.
+	MaxOpenOccurrences = 1000
+	MaxOpenTasks       = 4000
 	// maxCores bounds the published size of a process in cores.
 	maxCores = 1024
 )
@@ -214,9 +218,24 @@
 	if j.IntervalMs == 0 && j.Repeat > maxTasks/tasks {
 		return errdefs.Field("interval_ms", fmt.Sprintf("is 0, so that %d occurrences are due at once", j.Repeat), fmt.Sprintf("send at most %d tasks at once", maxTasks))
 	}
+	if j.LongRunning() && j.Repeat > j.MaxOpen() {
+		return errdefs.Field("repeat", fmt.Sprintf("is %d, and occurrences of a long-running job do not end", j.Repeat), fmt.Sprintf("send at most %d", j.MaxOpen()))
+	}
 	return nil
 }
 
+// MaxOpen returns how many unfinished occurrences of the job may be open at once.
+func (j *Job) MaxOpen() int { return min(max(MaxOpenTasks/j.Tasks(), 1), MaxOpenOccurrences) }
+
+// Tasks returns the number of tasks of one occurrence, at least 1.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return max(n, 1)
+}
+
 // CheckAddress returns an error if another process could not use a published address, or nil.
 func CheckAddress(a *ProcessAddress) error {
 	if ap, err := netip.ParseAddrPort(a.Address); err != nil || ap.Port() == 0 {
@@ -293,7 +312,7 @@
 	// before or after those that are named; it is not done.
 	Stages []StageProgress `cbor:"3,keyasint,omitempty"`
 	// Done holds occurrences all of whose tasks have completed and that Stages does not name, in ascending order. It is used
-	// only if Stages alone would make the record too large, as earlier versions do not know it.
+	// only for jobs of which not all occurrences are kept; earlier versions use it for large records.
 	Done []OccurrenceRange `cbor:"4,keyasint,omitempty"`
 }
 
