entry: prove that a decider lives while it loads and works

What callers saw: reported on arm64, deciders replaced each other every one to three seconds, each with a large state to load, and nothing was started.

Cause: a decider sent heartbeats only between two rounds of its event loop. While it loaded the state it sent none, and the result of an append waited behind up to 4,096 events; others claim after 1.3 s.

Ruled out: the probe of a suspected decider (it answers during the load), claims of two entries at once (the store takes one).

Change: heartbeats are appended between the units of work that may take long together, the reads and jobs of a load and the events of a batch, and results of appends have a channel of their own. A decider that is stuck in one unit, or whose reads fail, proves nothing and is replaced as before.

Measured: TestLoadingDeciderKeepsItsPlace, reads of the jobs take 4 s: the other entry claimed before, 1 of 1, and does not now. TestStuckDeciderIsReplaced and TestOneTakeoverWhileTheStateLoads passed before and after. go test -race of fleet/entry and fleet/dispatch passed. The report was not played on arm64.

--- a/fleet/entry/append.go
+++ b/fleet/entry/append.go
@@ -17,10 +17,17 @@
 	append work.Append
 }
 
+// appendResult is the result of an append that was sent at a boot time.
+type appendResult struct {
+	sentMs int64
+	got    work.Appended
+	err    error
+}
+
 // flush appends pending decisions, or a heartbeat if there are none. At most one append is in flight.
 func (d *decider) flush() {
 	now := clock.BootMs()
-	if d.inFlight != nil || d.claimLost {
+	if d.claimLost || d.awaitsAppend(now) {
 		return
 	}
 	if early := minAppendInterval.Milliseconds() - (now - d.sentMs); early > 0 {
@@ -39,14 +46,52 @@
 		if now-d.sentMs < heartbeatInterval.Milliseconds() {
 			return
 		}
-		records = []work.Record{{Key: work.KeyClaim, Value: work.Encode(&work.Claim{Epoch: d.epoch, Instance: d.entry.set.Instance})}}
+		records = d.heartbeatRecords()
 	}
 	d.dropRecords(batch.Tombstones)
+	d.beginAppend(batch, records)
+}
+
+func (d *decider) heartbeatRecords() []work.Record {
+	return []work.Record{{Key: work.KeyClaim, Value: work.Encode(&work.Claim{Epoch: d.epoch, Instance: d.entry.set.Instance})}}
+}
+
+func (d *decider) beginAppend(batch *dispatch.Batch, records []work.Record) {
 	d.seq++
 	d.inFlight = &inFlightAppend{batch: batch, append: work.Append{Topic: work.TopicSchedule, Producer: producer, Epoch: d.epoch, Seq: d.seq, Records: records}}
 	d.sendAppend()
 }
 
+// awaitsAppend reports whether an append is in flight. It sends one that has failed again once its pause is over.
+func (d *decider) awaitsAppend(now int64) bool {
+	if d.inFlight == nil {
+		return false
+	}
+	if d.resendAtMs != 0 && now >= d.resendAtMs {
+		d.sendAppend()
+	}
+	return true
+}
+
+// proveAlive appends a heartbeat if one is due. It is called between units of work that may take long together, such as the jobs that are
+// loaded or the events of one batch. A decider whose loop is stuck in one unit does not call it, so that another entry claims.
+func (d *decider) proveAlive() {
+	if time.Since(d.provedAt) < proofInterval {
+		return
+	}
+	d.provedAt = time.Now()
+	select {
+	case r := <-d.appended:
+		d.appendDone(r)
+	default:
+	}
+	now := clock.BootMs()
+	if d.claimLost || d.awaitsAppend(now) || now-d.sentMs < heartbeatInterval.Milliseconds() {
+		return
+	}
+	d.beginAppend(&dispatch.Batch{}, d.heartbeatRecords())
+}
+
 // scheduleFlush wakes the event loop after a delay, so that it flushes again.
 func (d *decider) scheduleFlush(after time.Duration) {
 	if d.flushScheduled {
@@ -77,37 +122,34 @@
 	}()
 }
 
-// sendAppend sends the append in flight, for the first time or again.
+// sendAppend sends the append in flight, for the first time or again. Its result does not wait behind the queued events.
 func (d *decider) sendAppend() {
-	d.sentMs = clock.BootMs()
+	d.sentMs, d.resendAtMs = clock.BootMs(), 0
 	sent, a := d.sentMs, d.inFlight.append
 	go func() {
 		got, err := d.entry.store.Append(d.ctx, a)
-		d.post(func() { d.appendDone(sent, got, err) })
+		select {
+		case d.appended <- appendResult{sent, got, err}:
+		case <-d.ctx.Done():
+		}
 	}()
 }
 
 // appendDone handles the result of an append. An append without an answer is resent with the same sequence number, which
 // the store applies only once.
-func (d *decider) appendDone(sent int64, got work.Appended, err error) {
+func (d *decider) appendDone(r appendResult) {
 	switch {
-	case err == nil:
+	case r.err == nil:
 		f := d.inFlight
 		d.inFlight = nil
-		d.confirmedMs = sent
-		d.entry.schedule.applyOwn(f.append.Records, got.End)
+		d.confirmedMs = r.sentMs
+		d.entry.schedule.applyOwn(f.append.Records, r.got.End)
 		d.applyEvent(dispatch.Committed{Batch: f.batch})
-	case errors.Is(err, work.ErrFenced), errors.Is(err, work.ErrSequence):
-		d.entry.log.Log(logevent.DeciderRoleLost, logevent.Int("epoch", d.epoch), logevent.Err(err))
+	case errors.Is(r.err, work.ErrFenced), errors.Is(r.err, work.ErrSequence):
+		d.entry.log.Log(logevent.DeciderRoleLost, logevent.Int("epoch", d.epoch), logevent.Err(r.err))
 		d.claimLost = true
 	default:
-		go func() {
-			clock.Sleep(d.ctx, appendRetry)
-			d.post(func() {
-				if d.inFlight != nil && !d.claimLost {
-					d.sendAppend()
-				}
-			})
-		}()
+		d.resendAtMs = clock.BootMs() + appendRetry.Milliseconds()
+		time.AfterFunc(appendRetry+time.Millisecond, func() { d.post(func() {}) }) // the loop flushes after each event
 	}
 }
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -25,6 +25,8 @@
 	eventQueueSize = 4096
 	// maxEventBatch bounds the events handled between two placement passes.
 	maxEventBatch = 256
+	// proofInterval is the minimum time between two checks whether a heartbeat is due while the loop works.
+	proofInterval = 50 * time.Millisecond
 	// summaryInterval is the time between two fleet summaries in the log.
 	summaryInterval = 2 * time.Second
 	// resignTimeout bounds the append with which a decider that shuts down resigns.
@@ -53,8 +55,12 @@
 	seq         uint64
 	confirmedMs int64
 	sentMs      int64
-	// inFlight is the unacknowledged append; nil if there is none.
-	inFlight *inFlightAppend
+	// inFlight is the unacknowledged append; nil if there is none. appended carries its result, and resendAtMs is when it is sent
+	// again; 0 while a call is outstanding. provedAt is when proveAlive last looked.
+	inFlight   *inFlightAppend
+	appended   chan appendResult
+	resendAtMs int64
+	provedAt   time.Time
 	// flushScheduled is true while a flush is scheduled because the last append was too recent.
 	flushScheduled bool
 	// claimLost is true once another decider has claimed or this one has resigned.
@@ -69,7 +75,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	now := clock.BootMs()
-	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize),
+	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize), appended: make(chan appendResult, 1),
 		sides: map[string]*sideLink{}, dialSide: dialSide, seq: claimSeq(claim), confirmedMs: now, sentMs: now}
 	d.state = dispatch.New(e.set.Bounds, epoch, d.now(), dispatchOptions(&e.set))
 	e.election.consumeClaim()
@@ -129,22 +135,10 @@
 // loadState reads the state that decisions depend on: all jobs up to now and the addresses of side processes.
 func (d *decider) loadState() bool {
 	e := d.entry
-	for d.ctx.Err() == nil {
-		err := e.jobs.refresh(d.ctx)
-		if err == nil {
-			err = e.operator.refresh(d.ctx)
-		}
-		if err == nil {
-			err = e.sides.refresh(d.ctx)
-		}
-		if err == nil {
-			break
-		}
-		// The epoch stays claimed meanwhile; without a heartbeat another entry claims.
-		if clock.BootMs()-d.confirmedMs > e.set.Bounds.AuthorityTimeout.Milliseconds() {
+	for _, r := range []*topicReader{e.jobs, e.operator, e.sides} {
+		if !d.loadTopic(r) {
 			return false
 		}
-		clock.Sleep(d.ctx, appendRetry)
 	}
 	e.setDecider(d)
 	if cfg := e.config.Load(); cfg != nil {
@@ -171,6 +165,7 @@
 	}
 	for id, v := range e.view.all() {
 		d.applyJob(id, v)
+		d.proveAlive()
 	}
 	d.applyEvent(dispatch.JobsDropped{IDs: e.view.orphans()})
 	for _, a := range addresses {
@@ -180,6 +175,42 @@
 	return d.ctx.Err() == nil
 }
 
+// loadTopic reads a topic to its end and reports whether it did. Meanwhile the decider proves that it lives. It does not while reads fail,
+// so that another entry claims, and gives its place up if none has succeeded for AuthorityTimeout.
+func (d *decider) loadTopic(r *topicReader) bool {
+	began, failed := clock.BootMs(), int64(0)
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	loaded := make(chan error, 1)
+	refresh := func() { loaded <- r.refresh(ctx) }
+	go refresh()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for !d.claimLost {
+		select {
+		case <-d.ctx.Done():
+			return false
+		case err := <-loaded:
+			if err == nil {
+				return true
+			}
+			failed = clock.BootMs()
+			go func() {
+				clock.Sleep(ctx, appendRetry)
+				refresh()
+			}()
+		case <-ticker.C:
+			if clock.BootMs()-max(began, r.lastReadMs()) > d.entry.set.Bounds.AuthorityTimeout.Milliseconds() {
+				return false
+			}
+			if r.lastReadMs() >= failed {
+				d.proveAlive()
+			}
+		}
+	}
+	return false
+}
+
 // run is the decider's event loop. Its goroutine owns all state of the decider except the event queue.
 func (d *decider) run() {
 	defer d.closeSides()
@@ -190,6 +221,9 @@
 	for !d.claimLost && d.ctx.Err() == nil {
 		select {
 		case <-d.ctx.Done():
+		case r := <-d.appended:
+			d.appendDone(r)
+			d.applyEvent(dispatch.Place{})
 		case ev := <-d.events:
 			d.batchWait = 0
 			d.handle(ev)
@@ -226,6 +260,7 @@
 		select {
 		case ev := <-d.events:
 			d.handle(ev)
+			d.proveAlive()
 		default:
 			return
 		}
--- a/fleet/entry/topicreader.go
+++ b/fleet/entry/topicreader.go
@@ -344,6 +344,13 @@
 // neverRead is the age of a topic that was not read yet.
 const neverRead = math.MaxInt64
 
+// lastReadMs returns when the last successful read was sent; 0 if there was none.
+func (r *topicReader) lastReadMs() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.okMs
+}
+
 // ageMs returns the time since the last successful read was sent, or neverRead.
 func (r *topicReader) ageMs() int64 {
 	r.mu.Lock()
