entry: space out take-overs that fail one after the other

Cause: the next entry claimed as soon as the decider before it was due for replacement, however many had just failed in the same way.

Ruled out: entries that claim at the same time (the store takes one), and one entry alone (each claims in turn, so that a limit of its own would not help).

Change: each entry counts the deciders in a row whose last heartbeat came less than 5 s after their claim, without a resignation. From two on the next claim waits 1 s longer, then 2, 4 and 8 s. One that has held its place is replaced as fast as before.

--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -31,6 +31,13 @@
 	firstDelayMs = 1500
 	// jitterMs is the range of the delay that separates claims of entries of the same size; a claim takes 10 ms.
 	jitterMs = 150
+	// heldAfterMs is the time after its claim from which a decider counts as one that holds its place. Loading the state takes well
+	// under a second.
+	heldAfterMs = 5000
+	// takeoverDelayMs is the additional delay before the next claim once two deciders in a row have not held their place. It doubles
+	// with each further one, maxTakeoverShift times at most: what ends or overloads each decider in turn gets less often to the next.
+	takeoverDelayMs  = 1000
+	maxTakeoverShift = 3
 	// suspectAfterMs is the time without a heartbeat after which the decider is probed; it is longer than heartbeatInterval.
 	suspectAfterMs = 700
 	// producer is the producer ID of all deciders in the store, which fences them by epoch.
@@ -49,6 +56,9 @@
 	mu sync.Mutex
 	// newest is the newest claim read; nil before the first one.
 	newest *work.Claim
+	// claimedMs is when the newest claim was read, and lost counts the deciders in a row before it that did not hold their place.
+	claimedMs int64
+	lost      int
 	// lastHeartbeatMs is when the last record of a decider was read, or when reads last failed or the timeout was reset.
 	lastHeartbeatMs int64
 	// caughtUpMs is when a read last reached the end of the topic without a new record.
@@ -76,13 +86,36 @@
 func (e *election) observeRecords(now int64, claim *work.Claim) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	before := e.lastHeartbeatMs
 	e.lastHeartbeatMs = now
 	if claim == nil || e.newest != nil && claim.Epoch < e.newest.Epoch {
 		return false
 	}
-	newDecider := (e.newest == nil || e.newest.Epoch != claim.Epoch) && claim.Instance != e.instance
+	newEpoch := e.newest == nil || e.newest.Epoch != claim.Epoch
+	if newEpoch {
+		e.countTakeover(now, before)
+	}
 	e.newest = claim
-	return newDecider
+	return newEpoch && claim.Instance != e.instance
+}
+
+// countTakeover records that the decider of the newest claim, whose last heartbeat came at a boot time, was replaced. One that has resigned
+// has held its place.
+func (e *election) countTakeover(now, heartbeatMs int64) {
+	if e.newest == nil || e.newest.Resigned || heartbeatMs-e.claimedMs >= heldAfterMs {
+		e.lost = 0
+	} else {
+		e.lost++
+	}
+	e.claimedMs = now
+}
+
+// takeoverDelay returns the additional delay before a claim.
+func (e *election) takeoverDelay() int64 {
+	if e.lost == 0 || e.newest == nil || e.newest.Resigned || e.lastHeartbeatMs-e.claimedMs >= heldAfterMs {
+		return 0
+	}
+	return takeoverDelayMs << min(e.lost-1, maxTakeoverShift)
 }
 
 // observeCaughtUp records that a read reached the end of the topic without a new record.
@@ -122,6 +155,7 @@
 	if larger {
 		wait += largerDelayMs
 	}
+	wait += e.takeoverDelay()
 	if e.caughtUpMs < e.holdOffUntilMs {
 		return 0, false
 	}
--- a/fleet/entry/takeover_test.go
+++ b/fleet/entry/takeover_test.go
@@ -75,6 +75,25 @@
 	assert.Equal(t, len(m.claimedMs), 2)
 }
 
+// Guards against deciders that replace each other every second or two for good, each overloaded by the state that it has to load (review/6 on
+// arm64: 14 within 40 s): the pauses between them grow, up to a bound, and shrink again once one has held its place.
+func TestFailedTakeoversSpaceOut(t *testing.T) {
+	m := newTakeoverModel(3)
+	m.run(60_000, func(_ int, ageMs int64) bool { return ageMs < 1000 })
+	assert.Assert(t, len(m.claimedMs) >= 5 && len(m.claimedMs) <= 12, "%d claims in 60 s", len(m.claimedMs))
+	pauses := []int64{}
+	for i := 1; i < len(m.claimedMs); i++ {
+		pauses = append(pauses, m.claimedMs[i]-m.claimedMs[i-1])
+	}
+	last := pauses[len(pauses)-1]
+	assert.Assert(t, last >= 8000 && last <= 8000+maxReplacementMs+1000, "pauses of %v", pauses)
+	assert.Assert(t, pauses[0] <= maxReplacementMs+1000, "the first replacement took %d ms", pauses[0])
+	m.run(30_000, func(int, int64) bool { return true })
+	claims := len(m.claimedMs)
+	m.run(maxReplacementMs, func(n int, _ int64) bool { return n > claims })
+	assert.Equal(t, len(m.claimedMs), claims+1, "the decider that had held its place was not replaced in time")
+}
+
 // slowLoading delays the reads with which a decider loads the jobs.
 type slowLoading struct {
 	work.Store
