entry: store a cancellation for a submission that is on its way

Cause: a cancellation asked only for jobs that the store holds. The entry keeps a list of the ids that it is storing; refusals by the backlog used it, cancellations did not.

Ruled out: an old view (the store is read to its end before a 410), a cancellation that is lost (none was stored).

Change: a DELETE of an unknown job that this entry has tried to store stores the cancellation, unless each attempt was certainly refused. The decider removes cancellations whose submission does not come within 10 minutes.

--- a/fleet/entry/admission.go
+++ b/fleet/entry/admission.go
@@ -109,6 +109,35 @@
 	mu       sync.Mutex
 	lastMs   map[string]int64
 	purgedMs int64
+	// running counts the attempts of an id that go on; unsure holds ids of which one has ended with an unknown outcome.
+	running map[string]int
+	unsure  map[string]bool
+}
+
+// begin adds an id whose submission an attempt is about to store.
+func (l *attemptList) begin(id string, nowMs int64) {
+	l.add(id, nowMs)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running == nil {
+		l.running, l.unsure = map[string]int{}, map[string]bool{}
+	}
+	l.running[id]++
+}
+
+// end records the outcome of an attempt. An id that was certainly never stored is removed.
+func (l *attemptList) end(id string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running[id]--; l.running[id] <= 0 {
+		delete(l.running, id)
+	}
+	if err != nil && !work.NotAppended(err) {
+		l.unsure[id] = true
+	}
+	if err != nil && l.running[id] == 0 && !l.unsure[id] {
+		delete(l.lastMs, id)
+	}
 }
 
 // add adds an id, and removes old ones from time to time.
@@ -116,7 +145,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if nowMs-l.purgedMs >= attemptTTLMs {
-		maps.DeleteFunc(l.lastMs, func(_ string, at int64) bool { return nowMs-at >= attemptTTLMs })
+		maps.DeleteFunc(l.lastMs, func(id string, at int64) bool { return nowMs-at >= attemptTTLMs && l.running[id] == 0 })
+		maps.DeleteFunc(l.unsure, func(id string, _ bool) bool { _, ok := l.lastMs[id]; return !ok })
 		l.purgedMs = nowMs
 	}
 	if l.lastMs == nil {
--- a/fleet/entry/admission_test.go
+++ b/fleet/entry/admission_test.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenakeel/verbenakeel/errdefs"
 	"github.com/verbenakeel/verbenakeel/fleet/admission"
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
@@ -161,6 +162,27 @@
 	assert.Equal(t, len(l.lastMs), 1)
 }
 
+// Guards against an id that counts as attempted although it was certainly not stored, and against one that does not although a call may
+// still store it.
+func TestAttemptsEndWithTheirOutcome(t *testing.T) {
+	refused := errdefs.New(errdefs.Unavailable, "status 503", "try again later")
+	unknown := errdefs.New(errdefs.Unknown, "no answer", "repeat the call")
+	var l attemptList
+	l.begin("a", 100_000)
+	l.begin("a", 100_000)
+	l.end("a", refused)
+	assert.Assert(t, l.has("a", 100_000), "another attempt goes on")
+	l.end("a", refused)
+	assert.Assert(t, !l.has("a", 100_000))
+	l.begin("b", 100_000)
+	l.end("b", unknown)
+	l.begin("b", 100_000)
+	l.end("b", refused)
+	assert.Assert(t, l.has("b", 100_000), "the first call may still store it")
+	l.add("c", 100_000+attemptTTLMs)
+	assert.Equal(t, len(l.lastMs)+len(l.running)+len(l.unsure), 1)
+}
+
 // Guards against decisions by a record that is absent, old or cannot be read, and against a log line for each of the two
 // records a second that a later release writes.
 func TestBacklogThatIsNotUsed(t *testing.T) {
--- a/fleet/entry/append.go
+++ b/fleet/entry/append.go
@@ -101,6 +101,15 @@
 	time.AfterFunc(after, func() { d.post(func() { d.flushScheduled = false }) })
 }
 
+// dropStrayCancellations removes cancellations whose submission never came.
+func (d *decider) dropStrayCancellations() {
+	var records []work.Record
+	for _, id := range d.entry.view.strayCancellations(clock.BootMs()) {
+		records = append(records, work.Record{Key: work.PrefixCancellation + id})
+	}
+	d.dropRecords(records)
+}
+
 // dropRecords appends tombstones of jobs that finished long ago, and then removes their progress. The next decider retries
 // those that fail.
 func (d *decider) dropRecords(records []work.Record) {
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -234,6 +234,7 @@
 			d.applyEvent(dispatch.Tick{})
 		case <-summary.C:
 			d.logSummary()
+			d.dropStrayCancellations()
 		}
 		d.flush()
 	}
--- a/fleet/entry/public.go
+++ b/fleet/entry/public.go
@@ -181,10 +181,12 @@
 		}
 		return
 	}
-	e.attempts.add(id, clock.BootMs())
+	e.attempts.begin(id, clock.BootMs())
 	job.Queue, job.AcceptedMs = *q, clock.WallMs()
 	rec := work.Record{Key: work.PrefixSubmission + id, Value: work.Encode(job)}
-	e.answerStored(c, id, logevent.JobAccepted, e.storeRecord(ctx, rec, deadline(c, q)), platform.EncodeJobState(work.Queued))
+	err = e.storeRecord(ctx, rec, deadline(c, q))
+	e.attempts.end(id, err)
+	e.answerStored(c, id, logevent.JobAccepted, err, platform.EncodeJobState(work.Queued))
 }
 
 // answerKnown responds with the state of a job that was accepted before, and reports whether it was.
@@ -327,15 +329,16 @@
 	}
 }
 
-// cancel stores a cancellation and responds with the job's state.
+// cancel stores a cancellation and responds with the job's state. It is also stored for an unknown job that this entry may still be
+// storing: the submission takes effect after it then, and the job never starts.
 func (e *Entry) cancel(ctx context.Context, c *app.RequestContext, q *work.Queue, id string) {
 	state, ok, err := e.lookUpJob(ctx, id)
 	switch {
 	case err != nil:
 		e.refuse(c, http.StatusServiceUnavailable, id, "the store does not answer; come back after the time given")
-	case !ok:
+	case !ok && !e.attempts.has(id, clock.BootMs()):
 		answer(c, http.StatusGone, platform.EncodeError("no such job"))
-	case state.Final():
+	case ok && state.Final():
 		answer(c, http.StatusOK, platform.EncodeJobState(state))
 	default:
 		rec := work.Record{Key: work.PrefixCancellation + id, Value: []byte{1}}
--- a/fleet/entry/view.go
+++ b/fleet/entry/view.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
 	"github.com/verbenakeel/verbenakeel/logevent"
 )
@@ -32,7 +33,9 @@
 type jobView struct {
 	job       *work.Job
 	cancelled bool
-	state     work.JobState
+	// cancelledMs is when the cancellation was first read, in boot time.
+	cancelledMs int64
+	state       work.JobState
 	// progress is the stored progress of a job that has not finished, or that may still have active runs, and checkpoints
 	// the stored checkpoints of its tasks.
 	progress, checkpoints []byte
@@ -168,11 +171,14 @@
 
 func (v *view) applyCancellation(id string, r work.Record) {
 	if len(r.Value) == 0 {
+		if e := v.unsubmitted[id]; e != nil && e.progress == nil {
+			delete(v.unsubmitted, id)
+		}
 		return
 	}
 	e := v.jobEntry(id)
 	if !e.cancelled {
-		e.cancelled = true
+		e.cancelled, e.cancelledMs = true, clock.BootMs()
 		if e.job != nil {
 			v.notifyDecider(id, e)
 		}
@@ -246,6 +252,24 @@
 	}
 }
 
+// strayCancellationTTLMs is how long a cancellation without a submission is kept. A submission that was on its way is stored within
+// seconds.
+const strayCancellationTTLMs = 600_000
+
+// strayCancellations returns the jobs of which a cancellation is stored for long and no submission.
+func (v *view) strayCancellations(nowMs int64) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var ids []string
+	for id, j := range v.unsubmitted {
+		if j.cancelled && j.progress == nil && nowMs-j.cancelledMs >= strayCancellationTTLMs {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 // orphans returns the jobs of which progress is stored but no submission. It is complete once both topics were read to
 // their end.
 func (v *view) orphans() []string {
