side: take a leave back once the worker is seen to go on

Cause: the message by which a worker leaves holds its id only. That of the earlier life arrived late and marked the next one as leaving, for good.

Ruled out: heartbeats that are ignored (their states are taken over), the decider (it follows the mark in each report).

Change: a heartbeat that says ready takes the mark back once the worker has answered a call at least 1 s after the message, since a worker that leaves ends then.

--- a/fleet/side/heartbeat.go
+++ b/fleet/side/heartbeat.go
@@ -16,6 +16,10 @@
 // id.
 const takeoverMs = 4000
 
+// leaveSettleMs is the time after a message that the worker terminates from which an answer shows that it goes on: the message
+// was one of its earlier life. A list call that was sent before takes up to listWait.
+const leaveSettleMs = 1000
+
 // serveWorker serves requests of the worker on this instance.
 func (s *Side) serveWorker(_ context.Context, c *app.RequestContext) {
 	path := string(c.Path())
@@ -78,6 +82,10 @@
 		if changed {
 			s.log.Log(logevent.WorkerDraining, logevent.Str("id", info.Incarnation.ID), logevent.Int("remaining_ms", info.RemainingMs))
 		}
+		if inc.leaving && !info.Draining && inc.answeredMs-inc.leftMs >= leaveSettleMs {
+			inc.leaving, changed = false, true
+			s.log.Log(logevent.WorkerRecovered, logevent.Str("id", info.Incarnation.ID), logevent.Str("reason", "an earlier life announced that it terminates"))
+		}
 	}
 	s.mu.Unlock()
 	if changed {
@@ -102,7 +110,7 @@
 	s.mu.Lock()
 	known := s.incarnation != nil && s.incarnation.info.Incarnation.ID == id
 	if known {
-		s.incarnation.leaving = true
+		s.incarnation.leaving, s.incarnation.leftMs = true, clock.BootMs()
 		s.log.Log(logevent.WorkerDraining, logevent.Str("id", id), logevent.Str("state", "leaves"))
 	}
 	s.mu.Unlock()
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -56,7 +56,9 @@
 	// stopOrders cancels orderCtx, the context of the current connection's orders.
 	orderCtx   context.Context
 	stopOrders context.CancelFunc
-	leaving    bool
+	// leaving is true once the worker announced that it terminates, at leftMs.
+	leaving bool
+	leftMs  int64
 	// clockMs is the worker's clock at clockAtMs of the local clock.
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
