side: recognize the present life of a worker by its answers

Cause: a heartbeat counted as newer only by the worker's wall clock.

Ruled out: heartbeats refused as malformed (they got 200), their numbers (compared within one life only).

Change: the lists that a worker returns name the life that answers. If it is not the known one, a heartbeat with that start is of the present life, and the life that it replaces is remembered as ended, so that its late heartbeats change nothing.

TestLifeWithEarlierStartIsRecognized failed before; it also guards against late heartbeats of either life. go test -race of fleet/side and platform passed.

--- a/fleet/side/heartbeat.go
+++ b/fleet/side/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
@@ -16,9 +17,13 @@
 // id.
 const takeoverMs = 4000
 
-// leaveSettleMs is the time after a message that the worker terminates from which an answer shows that it goes on: the message
-// was one of its earlier life. A list call that was sent before takes up to listWait.
-const leaveSettleMs = 1000
+const (
+	// leaveSettleMs is the time after a message that the worker terminates from which an answer shows that it goes on: the message
+	// was one of its earlier life. A list call that was sent before takes up to listWait.
+	leaveSettleMs = 1000
+	// maxSuperseded is the number of superseded lives that are remembered. Each takes a jump of the worker's clock.
+	maxSuperseded = 8
+)
 
 // serveWorker serves requests of the worker on this instance.
 func (s *Side) serveWorker(_ context.Context, c *app.RequestContext) {
@@ -62,9 +67,11 @@
 	s.mu.Lock()
 	changed := false
 	switch inc := s.incarnation; {
+	case slices.Contains(s.superseded, info.Incarnation):
 	case inc == nil || isNewer(inc, info):
 		if inc != nil {
 			inc.cancel()
+			s.supersede(inc, info)
 		}
 		s.incarnation = s.newIncarnation(context.Background(), info)
 		givenUp := 0
@@ -93,14 +100,24 @@
 	}
 }
 
-// isNewer reports whether a heartbeat is from a later incarnation than the current one, and not a delayed one of an earlier.
+// supersede remembers a life that was replaced by one with an earlier start, so that its late heartbeats change nothing. The caller
+// holds Side.mu.
+func (s *Side) supersede(inc *incarnation, by *link.Worker) {
+	if known := inc.info.Incarnation; known.StartedMs != 0 && by.Incarnation.StartedMs != 0 && by.Incarnation.StartedMs <= known.StartedMs {
+		s.superseded = append(s.superseded, known)
+		s.superseded = s.superseded[max(len(s.superseded)-maxSuperseded, 0):]
+	}
+}
+
+// isNewer reports whether a heartbeat is from a later incarnation than the current one, and not a delayed one of an earlier. The start
+// tells, and as the worker's clock may have jumped back in between, also the life that answers calls to the current one.
 func isNewer(inc *incarnation, info *link.Worker) bool {
 	known := inc.info.Incarnation
 	if info.Incarnation == known {
 		return false
 	}
 	if info.Incarnation.StartedMs != 0 && known.StartedMs != 0 {
-		return info.Incarnation.StartedMs > known.StartedMs
+		return info.Incarnation.StartedMs > known.StartedMs || info.Incarnation.StartedMs == inc.successorMs
 	}
 	return info.Incarnation.ID != known.ID && clock.BootMs()-inc.answeredMs > takeoverMs
 }
--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -1,6 +1,7 @@
 package side
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,3 +59,26 @@
 	defer r.side.mu.Unlock()
 	assert.Assert(t, r.side.incarnation.leaving, "late heartbeats of a worker that answers nothing took its leave back")
 }
+
+// Guards against a life of a worker that is ignored for good as its start is earlier than that of the life before (review-2 born, LOST: the
+// time of day had jumped back), and against heartbeats of the earlier life that arrive late and are taken for a new one.
+func TestLifeWithEarlierStartIsRecognized(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed })
+	earlier := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs - 500}
+	r.register(earlier, 90, false)
+	r.side.mu.Lock()
+	assert.Equal(t, r.side.incarnation.info.Incarnation, r.incarnation, "a late heartbeat replaced the life that answers")
+	r.side.mu.Unlock()
+	r.restartWorker(earlier.StartedMs)
+	of := func(rep *link.Report) bool { return rep.Worker != nil && rep.Worker.Incarnation == earlier }
+	r.heartbeats(earlier, 1, "of the present life", of)
+	r.register(r.incarnation, 50, false)
+	r.heartbeats(earlier, 1000, fmt.Sprint("after a late heartbeat of the life before"), of)
+	r.side.mu.Lock()
+	defer r.side.mu.Unlock()
+	assert.Equal(t, r.side.incarnation.info.Incarnation, earlier)
+	assert.Equal(t, len(r.side.superseded), 1)
+}
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -51,6 +51,8 @@
 	epoch, fence uint64
 	conn         *connection
 	incarnation  *incarnation
+	// superseded holds the lives that are known to have ended although they report a later start than the present one.
+	superseded []link.Incarnation
 	// leaseEndMs is when the worker's lease expires, by the newest answer of a decider.
 	leaseEndMs int64
 }
