--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -1,7 +1,6 @@
 package side
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -76,7 +75,7 @@
 	of := func(rep *link.Report) bool { return rep.Worker != nil && rep.Worker.Incarnation == earlier }
 	r.heartbeats(earlier, 1, "of the present life", of)
 	r.register(r.incarnation, 50, false)
-	r.heartbeats(earlier, 1000, fmt.Sprint("after a late heartbeat of the life before"), of)
+	r.heartbeats(earlier, 1000, "after a late heartbeat of the life before", of)
 	r.side.mu.Lock()
 	defer r.side.mu.Unlock()
 	assert.Equal(t, r.side.incarnation.info.Incarnation, earlier)
