dispatch: pause after an answer of the adviser that does not cover its question

What callers saw: nothing yet, found by reading. An adviser that answers without its list, or with a row that names nothing, was asked again at once, as fast as it answers, and after a first failed call a step named up to a hundred workers instead of 30.

Cause: such an answer denies nothing, so that the same workers were due again, and counted as a call that succeeded. Ruled out: a denial of these workers (the answer does not say so). Change: an answer that says nothing counts as a failed call, and after an incomplete one its step pauses for 1 s. Measured: TestIncompleteAnswersSpaceOutCalls allows 22 calls in 10 s and passes; it was not run on the code before.

--- a/fleet/dispatch/advice.go
+++ b/fleet/dispatch/advice.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// answered reports whether the adviser has said anything yet.
+func (a *advice) answered() bool { return a != nil && len(a.tickets)+len(a.denied) > 0 }
+
 // denies reports whether the step may not run on the present life of a worker.
 func (a *advice) denies(w *worker) bool {
 	if a == nil {
@@ -172,7 +175,7 @@
 	switch {
 	case renewals >= st.waiting:
 		size = renewals
-	case st.advice == nil:
+	case !st.advice.answered():
 		size = max(firstQuestionWorkers, st.waiting)
 	}
 	return min(size, maxWorkersPerQuestion, len(list))
--- a/fleet/dispatch/advice_test.go
+++ b/fleet/dispatch/advice_test.go
@@ -102,7 +102,31 @@
 		sim.now += stepMs
 		again += len(sim.state.Step(sim.at(), Tick{}).Questions)
 	}
-	assert.Equal(t, again, 1, "asked at once and not again while that call is outstanding")
+	assert.Equal(t, again, 1, "asked again, and not while that call is outstanding")
+}
+
+// Guards against an adviser whose answers say nothing, or not everything, and that is asked again without a pause.
+func TestIncompleteAnswersSpaceOutCalls(t *testing.T) {
+	for _, tickets := range []bool{false, true} {
+		sim := newConnectedSimulation(t, 2)
+		j := &work.Job{ID: jobID(1), Queue: work.Queue{Name: "q", Service: "app", Attempts: 3, Stretch: 2, Advice: &work.Advice{ValidMs: 3000}},
+			Steps: []work.Step{{Count: 1, CPU: 3000, MemMB: 10, EstMs: 640, Gang: true}, {Count: 2, CPU: 3000, MemMB: 10, EstMs: 640, Gang: true}}}
+		sim.submit(j)
+		asked := 0
+		for range 200 {
+			sim.now += stepMs
+			for _, q := range sim.state.Step(sim.at(), Tick{}).Questions {
+				asked++
+				answer := AdviceReceived{Step: q.Step, ValidMs: 3000}
+				if tickets {
+					answer.Tickets = map[string]string{sim.workers[0].instance: "ticket"}
+					answer.IDs = map[string]string{sim.workers[0].instance: sim.workers[0].info.Incarnation.ID}
+				}
+				sim.step(answer)
+			}
+		}
+		assert.Assert(t, asked > 2 && asked <= 22, "asked %d times in 10 s", asked)
+	}
 }
 
 // Guards against a ticket that a worker refuses and that is used again, and against a worker that counts as denied for that.
--- a/fleet/dispatch/adviser.go
+++ b/fleet/dispatch/adviser.go
@@ -193,6 +193,10 @@
 }
 
 func (e AdviceReceived) apply(s *State) {
+	if !e.Complete && len(e.Tickets) == 0 {
+		AdviceFailed{Step: e.Step}.apply(s) // an answer that says nothing
+		return
+	}
 	s.adviser.answered(e.Step)
 	s.placePending = true
 	st := s.findStep(e.Step)
@@ -201,6 +205,9 @@
 	}
 	st.advice.record(s, e)
 	st.askAfterMs, st.exhaustedPass = 0, 0
+	if !e.Complete {
+		st.askAfterMs = s.now.BootMs + sameWorkerRetryMs
+	}
 }
 
 // AdviceFailed means that the call for a step has failed or was given up. The adviser may still handle it.
