entry: take the append in flight before the resignation is sent

Cause: found by reading. The goroutine that resigns read the append in flight while the loop may still handle its result, which now happens within a batch of events. Ruled out: a resignation with a wrong number (numbers are given by the loop, which sends nothing any more). Change: the append is taken in the loop.

--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -370,12 +370,13 @@
 	d.post(func() {
 		d.claimLost = true
 		claim := work.Encode(&work.Claim{Epoch: d.epoch, Instance: e.set.Instance, Resigned: true})
+		f := d.inFlight // the loop may still handle its result
 		go func() {
 			defer close(finished)
 			ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 			defer cancel()
 			// An append in flight is sent again first, so that the resignation has the next sequence number.
-			if f := d.inFlight; f != nil {
+			if f != nil {
 				if _, err := e.store.Append(ctx, f.append); err != nil {
 					e.log.Log(logevent.ClaimFailed, logevent.Err(err))
 					return
