entry: let a decider load for as long as a read may take

Cause: found by reading again. A decider that loads gave its place up after 5 s without an answered read, also while a read goes on that takes longer: the newest records of a large topic, read through another entry, take up to 10 s. Ruled out: reads that fail (they end the heartbeats at once, and the place after 5 s, as before). Change: 15 s while no read has failed. Measured: TestLoadingDeciderKeepsItsPlace with reads that take 7 s in place of 4 s passes; it was not run with 7 s on the code before.

--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -27,6 +27,9 @@
 	maxEventBatch = 256
 	// proofInterval is the minimum time between two checks whether a heartbeat is due while the loop works.
 	proofInterval = 50 * time.Millisecond
+	// loadStallLimit is the time without an answered read after which a decider stops loading. The newest records of a large topic,
+	// read through another entry, take up to 10 s.
+	loadStallLimit = 15 * time.Second
 	// summaryInterval is the time between two fleet summaries in the log.
 	summaryInterval = 2 * time.Second
 	// resignTimeout bounds the append with which a decider that shuts down resigns.
@@ -176,7 +179,7 @@
 }
 
 // loadTopic reads a topic to its end and reports whether it did. Meanwhile the decider proves that it lives. It does not while reads fail,
-// so that another entry claims, and gives its place up if none has succeeded for AuthorityTimeout.
+// so that another entry claims, and gives its place up if none has succeeded for AuthorityTimeout then, or for loadStallLimit in any case.
 func (d *decider) loadTopic(r *topicReader) bool {
 	began, failed := clock.BootMs(), int64(0)
 	ctx, cancel := context.WithCancel(d.ctx)
@@ -200,10 +203,14 @@
 				refresh()
 			}()
 		case <-ticker.C:
-			if clock.BootMs()-max(began, r.lastReadMs()) > d.entry.set.Bounds.AuthorityTimeout.Milliseconds() {
+			limit, failing := loadStallLimit, r.lastReadMs() < failed
+			if failing {
+				limit = d.entry.set.Bounds.AuthorityTimeout
+			}
+			if clock.BootMs()-max(began, r.lastReadMs()) > limit.Milliseconds() {
 				return false
 			}
-			if r.lastReadMs() >= failed {
+			if !failing {
 				d.proveAlive()
 			}
 		}
