--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -1,6 +1,9 @@
 package side
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -16,9 +19,9 @@
 		r.register(incarnation, seq, false)
 		time.Sleep(100 * time.Millisecond)
 		r.mu.Lock()
-		latest := r.reports[len(r.reports)-1]
+		fit := len(r.reports) > 0 && fits(&r.reports[len(r.reports)-1])
 		r.mu.Unlock()
-		if fits(&latest) {
+		if fit {
 			return
 		}
 	}
@@ -81,3 +84,65 @@
 	assert.Equal(t, r.side.incarnation.info.Incarnation, earlier)
 	assert.Equal(t, len(r.side.superseded), 1)
 }
+
+// lifeMessage is a message of one life of a worker: a heartbeat, or that it leaves.
+type lifeMessage struct {
+	life     link.Incarnation
+	seq      int64
+	draining bool
+	leave    bool
+}
+
+func (r *testSide) deliver(m lifeMessage) {
+	if m.leave {
+		r.side.handleLeave(m.life.ID)
+		return
+	}
+	r.register(m.life, m.seq, m.draining)
+}
+
+// Guards against a side process that stays with an earlier life of its worker, or takes the present one for leaving, whatever arrives late,
+// twice or out of order of three lives of one id, with clocks that jump either way between them: once the last life has been heard the
+// reports show it as it is.
+func TestNewestOfThreeLivesIsReported(t *testing.T) {
+	for seed := range uint64(16) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 9))
+			r := newTestSide(t)
+			r.connect(1)
+			starts := rng.Perm(3)
+			var late []lifeMessage
+			var last link.Incarnation
+			for n, start := range starts {
+				last = link.Incarnation{ID: "i-1", StartedMs: 100_000 + 1000*int64(start)}
+				r.restartWorker(last.StartedMs)
+				if n == len(starts)-1 {
+					break
+				}
+				heard := rng.IntN(3) > 0 // else its messages all come late
+				for seq := range int64(3 + rng.IntN(4)) {
+					m := lifeMessage{life: last, seq: seq + 1, draining: seq > 3}
+					late = append(late, m)
+					if heard {
+						r.deliver(m)
+						time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
+					}
+				}
+				late = append(late, lifeMessage{life: last, leave: true})
+			}
+			seq := int64(0)
+			for range 3 * len(late) {
+				r.deliver(late[rng.IntN(len(late))])
+				if rng.IntN(3) == 0 {
+					seq++
+					r.register(last, seq, false)
+				}
+				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+			}
+			r.heartbeats(last, seq+1, fmt.Sprintf("of the last of the lives %v as ready", starts), func(rep *link.Report) bool {
+				return rep.Worker != nil && rep.Worker.Incarnation == last && !rep.Worker.Draining && !rep.Leaving
+			})
+		})
+	}
+}
