dispatch: keep no failed runs of long-running tasks

The stored progress of a job that lasts grows with each failed run until the store refuses it.

Cause: the numbers of failed runs serve to count attempts; long-running tasks have no limit on attempts, and theirs were kept too. Ruled out: another use of the numbers (a run that is reported twice has no effect without a count). Change: they are not counted for long-running tasks, and stored ones are dropped.

--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -106,10 +106,11 @@
 	s.countFailure(w, t, t.run)
 }
 
-// countFailure counts a failed run once, even if it was abandoned before its result arrived. A gang fails as a whole.
+// countFailure counts a failed run once, even if it was abandoned before its result arrived. A gang fails as a whole. Failures of
+// long-running tasks are not counted: they have no limit, and their numbers would grow in the stored progress for as long as the job runs.
 func (s *State) countFailure(w *worker, t *task, run int) {
 	st := t.stage
-	if t.phase == done || st.job.state.Final() || slices.Contains(t.failed, run) {
+	if st.step.LongRunning || t.phase == done || st.job.state.Final() || slices.Contains(t.failed, run) {
 		return
 	}
 	t.failed = append(t.failed, run)
@@ -124,7 +125,7 @@
 		}
 		fails = len(runs)
 	}
-	if !st.step.LongRunning && fails >= s.queue(st.job).Attempts {
+	if fails >= s.queue(st.job).Attempts {
 		s.finishJob(st.job, work.Failed, fmt.Sprintf("task %s failed in runs %v, last on %s", t.name(), t.failed, w.instance))
 	}
 }
--- /dev/null
+++ b/fleet/dispatch/completions_test.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+)
+
+// Guards against stored progress that grows with each failed run of a long-running task, until the store refuses it, also where an earlier
+// version has stored many.
+func TestFailuresOfLongRunningTasksAreNotKept(t *testing.T) {
+	sim := newConnectedSimulation(t, 1)
+	j := &work.Job{ID: jobID(1), Steps: []work.Step{{Count: 1, CPU: 100, MemMB: 10, EstMs: 400, LongRunning: true}}}
+	stored := make([]int, 5000)
+	for i := range stored {
+		stored[i] = i + 1
+	}
+	sim.stored[j.ID] = work.Encode(&work.Progress{State: work.Running, Stages: []work.StageProgress{{Tasks: []work.TaskProgress{{Run: len(stored), Failed: stored}}}}})
+	sim.submit(j)
+	held := sim.state.jobs[j.ID]
+	tk := &held.stages[0].tasks[0]
+	assert.Equal(t, tk.run, len(stored))
+	w := sim.state.workers[sim.workers[0].instance]
+	for run := range 1000 {
+		sim.state.handleCompletion(w, tk, link.Completion{Task: tk.name().String(), Run: run + 1, Outcome: link.Failed})
+	}
+	assert.Assert(t, held.progressBytes() < 100, "the progress takes %d bytes", held.progressBytes())
+	assert.Equal(t, held.state, work.Running)
+}
--- a/fleet/dispatch/progress.go
+++ b/fleet/dispatch/progress.go
@@ -106,7 +106,10 @@
 }
 
 func (s *State) restoreTask(t *task, tp work.TaskProgress, workers []string) {
-	t.run, t.failed, t.checkpoint = tp.Run, tp.Failed, tp.Checkpoint
+	t.run, t.checkpoint = tp.Run, tp.Checkpoint
+	if !t.stage.step.LongRunning { // earlier versions stored those of long-running tasks too
+		t.failed = tp.Failed
+	}
 	t.stage.gangRun = max(t.stage.gangRun, tp.Run)
 	if t.stage.step.Gang && tp.Checkpoint != "" {
 		t.stage.gangCheckpoint = tp.Checkpoint
