dispatch: let the stall timeout grow with the stops of a task

A task without an estimate that takes over 40 minutes makes no percent within the longest stall timeout, 24 s, and would be stopped each time.

Cause: the timeout of a task doubles with each stop, four times at most. Ruled out: learned durations (none are learned from runs that are stopped before their first percent). Change: it doubles ten times, to 25 minutes. The start of a long-running task keeps four.

--- a/fleet/dispatch/completions_test.go
+++ b/fleet/dispatch/completions_test.go
@@ -30,3 +30,22 @@
 	assert.Assert(t, held.progressBytes() < 100, "the progress takes %d bytes", held.progressBytes())
 	assert.Equal(t, held.state, work.Running)
 }
+
+// Guards against a long task without an estimate that is stopped again and again because it takes longer from one percent to the next than the
+// longest stall timeout.
+func TestSlowProgressIsNoStallInTheEnd(t *testing.T) {
+	for _, percentMs := range []int64{30_000, 60_000, 20 * 60_000} { // tasks of 50 minutes, 100 minutes and 33 hours
+		s, st, progress := newRunningStep(t, 0)
+		tk := &st.tasks[0]
+		progress(0, 1, percentMs)
+		stops := 0
+		for stalled := true; stalled && stops < 20; {
+			tk.progressedMs = s.now.BootMs - percentMs
+			if stalled = s.stalled(tk.worker, tk); stalled {
+				tk.stalls++
+				stops++
+			}
+		}
+		assert.Assert(t, stops > 0 && stops <= maxStallShift, "stopped %d times with a percent in %d ms", stops, percentMs)
+	}
+}
--- a/fleet/dispatch/health.go
+++ b/fleet/dispatch/health.go
@@ -22,8 +22,10 @@
 	stallTimeoutMs = 1500
 	// bestEffortStallTimeoutMs is the same for a best-effort task, which may get no CPU for a while.
 	bestEffortStallTimeoutMs = 5000
-	// maxStallShift bounds the doubling of the stall timeout of a task.
-	maxStallShift = 4
+	// maxStallShift bounds the doubling of the stall timeout of a task: to 25 minutes, in which a task of 42 hours makes one percent.
+	maxStallShift = 10
+	// maxStartStallShift bounds it for the start of a long-running task.
+	maxStartStallShift = 4
 	// minMoveFactor is how many times longer the rest of a run must take than a new run elsewhere before it is moved.
 	minMoveFactor = 1.6
 	// minSuspectFactor is how many times longer than any estimate a run must take before it is compared with others, as that
@@ -141,7 +143,7 @@
 
 // stalled reports whether a run makes no progress.
 func (s *State) stalled(w *worker, t *task) bool {
-	limit := int64(stallTimeoutMs)
+	limit, shift := int64(stallTimeoutMs), maxStallShift
 	step := t.stage.step
 	if step.BestEffort {
 		limit = bestEffortStallTimeoutMs
@@ -150,10 +152,10 @@
 		if t.percent >= 100 {
 			return false
 		}
-		limit = s.bounds.MaxStartDelay.Milliseconds()
+		limit, shift = s.bounds.MaxStartDelay.Milliseconds(), maxStartStallShift
 	}
 	// A task that stalled before may just be slow to report progress, so each attempt doubles its timeout.
-	limit = max(limit, s.taskMs(t.stage)/8) << min(t.stalls, maxStallShift)
+	limit = max(limit, s.taskMs(t.stage)/8) << min(t.stalls, shift)
 	if w.lastReportMs-t.progressedMs < limit {
 		return false
 	}
