fleet: use the terms of the field for heartbeats, voluntary stops and orphans

Cause: a reading of the change as a newcomer. Ruled out: any change of behaviour; identifiers, comments and pages only. Change: heartbeatIfDue, voluntary, orphanedCancellations, failedTakeovers and answeringStartMs in place of words of our own.

--- a/fleet/dispatch/disruption_test.go
+++ b/fleet/dispatch/disruption_test.go
@@ -81,7 +81,7 @@
 }
 
 // Guards, over random loads, moves, added workers, lost connections and changes of the decider, against more tasks of a step stopped
-// by choice than it allows (AVAIL; checked by the simulated workers).
+// than it allows (AVAIL; checked by the simulated workers).
 func TestStopsByChoiceKeepTheLimit(t *testing.T) {
 	stops := make([]int, 40)
 	t.Run("seeds", func(t *testing.T) {
@@ -194,9 +194,9 @@
 	assert.DeepEqual(t, orders, []string{"sendStop", "stopUnknownRuns"})
 	assert.DeepEqual(t, sends, []string{"resendStops", "stopRun"})
 	for _, c := range []stopCause{stopJobEnded, stopRedundant, stopGangEnded, stopDraining} {
-		assert.Assert(t, !c.byChoice())
+		assert.Assert(t, !c.voluntary())
 	}
 	for _, c := range []stopCause{stopStalled, stopSlow, stopThrottled, stopRebalanced} {
-		assert.Assert(t, c.byChoice())
+		assert.Assert(t, c.voluntary())
 	}
 }
--- a/fleet/dispatch/stops.go
+++ b/fleet/dispatch/stops.go
@@ -26,15 +26,15 @@
 	stopRebalanced
 )
 
-// byChoice reports whether a stop can be left out or come later. Such stops keep to MaxUnavailable.
-func (c stopCause) byChoice() bool { return c >= stopStalled }
+// voluntary reports whether a stop can be left out or come later. Such stops keep to MaxUnavailable.
+func (c stopCause) voluntary() bool { return c >= stopStalled }
 
-// stopRun orders the task's run to stop and reports whether it did. A stop by choice that the step does not allow now is left out.
+// stopRun orders the task's run to stop and reports whether it did. A voluntary stop that the step does not allow now is left out.
 func (s *State) stopRun(t *task, cause stopCause, reason string) bool {
 	if t.worker == nil || t.phase == stopping {
 		return false
 	}
-	if cause.byChoice() && !s.mayDisrupt(t) {
+	if cause.voluntary() && !s.mayDisrupt(t) {
 		return false
 	}
 	if !t.recorded {
@@ -55,7 +55,7 @@
 // listed until the stop has taken effect, which takes up to 200 ms after it has arrived.
 const disruptionSettleMs = 1000
 
-// mayDisrupt reports whether a run may be stopped by choice. If the step limits how many of its tasks may be unavailable at once
+// mayDisrupt reports whether a run may be stopped voluntarily. If the step limits how many of its tasks may be unavailable at once
 // (MaxUnavailable), fewer others must be so, whatever the cause. A run that is not at work may always be stopped.
 func (s *State) mayDisrupt(t *task) bool {
 	limit := t.stage.step.MaxUnavailable
--- a/fleet/entry/append.go
+++ b/fleet/entry/append.go
@@ -73,13 +73,13 @@
 	return true
 }
 
-// proveAlive appends a heartbeat if one is due. It is called between units of work that may take long together, such as the jobs that are
+// heartbeatIfDue appends a heartbeat if one is due. It is called between units of work that may take long together, such as the jobs that are
 // loaded or the events of one batch. A decider whose loop is stuck in one unit does not call it, so that another entry claims.
-func (d *decider) proveAlive() {
-	if time.Since(d.provedAt) < proofInterval {
+func (d *decider) heartbeatIfDue() {
+	if time.Since(d.heartbeatCheckedAt) < heartbeatCheckInterval {
 		return
 	}
-	d.provedAt = time.Now()
+	d.heartbeatCheckedAt = time.Now()
 	select {
 	case r := <-d.appended:
 		d.appendDone(r)
@@ -101,10 +101,10 @@
 	time.AfterFunc(after, func() { d.post(func() { d.flushScheduled = false }) })
 }
 
-// dropStrayCancellations removes cancellations whose submission never came.
-func (d *decider) dropStrayCancellations() {
+// dropOrphanedCancellations removes cancellations whose submission never came.
+func (d *decider) dropOrphanedCancellations() {
 	var records []work.Record
-	for _, id := range d.entry.view.strayCancellations(clock.BootMs()) {
+	for _, id := range d.entry.view.orphanedCancellations(clock.BootMs()) {
 		records = append(records, work.Record{Key: work.PrefixCancellation + id})
 	}
 	d.dropRecords(records)
--- a/fleet/entry/cancel_test.go
+++ b/fleet/entry/cancel_test.go
@@ -81,7 +81,7 @@
 }
 
 // Guards against cancellations without a submission that stay in the store for good.
-func TestStrayCancellationsAreDropped(t *testing.T) {
+func TestOrphanedCancellationsAreDropped(t *testing.T) {
 	s := newSite(t)
 	e, _ := s.entry("entry-1")
 	s.until("a decider", func() bool { return deciders(e) == 1 && e.currentDecider() != nil })
@@ -93,7 +93,7 @@
 		if e.view.unsubmitted[id] == nil {
 			return false
 		}
-		e.view.unsubmitted[id].cancelledMs -= strayCancellationTTLMs
+		e.view.unsubmitted[id].cancelledMs -= orphanedCancellationTTLMs
 		return true
 	})
 	s.until("it to be removed", func() bool { return len(s.store.Keys(work.TopicJobs)[work.PrefixCancellation+id]) == 0 })
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -25,8 +25,8 @@
 	eventQueueSize = 4096
 	// maxEventBatch bounds the events handled between two placement passes.
 	maxEventBatch = 256
-	// proofInterval is the minimum time between two checks whether a heartbeat is due while the loop works.
-	proofInterval = 50 * time.Millisecond
+	// heartbeatCheckInterval is the minimum time between two checks whether a heartbeat is due while the loop works.
+	heartbeatCheckInterval = 50 * time.Millisecond
 	// loadStallLimit is the time without an answered read after which a decider stops loading. The newest records of a large topic,
 	// read through another entry, take up to 10 s.
 	loadStallLimit = 15 * time.Second
@@ -59,11 +59,11 @@
 	confirmedMs int64
 	sentMs      int64
 	// inFlight is the unacknowledged append; nil if there is none. appended carries its result, and resendAtMs is when it is sent
-	// again; 0 while a call is outstanding. provedAt is when proveAlive last looked.
-	inFlight   *inFlightAppend
-	appended   chan appendResult
-	resendAtMs int64
-	provedAt   time.Time
+	// again; 0 while a call is outstanding. heartbeatCheckedAt is when heartbeatIfDue last looked.
+	inFlight           *inFlightAppend
+	appended           chan appendResult
+	resendAtMs         int64
+	heartbeatCheckedAt time.Time
 	// flushScheduled is true while a flush is scheduled because the last append was too recent.
 	flushScheduled bool
 	// claimLost is true once another decider has claimed or this one has resigned.
@@ -168,7 +168,7 @@
 	}
 	for id, v := range e.view.all() {
 		d.applyJob(id, v)
-		d.proveAlive()
+		d.heartbeatIfDue()
 	}
 	d.applyEvent(dispatch.JobsDropped{IDs: e.view.orphans()})
 	for _, a := range addresses {
@@ -178,7 +178,7 @@
 	return d.ctx.Err() == nil
 }
 
-// loadTopic reads a topic to its end and reports whether it did. Meanwhile the decider proves that it lives. It does not while reads fail,
+// loadTopic reads a topic to its end and reports whether it did. Meanwhile the decider sends heartbeats. It sends none while reads fail,
 // so that another entry claims, and gives its place up if none has succeeded for AuthorityTimeout then, or for loadStallLimit in any case.
 func (d *decider) loadTopic(r *topicReader) bool {
 	began, failed := clock.BootMs(), int64(0)
@@ -211,7 +211,7 @@
 				return false
 			}
 			if !failing {
-				d.proveAlive()
+				d.heartbeatIfDue()
 			}
 		}
 	}
@@ -241,7 +241,7 @@
 			d.applyEvent(dispatch.Tick{})
 		case <-summary.C:
 			d.logSummary()
-			d.dropStrayCancellations()
+			d.dropOrphanedCancellations()
 		}
 		d.flush()
 	}
@@ -268,7 +268,7 @@
 		select {
 		case ev := <-d.events:
 			d.handle(ev)
-			d.proveAlive()
+			d.heartbeatIfDue()
 		default:
 			return
 		}
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -56,9 +56,10 @@
 	mu sync.Mutex
 	// newest is the newest claim read; nil before the first one.
 	newest *work.Claim
-	// claimedMs is when the newest claim was read, and lost counts the deciders in a row before it that did not hold their place.
-	claimedMs int64
-	lost      int
+	// claimedMs is when the newest claim was read, and failedTakeovers counts the deciders in a row before it that did not hold their
+	// place.
+	claimedMs       int64
+	failedTakeovers int
 	// lastHeartbeatMs is when the last record of a decider was read, or when reads last failed or the timeout was reset.
 	lastHeartbeatMs int64
 	// caughtUpMs is when a read last reached the end of the topic without a new record.
@@ -103,19 +104,19 @@
 // has held its place.
 func (e *election) countTakeover(now, heartbeatMs int64) {
 	if e.newest == nil || e.newest.Resigned || heartbeatMs-e.claimedMs >= heldAfterMs {
-		e.lost = 0
+		e.failedTakeovers = 0
 	} else {
-		e.lost++
+		e.failedTakeovers++
 	}
 	e.claimedMs = now
 }
 
 // takeoverDelay returns the additional delay before a claim.
 func (e *election) takeoverDelay() int64 {
-	if e.lost == 0 || e.newest == nil || e.newest.Resigned || e.lastHeartbeatMs-e.claimedMs >= heldAfterMs {
+	if e.failedTakeovers == 0 || e.newest == nil || e.newest.Resigned || e.lastHeartbeatMs-e.claimedMs >= heldAfterMs {
 		return 0
 	}
-	return takeoverDelayMs << min(e.lost-1, maxTakeoverShift)
+	return takeoverDelayMs << min(e.failedTakeovers-1, maxTakeoverShift)
 }
 
 // observeCaughtUp records that a read reached the end of the topic without a new record.
--- a/fleet/entry/view.go
+++ b/fleet/entry/view.go
@@ -252,17 +252,17 @@
 	}
 }
 
-// strayCancellationTTLMs is how long a cancellation without a submission is kept. A submission that was on its way is stored within
+// orphanedCancellationTTLMs is how long a cancellation without a submission is kept. A submission that was on its way is stored within
 // seconds.
-const strayCancellationTTLMs = 600_000
+const orphanedCancellationTTLMs = 600_000
 
-// strayCancellations returns the jobs of which a cancellation is stored for long and no submission.
-func (v *view) strayCancellations(nowMs int64) []string {
+// orphanedCancellations returns the jobs of which a cancellation is stored for long and no submission.
+func (v *view) orphanedCancellations(nowMs int64) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var ids []string
 	for id, j := range v.unsubmitted {
-		if j.cancelled && j.progress == nil && nowMs-j.cancelledMs >= strayCancellationTTLMs {
+		if j.cancelled && j.progress == nil && nowMs-j.cancelledMs >= orphanedCancellationTTLMs {
 			ids = append(ids, id)
 		}
 	}
--- a/fleet/side/heartbeat.go
+++ b/fleet/side/heartbeat.go
@@ -117,7 +117,7 @@
 		return false
 	}
 	if info.Incarnation.StartedMs != 0 && known.StartedMs != 0 {
-		return info.Incarnation.StartedMs > known.StartedMs || info.Incarnation.StartedMs == inc.successorMs
+		return info.Incarnation.StartedMs > known.StartedMs || info.Incarnation.StartedMs == inc.answeringStartMs
 	}
 	return info.Incarnation.ID != known.ID && clock.BootMs()-inc.answeredMs > takeoverMs
 }
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -59,8 +59,8 @@
 	// leaving is true once the worker announced that it terminates, at leftMs.
 	leaving bool
 	leftMs  int64
-	// successorMs is the start of the life that has answered calls to this one since it last answered itself, 0 if none has.
-	successorMs int64
+	// answeringStartMs is the start of the life that has answered calls to this one since it last answered itself, 0 if none has.
+	answeringStartMs int64
 	// clockMs is the worker's clock at clockAtMs of the local clock.
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
@@ -133,7 +133,7 @@
 		inc.side.log.Log(logevent.WorkerRecovered, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("silent_ms", now-inc.answeredMs))
 		inc.unresponsive = false
 	}
-	inc.answeredMs, inc.refusedConns, inc.successorMs = now, 0, 0
+	inc.answeredMs, inc.refusedConns, inc.answeringStartMs = now, 0, 0
 }
 
 // leaseDeadline returns the lease expiry to send to the worker, by its clock, and records it. It returns 0 if less than minMs
@@ -227,7 +227,7 @@
 	}
 	var other *platform.OtherIncarnation
 	if errors.As(err, &other) {
-		inc.successorMs = other.StartedMs
+		inc.answeringStartMs = other.StartedMs
 	}
 	if !inc.unresponsive && now-inc.answeredMs > unresponsiveAfterMs {
 		inc.unresponsive = true
