entry: handle queued events before the append that follows a result

Cause: since the result of an append has a channel of its own, and the next append was sent before the queued events were handled, so that what they change waited for one append more. Change: the result and the queued events are one batch again, as before.

--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -229,14 +229,13 @@
 		select {
 		case <-d.ctx.Done():
 		case r := <-d.appended:
+			d.batchWait = 0
 			d.appendDone(r)
-			d.applyEvent(dispatch.Place{})
+			d.handleBatch()
 		case ev := <-d.events:
 			d.batchWait = 0
 			d.handle(ev)
-			d.handleQueued()
-			d.applyEvent(dispatch.EventsWaited{Wait: d.batchWait})
-			d.applyEvent(dispatch.Place{})
+			d.handleBatch()
 		case <-ticker.C:
 			d.applyEvent(dispatch.Tick{})
 		case <-summary.C:
@@ -261,6 +260,13 @@
 	d.maxWait, d.maxBatch = 0, 0
 }
 
+// handleBatch handles the events that are queued and places tasks, so that the append that follows holds what all of them have changed.
+func (d *decider) handleBatch() {
+	d.handleQueued()
+	d.applyEvent(dispatch.EventsWaited{Wait: d.batchWait})
+	d.applyEvent(dispatch.Place{})
+}
+
 // handleQueued handles events that are already queued.
 func (d *decider) handleQueued() {
 	for batch := 1; batch <= maxEventBatch; batch++ {
