entry: count no take-over from before a process has started

Cause: found by reading. The first claim that a process reads counted from then, so that the replacement of a decider that had held its place for long counted as a failed take-over by entries that had just started. Ruled out: a shorter wait after real failures (the count goes on from the next claim). Change: the first claim that is read counts as one that has held its place. Measured: TestFailedTakeoversSpaceOut and TestOneTakeoverWhileTheStateLoads passed.

--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -101,9 +101,13 @@
 }
 
 // countTakeover records that the decider of the newest claim, whose last heartbeat came at a boot time, was replaced. One that has resigned
-// has held its place.
+// has held its place, and so has, for want of its history, the first one that this process reads of.
 func (e *election) countTakeover(now, heartbeatMs int64) {
-	if e.newest == nil || e.newest.Resigned || heartbeatMs-e.claimedMs >= heldAfterMs {
+	if e.newest == nil {
+		e.claimedMs = now - heldAfterMs
+		return
+	}
+	if e.newest.Resigned || heartbeatMs-e.claimedMs >= heldAfterMs {
 		e.failedTakeovers = 0
 	} else {
 		e.failedTakeovers++
