side, dispatch: log what bounds the lease of a worker

Event 845 did not say what had bounded the lease, the side process did not log when it took calls to an earlier life of its worker into account and when it stopped to, nor which life answered its lists.

Change: events 871 (bound set by calls to an earlier life) and 872 (another life answered), the counter verbenakeel_worker_calls_other_life_total, and the source of the bound and the age of the worker's life in event 845. No decision changes.

Measured: tests of logevent, telemetry, fleet/side and fleet/dispatch pass.

--- a/fleet/dispatch/stops.go
+++ b/fleet/dispatch/stops.go
@@ -113,11 +113,20 @@
 		if !t.recorded || w.connected && t.orderNumber > w.ordersDone {
 			continue // not ordered yet, or the order is still unanswered
 		}
-		s.logTaskDecision(DecisionRequeued, t, "its lease has expired")
+		s.logTaskDecision(DecisionRequeued, t, s.leaseExpiredReason(w))
 		s.handleRunEnded(t)
 	}
 }
 
+// leaseExpiredReason says which bound on the lease of a worker has passed.
+func (s *State) leaseExpiredReason(w *worker) string {
+	up := "its worker was not seen by this decider"
+	if w.upMs > 0 {
+		up = fmt.Sprintf("its worker was first seen %d ms ago", s.now.BootMs-w.upMs)
+	}
+	return fmt.Sprintf("its lease has expired, by %s; %s", w.leaseSource, up)
+}
+
 // evictFromDraining stops runs on a draining worker that would not finish in time.
 func (s *State) evictFromDraining(w *worker) {
 	if !w.info.Draining {
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -53,6 +53,9 @@
 	// lastReportMs is when the last report came, leaseExpiresMs when every run on the worker has ended unless its lease
 	// is renewed.
 	lastReportMs, leaseExpiresMs int64
+	// leaseSource tells what leaseExpiresMs follows from, upMs when this decider learned of the present incarnation; 0 if it has not.
+	leaseSource leaseSource
+	upMs        int64
 	// grantExpiresMs is when the lease expires that the newest answer to a report may have renewed.
 	grantExpiresMs int64
 	// ordersDone is the highest number of orders up to which the side process has answered all.
@@ -78,6 +81,22 @@
 	health        health
 }
 
+// leaseSource is what a bound on a lease follows from.
+type leaseSource string
+
+const (
+	leaseFromClaim  leaseSource = "the claim of this decider"
+	leaseFromGrant  leaseSource = "the last answer to a report"
+	leaseFromReport leaseSource = "the last report"
+)
+
+// boundLease sets when every run on the worker has ended unless its lease is renewed.
+func (w *worker) boundLease(untilMs int64, source leaseSource) {
+	if untilMs != w.leaseExpiresMs {
+		w.leaseExpiresMs, w.leaseSource = untilMs, source
+	}
+}
+
 // ensureWorker returns the worker of an instance and creates it if needed. A worker that this decider does not know yet
 // may hold a lease of the previous decider until that expires.
 func (s *State) ensureWorker(instance string) *worker {
@@ -86,7 +105,7 @@
 	}
 	w := &worker{instance: instance, unknownRuns: map[string]int{}, lastReportMs: s.now.BootMs}
 	lease := s.bounds.Lease
-	w.leaseExpiresMs = s.claimedMs + (s.bounds.AuthorityTimeout + lease + bounds.ClockSlack(lease)).Milliseconds()
+	w.boundLease(s.claimedMs+(s.bounds.AuthorityTimeout+lease+bounds.ClockSlack(lease)).Milliseconds(), leaseFromClaim)
 	s.workers[instance] = w
 	s.sortedWorkers = append(s.sortedWorkers, w)
 	sort.Slice(s.sortedWorkers, func(i, k int) bool { return s.sortedWorkers[i].instance < s.sortedWorkers[k].instance })
@@ -193,7 +212,7 @@
 	}
 	w.connected, w.listed = false, false
 	// The side process may still use the whole lease that it was granted.
-	w.leaseExpiresMs = max(w.leaseExpiresMs, w.grantExpiresMs)
+	w.boundLease(max(w.leaseExpiresMs, w.grantExpiresMs), leaseFromGrant)
 }
 
 // LeaseRenewed means that a report was answered, which renews the lease of the worker.
@@ -209,7 +228,7 @@
 	w.answeredReportMs = max(w.answeredReportMs, e.SentMs)
 	w.grantExpiresMs = s.now.BootMs + (lease + bounds.ClockSlack(lease)).Milliseconds()
 	if w.reported {
-		w.leaseExpiresMs = max(w.leaseExpiresMs, w.grantExpiresMs)
+		w.boundLease(max(w.leaseExpiresMs, w.grantExpiresMs), leaseFromGrant)
 	}
 }
 
@@ -226,7 +245,7 @@
 	w.ordersDone = max(w.ordersDone, r.OrdersDone)
 	if r.AnsweredMs >= w.answeredReportMs {
 		// No answer is in flight, so the side process knows how long the lease can last.
-		w.leaseExpiresMs = min(w.leaseExpiresMs, s.now.BootMs+r.LeaseLeftMs)
+		w.boundLease(min(w.leaseExpiresMs, s.now.BootMs+r.LeaseLeftMs), leaseFromReport)
 	}
 	if r.Worker == nil {
 		s.requeueExpired(w)
@@ -235,7 +254,7 @@
 	if w.info == nil || w.info.Incarnation != r.Worker.Incarnation {
 		s.startIncarnation(w, r.Worker)
 		// Runs that calls to the earlier incarnation started may hold longer leases than were granted.
-		w.leaseExpiresMs = max(w.leaseExpiresMs, s.now.BootMs+r.LeaseLeftMs)
+		w.boundLease(max(w.leaseExpiresMs, s.now.BootMs+r.LeaseLeftMs), leaseFromReport)
 	}
 	if w.info.Draining != r.Worker.Draining || w.leaving != r.Leaving {
 		s.logDecision(Decision{Kind: DecisionWorkerDown, Instance: w.instance,
@@ -270,6 +289,7 @@
 	}
 	s.raiseFence(w)
 	w.lives++
+	w.upMs = s.now.BootMs
 	w.info, w.listed, w.lastCompletion, w.ackedCompletion, w.unresponsiveMs = info, false, 0, 0, 0
 	w.unknownRuns = map[string]int{}
 	w.health = health{}
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -65,6 +65,8 @@
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
 	leaseUntilMs int64
+	// listDeadlineMs is the deadline in the last list call, by the worker's clock; 0 if it had none.
+	listDeadlineMs int64
 	// inheritedLeaseMs bounds the leases of runs that calls to the earlier incarnation started here, 0 if there are none.
 	// inheritedFence is the highest fence of those calls.
 	inheritedLeaseMs int64
@@ -94,12 +96,19 @@
 		// the new clock, so that the worker cuts the lease to the longest one.
 		inc.inheritedLeaseMs = clock.BootMs() + s.set.Bounds.MaxLease.Milliseconds()
 		inc.inheritedFence = s.fence
+		inc.logLeaseBound("the worker restarted under its id")
 	}
 	inc.ctx, inc.cancel = context.WithCancel(ctx)
 	inc.orderCtx, inc.stopOrders = context.WithCancel(inc.ctx)
 	return inc
 }
 
+// logLeaseBound logs how long a lease may last that calls to an earlier life have set. The caller holds Side.mu.
+func (inc *incarnation) logLeaseBound(reason string) {
+	inc.side.log.Log(logevent.LeaseBoundChanged, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
+		logevent.Int("left_ms", max(inc.inheritedLeaseMs-clock.BootMs(), 0)), logevent.Str("reason", reason))
+}
+
 // trigger wakes run, so that it lists the runs without waiting.
 func (inc *incarnation) trigger() {
 	select {
@@ -161,6 +170,7 @@
 			got.ordersDone = s.conn.orders.completedUpTo()
 		}
 		deadline, forget := inc.leaseDeadline(now, 0), inc.forgetUpTo
+		inc.listDeadlineMs = deadline
 		s.mu.Unlock()
 		wait := listWait
 		if first || deadline == 0 {
@@ -179,6 +189,9 @@
 		inc.recordAnswer(ans.ClockMs)
 		if got.fence > inc.inheritedFence && len(ans.Runs) == 0 && ans.Complete {
 			// The worker has met a higher fence, so that it refuses calls that are still in transit, and it runs nothing.
+			if inc.inheritedLeaseMs != 0 {
+				inc.logLeaseBound("the worker lists no run under a higher fence")
+			}
 			inc.inheritedLeaseMs = 0
 		}
 		got.runs, got.completions, got.complete = ans.Runs, ans.Ended, ans.Complete
@@ -227,6 +240,15 @@
 	}
 	var other *platform.OtherIncarnation
 	if errors.As(err, &other) {
+		s.meters.otherLife("list")
+		if inc.answeringStartMs != other.StartedMs {
+			leaseMs := int64(0)
+			if inc.listDeadlineMs > 0 {
+				leaseMs = inc.listDeadlineMs - inc.workerClock(now)
+			}
+			s.log.Log(logevent.OtherLifeAnswered, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
+				logevent.Int("answering", other.StartedMs), logevent.Int("lease_ms", leaseMs))
+		}
 		inc.answeringStartMs = other.StartedMs
 	}
 	if !inc.unresponsive && now-inc.answeredMs > unresponsiveAfterMs {
--- a/fleet/side/metrics.go
+++ b/fleet/side/metrics.go
@@ -11,6 +11,7 @@
 type Meters struct {
 	answerAge       telemetry.Histogram
 	unansweredCalls telemetry.Counter
+	otherLifeCalls  telemetry.Counter
 	intake          *intake.Meters
 }
 
@@ -24,11 +25,15 @@
 	if err != nil {
 		return nil, err
 	}
+	other, err := r.Counter(telemetry.FleetOtherLife)
+	if err != nil {
+		return nil, err
+	}
 	in, err := intake.NewMeters(r)
 	if err != nil {
 		return nil, err
 	}
-	return &Meters{lease, lost, in}, nil
+	return &Meters{lease, lost, other, in}, nil
 }
 
 // recordAnswerAge records the age of the report that a decider answered.
@@ -38,3 +43,6 @@
 
 // unanswered counts a call to the worker without an answer.
 func (m *Meters) unanswered(call string) { m.unansweredCalls.Add(1, call) }
+
+// otherLife counts a call that another life of the worker answered.
+func (m *Meters) otherLife(call string) { m.otherLifeCalls.Add(1, call) }
--- a/telemetry/catalogue.go
+++ b/telemetry/catalogue.go
@@ -110,6 +110,7 @@
 var (
 	FleetDeciderAge = define(HistogramKind, SideRole, "decider_answer_age_seconds",
 		"age of a report when the decider's answer to it arrives; the lease of the worker shrinks by it")
+	FleetOtherLife  = define(CounterKind, SideRole, "worker_calls_other_life_total", "calls answered by another life of the worker than the one they were meant for", "call")
 	FleetUnanswered = define(CounterKind, SideRole, "worker_calls_unanswered_total", "calls to the worker without an answer", "call")
 	FleetRequests   = define(HistogramKind, EntryRole, "job_request_duration_seconds",
 		"time of requests of callers; outcome is the status", "call", "outcome")
