side, platformtest: reproduce runs that outlast the bound on their lease

Cause of the gap in the tests: the stand-in of the worker had a lease for each run. By the platform's page a deadline applies to everything that runs on the worker, never shortens, and counts from a call that finds nothing running as well.

--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 )
 
@@ -146,3 +148,41 @@
 		})
 	}
 }
+
+// Guards against a task that runs on two workers (issue 45, TWICE): calls that were meant for the earlier life of a worker give its next
+// life, whose clock starts anew, the longest lease there is. It holds for all that is started later, although nothing ran when the life was
+// first listed, and the decider must not take the runs for ended before.
+func TestLeaseFromCallsToEarlierLifeCoversLaterRuns(t *testing.T) {
+	r := newTestSide(t)
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.worker.AdvanceClock(time.Hour)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+	next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+	worker := r.restartWorker(next.StartedMs)
+	maxLease := r.side.set.Bounds.MaxLease
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if worker.LeaseLeft() > maxLease-time.Second {
+			return poll.Success()
+		}
+		return poll.Continue("no call for the earlier life has set the lease of the next one, which has %s left", worker.LeaseLeft())
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
+	r.register(next, 1, false)
+	const raised = 1<<16 + 1
+	r.order(link.Orders{Fence: raised})
+	r.await("with an empty list under the raised fence", func(rep *link.Report) bool {
+		return rep.Listed && rep.Complete && rep.Fence == raised && rep.Worker.Incarnation == next
+	})
+	r.order(link.Orders{Number: 1, Fence: raised, Incarnation: next, Starts: []link.Start{{Task: task, Run: 1}}})
+	r.await("with the run", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 1 })
+	_ = r.conn.Close()
+	for worker.LeaseLeft() > 0 {
+		runsUntil := time.Now().Add(worker.LeaseLeft())
+		r.side.mu.Lock()
+		bound := time.Now().Add(time.Duration(r.side.leaseLeft(clock.BootMs())) * time.Millisecond)
+		r.side.mu.Unlock()
+		assert.Assert(t, !runsUntil.After(bound), "runs last %s longer than the side process tells the decider", runsUntil.Sub(bound))
+		time.Sleep(50 * time.Millisecond)
+	}
+}
