side: bound the lease that calls to an earlier life have set until it ends

Cause: a call that was meant for the former life of a worker carries a deadline by that life's clock, which the next life cuts to the longest lease, hold_max from the call's arrival. The side process took that into account, but no longer once the worker listed no run under a higher fence. A lease belongs to the worker and never shortens, so that it also holds for what is started afterwards. When the worker was cut off next, the decider waited for the lease that it had granted itself and started the tasks elsewhere while they ran on.

Change: the bound counts from when the worker has first answered under a higher fence, from when on it refuses what is still in transit, and ends hold_max and its clock slack later, whatever runs. It also holds for the worker of a process that was started again, whose earlier process may have sent such calls.

--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -46,6 +46,11 @@
 	return bounds.ClockSlack(set.Bounds.Lease).Milliseconds()
 }
 
+// maxLeaseMs is how long the longest lease of a worker may last from when it takes a call, in milliseconds.
+func maxLeaseMs(set settings.Fleet) int64 {
+	return (set.Bounds.MaxLease + bounds.ClockSlack(set.Bounds.MaxLease)).Milliseconds()
+}
+
 // incarnation is the state of one incarnation of the worker. Its fields are guarded by Side.mu unless noted.
 type incarnation struct {
 	side   *Side
@@ -67,10 +72,12 @@
 	leaseUntilMs int64
 	// listDeadlineMs is the deadline in the last list call, by the worker's clock; 0 if it had none.
 	listDeadlineMs int64
-	// inheritedLeaseMs bounds the leases of runs that calls to the earlier incarnation started here, 0 if there are none.
-	// inheritedFence is the highest fence of those calls.
+	// inheritedLeaseMs is when the lease has expired at the latest that calls to an earlier incarnation may have given to this one, 0 if
+	// there are none. It holds for all runs, as a worker has one lease, which never shortens. inheritedFence is the highest fence of
+	// those calls, and fenced is true once the worker has met a higher one, so that it refuses those that are still in transit.
 	inheritedLeaseMs int64
 	inheritedFence   uint64
+	fenced           bool
 	// answeredMs is when the worker last answered, unresponsive is true once a longer time without answers was logged.
 	answeredMs   int64
 	unresponsive bool
@@ -89,22 +96,25 @@
 		triggered: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls)}
 	switch previous := s.incarnation; {
 	case previous == nil:
-		// This process may have renewed the worker's lease before it was restarted.
+		// This process may have renewed the worker's lease before it was restarted, and the worker may have restarted since.
 		inc.leaseUntilMs = s.startedMs + s.set.Bounds.Lease.Milliseconds()
+		inc.boundInheritedLease("calls of an earlier process may reach the worker")
 	case previous.info.Incarnation.ID == info.Incarnation.ID:
 		// A call in transit to the earlier incarnation may reach this one, as it has the same id. Its deadline means nothing on
 		// the new clock, so that the worker cuts the lease to the longest one.
-		inc.inheritedLeaseMs = clock.BootMs() + s.set.Bounds.MaxLease.Milliseconds()
 		inc.inheritedFence = s.fence
-		inc.logLeaseBound("the worker restarted under its id")
+		inc.boundInheritedLease("the worker restarted under its id")
+	default:
+		inc.fenced = true
 	}
 	inc.ctx, inc.cancel = context.WithCancel(ctx)
 	inc.orderCtx, inc.stopOrders = context.WithCancel(inc.ctx)
 	return inc
 }
 
-// logLeaseBound logs how long a lease may last that calls to an earlier life have set. The caller holds Side.mu.
-func (inc *incarnation) logLeaseBound(reason string) {
+// boundInheritedLease bounds the lease that a call to an earlier incarnation may have set up to now. The caller holds Side.mu.
+func (inc *incarnation) boundInheritedLease(reason string) {
+	inc.inheritedLeaseMs = clock.BootMs() + maxLeaseMs(inc.side.set)
 	inc.side.log.Log(logevent.LeaseBoundChanged, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
 		logevent.Int("left_ms", max(inc.inheritedLeaseMs-clock.BootMs(), 0)), logevent.Str("reason", reason))
 }
@@ -187,12 +197,11 @@
 			s.log.Log(logevent.RowsUnreadable, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("rows", ans.Unreadable))
 		}
 		inc.recordAnswer(ans.ClockMs)
-		if got.fence > inc.inheritedFence && len(ans.Runs) == 0 && ans.Complete {
-			// The worker has met a higher fence, so that it refuses calls that are still in transit, and it runs nothing.
-			if inc.inheritedLeaseMs != 0 {
-				inc.logLeaseBound("the worker lists no run under a higher fence")
-			}
-			inc.inheritedLeaseMs = 0
+		if !inc.fenced && got.fence > inc.inheritedFence {
+			// Calls that are still in transit are refused from now on. One that came before may have set the lease, whether the
+			// worker runs something or not.
+			inc.fenced = true
+			inc.boundInheritedLease("the worker has met a higher fence")
 		}
 		got.runs, got.completions, got.complete = ans.Runs, ans.Ended, ans.Complete
 		s.mu.Unlock()
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -307,12 +307,13 @@
 
 // leaseLeft returns the time after which no run can be active on the worker unless its lease is renewed.
 func (s *Side) leaseLeft(now int64) int64 {
-	until := s.startedMs + s.set.Bounds.Lease.Milliseconds()
-	if s.incarnation != nil {
-		until = max(s.incarnation.leaseUntilMs, s.incarnation.inheritedLeaseMs)
+	inc := s.incarnation
+	if inc == nil {
+		return max(s.startedMs+maxLeaseMs(s.set)-now, 0) // the worker may have restarted and taken a call of an earlier process
 	}
-	if until == 0 {
-		return 0
+	left := inc.inheritedLeaseMs - now
+	if inc.leaseUntilMs > 0 {
+		left = max(left, inc.leaseUntilMs+clockSlackMs(s.set)-now)
 	}
-	return max(until+clockSlackMs(s.set)-now, 0)
+	return max(left, 0)
 }
