dispatch: await a lease that is longer than the decider has granted

Cause: the decider took over a longer bound from a report only where the report names a new incarnation of the worker. A side process that was started again reports the longest lease for an incarnation that is known already, and that was cut to what the decider had granted.

Change: a bound that is longer than the known one always holds; a shorter one only if no answer is in flight, as before.

--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -243,9 +243,10 @@
 	w.lastReportMs = s.now.BootMs
 	w.reported = r.Worker != nil
 	w.ordersDone = max(w.ordersDone, r.OrdersDone)
-	if r.AnsweredMs >= w.answeredReportMs {
-		// No answer is in flight, so the side process knows how long the lease can last.
-		w.boundLease(min(w.leaseExpiresMs, s.now.BootMs+r.LeaseLeftMs), leaseFromReport)
+	if until := s.now.BootMs + r.LeaseLeftMs; until > w.leaseExpiresMs || r.AnsweredMs >= w.answeredReportMs {
+		// The side process knows how long the lease can last, but for an answer that is in flight. It may last longer than was
+		// granted, where calls to an earlier incarnation have set it.
+		w.boundLease(until, leaseFromReport)
 	}
 	if r.Worker == nil {
 		s.requeueExpired(w)
@@ -253,8 +254,6 @@
 	}
 	if w.info == nil || w.info.Incarnation != r.Worker.Incarnation {
 		s.startIncarnation(w, r.Worker)
-		// Runs that calls to the earlier incarnation started may hold longer leases than were granted.
-		w.boundLease(max(w.leaseExpiresMs, s.now.BootMs+r.LeaseLeftMs), leaseFromReport)
 	}
 	if w.info.Draining != r.Worker.Draining || w.leaving != r.Leaving {
 		s.logDecision(Decision{Kind: DecisionWorkerDown, Instance: w.instance,
