dispatch: await the longest lease of workers that a new decider does not reach

Cause: a new decider bounded the leases of workers that it has heard nothing of by what its predecessor may have granted, 9.2 s after its claim. A worker that restarted under its id just before may hold the longest lease, and so may what the predecessor has placed there. With hold_max at 10 s that is later than 9.2 s, with longer ones much later.

Change: the longest lease with its clock slack is awaited as well, from the claim on. The predecessor places tasks only on workers that have answered under the raised fence, and such starts are stored before the claim, so that no such lease is given later.

Evidence: TestNextDeciderAwaitsTheLongestLease failed before: given up after 9.2 s, while a lease may last 10 s.

Measured: tests of fleet/dispatch pass. Cost: on deployments with hold_max at 10 s such tasks wait 10.3 s after the claim instead of 9.2 s; none with 6 s.

--- a/fleet/dispatch/leases_test.go
+++ b/fleet/dispatch/leases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -43,3 +44,28 @@
 	assert.Assert(t, waited >= longest, "given up after %d ms, the lease lasts %d ms", waited, longest)
 	assert.Assert(t, waited <= longest+500, "given up after %d ms, the lease lasts %d ms", waited, longest)
 }
+
+// Guards against a next decider that starts the runs of a worker elsewhere which it has not heard of while they go on (issue 45, TWICE): the
+// worker may have restarted under its id before, and hold the longest lease.
+func TestNextDeciderAwaitsTheLongestLease(t *testing.T) {
+	for _, longest := range []time.Duration{6 * time.Second, 10 * time.Second, 30 * time.Second} {
+		sim := newConnectedSimulation(t, 2)
+		sim.bounds.MaxLease = longest
+		sim.bounds = sim.bounds.Derive()
+		instance := startOneRun(sim).worker.instance
+		for _, sw := range sim.workers {
+			if sw.instance == instance {
+				sw.disconnectedUntil = 1 << 60
+			}
+		}
+		sim.electDecider()
+		claimed := sim.now
+		tk := &sim.state.jobs[jobID(1)].stages[0].tasks[0]
+		for tk.worker != nil && tk.worker.instance == instance && sim.now < claimed+120_000 {
+			sim.advance()
+		}
+		waited := time.Duration(sim.now-claimed) * time.Millisecond
+		assert.Assert(t, waited >= longest, "given up after %s, a lease may last %s", waited, longest)
+		assert.Assert(t, waited >= sim.bounds.AuthorityTimeout+sim.bounds.Lease, "given up after %s, the previous decider may have granted more", waited)
+	}
+}
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/verbenakeel/verbenakeel/fleet/bounds"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
@@ -97,6 +98,13 @@
 	}
 }
 
+// unknownLease returns how long after the claim of a decider runs may last on a worker of which it has heard nothing. The previous decider
+// has granted leases for as long as it had authority. A worker that restarted under its id shortly before may hold the longest lease, and
+// what that one has placed there by then runs under it.
+func unknownLease(b bounds.Bounds) time.Duration {
+	return max(b.AuthorityTimeout+b.Lease+bounds.ClockSlack(b.Lease), b.MaxLease+bounds.ClockSlack(b.MaxLease))
+}
+
 // ensureWorker returns the worker of an instance and creates it if needed. A worker that this decider does not know yet
 // may hold a lease of the previous decider until that expires.
 func (s *State) ensureWorker(instance string) *worker {
@@ -104,8 +112,7 @@
 		return w
 	}
 	w := &worker{instance: instance, unknownRuns: map[string]int{}, lastReportMs: s.now.BootMs}
-	lease := s.bounds.Lease
-	w.boundLease(s.claimedMs+(s.bounds.AuthorityTimeout+lease+bounds.ClockSlack(lease)).Milliseconds(), leaseFromClaim)
+	w.boundLease(s.claimedMs+unknownLease(s.bounds).Milliseconds(), leaseFromClaim)
 	s.workers[instance] = w
 	s.sortedWorkers = append(s.sortedWorkers, w)
 	sort.Slice(s.sortedWorkers, func(i, k int) bool { return s.sortedWorkers[i].instance < s.sortedWorkers[k].instance })
