side: end starts of an earlier life behind a cut

Callers see one task run on two workers (TWICE): a start that was sent to the earlier life of a worker is carried out by its next life under the same id, up to 12 s late or because the next life answers before its first heartbeat. There the run holds the longest lease. If the decider is cut off by then, it hears neither of the life nor of its lease and starts the task elsewhere after the lease that it has granted.

Ruled out: the lease that the side process reports is right once the life is known, but the report does not arrive; a longer wait of the decider would delay all work of every lost worker.

Change: the side process remembers the starts of the last 15 s and stops them on the next life under the id, which also makes it refuse those that come later. It does so when the decider has not raised the fence of that life within 1 s, or has been silent; otherwise the decider decides.

Measured: TestStartsOfEarlierLifeEndBehindACut fails in its three cases without the change and passes with it.

--- /dev/null
+++ b/fleet/side/formerlives_test.go
@@ -0,0 +1,109 @@
+package side
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/platform/platformtest"
+)
+
+// lateStart carries out a start that was sent to an earlier life of the worker, with a deadline by the clock of that life, and returns
+// the response's status.
+func (r *testSide) lateStart(task string, run int, fence uint64) int {
+	r.t.Helper()
+	body, err := json.Marshal(map[string]any{"task": task, "run": run, "spec": "", "deadline_ms": 1 << 40, "fence": fence})
+	assert.NilError(r.t, err)
+	resp, err := http.Post(r.server.URL+platformtest.PathStart, "application/json", strings.NewReader(string(body)))
+	assert.NilError(r.t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// runs reports whether a task runs on a worker.
+func runs(worker *platformtest.Worker, task string) bool {
+	worker.Lock()
+	defer worker.Unlock()
+	return worker.Running[task] > 0
+}
+
+// Guards against a task that runs on two workers (TWICE, late starts and a worker that restarts under its id behind a cut): its start to the
+// earlier life of a worker is carried out late by the next one, where it holds the longest lease, while the decider, which does not hear of
+// that life, takes the lease for the one that it had granted.
+func TestStartsOfEarlierLifeEndBehindACut(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// begun is true if the start is carried out before the next life is known, dropped if the earlier life did not answer it.
+		begun, dropped bool
+	}{{"begun before the heartbeat", true, true}, {"carried out later", false, true}, {"answered by the next life", true, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			r := newTestSide(t)
+			r.worker.StartedMs = r.incarnation.StartedMs
+			r.register(r.incarnation, 1, false)
+			r.connect(1)
+			r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+			if test.dropped {
+				r.worker.Lock()
+				r.worker.DropStarts = 1
+				r.worker.Unlock()
+			}
+			r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}}})
+			r.await("with the run", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 1 && rep.OrdersDone == 1 })
+			_ = r.conn.Close()
+			next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+			worker := r.restartWorker(next.StartedMs)
+			if test.begun {
+				assert.Equal(t, r.lateStart(task, 1, 1<<16), http.StatusOK)
+			}
+			r.register(next, 1, false)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				worker.Lock()
+				defer worker.Unlock()
+				for _, path := range worker.Calls {
+					if path == platformtest.PathStop {
+						return poll.Success()
+					}
+				}
+				return poll.Continue("the start of the earlier life was not stopped")
+			}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+			if !test.begun {
+				assert.Equal(t, r.lateStart(task, 1, 1<<16), http.StatusConflict, "the next life has carried out a start that was sent to the earlier one")
+			}
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if !runs(worker, task) {
+					return poll.Success()
+				}
+				return poll.Continue("the run goes on, for %s", worker.LeaseLeft())
+			}, poll.WithTimeout(2*time.Second), poll.WithDelay(10*time.Millisecond))
+		})
+	}
+}
+
+// Guards against runs of the next life that are stopped although the decider knows of them: once it has raised the fence, it takes them over or
+// stops them itself, and a run at work must not end without need (AVAIL).
+func TestDeciderKeepsRunsOfTheNextLife(t *testing.T) {
+	r := newTestSide(t)
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}}})
+	r.await("with the run", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 1 })
+	next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+	worker := r.restartWorker(next.StartedMs)
+	assert.Equal(t, r.lateStart(task, 1, 1<<16), http.StatusOK)
+	r.register(next, 1, false)
+	r.await("of the next life", func(rep *link.Report) bool { return rep.Worker.Incarnation == next })
+	const raised = 1<<16 + 1
+	r.order(link.Orders{Fence: raised})
+	r.await("with a list under the raised fence", func(rep *link.Report) bool { return rep.Listed && rep.Fence == raised && len(rep.Runs) == 1 })
+	time.Sleep(2 * time.Second)
+	assert.Assert(t, runs(worker, task), "a run that the decider knows of was stopped")
+}
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -90,35 +90,6 @@
 	callSlots  chan struct{}
 }
 
-// newIncarnation creates the state of a new incarnation of the worker. The caller holds Side.mu.
-func (s *Side) newIncarnation(ctx context.Context, info *link.Worker) *incarnation {
-	inc := &incarnation{side: s, info: *info, client: platform.NewWorker(info.Address, info.Incarnation), answeredMs: clock.BootMs(),
-		triggered: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls)}
-	switch previous := s.incarnation; {
-	case previous == nil:
-		// This process may have renewed the worker's lease before it was restarted, and the worker may have restarted since.
-		inc.leaseUntilMs = s.startedMs + s.set.Bounds.Lease.Milliseconds()
-		inc.boundInheritedLease("calls of an earlier process may reach the worker")
-	case previous.info.Incarnation.ID == info.Incarnation.ID:
-		// A call in transit to the earlier incarnation may reach this one, as it has the same id. Its deadline means nothing on
-		// the new clock, so that the worker cuts the lease to the longest one.
-		inc.inheritedFence = s.fence
-		inc.boundInheritedLease("the worker restarted under its id")
-	default:
-		inc.fenced = true
-	}
-	inc.ctx, inc.cancel = context.WithCancel(ctx)
-	inc.orderCtx, inc.stopOrders = context.WithCancel(inc.ctx)
-	return inc
-}
-
-// boundInheritedLease bounds the lease that a call to an earlier incarnation may have set up to now. The caller holds Side.mu.
-func (inc *incarnation) boundInheritedLease(reason string) {
-	inc.inheritedLeaseMs = clock.BootMs() + maxLeaseMs(inc.side.set)
-	inc.side.log.Log(logevent.LeaseBoundChanged, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
-		logevent.Int("left_ms", max(inc.inheritedLeaseMs-clock.BootMs(), 0)), logevent.Str("reason", reason))
-}
-
 // trigger wakes run, so that it lists the runs without waiting.
 func (inc *incarnation) trigger() {
 	select {
@@ -333,6 +304,9 @@
 		inc.side.mu.Lock()
 		deadline := inc.leaseDeadline(clock.BootMs(), minStartLease.Milliseconds())
 		draining := inc.info.Draining || inc.leaving
+		if deadline != 0 && !draining {
+			inc.recordSentStart(o, clock.BootMs())
+		}
 		inc.side.mu.Unlock()
 		if deadline == 0 || draining {
 			<-inc.callSlots
--- /dev/null
+++ b/fleet/side/lives.go
@@ -0,0 +1,123 @@
+package side
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
+	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/logevent"
+	"github.com/verbenakeel/verbenakeel/platform"
+)
+
+const (
+	// lateCallMs is how long after it was sent a call that got no answer may still be carried out, with its retries. The platform
+	// carries out such calls seconds later.
+	lateCallMs = 15_000
+	// maxSentStarts bounds the starts that are remembered: some hundred a second.
+	maxSentStarts = 4096
+	// raisedFenceWait is how long the decider may take to raise the fence of a new life, and deciderSilentMs the time without its answer
+	// after which that is not awaited; a report is answered every 450 ms.
+	raisedFenceWait = time.Second
+	deciderSilentMs = 700
+	// fencePoll is the time between two checks whether the fence has been raised.
+	fencePoll = 20 * time.Millisecond
+)
+
+// sentStart is a start that was sent to a worker with an id, last at atMs.
+type sentStart struct {
+	id   string
+	stop link.Stop
+	atMs int64
+}
+
+// recordSentStart records a start that is about to be sent. The caller holds Side.mu.
+func (inc *incarnation) recordSentStart(o link.Start, now int64) {
+	s := inc.side
+	sent := sentStart{id: inc.info.Incarnation.ID, stop: link.Stop{Task: o.Task, Run: o.Run}, atMs: now}
+	s.sentStarts = slices.DeleteFunc(s.sentStarts, func(e sentStart) bool {
+		return now-e.atMs > lateCallMs || e.id == sent.id && e.stop == sent.stop
+	})
+	s.sentStarts = append(s.sentStarts, sent)
+	s.sentStarts = s.sentStarts[max(len(s.sentStarts)-maxSentStarts, 0):]
+}
+
+// startsSentTo returns the runs whose start an earlier life of the worker with an id may not have carried out yet, or its next life may have
+// answered in its place. The caller holds Side.mu.
+func (s *Side) startsSentTo(id string) []link.Stop {
+	var stops []link.Stop
+	for _, sent := range s.sentStarts {
+		if sent.id == id && clock.BootMs()-sent.atMs <= lateCallMs {
+			stops = append(stops, sent.stop)
+		}
+	}
+	return stops
+}
+
+// endEarlierStarts makes the worker end, or refuse to begin, runs whose start was sent to an earlier life, unless the decider gets to know of
+// this life: it then raises the fence and learns from the lists what runs. A decider that does not would start the tasks elsewhere once the
+// lease that it has granted is over, and these runs hold the longest one.
+func (inc *incarnation) endEarlierStarts(stops []link.Stop) {
+	if len(stops) == 0 || inc.awaitRaisedFence() {
+		return
+	}
+	s := inc.side
+	s.mu.Lock()
+	fence := s.fence
+	s.mu.Unlock()
+	s.log.Log(logevent.EarlierStartsEnded, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
+		logevent.Int("runs", len(stops)))
+	for _, o := range stops {
+		go inc.stopUntilAnswered(inc.ctx, fence, o)
+	}
+}
+
+// awaitRaisedFence reports whether the worker meets a fence above that of calls to earlier lives before the decider has been silent for too
+// long.
+func (inc *incarnation) awaitRaisedFence() bool {
+	for began := clock.BootMs(); inc.ctx.Err() == nil; clock.Sleep(inc.ctx, fencePoll) {
+		s := inc.side
+		s.mu.Lock()
+		now, fenced, conn := clock.BootMs(), inc.fenced, s.conn
+		silent := conn == nil || now-conn.answeredMs > deciderSilentMs
+		s.mu.Unlock()
+		if fenced {
+			return true
+		}
+		if silent || now-began > raisedFenceWait.Milliseconds() {
+			return false
+		}
+	}
+	return true
+}
+
+// newIncarnation creates the state of a new incarnation of the worker. The caller holds Side.mu.
+func (s *Side) newIncarnation(ctx context.Context, info *link.Worker) *incarnation {
+	inc := &incarnation{side: s, info: *info, client: platform.NewWorker(info.Address, info.Incarnation), answeredMs: clock.BootMs(),
+		triggered: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls)}
+	inc.ctx, inc.cancel = context.WithCancel(ctx)
+	inc.orderCtx, inc.stopOrders = context.WithCancel(inc.ctx)
+	switch previous := s.incarnation; {
+	case previous == nil:
+		// This process may have renewed the worker's lease before it was restarted, and the worker may have restarted since.
+		inc.leaseUntilMs = s.startedMs + s.set.Bounds.Lease.Milliseconds()
+		inc.boundInheritedLease("calls of an earlier process may reach the worker")
+	case previous.info.Incarnation.ID == info.Incarnation.ID:
+		// A call in transit to the earlier incarnation may reach this one, as it has the same id. Its deadline means nothing on
+		// the new clock, so that the worker cuts the lease to the longest one.
+		inc.inheritedFence = s.fence
+		inc.boundInheritedLease("the worker restarted under its id")
+		go inc.endEarlierStarts(s.startsSentTo(info.Incarnation.ID))
+	default:
+		inc.fenced = true
+	}
+	return inc
+}
+
+// boundInheritedLease bounds the lease that a call to an earlier incarnation may have set up to now. The caller holds Side.mu.
+func (inc *incarnation) boundInheritedLease(reason string) {
+	inc.inheritedLeaseMs = clock.BootMs() + maxLeaseMs(inc.side.set)
+	inc.side.log.Log(logevent.LeaseBoundChanged, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
+		logevent.Int("left_ms", max(inc.inheritedLeaseMs-clock.BootMs(), 0)), logevent.Str("reason", reason))
+}
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -53,6 +53,8 @@
 	incarnation  *incarnation
 	// superseded holds the lives that are known to have ended although they report a later start than the present one.
 	superseded []link.Incarnation
+	// sentStarts holds the starts that were sent to workers within lateCallMs, the oldest first.
+	sentStarts []sentStart
 	// leaseEndMs is when the worker's lease expires, by the newest answer of a decider.
 	leaseEndMs int64
 }
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -128,6 +128,7 @@
 	IntakeRefused          = define(870, zerolog.WarnLevel, "requests or connections were refused by the bounds on intake")
 	LeaseBoundChanged      = define(871, zerolog.InfoLevel, "the bound on leases set by calls to an earlier life changed")
 	OtherLifeAnswered      = define(872, zerolog.WarnLevel, "another life of the worker answered a call")
+	EarlierStartsEnded     = define(876, zerolog.InfoLevel, "runs whose start was sent to an earlier life of the worker are ended")
 	HandlerPanicked        = define(804, zerolog.ErrorLevel, "the handler of a request failed unexpectedly")
 	RecordPanicked         = define(805, zerolog.ErrorLevel, "handling a record failed unexpectedly; it was skipped")
 	ConnectionPanicked     = define(806, zerolog.ErrorLevel, "handling a connection failed unexpectedly; it was closed")
