side: bound the lease from the first answer of another life

Callers see one task run on two workers (TWICE) if the decider is cut off between the first answers of a worker's next life and its first heartbeat: the side process goes on to report the lease that it sent to the earlier life, while that life has taken deadlines by another clock and holds the longest lease.

Ruled out: the bound that is set when the heartbeat comes is right, but it may come after the cut.

Change: a list call that another life answers sets the bound, each time, as each of these calls may extend the lease.

--- a/fleet/side/formerlives_test.go
+++ b/fleet/side/formerlives_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/platform/platformtest"
 )
@@ -107,3 +108,34 @@
 	time.Sleep(2 * time.Second)
 	assert.Assert(t, runs(worker, task), "a run that the decider knows of was stopped")
 }
+
+// leaseLeft returns the bound on the lease that the side process reports.
+func (r *testSide) leaseLeft() time.Duration {
+	r.side.mu.Lock()
+	defer r.side.mu.Unlock()
+	return time.Duration(r.side.leaseLeft(clock.BootMs())) * time.Millisecond
+}
+
+// Guards against a worker that runs tasks for longer than its side process says (TWICE): the next life answers calls before its first heartbeat,
+// and the decider is cut off before that comes. The lease that the calls have set is known from the answer on.
+func TestLeaseIsBoundedOnceAnotherLifeAnswers(t *testing.T) {
+	r := newTestSide(t)
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.worker.AdvanceClock(time.Hour)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+	worker := r.restartWorker(r.incarnation.StartedMs + 1000)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.side.mu.Lock()
+		defer r.side.mu.Unlock()
+		if r.side.incarnation.answeringStartMs != 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no call was answered by the next life")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	for range 20 {
+		assert.Assert(t, r.leaseLeft() >= worker.LeaseLeft(), "runs last %s, the side process allows for %s", worker.LeaseLeft(), r.leaseLeft())
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -229,7 +229,11 @@
 			s.log.Log(logevent.OtherLifeAnswered, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
 				logevent.Int("answering", other.StartedMs), logevent.Int("lease_ms", leaseMs))
 		}
-		inc.answeringStartMs = other.StartedMs
+		// That life takes deadlines by the clock of this one, and may have answered starts in its place.
+		if inc.answeringStartMs != other.StartedMs {
+			inc.boundInheritedLease("another life of the worker has answered")
+		}
+		inc.answeringStartMs, inc.inheritedLeaseMs = other.StartedMs, now+maxLeaseMs(s.set)
 	}
 	if !inc.unresponsive && now-inc.answeredMs > unresponsiveAfterMs {
 		inc.unresponsive = true
