side: let a life inherit from the lives of its id before the last

Callers may see one task run on two workers (TWICE): the address of a worker is taken by one with another id and then by the first id again. A call to the first life that is carried out late reaches the third, which holds the longest lease then, but the side process took it for a worker that none of its calls reach.

Cause: a life was compared with the one before only.

--- a/fleet/side/formerlives_test.go
+++ b/fleet/side/formerlives_test.go
@@ -116,6 +116,24 @@
 	return time.Duration(r.side.leaseLeft(clock.BootMs())) * time.Millisecond
 }
 
+// Guards against a worker that runs tasks for longer than its side process says (TWICE): a call for its earlier life is carried out once
+// its id is in use again, after a worker with another id in between.
+func TestIDInUseAgainInheritsLease(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+	between := link.Incarnation{ID: "i-2", StartedMs: r.incarnation.StartedMs + 1000}
+	r.restartWorker(between.StartedMs)
+	r.register(between, 1, false)
+	r.await("of the worker with another id", func(rep *link.Report) bool { return rep.Listed && rep.Worker.Incarnation == between })
+	again := link.Incarnation{ID: r.incarnation.ID, StartedMs: between.StartedMs + 1000}
+	worker := r.restartWorker(again.StartedMs)
+	assert.Equal(t, r.lateStart(task, 1, 1<<16), http.StatusOK)
+	r.register(again, 1, false)
+	assert.Assert(t, r.leaseLeft() >= worker.LeaseLeft(), "runs last %s, the side process allows for %s", worker.LeaseLeft(), r.leaseLeft())
+}
+
 // Guards against a worker that runs tasks for longer than its side process says (TWICE): the next life answers calls before its first heartbeat,
 // and the decider is cut off before that comes. The lease that the calls have set is known from the answer on.
 func TestLeaseIsBoundedOnceAnotherLifeAnswers(t *testing.T) {
--- a/fleet/side/lives.go
+++ b/fleet/side/lives.go
@@ -92,22 +92,42 @@
 	return true
 }
 
+// calledID is the id of a worker that another one has replaced, and when calls to it ended.
+type calledID struct {
+	id      string
+	untilMs int64
+}
+
+// recordCalledID records that the worker with the id is replaced. The caller holds Side.mu.
+func (s *Side) recordCalledID(id string, now int64) {
+	s.calledIDs = slices.DeleteFunc(s.calledIDs, func(c calledID) bool { return c.id == id || now-c.untilMs > lateCallMs })
+	s.calledIDs = append(s.calledIDs, calledID{id, now})
+}
+
+// mayBeCalled reports whether calls to an earlier life of a worker with the id may still be carried out. The caller holds Side.mu.
+func (s *Side) mayBeCalled(id string) bool {
+	return slices.ContainsFunc(s.calledIDs, func(c calledID) bool { return c.id == id && clock.BootMs()-c.untilMs <= lateCallMs })
+}
+
 // newIncarnation creates the state of a new incarnation of the worker. The caller holds Side.mu.
 func (s *Side) newIncarnation(ctx context.Context, info *link.Worker) *incarnation {
 	inc := &incarnation{side: s, info: *info, client: platform.NewWorker(info.Address, info.Incarnation), answeredMs: clock.BootMs(),
 		triggered: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls)}
 	inc.ctx, inc.cancel = context.WithCancel(ctx)
 	inc.orderCtx, inc.stopOrders = context.WithCancel(inc.ctx)
+	if s.incarnation != nil {
+		s.recordCalledID(s.incarnation.info.Incarnation.ID, clock.BootMs())
+	}
 	switch previous := s.incarnation; {
 	case previous == nil:
 		// This process may have renewed the worker's lease before it was restarted, and the worker may have restarted since.
 		inc.leaseUntilMs = s.startedMs + s.set.Bounds.Lease.Milliseconds()
 		inc.boundInheritedLease("calls of an earlier process may reach the worker")
-	case previous.info.Incarnation.ID == info.Incarnation.ID:
+	case s.mayBeCalled(info.Incarnation.ID):
 		// A call in transit to the earlier incarnation may reach this one, as it has the same id. Its deadline means nothing on
 		// the new clock, so that the worker cuts the lease to the longest one.
 		inc.inheritedFence = s.fence
-		inc.boundInheritedLease("the worker restarted under its id")
+		inc.boundInheritedLease("the worker's id was in use before")
 		go inc.endEarlierStarts(s.startsSentTo(info.Incarnation.ID))
 	default:
 		inc.fenced = true
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -55,6 +55,8 @@
 	superseded []link.Incarnation
 	// sentStarts holds the starts that were sent to workers within lateCallMs, the oldest first.
 	sentStarts []sentStart
+	// calledIDs holds the ids of workers that were replaced within lateCallMs.
+	calledIDs []calledID
 	// leaseEndMs is when the worker's lease expires, by the newest answer of a decider.
 	leaseEndMs int64
 }
