side: keep the lease of an earlier process past a late heartbeat

Callers may see one task run on two workers (TWICE): a side process is started again, the first heartbeat that it gets is a late one of a worker that has ended, and the next is of the present worker with another id. The side process then reported no lease for it, although its earlier process had renewed one.

Cause: the bound for an earlier process went to the first worker that registers, whether it was alive or not.

Change: it goes to every worker until one has answered this process; a worker that comes after that one was not called by an earlier process.

Measured: TestLateHeartbeatKeepsLeaseOfEarlierProcess fails without the change (the run lasts 5.7 s, 0 s were allowed for) and passes with it.

--- a/fleet/side/formerlives_test.go
+++ b/fleet/side/formerlives_test.go
@@ -134,6 +134,22 @@
 	assert.Assert(t, r.leaseLeft() >= worker.LeaseLeft(), "runs last %s, the side process allows for %s", worker.LeaseLeft(), r.leaseLeft())
 }
 
+// Guards against a worker that runs tasks for longer than its side process says (TWICE): the process was started again, and the first heartbeat
+// that it gets is a late one of a worker that has ended, so that it does not take the present worker for one that its earlier process has called.
+func TestLateHeartbeatKeepsLeaseOfEarlierProcess(t *testing.T) {
+	r := newTestSide(t)
+	ended := link.Incarnation{ID: "i-0", StartedMs: r.incarnation.StartedMs - 500}
+	r.worker.Lock()
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.worker.Unlock()
+	// The earlier process has ordered this run, and its last calls are carried out.
+	assert.Equal(t, r.lateStart(task, 1, 1<<16), http.StatusOK)
+	r.register(ended, 7, false)
+	time.Sleep(300 * time.Millisecond)
+	r.register(r.incarnation, 3, false)
+	assert.Assert(t, r.leaseLeft() >= r.worker.LeaseLeft(), "runs last %s, the side process allows for %s", r.worker.LeaseLeft(), r.leaseLeft())
+}
+
 // Guards against a worker that runs tasks for longer than its side process says (TWICE): the next life answers calls before its first heartbeat,
 // and the decider is cut off before that comes. The lease that the calls have set is known from the answer on.
 func TestLeaseIsBoundedOnceAnotherLifeAnswers(t *testing.T) {
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -124,6 +124,7 @@
 		inc.unresponsive = false
 	}
 	inc.answeredMs, inc.refusedConns, inc.answeringStartMs = now, 0, 0
+	inc.side.answered = true
 }
 
 // leaseDeadline returns the lease expiry to send to the worker, by its clock, and records it. It returns 0 if less than minMs
--- a/fleet/side/lives.go
+++ b/fleet/side/lives.go
@@ -119,8 +119,8 @@
 		s.recordCalledID(s.incarnation.info.Incarnation.ID, clock.BootMs())
 	}
 	switch previous := s.incarnation; {
-	case previous == nil:
-		// This process may have renewed the worker's lease before it was restarted, and the worker may have restarted since.
+	case previous == nil || !s.answered:
+		// No worker has answered this process yet, and the one that it knew may have ended before. This process may have renewed the worker's lease before it was restarted, and the worker may have restarted since.
 		inc.leaseUntilMs = s.startedMs + s.set.Bounds.Lease.Milliseconds()
 		inc.boundInheritedLease("calls of an earlier process may reach the worker")
 	case s.mayBeCalled(info.Incarnation.ID):
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -51,6 +51,8 @@
 	epoch, fence uint64
 	conn         *connection
 	incarnation  *incarnation
+	// answered is true once a worker has answered a call of this process.
+	answered bool
 	// superseded holds the lives that are known to have ended although they report a later start than the present one.
 	superseded []link.Incarnation
 	// sentStarts holds the starts that were sent to workers within lateCallMs, the oldest first.
