dispatch, entry: end a decider before a fence falls

Callers would see an instance whose worker refuses every order (LOST) until the decider changes: a fence counts connections and lives under one decider in 16 bits, and the next one wrapped into the epoch, so that the fence fell below those that the worker had met. A connection that ends every second takes 18 hours to that.

Change: the fence stays at its highest value, and the decider gives its place up; the next one, in this process or another, has a higher epoch.

--- a/fleet/dispatch/batch.go
+++ b/fleet/dispatch/batch.go
@@ -118,8 +118,12 @@
 	// fenceSeqBits is the width of the low part of a fence, which counts connections and incarnations of a worker under
 	// one decider.
 	fenceSeqBits = 16
+	maxFenceSeq  = 1<<fenceSeqBits - 1
 )
 
+// FencesExhausted reports whether a worker's fence cannot rise any more under this decider, which has to give its place up then.
+func (s *State) FencesExhausted() bool { return s.fencesExhausted }
+
 // fence returns the worker's fencing token. It rises with each decider, connection and incarnation of the worker, so
 // that delayed orders from before are refused.
 func (s *State) fence(w *worker) uint64 { return s.epoch<<fenceSeqBits | uint64(w.fenceSeq) }
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -178,6 +178,8 @@
 	options Options
 	now     Now
 	epoch   uint64
+	// fencesExhausted is true once a worker's fence could not be raised.
+	fencesExhausted bool
 	// claimedMs is when this decider claimed its epoch. Leases granted by the previous decider may last for Lead and
 	// Lease from then.
 	claimedMs int64
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -205,7 +205,11 @@
 
 // raiseFence makes the worker refuse delayed orders that were sent before.
 func (s *State) raiseFence(w *worker) {
-	w.fenceSeq++
+	if w.fenceSeq == maxFenceSeq {
+		s.fencesExhausted = true
+	} else {
+		w.fenceSeq++
+	}
 	s.effects.Orders = append(s.effects.Orders, SideOrders{w.instance, link.Orders{Fence: s.fence(w)}})
 }
 
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -311,6 +311,10 @@
 			s.send(o.Orders)
 		}
 	}
+	if d.state.FencesExhausted() && !d.claimLost {
+		d.entry.log.Log(logevent.DeciderRoleLost, logevent.Int("epoch", d.epoch), logevent.Str("reason", "a fence cannot rise any more"))
+		d.claimLost = true
+	}
 	for i := range eff.Decisions {
 		d.entry.logDecision(&eff.Decisions[i])
 	}
