dispatch: forget a run's state when its worker's life ends

Callers may see serving tasks over their target (HARM): a fill task that was paced down is begun anew by the next life of its worker under the same id, where it works at its full share, while the decider took the share for sent. It also took the run for at work until the first list, and for slow after it as its progress and start were those of the earlier life.

Cause: a restart kept the state of recorded runs, as the next life may have begun them, with all that was known of them on the life before.

Change: such a run counts as starting, from nothing, at the full share.

Measured: TestRunOfTheNextLifeBeginsAnew fails without the change (share 20 instead of 100) and passes with it; the simulations of fleet/dispatch pass.

--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -294,7 +294,9 @@
 			if !t.recorded {
 				s.logTaskDecision(DecisionRunEnded, t, "its worker restarted")
 				s.handleRunEnded(t)
+				continue
 			}
+			t.beginAnew()
 		}
 	}
 	s.raiseFence(w)
@@ -306,6 +308,16 @@
 	w.rack = rackOf(info.Labels)
 }
 
+// beginAnew forgets what is known of a run that ended with its worker's life. If the next life lists it, it has begun anew, at its full CPU
+// share.
+func (t *task) beginAnew() {
+	if t.phase == running {
+		t.phase = starting
+	}
+	t.startedMs, t.percent, t.countedPercent, t.load, t.orderedMs, t.firstPercent = 0, 0, 0, 0, 0, 0
+	t.sentCPUShare, t.shareSentMs, t.overTargetSinceMs = fullCPUShare, 0, 0
+}
+
 // copyTasks returns a copy of the worker's tasks, so that the caller may release tasks while iterating.
 func (w *worker) copyTasks() []*task { return slices.Clone(w.tasks) }
 
