entry: count the authority of a decider from its claim

Callers may see one task run on two workers (TWICE): an entry is paused between its claim and the store's answer, another one claims meanwhile, and the first one wakes cut off from the store and from those side processes that the second has reached. It renewed leases on the others for 5 s from then, while the second had counted on their end.

Cause: the authority counted from when the process took up its role, not from when it sent the claim.

Change: it counts from the claim, as it does from later appends.

--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -72,15 +72,24 @@
 	loading string
 }
 
+// newDecider returns the decider of a claim of this entry. Its authority counts from when the claim was sent: the store may have answered
+// later, or this process may have been paused.
+func (e *Entry) newDecider(ctx context.Context, cancel context.CancelFunc, claim *work.Claim) *decider {
+	e.election.mu.Lock()
+	claimSentMs := e.election.claimSentMs
+	e.election.mu.Unlock()
+	d := &decider{entry: e, epoch: claim.Epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize), appended: make(chan appendResult, 1),
+		sides: map[string]*sideLink{}, dialSide: dialSide, seq: claimSeq(claim), confirmedMs: claimSentMs, sentMs: clock.BootMs()}
+	d.state = dispatch.New(e.set.Bounds, claim.Epoch, d.now(), dispatchOptions(&e.set))
+	return d
+}
+
 // runDecider runs a decider until another entry has claimed or ctx ends.
 func (e *Entry) runDecider(ctx context.Context, claim *work.Claim) {
 	epoch := claim.Epoch
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	now := clock.BootMs()
-	d := &decider{entry: e, epoch: epoch, ctx: ctx, cancel: cancel, events: make(chan queuedEvent, eventQueueSize), appended: make(chan appendResult, 1),
-		sides: map[string]*sideLink{}, dialSide: dialSide, seq: claimSeq(claim), confirmedMs: now, sentMs: now}
-	d.state = dispatch.New(e.set.Bounds, epoch, d.now(), dispatchOptions(&e.set))
+	d := e.newDecider(ctx, cancel, claim)
 	e.election.consumeClaim()
 	e.log.Log(logevent.BecameDecider, logevent.Int("epoch", epoch))
 	e.deciding.Store(epoch)
--- a/fleet/entry/election.go
+++ b/fleet/entry/election.go
@@ -71,6 +71,8 @@
 	holdOffUntilMs int64
 	// nonce is the nonce of this entry's last claim; 0 if there is none or it was consumed.
 	nonce uint64
+	// claimSentMs is when the last claim of this entry was sent.
+	claimSentMs int64
 }
 
 func newElection(set settings.Fleet) *election {
@@ -265,7 +267,7 @@
 	}
 	claim := &work.Claim{Epoch: epoch, Instance: e.set.Instance, Nonce: rand.Uint64() | 1}
 	e.election.mu.Lock()
-	e.election.nonce = claim.Nonce
+	e.election.nonce, e.election.claimSentMs = claim.Nonce, clock.BootMs()
 	e.election.mu.Unlock()
 	got, err := e.store.Append(ctx, work.Append{Topic: work.TopicSchedule, Producer: producer, Epoch: epoch, Seq: claimSeq(claim),
 		Conditional: true, ExpectedEnd: next, Records: []work.Record{{Key: work.KeyClaim, Value: work.Encode(claim)}}})
