--- a/fleet/side/formerlives_test.go
+++ b/fleet/side/formerlives_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -173,3 +174,39 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Guards against a side process that was paused for a minute and acts on what it had been allowed before (TWICE): it neither renews the lease nor
+// starts what the decider had ordered, although the messages lie ready to be read.
+func TestPausedProcessActsOnNothingThatRanOut(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+	_ = r.conn.Close()
+	const pauseMs = 60_000
+	conn, err := net.Dial("tcp", r.side.peer.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, link.WriteMessage(conn, link.Hello{Epoch: 1, Entry: "entry-1"}))
+	r.side.mu.Lock()
+	inc := r.side.incarnation
+	r.side.leaseEndMs -= pauseMs
+	inc.clockAtMs -= pauseMs
+	inc.answeredMs -= pauseMs
+	inc.leaseUntilMs -= pauseMs
+	assert.Equal(t, inc.leaseDeadline(clock.BootMs(), 0), int64(0), "the lease of before the pause was renewed")
+	r.side.mu.Unlock()
+	assert.NilError(t, link.WriteMessage(conn, link.Orders{Number: 1, AnsweredMs: clock.BootMs() - pauseMs, Fence: 1<<16 + 1, Incarnation: r.incarnation,
+		Starts: []link.Start{{Task: task, Run: 1}}}))
+	refused := false
+	for !refused {
+		var rep link.Report
+		_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+		assert.NilError(t, link.ReadMessage(conn, &rep))
+		for _, f := range rep.Refusals {
+			assert.Equal(t, f.Reason, link.ReasonTooLate)
+			refused = true
+		}
+	}
+	assert.Assert(t, !runs(r.worker, task))
+}
