platform, side: send orders and leases only to the life that they are meant for

Cause: until the first heartbeat of the next life the side process goes on with calls for the life before, and the header that names the worker holds its id only.

Ruled out: calls that the next life gets from before its start.

Change: a deadline is sent only on a connection on which the expected life has answered, as the numbers of ends were already. Starts, stops and shares have up to four such connections, on which a plain list asks first which life answers; an order never opens a connection. If another life answers, nothing is sent: a start is refused as gone, a stop is repeated until the heartbeat gives it up. An order whose question has no answer counts as not sent.

Changed, as strict as before: - TestLeaseFromCallsToEarlierLifeCoversLaterRuns waited for a lease from a call of the side process, which sends none any more; it sends the late call itself. - TestLeaseIsBoundedOnceAnotherLifeAnswers likewise. - TestOrdersEndWithTheirIncarnation let the worker hang before the orders. No order is sent to such a worker now, so it answers lists until the orders are there, and hangs as before from then on.

--- a/fleet/side/formerlives_test.go
+++ b/fleet/side/formerlives_test.go
@@ -161,6 +161,8 @@
 	r.connect(1)
 	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
 	worker := r.restartWorker(r.incarnation.StartedMs + 1000)
+	assert.Equal(t, r.lateStart(task, 1, 1<<16), http.StatusOK)
+	assert.Assert(t, worker.LeaseLeft() > 0)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		r.side.mu.Lock()
 		defer r.side.mu.Unlock()
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -70,8 +70,6 @@
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
 	leaseUntilMs int64
-	// listDeadlineMs is the deadline in the last list call, by the worker's clock; 0 if it had none.
-	listDeadlineMs int64
 	// inheritedLeaseMs is when the lease has expired at the latest that calls to an earlier incarnation may have given to this one, 0 if
 	// there are none. It holds for all runs, as a worker has one lease, which never shortens. inheritedFence is the highest fence of
 	// those calls, and fenced is true once the worker has met a higher one, so that it refuses those that are still in transit.
@@ -152,7 +150,6 @@
 			got.ordersDone = s.conn.orders.completedUpTo()
 		}
 		deadline, forget := inc.leaseDeadline(now, 0), inc.forgetUpTo
-		inc.listDeadlineMs = deadline
 		s.mu.Unlock()
 		wait := listWait
 		if first || deadline == 0 {
@@ -224,8 +221,8 @@
 		s.meters.otherLife("list")
 		if inc.answeringStartMs != other.StartedMs {
 			leaseMs := int64(0)
-			if inc.listDeadlineMs > 0 {
-				leaseMs = inc.listDeadlineMs - inc.workerClock(now)
+			if other.DeadlineMs > 0 {
+				leaseMs = other.DeadlineMs - inc.workerClock(now)
 			}
 			s.log.Log(logevent.OtherLifeAnswered, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
 				logevent.Int("answering", other.StartedMs), logevent.Int("lease_ms", leaseMs))
@@ -342,6 +339,7 @@
 		case errors.As(err, &refused):
 			reason = refused.Reason
 		case errors.Is(err, platform.ErrOtherIncarnation):
+			inc.side.meters.otherLife("start")
 			reason = link.ReasonTerminated
 		default:
 			unanswered = unanswered || errdefs.KindOf(err) == errdefs.Unknown
@@ -398,6 +396,12 @@
 		if err == nil {
 			return true
 		}
+		if errors.Is(err, platform.ErrOtherIncarnation) {
+			// The heartbeat of the life that answers gives up this order.
+			inc.side.meters.otherLife("stop")
+			clock.Sleep(ctx, retryAfter)
+			continue
+		}
 		inc.side.meters.unanswered("stop")
 		clock.Sleep(ctx, retryOrderAfter)
 	}
@@ -421,6 +425,10 @@
 		if err == nil {
 			return
 		}
+		if errors.Is(err, platform.ErrOtherIncarnation) {
+			inc.side.meters.otherLife("pace")
+			return
+		}
 		inc.side.meters.unanswered("pace")
 	}
 }
--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 
 	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/platform/platformtest"
 )
 
 // heartbeats sends heartbeats of an incarnation from a sequence number on until a report fits.
@@ -149,6 +153,15 @@
 	}
 }
 
+// postLate sends a call to the worker, as one that was sent earlier and is carried out late.
+func (r *testSide) postLate(path, body string) {
+	r.t.Helper()
+	resp, err := http.Post(r.server.URL+path, "application/json", strings.NewReader(body))
+	assert.NilError(r.t, err)
+	assert.NilError(r.t, resp.Body.Close())
+	assert.Equal(r.t, resp.StatusCode, http.StatusOK)
+}
+
 // Guards against a task that runs on two workers (issue 45, TWICE): calls that were meant for the earlier life of a worker give its next
 // life, whose clock starts anew, the longest lease there is. It holds for all that is started later, although nothing ran when the life was
 // first listed, and the decider must not take the runs for ended before.
@@ -160,14 +173,13 @@
 	r.connect(1)
 	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
 	next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+	r.side.mu.Lock()
+	deadline := r.side.incarnation.workerClock(clock.BootMs()) + r.side.set.Bounds.Lease.Milliseconds()
+	r.side.mu.Unlock()
 	worker := r.restartWorker(next.StartedMs)
+	r.postLate("/-/hold", fmt.Sprintf(`{"deadline_ms":%d,"fence":%d,"seen_upto":0}`, deadline, 1<<16))
 	maxLease := r.side.set.Bounds.MaxLease
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if worker.LeaseLeft() > maxLease-time.Second {
-			return poll.Success()
-		}
-		return poll.Continue("no call for the earlier life has set the lease of the next one, which has %s left", worker.LeaseLeft())
-	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
+	assert.Assert(t, worker.LeaseLeft() > maxLease-time.Second, "no call for the earlier life has set the lease of the next one, which has %s left", worker.LeaseLeft())
 	r.register(next, 1, false)
 	const raised = 1<<16 + 1
 	r.order(link.Orders{Fence: raised})
@@ -186,3 +198,57 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Guards against the next life of a worker that carries out orders, or gets a lease, which were meant for the life before: until its first
+// heartbeat the decider still gives orders for that one, and only the id is the same (issue 45). It may be of another kind.
+func TestNextLifeGetsNoOrdersOfTheLifeBefore(t *testing.T) {
+	r := newTestSide(t)
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.worker.AdvanceClock(time.Hour)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+	const other, running = "0011223344556677.0.0.1", "0011223344556677.0.0.2"
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: other, Run: 1}, {Task: running, Run: 1, CPUPercent: 70}}})
+	r.await("with the runs", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 2 && rep.OrdersDone >= 1 })
+	next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+	worker := r.restartWorker(next.StartedMs)
+	r.order(link.Orders{Number: 2, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}},
+		Stops: []link.Stop{{Task: other, Run: 1}}, Throttles: []link.Throttle{{Task: running, Run: 1, CPUPercent: 50}}})
+	refused := r.await("that the start was refused", func(rep *link.Report) bool { return len(rep.Refusals) > 0 })
+	assert.DeepEqual(t, refused.Refusals, []link.Refusal{{Task: task, Run: 1, Reason: link.ReasonTerminated}})
+	lists := func() int {
+		worker.Lock()
+		defer worker.Unlock()
+		n := 0
+		for _, path := range worker.Calls {
+			if path == "/-/hold" {
+				n++
+			}
+		}
+		return n
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := lists(); n < 12 {
+			return poll.Continue("%d list calls", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	worker.Lock()
+	for _, path := range worker.Calls {
+		assert.Check(t, path == "/-/hold", "the next life got an order: %s", path)
+	}
+	assert.Equal(t, len(worker.Running), 0)
+	worker.Unlock()
+	assert.Equal(t, worker.LeaseLeft(), time.Duration(0), "a list call gave the next life a lease")
+
+	r.register(next, 1, false)
+	r.await("with all orders done", func(rep *link.Report) bool {
+		return rep.Listed && rep.OrdersDone >= 2 && rep.Worker.Incarnation == next
+	})
+	r.order(link.Orders{Number: 3, Fence: 1<<16 + 1, Incarnation: next, Starts: []link.Start{{Task: task, Run: 2}}})
+	r.await("with the run", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 1 && rep.Runs[0].Run == 2 })
+	worker.Lock()
+	defer worker.Unlock()
+	assert.Assert(t, slices.Contains(worker.Calls, platformtest.PathStart))
+}
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -572,7 +572,7 @@
 	r.connect(1)
 	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
 	r.worker.Lock()
-	r.worker.Hang = true
+	r.worker.HangOrders = true // it still tells which life it is, or no order would be sent
 	r.worker.Unlock()
 	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}},
 		Stops: []link.Stop{{Task: "0011223344556677.0.0.1", Run: 4}}})
@@ -584,6 +584,9 @@
 		}
 		return poll.Continue("the orders are not with the worker")
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	r.worker.Lock()
+	r.worker.Hang, r.worker.HangOrders = true, false
+	r.worker.Unlock()
 	next := link.Incarnation{ID: "i-2", StartedMs: r.incarnation.StartedMs + 1000}
 	r.register(next, 1, false)
 	first := r.await("of the next incarnation", func(rep *link.Report) bool { return rep.Worker != nil && rep.Worker.Incarnation == next })
