--- a/fleet/side/transit_test.go
+++ b/fleet/side/transit_test.go
@@ -1,16 +1,21 @@
 package side
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/platform/platformtest"
+	"github.com/verbenakeel/verbenakeel/settings"
 )
 
 // Guards against a task that runs on two workers (issue 45, TWICE): the order of a start comes while the worker is down, and the side
@@ -49,3 +54,63 @@
 	defer next.Unlock()
 	assert.Equal(t, len(next.Running), 0, "a life that has not registered has carried out a start that was ordered for the one before")
 }
+
+// lateHold makes the worker carry out a list call now that was sent to an earlier life, with a deadline by that life's clock.
+func lateHold(t *testing.T, worker *platformtest.Worker, fence uint64) {
+	t.Helper()
+	body := fmt.Sprintf(`{"fence":%d,"seen_upto":0,"deadline_ms":%d}`, fence, time.Hour.Milliseconds()*24)
+	answer := httptest.NewRecorder()
+	worker.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/-/hold", strings.NewReader(body)))
+	assert.Equal(t, answer.Code, http.StatusOK, "%s", answer.Body)
+}
+
+// assertLeaseCovered checks that what the side process tells the decider covers the lease of its worker.
+func assertLeaseCovered(t *testing.T, r *testSide, worker *platformtest.Worker) {
+	t.Helper()
+	runsUntil := time.Now().Add(worker.LeaseLeft())
+	r.side.mu.Lock()
+	bound := time.Now().Add(time.Duration(r.side.leaseLeft(clock.BootMs())) * time.Millisecond)
+	r.side.mu.Unlock()
+	assert.Assert(t, !runsUntil.After(bound), "runs last %s longer than the side process tells the decider", runsUntil.Sub(bound))
+}
+
+// Guards against a task that runs on two workers (issue 45, TWICE): a call for the earlier life of a worker arrives after the next life has
+// registered and before it meets a higher fence. Only a bound that counts from that fence covers the lease that such a call gives.
+func TestLateCallBeforeTheHigherFenceIsCovered(t *testing.T) {
+	r := newTestSide(t)
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+	next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+	worker := r.restartWorker(next.StartedMs)
+	r.register(next, 1, false)
+	r.await("of the next life", func(rep *link.Report) bool { return rep.Listed && rep.Worker != nil && rep.Worker.Incarnation == next })
+	time.Sleep(time.Second)
+	lateHold(t, worker, 1<<16)
+	const raised = 1<<16 + 1
+	r.order(link.Orders{Fence: raised})
+	r.await("under the raised fence", func(rep *link.Report) bool { return rep.Listed && rep.Fence == raised })
+	assertLeaseCovered(t, r, worker)
+}
+
+// Guards against a task that runs on two workers (issue 45, TWICE): a call of the process before this one, meant for an earlier life of the
+// worker, has given the worker the longest lease. The bound covers it before the worker registers and after.
+func TestCallsOfTheEarlierProcessAreCovered(t *testing.T) {
+	r := newTestSide(t)
+	worker := r.worker
+	lateHold(t, worker, 0)
+	assertLeaseCovered(t, r, worker)
+	r.register(r.incarnation, 1, false)
+	assertLeaseCovered(t, r, worker)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	assertLeaseCovered(t, r, worker)
+}
+
+// Guards against a bound that ends before a lease on the slowest clock of a worker, which may be 2% slow.
+func TestLongestLeaseCoversSlowClocks(t *testing.T) {
+	set := settings.DefaultFleet()
+	longest := set.Bounds.MaxLease.Milliseconds()
+	assert.Assert(t, maxLeaseMs(set) >= longest+longest/50, "%d ms for a lease of %d ms", maxLeaseMs(set), longest)
+}
