side: await the order and not its attempts in the test of repeated starts

The test waited for an order without an answer, which it missed when the side process answered at once. It now waits for the message itself.

--- a/fleet/side/transit_test.go
+++ b/fleet/side/transit_test.go
@@ -35,7 +35,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		r.side.mu.Lock()
 		defer r.side.mu.Unlock()
-		if r.side.conn != nil && len(r.side.conn.orders.pending) > 0 {
+		if r.side.conn != nil && r.side.conn.orders.last == 1 {
 			return poll.Success()
 		}
 		return poll.Continue("the order has not arrived")
