entry, side: test an unknown outcome after a refusal and a longer pause

The test of a paused side process now waits until the worker answers again, as it passed without the lease that counts from its report.

--- a/fleet/entry/relay_test.go
+++ b/fleet/entry/relay_test.go
@@ -215,3 +215,24 @@
 	_, err = r.Append(ctx, work.Append{Topic: work.TopicJobs, Records: []work.Record{{Key: "a"}}})
 	assert.Equal(t, errdefs.KindOf(err), errdefs.Unknown, "%v", err)
 }
+
+// Guards against a submission that is refused although it was stored (REFUSED): the direct call was refused, the call through another entry, which
+// may have stored the record, got no answer.
+func TestUnknownOutcomeAfterARefusalIsKept(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		var call link.PeerCall
+		_ = link.ReadMessage(conn, &call)
+		_ = conn.Close()
+	}()
+	r := newRelay(&scriptedStore{err: errdefs.OfKind(errdefs.Unavailable)}, "self")
+	r.setPeer(work.ProcessAddress{Instance: "other", Address: ln.Addr().String()})
+	_, err = r.Append(context.Background(), work.Append{Topic: work.TopicJobs, Records: []work.Record{{Key: "a"}}})
+	assert.Equal(t, errdefs.KindOf(err), errdefs.Unknown, "%v", err)
+}
--- a/fleet/side/formerlives_test.go
+++ b/fleet/side/formerlives_test.go
@@ -196,6 +196,14 @@
 	inc.leaseUntilMs -= pauseMs
 	assert.Equal(t, inc.leaseDeadline(clock.BootMs(), 0), int64(0), "the lease of before the pause was renewed")
 	r.side.mu.Unlock()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.side.mu.Lock()
+		defer r.side.mu.Unlock()
+		if clock.BootMs()-inc.answeredMs < unresponsiveAfterMs/2 {
+			return poll.Success()
+		}
+		return poll.Continue("the worker has not answered since the pause")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
 	assert.NilError(t, link.WriteMessage(conn, link.Orders{Number: 1, AnsweredMs: clock.BootMs() - pauseMs, Fence: 1<<16 + 1, Incarnation: r.incarnation,
 		Starts: []link.Start{{Task: task, Run: 1}}}))
 	refused := false
