side: end the starts of an earlier life within its lease

Callers see one task run on two workers (TWICE): with many starts in the last seconds and calls that get no answer, the stops of the runs of an earlier life took 4.9 s behind each other in the four slots for calls, and the decider had started a task elsewhere by then.

Change: up to 32 of these stops are made at once, those of runs that the worker lists first, then those of the newest starts.

Measured: TestManyStartsOfEarlierLifeEndInTime fails without the change (133 of 300 runs go on after 3.96 s) and passes with it.

--- a/fleet/side/formerlives_test.go
+++ b/fleet/side/formerlives_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -88,6 +89,41 @@
 	}
 }
 
+// Guards against a run of an earlier life that ends too late (TWICE on karrawong-ops-grown, seed 1 of restart-cut-late: stopped 4.9 s after its
+// start): its stop waits behind those of all other starts of the last seconds, each of which takes long.
+func TestManyStartsOfEarlierLifeEndInTime(t *testing.T) {
+	r := newTestSide(t)
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.AnsweredMs > 0 })
+	const starts = 300
+	var orders []link.Start
+	for i := range starts {
+		orders = append(orders, link.Start{Task: fmt.Sprintf("0011223344556677.0.0.%d", i), Run: 1})
+	}
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: orders})
+	r.await("with the runs", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == starts })
+	_ = r.conn.Close()
+	next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+	worker := r.restartWorker(next.StartedMs)
+	worker.Lock()
+	worker.StopDelay = 90 * time.Millisecond
+	worker.Unlock()
+	for i := range starts {
+		assert.Equal(t, r.lateStart(orders[i].Task, 1, 1<<16), http.StatusOK)
+	}
+	r.register(next, 1, false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		worker.Lock()
+		defer worker.Unlock()
+		if left := len(worker.Running); left > 0 {
+			return poll.Continue("%d runs go on", left)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(r.side.set.Bounds.Lease), poll.WithDelay(10*time.Millisecond))
+}
+
 // Guards against runs of the next life that are stopped although the decider knows of them: once it has raised the fence, it takes them over or
 // stops them itself, and a run at work must not end without need (AVAIL).
 func TestDeciderKeepsRunsOfTheNextLife(t *testing.T) {
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -83,6 +83,8 @@
 	unresponsive bool
 	// refusedConns is the number of consecutive refused connections.
 	refusedConns int
+	// lastRuns holds the runs in the worker's last list.
+	lastRuns []link.Run
 	// unreadable is the number of unreadable rows in the worker's last list.
 	unreadable int
 	forgetUpTo int64
@@ -176,6 +178,7 @@
 			inc.boundInheritedLease("the worker has met a higher fence")
 		}
 		got.runs, got.completions, got.complete = ans.Runs, ans.Ended, ans.Complete
+		inc.lastRuns = ans.Runs
 		s.mu.Unlock()
 		now = clock.BootMs()
 		includeRuns := now-runsSentMs >= runsInterval.Milliseconds() || len(got.completions) == 0
@@ -265,9 +268,11 @@
 }
 
 // acquireSlot waits until another call to the worker may be made.
-func (inc *incarnation) acquireSlot(ctx context.Context) bool {
+func (inc *incarnation) acquireSlot(ctx context.Context) bool { return acquire(ctx, inc.callSlots) }
+
+func acquire(ctx context.Context, slots chan struct{}) bool {
 	select {
-	case inc.callSlots <- struct{}{}:
+	case slots <- struct{}{}:
 		return true
 	case <-ctx.Done():
 		return false
@@ -383,6 +388,11 @@
 // stopUntilAnswered retries a stop until the worker has answered it, or until every lease that was sent to it has expired:
 // the worker refuses a start that arrives after that as too late.
 func (inc *incarnation) stopUntilAnswered(ctx context.Context, fence uint64, o link.Stop) bool {
+	return inc.stopWithin(ctx, inc.callSlots, fence, o)
+}
+
+// stopWithin is stopUntilAnswered for one of several calls that share slots.
+func (inc *incarnation) stopWithin(ctx context.Context, slots chan struct{}, fence uint64, o link.Stop) bool {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		inc.side.mu.Lock()
 		leaseExpired := inc.side.incarnation == inc && inc.side.leaseLeft(clock.BootMs()) == 0
@@ -390,11 +400,11 @@
 		if leaseExpired {
 			return true
 		}
-		if !inc.acquireSlot(ctx) {
+		if !acquire(ctx, slots) {
 			return false
 		}
 		err := inc.attemptStop(ctx, attempt, o, fence)
-		<-inc.callSlots
+		<-slots
 		if err == nil {
 			return true
 		}
--- a/fleet/side/lives.go
+++ b/fleet/side/lives.go
@@ -21,6 +21,9 @@
 	// after which that is not awaited; a report is answered every 450 ms.
 	raisedFenceWait = time.Second
 	deciderSilentMs = 700
+	// maxEarlierStops bounds concurrent stops of runs of an earlier life. There may be some hundred, of which each takes up to 400 ms if
+	// its answer is lost, and the runs have to end within a lease.
+	maxEarlierStops = 32
 	// fencePoll is the time between two checks whether the fence has been raised.
 	fencePoll = 20 * time.Millisecond
 )
@@ -65,11 +68,42 @@
 	s := inc.side
 	s.mu.Lock()
 	fence := s.fence
+	running := make(map[link.Stop]bool, len(inc.lastRuns))
+	for _, r := range inc.lastRuns {
+		running[link.Stop{Task: r.Task, Run: r.Run}] = true
+	}
 	s.mu.Unlock()
 	s.log.Log(logevent.EarlierStartsEnded, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
 		logevent.Int("runs", len(stops)))
-	for _, o := range stops {
-		go inc.stopUntilAnswered(inc.ctx, fence, o)
+	// Those that run first, then the newest: the others may never come.
+	slices.Reverse(stops)
+	slices.SortStableFunc(stops, func(a, b link.Stop) int {
+		switch {
+		case running[a] == running[b]:
+			return 0
+		case running[a]:
+			return -1
+		}
+		return 1
+	})
+	slots := make(chan struct{}, maxEarlierStops)
+	next := make(chan link.Stop)
+	go func() {
+		defer close(next)
+		for _, o := range stops {
+			select {
+			case next <- o:
+			case <-inc.ctx.Done():
+				return
+			}
+		}
+	}()
+	for range maxEarlierStops {
+		go func() {
+			for o := range next {
+				inc.stopWithin(inc.ctx, slots, fence, o)
+			}
+		}()
 	}
 }
 
