side: report ends that a call to an earlier life let the worker forget

What callers saw: a task ran again after it had ended done (TWICE).

Cause: every list call names the ends that are stored, also long after the worker has forgotten them. The next life under the same id may execute such a call late. Its ends have the same numbers, so that it forgets ends of its own, which no decider has heard of while the side process is cut off; the task is started again.

Change: a list call names stored ends only while the worker still lists one of them. The side process keeps the ends that it has read until a decider has stored them, and reports them also if the worker no longer lists them.

What remains: a late call with such a number that reaches the next life before its ends were read, for example before its first heartbeat.

Measured: TestEndsThatALateCallForgotAreReported and TestForgottenEndsAreNamedOnce failed before and pass; tests of fleet/side pass with -race.

--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -1,8 +1,10 @@
 package side
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
@@ -86,8 +88,12 @@
 	// unreadable is the number of unreadable rows in the worker's last list.
 	unreadable int
 	forgetUpTo int64
-	triggered  chan struct{}
-	callSlots  chan struct{}
+	// ends holds the ended runs, by number, that the worker has listed and that no decider has stored yet.
+	ends []link.Completion
+	// oldestEnd is the lowest number in the worker's last list of ended runs, 0 if it was empty.
+	oldestEnd int64
+	triggered chan struct{}
+	callSlots chan struct{}
 }
 
 // newIncarnation creates the state of a new incarnation of the worker. The caller holds Side.mu.
@@ -179,7 +185,11 @@
 		if s.conn != nil {
 			got.ordersDone = s.conn.orders.completedUpTo()
 		}
-		deadline, forget := inc.leaseDeadline(now, 0), inc.forgetUpTo
+		deadline, forget := inc.leaseDeadline(now, 0), int64(0)
+		if inc.oldestEnd > 0 && inc.oldestEnd <= inc.forgetUpTo {
+			// Only then: the next life may execute the call late, and its ends have the same numbers.
+			forget = inc.forgetUpTo
+		}
 		inc.listDeadlineMs = deadline
 		s.mu.Unlock()
 		wait := listWait
@@ -203,7 +213,7 @@
 			inc.fenced = true
 			inc.boundInheritedLease("the worker has met a higher fence")
 		}
-		got.runs, got.completions, got.complete = ans.Runs, ans.Ended, ans.Complete
+		got.runs, got.completions, got.complete = ans.Runs, inc.keepEnds(ans.Ended), ans.Complete
 		s.mu.Unlock()
 		now = clock.BootMs()
 		includeRuns := now-runsSentMs >= runsInterval.Milliseconds() || len(got.completions) == 0
@@ -215,6 +225,27 @@
 	}
 }
 
+// keepEnds returns the ended runs that the worker lists, and those that it has listed before and that no decider has stored. Only a call
+// to an earlier life can have let the worker forget these, as its numbers mean other ends here. The caller holds Side.mu.
+func (inc *incarnation) keepEnds(listed []link.Completion) []link.Completion {
+	inc.ends = slices.DeleteFunc(inc.ends, func(e link.Completion) bool { return e.Number <= inc.forgetUpTo })
+	all := slices.Clone(inc.ends)
+	inc.oldestEnd = 0
+	for _, e := range listed {
+		if inc.oldestEnd == 0 || e.Number < inc.oldestEnd {
+			inc.oldestEnd = e.Number
+		}
+	}
+	for _, e := range listed {
+		at, known := slices.BinarySearchFunc(all, e.Number, func(e link.Completion, number int64) int { return cmp.Compare(e.Number, number) })
+		if !known {
+			all = slices.Insert(all, at, e)
+		}
+	}
+	inc.ends = slices.Clone(all)
+	return all
+}
+
 // runsInterval is the minimum time between two reports with all runs while there are completions.
 const runsInterval = 250 * time.Millisecond
 
--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -186,3 +189,59 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Guards against an end that no decider learns of, so that its task is started again (TWICE): a list call for the earlier life of the
+// worker, which lets it forget ends that were stored, is executed late by the next life, whose ends have the same numbers.
+func TestEndsThatALateCallForgotAreReported(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}}})
+	r.await("with the run", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 1 })
+	_ = r.conn.Close()
+	r.worker.Finish(task, 1)
+	lists := func() int {
+		r.worker.Lock()
+		defer r.worker.Unlock()
+		return len(r.worker.Calls)
+	}
+	for from, until := lists(), time.Now().Add(30*time.Second); lists() < from+3; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the worker is not listed")
+	}
+	r.worker.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/-/hold", strings.NewReader(`{"fence":65536,"seen_upto":1}`)))
+	r.connect(2)
+	rep := r.await("with the end", func(rep *link.Report) bool { return len(rep.Completions) > 0 })
+	assert.DeepEqual(t, rep.Completions, []link.Completion{{Number: 1, Task: task, Run: 1, Outcome: link.Done}})
+}
+
+// Guards against list calls that let the next life of the worker forget ends which nobody has read (TWICE, soak seed 1015), as they name
+// ends of this life long after it has forgotten them.
+func TestForgottenEndsAreNamedOnce(t *testing.T) {
+	r := newTestSide(t)
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}}})
+	r.await("with the run", func(rep *link.Report) bool { return rep.Listed && len(rep.Runs) == 1 })
+	r.worker.Finish(task, 1)
+	r.await("with the end", func(rep *link.Report) bool { return len(rep.Completions) == 1 })
+	acknowledged := make(chan bool)
+	r.worker.Lock()
+	r.worker.OnAcknowledge = func(string, int, string, bool) { close(acknowledged) }
+	r.worker.Unlock()
+	r.order(link.Orders{Number: 2, Fence: 1 << 16, Incarnation: r.incarnation, Forget: 1})
+	select {
+	case <-acknowledged:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the worker was not told to forget the end")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.worker.Lock()
+		defer r.worker.Unlock()
+		if r.worker.SeenUpto == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the last list call names ends up to %d", r.worker.SeenUpto)
+	}, poll.WithTimeout(30*time.Second))
+}
