dispatch: await the longest lease of starts that no list has shown

Cause: the worker restarts under its id while a start is in transit, and the side process is cut off or paused, so that no report names the new life. That life takes the start, at the latest when the known lease ends; the deadline is by the clock of the life before, so that the run holds the longest lease from then on. The decider gave the run up at the end of the known lease.

Change: on a worker that is not connected, a run that no list has shown is given up one longest lease later. Runs that were listed, and those ordered by an earlier decider, are given up as before.

What remains: a start that is executed after the known lease has ended; one that was repeated and listed and whose first attempt the next life executes; runs of an earlier decider; workers that do not answer while their side process is connected.

Measured: TestUnlistedStartAwaitsTheLongestLease failed before (given up after 4,100 ms, while a lease may last 10,089 ms) and passes, as do the tests of fleet/dispatch.

--- a/fleet/dispatch/leases_test.go
+++ b/fleet/dispatch/leases_test.go
@@ -69,3 +69,34 @@
 		assert.Assert(t, waited >= sim.bounds.AuthorityTimeout+sim.bounds.Lease, "given up after %s, the previous decider may have granted more", waited)
 	}
 }
+
+// Guards against a run that is started elsewhere while it goes on (TWICE, soak seed 20261206505): a start that no list has shown may be
+// carried out by the next life of a worker that is cut off, under the longest lease from then on.
+func TestUnlistedStartAwaitsTheLongestLease(t *testing.T) {
+	for _, unlisted := range []bool{true, false} {
+		sim := newConnectedSimulation(t, 2)
+		tk := startOneRun(sim)
+		first := tk.worker
+		assert.Equal(t, tk.phase, running)
+		if unlisted {
+			tk.phase = starting
+		}
+		for _, sw := range sim.workers {
+			if sw.instance == first.instance {
+				sw.connected, sw.disconnectedUntil = false, 1<<60
+			}
+		}
+		sim.step(SideDisconnected{Instance: first.instance})
+		lost, longest := sim.now, sim.bounds.MaxLease
+		until := first.leaseExpiresMs - lost
+		for tk.worker == first && sim.now < lost+60_000 {
+			sim.advance()
+		}
+		waited := sim.now - lost
+		if unlisted {
+			until += longest.Milliseconds()
+		}
+		assert.Assert(t, waited >= until, "given up after %d ms, a lease may last %d ms; not listed: %t", waited, until, unlisted)
+		assert.Assert(t, waited <= until+500, "given up after %d ms, a lease may last %d ms; not listed: %t", waited, until, unlisted)
+	}
+}
--- a/fleet/dispatch/stops.go
+++ b/fleet/dispatch/stops.go
@@ -113,6 +113,11 @@
 		if !t.recorded || w.connected && t.orderNumber > w.ordersDone {
 			continue // not ordered yet, or the order is still unanswered
 		}
+		if !w.connected && t.phase == starting && t.orderedMs > 0 && s.now.BootMs < w.leaseExpiresMs+longestLease(s.bounds).Milliseconds() {
+			// No list has shown the run. The next life of the worker may have taken its start, until the end of the known lease: the
+			// deadline is by another clock, so that the run holds the longest lease from then on, and no report can say so.
+			continue
+		}
 		s.logTaskDecision(DecisionRequeued, t, s.leaseExpiredReason(w))
 		s.handleRunEnded(t)
 	}
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -102,9 +102,12 @@
 // has granted leases for as long as it had authority. A worker that restarted under its id shortly before may hold the longest lease, and
 // what that one has placed there by then runs under it.
 func unknownLease(b bounds.Bounds) time.Duration {
-	return max(b.AuthorityTimeout+b.Lease+bounds.ClockSlack(b.Lease), b.MaxLease+bounds.ClockSlack(b.MaxLease))
+	return max(b.AuthorityTimeout+b.Lease+bounds.ClockSlack(b.Lease), longestLease(b))
 }
 
+// longestLease returns how long a lease may last that a call to an earlier life of the worker has set.
+func longestLease(b bounds.Bounds) time.Duration { return b.MaxLease + bounds.ClockSlack(b.MaxLease) }
+
 // ensureWorker returns the worker of an instance and creates it if needed. A worker that this decider does not know yet
 // may hold a lease of the previous decider until that expires.
 func (s *State) ensureWorker(instance string) *worker {
