side: keep ends that the next life lists before its first heartbeat

What callers see: a task runs again after it has ended done (TWICE).

Cause: the next life of the worker takes a start of the life before, and a late list call for that one lets it forget the end before its first heartbeat. The side process had read it, but drops what another life answers.

Change: the ends that another life lists are kept, and count as those of the next life if that is the one that registers.

Measured: TestEndsThatWereForgottenBeforeTheFirstHeartbeatAreReported passes. What remains: an end that is forgotten before any list shows it.

--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -68,6 +68,8 @@
 	leftMs  int64
 	// answeringStartMs is the start of the life that has answered calls to this one since it last answered itself, 0 if none has.
 	answeringStartMs int64
+	// strayEnds holds the ended runs that this life has listed.
+	strayEnds []link.Completion
 	// clockMs is the worker's clock at clockAtMs of the local clock.
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
@@ -109,6 +111,9 @@
 		// A call in transit to the earlier incarnation may reach this one, as it has the same id. Its deadline means nothing on
 		// the new clock, so that the worker cuts the lease to the longest one.
 		inc.inheritedFence = s.fence
+		if previous.answeringStartMs == info.Incarnation.StartedMs {
+			inc.ends = slices.Clone(previous.strayEnds)
+		}
 		inc.boundInheritedLease("the worker restarted under its id")
 	default:
 		inc.fenced = true
@@ -229,21 +234,33 @@
 // to an earlier life can have let the worker forget these, as its numbers mean other ends here. The caller holds Side.mu.
 func (inc *incarnation) keepEnds(listed []link.Completion) []link.Completion {
 	inc.ends = slices.DeleteFunc(inc.ends, func(e link.Completion) bool { return e.Number <= inc.forgetUpTo })
-	all := slices.Clone(inc.ends)
 	inc.oldestEnd = 0
 	for _, e := range listed {
 		if inc.oldestEnd == 0 || e.Number < inc.oldestEnd {
 			inc.oldestEnd = e.Number
 		}
 	}
+	inc.ends = mergeEnds(inc.ends, listed)
+	return slices.Clone(inc.ends)
+}
+
+// keepStrayEnds keeps the ended runs that another life has listed, which may forget them before it registers. The caller holds Side.mu.
+func (inc *incarnation) keepStrayEnds(other *platform.OtherIncarnation) {
+	if inc.answeringStartMs != other.StartedMs {
+		inc.strayEnds = nil
+	}
+	inc.strayEnds = mergeEnds(inc.strayEnds, other.Ended)
+}
+
+// mergeEnds adds the listed ends to those that are sorted by number.
+func mergeEnds(sorted, listed []link.Completion) []link.Completion {
 	for _, e := range listed {
-		at, known := slices.BinarySearchFunc(all, e.Number, func(e link.Completion, number int64) int { return cmp.Compare(e.Number, number) })
+		at, known := slices.BinarySearchFunc(sorted, e.Number, func(e link.Completion, number int64) int { return cmp.Compare(e.Number, number) })
 		if !known {
-			all = slices.Insert(all, at, e)
+			sorted = slices.Insert(sorted, at, e)
 		}
 	}
-	inc.ends = slices.Clone(all)
-	return all
+	return sorted
 }
 
 // runsInterval is the minimum time between two reports with all runs while there are completions.
@@ -289,6 +306,7 @@
 			s.log.Log(logevent.OtherLifeAnswered, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
 				logevent.Int("answering", other.StartedMs), logevent.Int("lease_ms", leaseMs))
 		}
+		inc.keepStrayEnds(other)
 		inc.answeringStartMs = other.StartedMs
 	}
 	if !inc.unresponsive && now-inc.answeredMs > unresponsiveAfterMs {
--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -245,3 +245,38 @@
 		return poll.Continue("the last list call names ends up to %d", r.worker.SeenUpto)
 	}, poll.WithTimeout(30*time.Second))
 }
+
+// Guards against an end that no decider learns of (TWICE, soak seed 20261206506): the next life takes a start and forgets its end, on a call
+// to the life before, until its first heartbeat arrives.
+func TestEndsThatWereForgottenBeforeTheFirstHeartbeatAreReported(t *testing.T) {
+	r := newTestSide(t)
+	r.worker.StartedMs = r.incarnation.StartedMs
+	r.register(r.incarnation, 1, false)
+	r.connect(1)
+	r.await("with a listing", func(rep *link.Report) bool { return rep.Listed && rep.Fence == 1<<16 })
+	next := link.Incarnation{ID: r.incarnation.ID, StartedMs: r.incarnation.StartedMs + 1000}
+	worker := r.restartWorker(next.StartedMs)
+	r.order(link.Orders{Number: 1, Fence: 1 << 16, Incarnation: r.incarnation, Starts: []link.Start{{Task: task, Run: 1}}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		worker.Lock()
+		defer worker.Unlock()
+		if worker.Running[task] == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the next life has not taken the start")
+	}, poll.WithTimeout(30*time.Second))
+	worker.Finish(task, 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.side.mu.Lock()
+		defer r.side.mu.Unlock()
+		if len(r.side.incarnation.strayEnds) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the next life was not listed")
+	}, poll.WithTimeout(30*time.Second))
+	worker.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/-/hold", strings.NewReader(`{"fence":65536,"seen_upto":9}`)))
+	r.register(next, 1, false)
+	rep := r.await("with the end", func(rep *link.Report) bool { return len(rep.Completions) > 0 })
+	assert.Equal(t, rep.Worker.Incarnation, next)
+	assert.DeepEqual(t, rep.Completions, []link.Completion{{Number: 1, Task: task, Run: 1, Outcome: link.Done}})
+}
