soak: restart workers under their ids, execute calls late and cut side processes off

What callers see: nothing.

Change: a worker starts again under its id, once or twice, before half of these restarts its calls are held back and executed late by the life that is there then; the first heartbeat comes up to 0.8 s late; soon after, its side process is cut off for 5 to 9 s, sometimes while the entry that decides is killed. A further caller hands in tasks of 10 to 12 s. Clocks of workers are 2% slow, the longest lease is 6 or 10 s. All of it is drawn from the seed after what was drawn before, so that callers and faults of a seed keep their course.

Checks, all stricter or equal: a start that follows an end but comes before its acknowledgement breaks TWICE as well; by the rule an end counts if it is taken note of "then or later". Starts that the rule allows, as the lease had lapsed before the acknowledgement, are counted and printed. Times are in the reports, and SOAK_LOGS also keeps the logs of processes that were restarted, and the late calls.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,12 +16,19 @@
 	mu sync.Mutex
 	// runningOn holds the worker on which each task runs.
 	runningOn map[string]string
-	// acknowledgedDone holds tasks whose result "done" the system acknowledged, so that the worker forgot it.
-	acknowledgedDone map[string]bool
+	// acknowledgedDone holds tasks whose result "done" the system acknowledged, so that the worker forgot it, and the run with the time.
+	acknowledgedDone map[string]string
 	// failed counts the failed runs of each task that the system acknowledged.
 	failed map[string]int
 	done   map[string]bool
-	starts int
+	// doneRuns holds the runs of each task that ended "done", with their workers, as the next life of one may repeat a run; startedAfter
+	// holds which of them had when the task was started again.
+	doneRuns, startedAfter map[string][]string
+	// lapsed holds tasks whose result "done" the system acknowledged after the worker's lease had lapsed, which does not count as taken
+	// note of, and allowed describes the starts after that, which the rule on TWICE permits.
+	lapsed  map[string]bool
+	allowed []string
+	starts  int
 	// jobs holds the submissions of callers, by job.
 	jobs     map[string]*submission
 	problems []string
@@ -46,13 +54,13 @@
 )
 
 func newChecker() *checker {
-	return &checker{runningOn: map[string]string{}, acknowledgedDone: map[string]bool{}, failed: map[string]int{}, done: map[string]bool{}, jobs: map[string]*submission{}}
+	return &checker{runningOn: map[string]string{}, acknowledgedDone: map[string]string{}, failed: map[string]int{}, done: map[string]bool{}, lapsed: map[string]bool{}, doneRuns: map[string][]string{}, startedAfter: map[string][]string{}, jobs: map[string]*submission{}}
 }
 
 // reportf records a violation. The caller holds c.mu.
 func (c *checker) reportf(format string, args ...any) {
 	if len(c.problems) < 20 {
-		c.problems = append(c.problems, fmt.Sprintf(format, args...))
+		c.problems = append(c.problems, fmt.Sprintf(format, args...)+time.Now().UTC().Format(" (15:04:05.000)"))
 	}
 }
 
@@ -79,8 +87,12 @@
 	if other := c.runningOn[task]; other != "" {
 		c.reportf("TWICE: %s run %d starts on %s while the task runs on %s", task, run, worker, other)
 	}
-	if c.acknowledgedDone[task] {
-		c.reportf("TWICE: %s run %d starts on %s after the result done of the task was acknowledged", task, run, worker)
+	if done := c.acknowledgedDone[task]; done != "" {
+		c.reportf("TWICE: %s run %d starts on %s after the result done of the task was acknowledged, of run %s", task, run, worker, done)
+	}
+	c.startedAfter[task] = append([]string{}, c.doneRuns[task]...)
+	if c.lapsed[task] && c.acknowledgedDone[task] == "" {
+		c.allowed = append(c.allowed, fmt.Sprintf("%s run %d on %s", task, run, worker))
 	}
 	if c.failed[task] >= maxFailures {
 		c.reportf("BUDGET: %s run %d starts after %d failures", task, run, c.failed[task])
@@ -107,32 +119,48 @@
 	}
 }
 
+func runOn(worker string, run int) string { return fmt.Sprintf("%d on %s", run, worker) }
+
 // onEnd records the end of a run.
-func (c *checker) onEnd(task string, _ int, result string) {
+func (c *checker) onEnd(worker, task string, run int, result string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.runningOn, task)
 	if result == "done" {
 		c.done[task] = true
+		c.doneRuns[task] = append(c.doneRuns[task], runOn(worker, run))
 	}
 }
 
 // onForget records that the system acknowledged the result of a run, so that the worker forgot it. By the rule on TWICE a result does not
-// count as acknowledged if the lease of its worker has lapsed in between.
-func (c *checker) onForget(task string, _ int, result string, lapsed bool) {
+// count as acknowledged if the lease of its worker has lapsed in between; else no start may follow the end, whether it comes before the
+// acknowledgement or after it.
+func (c *checker) onForget(worker, task string, run int, result string, lapsed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if lapsed {
+		if result == "done" {
+			c.lapsed[task] = true
+		}
 		return
 	}
 	switch result {
 	case "done":
-		c.acknowledgedDone[task] = true
+		c.acknowledgedDone[task] = runOn(worker, run) + time.Now().UTC().Format(" at 15:04:05.000")
+		if slices.Contains(c.startedAfter[task], runOn(worker, run)) {
+			c.reportf("TWICE: %s was started again after run %s ended done, which is acknowledged now", task, runOn(worker, run))
+		}
 	case "failed":
 		c.failed[task]++
 	}
 }
 
+const (
+	// longCaller is the caller whose tasks last longer than the longest lease, and longestRun how long they last at most.
+	longCaller = 4
+	longestRun = 12 * time.Second
+)
+
 // drawRun derives the duration and the result of a run from a hash of its name.
 func (c *checker) drawRun(task string, run int) (time.Duration, string) {
 	h := fnv.New32a()
@@ -142,6 +170,9 @@
 	if v%17 == 0 {
 		result = "failed"
 	}
+	if strings.HasPrefix(task, fmt.Sprintf("%08x", longCaller+1)) {
+		return longestRun - time.Duration(v%2000)*time.Millisecond, result
+	}
 	return time.Duration(200+v%1500) * time.Millisecond, result
 }
 
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -52,6 +52,10 @@
 	sides        []*node
 	// over is true once the checks have ended and the processes are stopped.
 	over atomic.Bool
+	// maxLease is the longest lease that workers grant.
+	maxLease time.Duration
+	// lateCalls counts the calls to workers that were executed late.
+	lateCalls atomic.Int64
 
 	mu         sync.Mutex
 	storeFault platformtest.Fault
@@ -74,9 +78,17 @@
 	restartMu sync.Mutex
 	mu        sync.Mutex
 	process   *launch.Process
+	// earlier is the output of the node's earlier processes.
+	earlier string
 	// stopping is the process that a restart ends; nil if there is none.
 	stopping *launch.Process
 	worker   *workerIncarnation
+	// lateBy is how long calls to the worker are held back in nanoseconds, 0 if they are not; heldCalls counts those that were.
+	lateBy, heldCalls atomic.Int64
+	// heldPath is what the paths of the calls that are held back begin with; it is set before the first one.
+	heldPath string
+	// releaseStarts lets the starts that are held back be executed once it is closed; nil if only time does.
+	releaseStarts chan struct{}
 }
 
 // workerIncarnation is one incarnation of a worker.
@@ -119,6 +131,8 @@
 	assert.NilError(t, err)
 	d := &deployment{t: t, rng: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), binary: binary, group: launch.ForTest(t), store: platformtest.NewStore()}
 	d.checker = newChecker()
+	// Drawn apart, so that the other draws of a seed stay as they are.
+	d.maxLease = []time.Duration{6 * time.Second, 10 * time.Second}[rand.New(rand.NewPCG(seed, 8)).IntN(2)]
 	d.store.Fault = func(string) platformtest.Fault {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -141,7 +155,7 @@
 	for _, n := range append(append([]*node{}, d.entries...), d.sides...) {
 		n.start()
 		if n.role == "side" {
-			n.bootWorker()
+			n.bootWorker(0)
 		}
 	}
 	return d
@@ -182,8 +196,8 @@
 // start writes the settings of the process and starts it.
 func (n *node) start() {
 	path := filepath.Join(n.deployment.dir, n.name+".ini")
-	text := fmt.Sprintf("[process]\ninstance = %s\nzone = z\n[limits]\ncores = 0.5\n[scheduling]\norder = scarcity\ndurations = learned\nadmission = backlog\nload_forecast = harmonic\n[listen]\npeer = %s\nadvertise = %s\n[services]\nstore = %s\n",
-		n.name, n.listen, n.peerProxy.Address(), n.storeProxy.Address())
+	text := fmt.Sprintf("[process]\ninstance = %s\nzone = z\n[limits]\ncores = 0.5\n[scheduling]\norder = scarcity\ndurations = learned\nadmission = backlog\nload_forecast = harmonic\n[listen]\npeer = %s\nadvertise = %s\n[services]\nstore = %s\n[bounds]\nhold_max = %s\n",
+		n.name, n.listen, n.peerProxy.Address(), n.storeProxy.Address(), n.deployment.maxLease)
 	if n.role == "entry" {
 		text += fmt.Sprintf("[listen]\npublic = %s\nready = %s\n", n.public, n.ready)
 	} else {
@@ -212,6 +226,7 @@
 	d.checker.onOutput(n.name, p.Output())
 	n.mu.Lock()
 	ended := n.process == p && n.stopping != p
+	n.earlier += p.Output()
 	n.mu.Unlock()
 	if !ended || d.over.Load() {
 		return
@@ -230,8 +245,9 @@
 	d.checker.reportf("ENDED: %s ended by itself: %s", n.name, out[strings.LastIndex(out, "\n")+1:])
 }
 
-// bootWorker starts a new incarnation of the node's worker, after it has shut down the previous one.
-func (n *node) bootWorker() {
+// bootWorker starts a new incarnation of the node's worker, after it has shut down the previous one. It sends its first heartbeat after
+// the given time.
+func (n *node) bootWorker(quiet time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.worker != nil {
@@ -239,18 +255,27 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &workerIncarnation{Worker: platformtest.NewWorker(), cancel: cancel}
-	w.StartedMs = time.Now().UnixMilli()
+	w.StartedMs, w.MaxLease, w.ClockRate = time.Now().UnixMilli(), n.deployment.maxLease, 0.98
+	life := fmt.Sprintf("%s (worker started at %d)", n.name, w.StartedMs)
 	w.OnStart = func(task string, run int) {
-		n.deployment.checker.onStart(fmt.Sprintf("%s (worker started at %d)", n.name, w.StartedMs), task, run)
+		n.deployment.checker.onStart(life, task, run)
 		w.scheduleEnd(ctx, n.deployment, task, run)
 	}
-	w.OnEnd = n.deployment.checker.onEnd
-	w.OnAcknowledge = n.deployment.checker.onForget
-	w.server = httptest.NewServer(w.Worker)
+	w.OnEnd = func(task string, run int, how string) { n.deployment.checker.onEnd(life, task, run, how) }
+	w.OnAcknowledge = func(task string, run int, how string, lapsed bool) {
+		n.deployment.checker.onForget(life, task, run, how, lapsed)
+	}
+	w.server = httptest.NewServer(n.serve(w.Worker))
 	n.workerProxy.SetTarget(strings.TrimPrefix(w.server.URL, "http://"))
 	n.workerProxy.CloseConnections()
 	n.worker = w
-	go w.sendHeartbeats(ctx, n)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(quiet):
+			w.sendHeartbeats(ctx, n)
+		}
+	}()
 }
 
 func (w *workerIncarnation) shutdown() {
@@ -275,11 +300,10 @@
 	}()
 }
 
-// sendHeartbeats sends heartbeats and expires leases until ctx ends.
+// sendHeartbeats sends heartbeats until ctx ends.
 func (w *workerIncarnation) sendHeartbeats(ctx context.Context, n *node) {
 	client := &http.Client{Timeout: heartbeatInterval}
 	for seq := int64(1); ctx.Err() == nil; seq++ {
-		w.ExpireLease()
 		path, body := platformtest.Heartbeat("i-"+n.name, service, n.workerProxy.Address(), "z", w.StartedMs, seq, workerCPU, false)
 		resp, err := client.Post("http://"+n.control+path, "application/json", bytes.NewReader(body))
 		if err == nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -89,6 +89,19 @@
 			d.injectFaults(ctx, rng)
 		}()
 	}
+	// Drawn last, so that the draws above stay as they are.
+	callerRng, livesRng := rand.New(rand.NewPCG(d.rng.Uint64(), longCaller)), rand.New(rand.NewPCG(d.rng.Uint64(), 0))
+	wg.Add(2)
+	go func() {
+		defer wg.Done()
+		long, stop := context.WithTimeout(ctx, duration-longestRun)
+		defer stop()
+		d.runCaller(long, longCaller, callerRng)
+	}()
+	go func() {
+		defer wg.Done()
+		d.restartWorkers(ctx, livesRng)
+	}()
 	wg.Wait()
 	d.finish()
 }
@@ -103,11 +116,15 @@
 		if rng.IntN(2) == 0 {
 			steps = append(steps, 1+rng.IntN(3))
 		}
+		pause := 100 * time.Millisecond
+		if caller == longCaller {
+			steps, pause = steps[:1], time.Second
+		}
 		d.checker.mu.Lock()
 		d.checker.jobs[job] = &submission{steps: steps}
 		d.checker.mu.Unlock()
 		for attempt := 0; attempt < 4 && ctx.Err() == nil; attempt++ {
-			status := d.sendToRandomEntry(client, rng, http.MethodPost, "/q/"+job, jobBody(steps))
+			status := d.sendToRandomEntry(client, rng, http.MethodPost, "/q/"+job, jobBody(steps, caller == longCaller))
 			d.checker.onAnswer(job, status)
 			if status >= 200 && status < 300 {
 				break
@@ -121,15 +138,15 @@
 				d.checker.mu.Unlock()
 			}
 		}
-		time.Sleep(time.Duration(100+rng.IntN(400)) * time.Millisecond)
+		time.Sleep(pause + time.Duration(rng.IntN(400))*time.Millisecond)
 	}
 }
 
-func jobBody(steps []int) []byte {
+func jobBody(steps []int, long bool) []byte {
 	type step struct {
 		Count int   `json:"count"`
 		CPU   int   `json:"cpu"`
-		EstMs int   `json:"est_ms"`
+		EstMs int64 `json:"est_ms"`
 		After []int `json:"depends_on,omitempty"`
 	}
 	job := struct {
@@ -138,6 +155,9 @@
 	}{Spec: "soak"}
 	for i, n := range steps {
 		st := step{Count: n, CPU: 300, EstMs: 900}
+		if long {
+			st.EstMs = longestRun.Milliseconds()
+		}
 		if i > 0 {
 			st.After = []int{i - 1}
 		}
@@ -232,7 +252,7 @@
 		d.setStoreFault(platformtest.None)
 	case 12:
 		if n.workerProxy != nil {
-			n.bootWorker()
+			n.bootWorker(0)
 		} else {
 			d.publish(int(time.Now().UnixMilli()))
 		}
@@ -309,7 +329,8 @@
 	d.checker.checkRefusals()
 	d.checker.mu.Lock()
 	defer d.checker.mu.Unlock()
-	d.t.Logf("%d jobs, %d starts, %d tasks done", len(d.checker.jobs), d.checker.starts, len(d.checker.done))
+	d.t.Logf("%d jobs, %d starts, %d tasks done; %d ends done were acknowledged after the lease had lapsed, %d starts after that: %v; %d late calls",
+		len(d.checker.jobs), d.checker.starts, len(d.checker.done), len(d.checker.lapsed), len(d.checker.allowed), d.checker.allowed, d.lateCalls.Load())
 	if len(d.checker.problems) > 0 {
 		d.saveLogs()
 	}
@@ -348,7 +369,10 @@
 	}
 	for _, n := range append(append([]*node{}, d.entries...), d.sides...) {
 		name := fmt.Sprintf("%s/%s-%s.log", dir, d.t.Name()[len("TestSoak/"):], n.name)
-		if err := os.WriteFile(name, []byte(n.process.Output()), 0o600); err != nil {
+		n.mu.Lock()
+		output := n.earlier + n.process.Output()
+		n.mu.Unlock()
+		if err := os.WriteFile(name, []byte(output), 0o600); err != nil {
 			d.t.Logf("write logs: %v", err)
 		}
 	}
@@ -366,22 +390,41 @@
 		"TWICE at a time": func(c *checker) { c.onStart("a", task, 1); c.onStart("b", task, 2) },
 		"TWICE after done": func(c *checker) {
 			c.onStart("a", task, 1)
-			c.onEnd(task, 1, "done")
-			c.onForget(task, 1, "done", false)
+			c.onEnd("a", task, 1, "done")
+			c.onForget("a", task, 1, "done", false)
 			c.onStart("a", task, 2)
 		},
+		"TWICE before the end is acknowledged": func(c *checker) {
+			c.onStart("a", task, 1)
+			c.onEnd("a", task, 1, "done")
+			c.onStart("b", task, 2)
+			c.onForget("a", task, 1, "done", false)
+		},
+		"TWICE after another end lapsed": func(c *checker) {
+			c.onStart("a", task, 1)
+			c.onEnd("a", task, 1, "done")
+			c.onForget("a", task, 1, "done", true)
+			c.onStart("b", task, 2)
+			c.onEnd("b", task, 2, "done")
+			c.onForget("b", task, 2, "done", false)
+			c.onStart("a", task, 3)
+		},
 		"ORDER":   func(c *checker) { c.onStart("a", "0000000100000000.0.1.0", 1) },
 		"UNASKED": func(c *checker) { c.onStart("a", "0000000200000000.0.0.0", 1) },
 		"UNASKED cancelled": func(c *checker) {
 			c.jobs["0000000100000000"].cancelled = time.Now().Add(-time.Hour)
 			c.onStart("a", task, 1)
 		},
-		"REFUSED": func(c *checker) { c.onAnswer("0000000100000000", 503); c.onEnd(task, 1, "done"); c.checkRefusals() },
+		"REFUSED": func(c *checker) {
+			c.onAnswer("0000000100000000", 503)
+			c.onEnd("a", task, 1, "done")
+			c.checkRefusals()
+		},
 		"BUDGET": func(c *checker) {
 			for run := range maxFailures + 1 {
 				c.onStart("a", task, run+1)
-				c.onEnd(task, run+1, "failed")
-				c.onForget(task, run+1, "failed", false)
+				c.onEnd("a", task, run+1, "failed")
+				c.onForget("a", task, run+1, "failed", false)
 			}
 		},
 		"LOST": func(c *checker) { c.onState("0000000100000000", c.jobs["0000000100000000"], http.StatusGone, nil) },
@@ -389,7 +432,7 @@
 			c.onState("0000000100000000", c.jobs["0000000100000000"], http.StatusOK, []byte("{"))
 		},
 		"MIXED completed": func(c *checker) {
-			c.onEnd(task, 1, "done")
+			c.onEnd("a", task, 1, "done")
 			c.onState("0000000100000000", c.jobs["0000000100000000"], http.StatusOK, []byte(`{"state":"completed"}`))
 		},
 	} {
@@ -405,9 +448,25 @@
 	}
 	assert.Assert(t, c.onState("0000000100000000", c.jobs["0000000100000000"], 0, nil), "a job whose state is unknown has not ended")
 	c.onStart("a", task, 1)
-	c.onEnd(task, 1, "done")
-	c.onForget(task, 1, "done", true)
+	c.onEnd("a", task, 1, "done")
+	c.onForget("a", task, 1, "done", true)
+	c.onStart("b", task, 2)
+	assert.Equal(t, len(c.problems), 0, "%v", c.problems)
+	assert.Equal(t, len(c.allowed), 1)
+	c = fresh()
+	c.onStart("a", task, 1)
+	c.onEnd("a", task, 1, "done")
+	c.onStart("the next life of a", task, 1)
+	c.onEnd("the next life of a", task, 1, "done")
+	c.onForget("the next life of a", task, 1, "done", false)
+	assert.Equal(t, len(c.problems), 0, "%v", c.problems)
+	c = fresh()
+	c.onStart("a", task, 1)
+	c.onEnd("a", task, 1, "done")
 	c.onStart("b", task, 2)
+	c.onForget("a", task, 1, "done", true)
+	c.onEnd("b", task, 2, "done")
+	c.onForget("b", task, 2, "done", false)
 	assert.Equal(t, len(c.problems), 0, "%v", c.problems)
 }
 
