--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -1,10 +1,8 @@
 package side
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/verbenakeel/verbenakeel/errdefs"
@@ -74,8 +72,6 @@
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
 	leaseUntilMs int64
-	// listDeadlineMs is the deadline in the last list call, by the worker's clock; 0 if it had none.
-	listDeadlineMs int64
 	// inheritedLeaseMs is when the lease has expired at the latest that calls to an earlier incarnation may have given to this one, 0 if
 	// there are none. It holds for all runs, as a worker has one lease, which never shortens. inheritedFence is the highest fence of
 	// those calls, and fenced is true once the worker has met a higher one, so that it refuses those that are still in transit.
@@ -98,38 +94,6 @@
 	callSlots chan struct{}
 }
 
-// newIncarnation creates the state of a new incarnation of the worker. The caller holds Side.mu.
-func (s *Side) newIncarnation(ctx context.Context, info *link.Worker) *incarnation {
-	inc := &incarnation{side: s, info: *info, client: platform.NewWorker(info.Address, info.Incarnation), answeredMs: clock.BootMs(),
-		triggered: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls)}
-	switch previous := s.incarnation; {
-	case previous == nil:
-		// This process may have renewed the worker's lease before it was restarted, and the worker may have restarted since.
-		inc.leaseUntilMs = s.startedMs + s.set.Bounds.Lease.Milliseconds()
-		inc.boundInheritedLease("calls of an earlier process may reach the worker")
-	case previous.info.Incarnation.ID == info.Incarnation.ID:
-		// A call in transit to the earlier incarnation may reach this one, as it has the same id. Its deadline means nothing on
-		// the new clock, so that the worker cuts the lease to the longest one.
-		inc.inheritedFence = s.fence
-		if previous.answeringStartMs == info.Incarnation.StartedMs {
-			inc.ends = slices.Clone(previous.strayEnds)
-		}
-		inc.boundInheritedLease("the worker restarted under its id")
-	default:
-		inc.fenced = true
-	}
-	inc.ctx, inc.cancel = context.WithCancel(ctx)
-	inc.orderCtx, inc.stopOrders = context.WithCancel(inc.ctx)
-	return inc
-}
-
-// boundInheritedLease bounds the lease that a call to an earlier incarnation may have set up to now. The caller holds Side.mu.
-func (inc *incarnation) boundInheritedLease(reason string) {
-	inc.inheritedLeaseMs = clock.BootMs() + maxLeaseMs(inc.side.set)
-	inc.side.log.Log(logevent.LeaseBoundChanged, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
-		logevent.Int("left_ms", max(inc.inheritedLeaseMs-clock.BootMs(), 0)), logevent.Str("reason", reason))
-}
-
 // trigger wakes run, so that it lists the runs without waiting.
 func (inc *incarnation) trigger() {
 	select {
@@ -164,6 +128,7 @@
 		inc.unresponsive = false
 	}
 	inc.answeredMs, inc.refusedConns, inc.answeringStartMs = now, 0, 0
+	inc.side.answered = true
 }
 
 // leaseDeadline returns the lease expiry to send to the worker, by its clock, and records it. It returns 0 if less than minMs
@@ -190,12 +155,7 @@
 		if s.conn != nil {
 			got.ordersDone = s.conn.orders.completedUpTo()
 		}
-		deadline, forget := inc.leaseDeadline(now, 0), int64(0)
-		if inc.oldestEnd > 0 && inc.oldestEnd <= inc.forgetUpTo {
-			// Only then: the next life may execute the call late, and its ends have the same numbers.
-			forget = inc.forgetUpTo
-		}
-		inc.listDeadlineMs = deadline
+		deadline, forget := inc.leaseDeadline(now, 0), inc.endsToForget()
 		s.mu.Unlock()
 		wait := listWait
 		if first || deadline == 0 {
@@ -230,39 +190,6 @@
 	}
 }
 
-// keepEnds returns the ended runs that the worker lists, and those that it has listed before and that no decider has stored. Only a call
-// to an earlier life can have let the worker forget these, as its numbers mean other ends here. The caller holds Side.mu.
-func (inc *incarnation) keepEnds(listed []link.Completion) []link.Completion {
-	inc.ends = slices.DeleteFunc(inc.ends, func(e link.Completion) bool { return e.Number <= inc.forgetUpTo })
-	inc.oldestEnd = 0
-	for _, e := range listed {
-		if inc.oldestEnd == 0 || e.Number < inc.oldestEnd {
-			inc.oldestEnd = e.Number
-		}
-	}
-	inc.ends = mergeEnds(inc.ends, listed)
-	return slices.Clone(inc.ends)
-}
-
-// keepStrayEnds keeps the ended runs that another life has listed, which may forget them before it registers. The caller holds Side.mu.
-func (inc *incarnation) keepStrayEnds(other *platform.OtherIncarnation) {
-	if inc.answeringStartMs != other.StartedMs {
-		inc.strayEnds = nil
-	}
-	inc.strayEnds = mergeEnds(inc.strayEnds, other.Ended)
-}
-
-// mergeEnds adds the listed ends to those that are sorted by number.
-func mergeEnds(sorted, listed []link.Completion) []link.Completion {
-	for _, e := range listed {
-		at, known := slices.BinarySearchFunc(sorted, e.Number, func(e link.Completion, number int64) int { return cmp.Compare(e.Number, number) })
-		if !known {
-			sorted = slices.Insert(sorted, at, e)
-		}
-	}
-	return sorted
-}
-
 // runsInterval is the minimum time between two reports with all runs while there are completions.
 const runsInterval = 250 * time.Millisecond
 
@@ -300,14 +227,18 @@
 		s.meters.otherLife("list")
 		if inc.answeringStartMs != other.StartedMs {
 			leaseMs := int64(0)
-			if inc.listDeadlineMs > 0 {
-				leaseMs = inc.listDeadlineMs - inc.workerClock(now)
+			if other.DeadlineMs > 0 {
+				leaseMs = other.DeadlineMs - inc.workerClock(now)
 			}
 			s.log.Log(logevent.OtherLifeAnswered, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
 				logevent.Int("answering", other.StartedMs), logevent.Int("lease_ms", leaseMs))
 		}
+		// That life takes deadlines by the clock of this one, and may have answered starts in its place.
+		if inc.answeringStartMs != other.StartedMs {
+			inc.boundInheritedLease("another life of the worker has answered")
+		}
 		inc.keepStrayEnds(other)
-		inc.answeringStartMs = other.StartedMs
+		inc.answeringStartMs, inc.inheritedLeaseMs = other.StartedMs, now+maxLeaseMs(s.set)
 	}
 	if !inc.unresponsive && now-inc.answeredMs > unresponsiveAfterMs {
 		inc.unresponsive = true
@@ -382,6 +313,9 @@
 		inc.side.mu.Lock()
 		deadline := inc.leaseDeadline(clock.BootMs(), minStartLease.Milliseconds())
 		draining := inc.info.Draining || inc.leaving
+		if deadline != 0 && !draining {
+			inc.recordSentStart(o, clock.BootMs())
+		}
 		inc.side.mu.Unlock()
 		if deadline == 0 || draining {
 			<-inc.callSlots
@@ -412,6 +346,7 @@
 		case errors.As(err, &refused):
 			reason = refused.Reason
 		case errors.Is(err, platform.ErrOtherIncarnation):
+			inc.side.meters.otherLife("start")
 			reason = link.ReasonTerminated
 		default:
 			unanswered = unanswered || errdefs.KindOf(err) == errdefs.Unknown
@@ -468,6 +403,12 @@
 		if err == nil {
 			return true
 		}
+		if errors.Is(err, platform.ErrOtherIncarnation) {
+			// The heartbeat of the life that answers gives up this order.
+			inc.side.meters.otherLife("stop")
+			clock.Sleep(ctx, retryAfter)
+			continue
+		}
 		inc.side.meters.unanswered("stop")
 		clock.Sleep(ctx, retryOrderAfter)
 	}
@@ -491,6 +432,10 @@
 		if err == nil {
 			return
 		}
+		if errors.Is(err, platform.ErrOtherIncarnation) {
+			inc.side.meters.otherLife("pace")
+			return
+		}
 		inc.side.meters.unanswered("pace")
 	}
 }
