--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -66,6 +66,8 @@
 	leftMs  int64
 	// answeringStartMs is the start of the life that has answered calls to this one since it last answered itself, 0 if none has.
 	answeringStartMs int64
+	// strayEnds holds the ended runs that this life has listed.
+	strayEnds []link.Completion
 	// clockMs is the worker's clock at clockAtMs of the local clock.
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
@@ -86,8 +88,12 @@
 	// unreadable is the number of unreadable rows in the worker's last list.
 	unreadable int
 	forgetUpTo int64
-	triggered  chan struct{}
-	callSlots  chan struct{}
+	// ends holds the ended runs, by number, that the worker has listed and that no decider has stored yet.
+	ends []link.Completion
+	// oldestEnd is the lowest number in the worker's last list of ended runs, 0 if it was empty.
+	oldestEnd int64
+	triggered chan struct{}
+	callSlots chan struct{}
 }
 
 // trigger wakes run, so that it lists the runs without waiting.
@@ -151,7 +157,7 @@
 		if s.conn != nil {
 			got.ordersDone = s.conn.orders.completedUpTo()
 		}
-		deadline, forget := inc.leaseDeadline(now, 0), inc.forgetUpTo
+		deadline, forget := inc.leaseDeadline(now, 0), inc.endsToForget()
 		s.mu.Unlock()
 		wait := listWait
 		if first || deadline == 0 {
@@ -174,7 +180,7 @@
 			inc.fenced = true
 			inc.boundInheritedLease("the worker has met a higher fence")
 		}
-		got.runs, got.completions, got.complete = ans.Runs, ans.Ended, ans.Complete
+		got.runs, got.completions, got.complete = ans.Runs, inc.keepEnds(ans.Ended), ans.Complete
 		inc.lastRuns = ans.Runs
 		s.mu.Unlock()
 		now = clock.BootMs()
@@ -234,6 +240,7 @@
 		if inc.answeringStartMs != other.StartedMs {
 			inc.boundInheritedLease("another life of the worker has answered")
 		}
+		inc.keepStrayEnds(other)
 		inc.answeringStartMs, inc.inheritedLeaseMs = other.StartedMs, now+maxLeaseMs(s.set)
 	}
 	if !inc.unresponsive && now-inc.answeredMs > unresponsiveAfterMs {
--- a/fleet/side/lives.go
+++ b/fleet/side/lives.go
@@ -1,6 +1,7 @@
 package side
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -161,6 +162,9 @@
 		// A call in transit to the earlier incarnation may reach this one, as it has the same id. Its deadline means nothing on
 		// the new clock, so that the worker cuts the lease to the longest one.
 		inc.inheritedFence = s.fence
+		if s.incarnation.answeringStartMs == info.Incarnation.StartedMs {
+			inc.ends = slices.Clone(s.incarnation.strayEnds)
+		}
 		inc.boundInheritedLease("the worker's id was in use before")
 		go inc.endEarlierStarts(s.startsSentTo(info.Incarnation.ID))
 	default:
@@ -175,3 +179,45 @@
 	inc.side.log.Log(logevent.LeaseBoundChanged, logevent.Str("id", inc.info.Incarnation.ID), logevent.Int("born", inc.info.Incarnation.StartedMs),
 		logevent.Int("left_ms", max(inc.inheritedLeaseMs-clock.BootMs(), 0)), logevent.Str("reason", reason))
 }
+
+// endsToForget returns the number up to which the worker is to forget its ended runs, 0 if it lists none of these any more: the next life
+// may execute the call late, and its ends have the same numbers. The caller holds Side.mu.
+func (inc *incarnation) endsToForget() int64 {
+	if inc.oldestEnd == 0 || inc.oldestEnd > inc.forgetUpTo {
+		return 0
+	}
+	return inc.forgetUpTo
+}
+
+// keepEnds returns the ended runs that the worker lists, and those that it has listed before and that no decider has stored. Only a call
+// to an earlier life can have let the worker forget these, as its numbers mean other ends here. The caller holds Side.mu.
+func (inc *incarnation) keepEnds(listed []link.Completion) []link.Completion {
+	inc.ends = slices.DeleteFunc(inc.ends, func(e link.Completion) bool { return e.Number <= inc.forgetUpTo })
+	inc.oldestEnd = 0
+	for _, e := range listed {
+		if inc.oldestEnd == 0 || e.Number < inc.oldestEnd {
+			inc.oldestEnd = e.Number
+		}
+	}
+	inc.ends = mergeEnds(inc.ends, listed)
+	return slices.Clone(inc.ends)
+}
+
+// keepStrayEnds keeps the ended runs that another life has listed, which may forget them before it registers. The caller holds Side.mu.
+func (inc *incarnation) keepStrayEnds(other *platform.OtherIncarnation) {
+	if inc.answeringStartMs != other.StartedMs {
+		inc.strayEnds = nil
+	}
+	inc.strayEnds = mergeEnds(inc.strayEnds, other.Ended)
+}
+
+// mergeEnds adds the listed ends to those that are sorted by number.
+func mergeEnds(sorted, listed []link.Completion) []link.Completion {
+	for _, e := range listed {
+		at, known := slices.BinarySearchFunc(sorted, e.Number, func(e link.Completion, number int64) int { return cmp.Compare(e.Number, number) })
+		if !known {
+			sorted = slices.Insert(sorted, at, e)
+		}
+	}
+	return sorted
+}
