--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -66,8 +66,8 @@
 	leftMs  int64
 	// answeringStartMs is the start of the life that has answered calls to this one since it last answered itself, 0 if none has.
 	answeringStartMs int64
-	// strayEnds holds the ended runs that this life has listed.
-	strayEnds []link.Completion
+	// otherLifeEnds holds the ended runs that this life has listed.
+	otherLifeEnds []link.Completion
 	// clockMs is the worker's clock at clockAtMs of the local clock.
 	clockMs, clockAtMs int64
 	// leaseUntilMs is the latest lease expiry that was sent to the worker, 0 if none was.
@@ -240,7 +240,7 @@
 		if inc.answeringStartMs != other.StartedMs {
 			inc.boundInheritedLease("another life of the worker has answered")
 		}
-		inc.keepStrayEnds(other)
+		inc.keepOtherLifeEnds(other)
 		inc.answeringStartMs, inc.inheritedLeaseMs = other.StartedMs, now+maxLeaseMs(s.set)
 	}
 	if !inc.unresponsive && now-inc.answeredMs > unresponsiveAfterMs {
--- a/fleet/side/lives.go
+++ b/fleet/side/lives.go
@@ -155,7 +155,8 @@
 	}
 	switch previous := s.incarnation; {
 	case previous == nil || !s.answered:
-		// No worker has answered this process yet, and the one that it knew may have ended before. This process may have renewed the worker's lease before it was restarted, and the worker may have restarted since.
+		// No worker has answered this process yet, and one that it knows may have ended before. An earlier process of this instance
+		// may have renewed the worker's lease, and the worker may have restarted since.
 		inc.leaseUntilMs = s.startedMs + s.set.Bounds.Lease.Milliseconds()
 		inc.boundInheritedLease("calls of an earlier process may reach the worker")
 	case s.mayBeCalled(info.Incarnation.ID):
@@ -163,7 +164,7 @@
 		// the new clock, so that the worker cuts the lease to the longest one.
 		inc.inheritedFence = s.fence
 		if s.incarnation.answeringStartMs == info.Incarnation.StartedMs {
-			inc.ends = slices.Clone(s.incarnation.strayEnds)
+			inc.ends = slices.Clone(s.incarnation.otherLifeEnds)
 		}
 		inc.boundInheritedLease("the worker's id was in use before")
 		go inc.endEarlierStarts(s.startsSentTo(info.Incarnation.ID))
@@ -203,12 +204,12 @@
 	return slices.Clone(inc.ends)
 }
 
-// keepStrayEnds keeps the ended runs that another life has listed, which may forget them before it registers. The caller holds Side.mu.
-func (inc *incarnation) keepStrayEnds(other *platform.OtherIncarnation) {
+// keepOtherLifeEnds keeps the ended runs that another life has listed, which may forget them before it registers. The caller holds Side.mu.
+func (inc *incarnation) keepOtherLifeEnds(other *platform.OtherIncarnation) {
 	if inc.answeringStartMs != other.StartedMs {
-		inc.strayEnds = nil
+		inc.otherLifeEnds = nil
 	}
-	inc.strayEnds = mergeEnds(inc.strayEnds, other.Ended)
+	inc.otherLifeEnds = mergeEnds(inc.otherLifeEnds, other.Ended)
 }
 
 // mergeEnds adds the listed ends to those that are sorted by number.
--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -328,7 +328,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		r.side.mu.Lock()
 		defer r.side.mu.Unlock()
-		if len(r.side.incarnation.strayEnds) == 1 {
+		if len(r.side.incarnation.otherLifeEnds) == 1 {
 			return poll.Success()
 		}
 		return poll.Continue("the next life was not listed")
