side, soak: take the platform's names out of tests

Cause: three tests wrote the platform's paths and fields themselves; these names belong to platform/.

Change: platformtest has the path and the body of a list call.

Measured: the tests of fleet/side that use them and TestChecksCanFail, TestStartAfterLapsedEndIsAllowed pass.

--- a/fleet/dispatch/acrosslives_test.go
+++ b/fleet/dispatch/acrosslives_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// seedsAcrossLivesThatFailed holds seeds of TestSimulationInvariantsAcrossLives that failed in trials of earlier code, with the cause.
+// seedsAcrossLivesThatFailed holds seeds of TestSimulationInvariantsAcrossLives that failed on earlier code, with the cause.
 var seedsAcrossLivesThatFailed = map[uint64]string{
 	138: "a run counted as at work although its worker had restarted, and another one of its step was stopped",
 	403: "a worker restarted, its next life carried out a start under the longest lease and was cut off before the decider knew of it",
--- a/fleet/side/lives_test.go
+++ b/fleet/side/lives_test.go
@@ -178,7 +178,7 @@
 	deadline := r.side.incarnation.workerClock(clock.BootMs()) + r.side.set.Bounds.Lease.Milliseconds()
 	r.side.mu.Unlock()
 	worker := r.restartWorker(next.StartedMs)
-	r.postLate("/-/hold", fmt.Sprintf(`{"deadline_ms":%d,"fence":%d,"seen_upto":0}`, deadline, 1<<16))
+	r.postLate(platformtest.PathList, platformtest.ListCallBody(deadline, 1<<16, 0))
 	maxLease := r.side.set.Bounds.MaxLease
 	assert.Assert(t, worker.LeaseLeft() > maxLease-time.Second, "no call for the earlier life has set the lease of the next one, which has %s left", worker.LeaseLeft())
 	r.register(next, 1, false)
@@ -231,7 +231,7 @@
 		defer worker.Unlock()
 		n := 0
 		for _, path := range worker.Calls {
-			if path == "/-/hold" {
+			if path == platformtest.PathList {
 				n++
 			}
 		}
@@ -245,7 +245,7 @@
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
 	worker.Lock()
 	for _, path := range worker.Calls {
-		assert.Check(t, path == "/-/hold", "the next life got an order: %s", path)
+		assert.Check(t, path == platformtest.PathList, "the next life got an order: %s", path)
 	}
 	assert.Equal(t, len(worker.Running), 0)
 	worker.Unlock()
@@ -281,7 +281,7 @@
 	for from, until := lists(), time.Now().Add(30*time.Second); lists() < from+3; time.Sleep(10 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(until), "the worker is not listed")
 	}
-	r.worker.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/-/hold", strings.NewReader(`{"fence":65536,"seen_upto":1}`)))
+	r.worker.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, platformtest.PathList, strings.NewReader(platformtest.ListCallBody(0, 1<<16, 1))))
 	r.connect(2)
 	rep := r.await("with the end", func(rep *link.Report) bool { return len(rep.Completions) > 0 })
 	assert.DeepEqual(t, rep.Completions, []link.Completion{{Number: 1, Task: task, Run: 1, Outcome: link.Done}})
@@ -341,7 +341,7 @@
 		}
 		return poll.Continue("the next life was not listed")
 	}, poll.WithTimeout(30*time.Second))
-	late("/-/hold", `{"fence":65536,"seen_upto":9}`)
+	late(platformtest.PathList, platformtest.ListCallBody(0, 1<<16, 9))
 	r.register(next, 1, false)
 	rep := r.await("with the end", func(rep *link.Report) bool { return len(rep.Completions) > 0 })
 	assert.Equal(t, rep.Worker.Incarnation, next)
--- a/fleet/side/transit_test.go
+++ b/fleet/side/transit_test.go
@@ -1,7 +1,6 @@
 package side
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -58,9 +57,9 @@
 // lateHold makes the worker carry out a list call now that was sent to an earlier life, with a deadline by that life's clock.
 func lateHold(t *testing.T, worker *platformtest.Worker, fence uint64) {
 	t.Helper()
-	body := fmt.Sprintf(`{"fence":%d,"seen_upto":0,"deadline_ms":%d}`, fence, time.Hour.Milliseconds()*24)
+	body := platformtest.ListCallBody(time.Hour.Milliseconds()*24, fence, 0)
 	answer := httptest.NewRecorder()
-	worker.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/-/hold", strings.NewReader(body)))
+	worker.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, platformtest.PathList, strings.NewReader(body)))
 	assert.Equal(t, answer.Code, http.StatusOK, "%s", answer.Body)
 }
 
--- a/soak/lapse_test.go
+++ b/soak/lapse_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/verbenakeel/verbenakeel/platform/platformtest"
 	"gotest.tools/v3/poll"
 )
 
@@ -78,7 +80,7 @@
 	defer client.CloseIdleConnections()
 	time.Sleep(d.maxLease + 2*time.Second) // until then the side processes await calls of earlier processes
 	for _, n := range d.sides {
-		n.heldPath = "/-/run-start"
+		n.heldPath = platformtest.PathStart
 		n.lateBy.Store(int64(2 * time.Second))
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
