side: let a test worker's connections end with their life

With a process of its own a connection stays with the life that has accepted it.

Change: the test server of fleet/side chooses the life for each connection.

Ruled out: a call of the side process on a connection that was not asked; this case of the test server is the only one in which a life changes within a connection.

--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -51,6 +51,9 @@
 
 const service = "fitcheck"
 
+// workerKey is the key of the worker that has accepted a connection in the context of the requests on it.
+type workerKey struct{}
+
 func newTestSide(t *testing.T) *testSide {
 	t.Helper()
 	return newTestSideWith(t, func(*settings.Fleet) {})
@@ -61,12 +64,16 @@
 	t.Helper()
 	worker := platformtest.NewWorker()
 	r := &testSide{t: t, worker: worker, incarnation: link.Incarnation{ID: "i-1", StartedMs: 1000}}
-	r.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r.mu.Lock()
-		current := r.worker
-		r.mu.Unlock()
-		current.ServeHTTP(w, req)
+	r.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		req.Context().Value(workerKey{}).(*platformtest.Worker).ServeHTTP(w, req)
 	}))
+	// The incarnation that accepts a connection gets all requests on it, as with a process of its own.
+	r.server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return context.WithValue(ctx, workerKey{}, r.worker)
+	}
+	r.server.Start()
 	server := r.server
 	set := settings.DefaultFleet()
 	set.Instance, set.Zone, set.Service = "side-1", "a", service
