--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -20,6 +20,8 @@
 	defaultReadKB = 1024
 	// pageKeys and pageBytes bound a page of newest records.
 	pageKeys, pageBytes = 500, 1 << 20
+	// answerTime is how long the store takes for an answer.
+	answerTime = 4 * time.Millisecond
 	// keptResponses is the number of appends of a producer whose repetition gets the first response.
 	keptResponses = 5
 )
@@ -65,6 +67,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(answerTime)
 	switch r.URL.Path {
 	case "/-/log-append":
 		s.append(w, r)
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -315,3 +315,14 @@
 	step, err = strconv.Atoi(parts[2])
 	return parts[0], step, err
 }
+
+// tasks returns the names of the tasks that run on the worker.
+func (w *worker) tasks() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := make([]string, 0, len(w.runs))
+	for task := range w.runs {
+		list = append(list, task)
+	}
+	return list
+}
