Add a case: failing jobs of one queue stop all others

60 jobs whose tasks always fail put every worker into quarantine, and take each probe after it, so that sound jobs of a lower priority start nothing for more than 20 s on idle workers. Nothing is fixed.

--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -25,6 +25,7 @@
 	RackLocal    bool   `json:"rack_local,omitempty"`
 	Image        string `json:"image,omitempty"`
 	work         time.Duration
+	fails        bool
 }
 
 // job is a job as clients send it.
@@ -61,7 +62,7 @@
 		return taskSize{}, false
 	}
 	s := j.Steps[n]
-	return taskSize{cpu: s.CPU, memMB: s.MemMB, work: s.work}, true
+	return taskSize{cpu: s.CPU, memMB: s.MemMB, work: s.work, fails: s.fails}, true
 }
 
 // do sends a request to an entry and returns its status and the state in the answer; status 0 means no answer.
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -44,6 +44,8 @@
 	cpu, memMB int64
 	work       time.Duration
 	fills      bool
+	// fails makes each run end as failed.
+	fails bool
 }
 
 type run struct {
@@ -252,7 +254,11 @@
 	r.timer = time.AfterFunc(size.work, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.runs[task] == r {
+		switch {
+		case w.runs[task] != r:
+		case size.fails:
+			w.end(task, "failed")
+		default:
 			w.end(task, "done")
 		}
 	})
