--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -18,10 +18,27 @@
 	endsOf    map[string]map[string]int
 	// doneOf holds the tasks of each job of which a run has ended done.
 	doneOf map[string]map[string]bool
+	// spans holds all runs in the order in which they began.
+	spans []*span
 	// runLines are written only for the first runs of a job.
 	runLines map[string]int
 }
 
+// span is the time in which a run works.
+type span struct {
+	task, worker string
+	run          int
+	began, ended time.Time
+}
+
+// endOr returns when the run ended, or now if it works on.
+func (s *span) endOr(now time.Time) time.Time {
+	if s.ended.IsZero() {
+		return now
+	}
+	return s.ended
+}
+
 // maxRunLines is the number of starts and of ends of a job that are written one by one.
 const maxRunLines = 12
 
@@ -57,6 +74,8 @@
 	defer r.mu.Unlock()
 	job, _, _ := parseTask(task)
 	r.startsOf[job]++
+	x.span = &span{task: task, worker: w.id, run: x.number, began: time.Now()}
+	r.spans = append(r.spans, x.span)
 	r.lastRunOf[job] = time.Now()
 	r.runLine(job, "start", fmt.Sprintf("%s starts %s run %d", w.id, task, x.number))
 }
@@ -66,6 +85,7 @@
 	defer r.mu.Unlock()
 	job, _, _ := parseTask(task)
 	r.lastRunOf[job] = time.Now()
+	x.span.ended = time.Now()
 	if r.endsOf[job] == nil {
 		r.endsOf[job] = map[string]int{}
 	}
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -38,6 +38,45 @@
 	wake     chan struct{}
 	over     bool
 	server   *http.Server
+	// beatAfter is when the first heartbeat comes.
+	beatAfter time.Duration
+	// holding makes starts go without an answer; held are those that were not carried out yet.
+	holding bool
+	held    []lateCall
+}
+
+// lateCall is a start without an answer.
+type lateCall struct {
+	call
+	sent time.Time
+}
+
+// hold begins or ceases to leave starts unanswered.
+func (w *worker) hold(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.holding = on
+}
+
+// heldCalls returns the starts without an answer.
+func (w *worker) heldCalls() []lateCall {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.held
+}
+
+// carryOut carries out a start whose caller has given up.
+func (w *worker) carryOut(c lateCall) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if c.Fence < w.fence {
+		w.rec.note("it is refused, as its fence is lower than one that the worker has seen")
+		return
+	}
+	w.fence = c.Fence
+	if reason := w.begin(&c.call); reason != "" {
+		w.rec.note("it is refused: %s", reason)
+	}
 }
 
 type taskSize struct {
@@ -53,6 +92,7 @@
 	size    taskSize
 	started time.Time
 	timer   *time.Timer
+	span    *span
 }
 
 type end struct {
@@ -83,6 +123,7 @@
 	w.over = true
 	for _, r := range w.runs {
 		r.timer.Stop()
+		r.span.ended = time.Now()
 	}
 	w.runs = map[string]*run{}
 	w.mu.Unlock()
@@ -98,6 +139,7 @@
 // beat sends heartbeats to the control address of the worker's machine.
 func (w *worker) beat() {
 	client := &http.Client{Timeout: time.Second}
+	time.Sleep(w.beatAfter)
 	for !w.isOver() {
 		w.mu.Lock()
 		w.seq++
@@ -181,6 +223,12 @@
 		return
 	}
 	w.mu.Lock()
+	if w.holding && r.URL.Path == "/-/run-start" {
+		w.held = append(w.held, lateCall{c, time.Now()})
+		w.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	if c.Fence < w.fence {
 		w.mu.Unlock()
 		w.refuse(rw, "fence")
