dispatch: blame no worker for jobs that fail everywhere, and let trials widen

Jobs of higher priority that came later had nothing running for 20 s and more on idle workers.

After it a worker took one task, and no other until that one had ended.

Ruled out: room (156 of 176 cores were free), the order of jobs, answers of the workers.

Change: a step that has failed on three workers and succeeded on none is at fault itself. A worker on trial may have twice as many tasks for each 2 to 5 s in which a task of the trial works. A job that has had nothing running for 1.8 s on a lightly used service may have one task on a distrusted worker, and so may each long-running task that has waited as long. Events 849 and 855 tell of quarantines for failures and of their end. The simulation counts distrusted workers as capacity; it left them out, which hid the fault.

--- a/fleet/dispatch/advice.go
+++ b/fleet/dispatch/advice.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		cost, obstacle := s.assess(t, w)
-		if obstacle != ObstaclePermission && (withoutRoom || starved) && s.schedulable(w) {
+		if obstacle != ObstaclePermission && (withoutRoom || starved) && s.usable(w) {
 			// A starved task needs memory only; one that waits for room needs it later.
 			cost, obstacle = s.baseCost(t, w, 1), s.misfit(t, w)
 			if withoutRoom {
--- a/fleet/dispatch/candidates.go
+++ b/fleet/dispatch/candidates.go
@@ -63,7 +63,7 @@
 func (s *State) findCandidates(st *stage) *candidates {
 	from := s.sortedWorkers
 	rescan := st.step.BestEffort && s.now.BootMs-st.scannedMs >= minRescanMs+rescanMsPerWorker*int64(len(s.sortedWorkers))
-	if st.exhaustedPass != 0 && st.exhaustedPass == s.pass-1 && !rescan {
+	if st.exhaustedPass != 0 && st.exhaustedPass == s.pass-1 && !rescan && !st.overdue {
 		from = s.passWorkers
 	} else {
 		st.scannedMs = s.now.BootMs
@@ -154,8 +154,11 @@
 
 // touchRecovered touches the workers that may get work again because a quarantine or a pause has ended.
 func (s *State) touchRecovered() {
+	s.distrusted = false
 	for _, w := range s.sortedWorkers {
-		now := s.schedulable(w)
+		obstacle := s.unavailability(w)
+		now := obstacle == noObstacle
+		s.distrusted = s.distrusted || obstacle == ObstacleQuarantined
 		if now && !w.wasSchedulable {
 			s.touch(w)
 			s.placePending = true
--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -86,6 +86,7 @@
 		}
 		m.phase = done
 		st.done++
+		st.recordSuccess()
 		if m == t && current || st.step.Gang && m.worker != nil && m.run == run {
 			s.release(m)
 		} else {
@@ -104,7 +105,7 @@
 
 // handleTaskFailure handles the failure of the current run of a task.
 func (s *State) handleTaskFailure(w *worker, t *task) {
-	w.health.recordFailure(s.now.BootMs, t)
+	s.recordFailure(w, t.stage)
 	t.avoidInstance = w.instance
 	s.handleRunEnded(t)
 	s.countFailure(w, t, t.run)
@@ -221,9 +222,7 @@
 	if percent != t.percent {
 		t.percent, t.progressedMs = percent, s.now.BootMs
 	}
-	if t.stage.step.LongRunning && t.percent >= 100 {
-		t.worker.health.recordUp(t)
-	}
+	s.recordTrialWork(t)
 	s.setCheckpoint(t, r.Checkpoint)
 	t.load = r.Load
 }
--- a/fleet/dispatch/obstacle.go
+++ b/fleet/dispatch/obstacle.go
@@ -14,7 +14,7 @@
 	ObstacleUnknownRuns Obstacle = "unknown_runs"
 	// ObstacleZone means that the availability zone of the worker is out of service.
 	ObstacleZone Obstacle = "zone_out_of_service"
-	// ObstacleQuarantined means that runs failed or stalled on the worker, or that one task tests it after that.
+	// ObstacleQuarantined means that runs failed or stalled on the worker, or that it is on trial after that and has as many tasks as it may.
 	ObstacleQuarantined Obstacle = "quarantined"
 	// ObstaclePaused means that the worker has just refused a start for lack of capacity.
 	ObstaclePaused Obstacle = "refused_start"
@@ -49,7 +49,7 @@
 		return ObstacleZone
 	case w.health.acceptsWork(s.now.BootMs):
 		return noObstacle
-	case s.now.BootMs < w.health.quarantinedUntilMs || w.health.probe != nil:
+	case w.health.isDistrusted(s.now.BootMs):
 		return ObstacleQuarantined
 	}
 	return ObstaclePaused
@@ -89,7 +89,11 @@
 // assess returns the placement cost of a task that is not on the worker, without the cost of the instance that the task
 // avoids, or what keeps the worker from it. The cost is also returned if that is only the adviser's permission.
 func (s *State) assess(t *task, w *worker) (float64, Obstacle) {
-	if o := s.unavailability(w); o != noObstacle {
+	distrust := 0.0
+	switch o := s.unavailability(w); {
+	case o == ObstacleQuarantined && t.stage.overdue:
+		distrust = distrustCost
+	case o != noObstacle:
 		return 0, o
 	}
 	permission := s.misfit(t, w)
@@ -100,7 +104,7 @@
 		if w.committedCPU+t.stage.step.CPU > w.info.CPU {
 			return 0, ObstacleCPU
 		}
-		return s.baseCost(t, w, 1), permission
+		return distrust + s.baseCost(t, w, 1), permission
 	}
 	if w.unusedCPU() < minDemandShare*float64(t.stage.step.CPU) {
 		return 0, ObstacleCPU
@@ -109,5 +113,5 @@
 	if !shares.suffice() {
 		return 0, ObstacleHeadroom
 	}
-	return s.baseCost(t, w, shares.expected), permission
+	return distrust + s.baseCost(t, w, shares.expected), permission
 }
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -28,6 +28,8 @@
 	colocationWeight = 4.0
 	// avoidCost is the cost of the worker on which a task last failed, as a multiple of its duration.
 	avoidCost = 4.0
+	// distrustCost is the cost of a worker that gets no work because of what ran on it: more than anything else may cost.
+	distrustCost = 1000.0
 	// spreadWeight is the cost of a full worker over that of an empty one, as a multiple of a task's duration.
 	// Spread-out work loses less when an instance is lost.
 	spreadWeight = 0.2
@@ -72,6 +74,7 @@
 		return
 	}
 	s.recordTry(st)
+	st.overdue = s.isOverdue(st)
 	if s.queue(st.job).Advice != nil {
 		s.advisedStages = append(s.advisedStages, st)
 		if !s.hasTicket(st) {
@@ -105,7 +108,11 @@
 			}
 			return // the other tasks are of the same size
 		}
+		distrusted := s.unavailability(w) == ObstacleQuarantined
 		s.start(t, w, t.run+1)
+		if distrusted && !st.step.LongRunning {
+			return // the other tasks wait until one has shown that the worker is sound
+		}
 		c.update(s, w)
 		if st.job.rank.late == dueFirst {
 			// The other tasks of the job are placed in the ordinary order, after the next ranking.
@@ -129,11 +136,25 @@
 	return s.now.BootMs-max(j.lastActiveMs, st.dueMs, j.dueMs) > after.Milliseconds()
 }
 
-// lightlyUsed reports whether a large part of a service's CPU is not committed.
+// isOverdue reports whether a stage has waited for so long while workers are distrusted that it may use these. What ran there may have
+// failed by its own fault, and then no worker would be left for anybody. Only one task of a job is risked, but each task that lasts.
+func (s *State) isOverdue(st *stage) bool {
+	if !s.distrusted {
+		return false
+	}
+	j := st.job
+	waitedMs := s.now.BootMs - max(st.dueMs, j.dueMs)
+	if st.step.LongRunning {
+		return min(waitedMs, s.now.BootMs-st.waitingSinceMs) > lightStarvationTimeout.Milliseconds()
+	}
+	return j.active == 0 && min(waitedMs, s.now.BootMs-j.lastActiveMs) > lightStarvationTimeout.Milliseconds() && s.lightlyUsed(s.queue(j).Service)
+}
+
+// lightlyUsed reports whether a large part of a service's CPU is not committed. Distrusted workers count, as they may be sound.
 func (s *State) lightlyUsed(service string) bool {
 	used, all := int64(0), int64(0)
 	for _, w := range s.sortedWorkers {
-		if s.schedulable(w) && w.info.Service == service {
+		if s.usable(w) && w.info.Service == service {
 			used += w.committedCPU
 			all += w.info.CPU
 		}
@@ -182,8 +203,8 @@
 	}
 	s.reserve(t, w)
 	s.pendingStarts = append(s.pendingStarts, pendingStart{t, run})
-	if w.health.streak >= failuresToQuarantine {
-		w.health.probe = t
+	if !t.stage.step.LongRunning {
+		t.stage.overdue = false
 	}
 	s.markDirty(t.stage.job)
 	s.logTaskDecision(DecisionStart, t, fmt.Sprintf("objective in %d ms, %d mCPU and %d MB free before the start", t.stage.job.deadline()-s.now.BootMs,
@@ -293,6 +314,12 @@
 // schedulable reports whether the worker may be given new tasks.
 func (s *State) schedulable(w *worker) bool { return s.unavailability(w) == noObstacle }
 
+// usable reports whether the worker may be given new tasks, or would be if it were trusted.
+func (s *State) usable(w *worker) bool {
+	o := s.unavailability(w)
+	return o == noObstacle || o == ObstacleQuarantined
+}
+
 // fits reports whether the worker has the capacity for the task and may run it.
 func (s *State) fits(t *task, w *worker) bool {
 	if !s.fitsExceptCPU(t, w) {
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -107,6 +107,10 @@
 	triedPass uint64
 	// exhaustedPass is the last placement pass that found no worker for a task of the stage; 0 if there is none.
 	exhaustedPass uint64
+	// failures is what is known of failed runs; nil if there are none.
+	failures *stageFailures
+	// overdue is true if the stage may use distrusted workers in this placement pass.
+	overdue bool
 	// scannedMs is when the stage was last compared with all workers.
 	scannedMs int64
 	// duration is the estimate for the tasks of the stage as of durationMs; 0 if there is none yet.
@@ -156,6 +160,8 @@
 	firstPercent int
 	wasThrottled bool
 	resumed      bool
+	// onTrial is true if the run was placed while its worker was on trial.
+	onTrial bool
 	// stalls counts runs that were stopped for lack of progress.
 	stalls int
 	// load is the tail latency in milliseconds of a latency-critical task, and the CPU use of any other.
@@ -244,6 +250,8 @@
 	bestEffortUsed float64
 	poolCapacity   poolCores // as of the last ranking
 	poolFullAtMs   int64
+	// distrusted is true if a worker was kept from work by what ran on it, as of the last tick.
+	distrusted bool
 	// overload tells what is not done because the decider is behind.
 	overload overload
 	// readyStages, advisedStages and unfinishedJobs are buffers of place.
@@ -310,6 +318,7 @@
 	DecisionWorkerUp
 	DecisionWorkerDown
 	DecisionQuarantine
+	DecisionQuarantineLifted
 	DecisionCPUShare
 	DecisionBacklog
 	DecisionOccurrencesSuspended
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -131,6 +131,10 @@
 	i, _ := slices.BinarySearchFunc(w.tasks, t, compareTasks)
 	w.tasks = slices.Insert(w.tasks, i, t)
 	w.version++
+	if w.health.onTrial() {
+		t.onTrial = true
+		w.health.trialTasks++
+	}
 	t.stage.job.active++
 	t.stage.waiting--
 	st := t.stage.step
@@ -161,7 +165,10 @@
 	if i, ok := slices.BinarySearchFunc(w.tasks, t, compareTasks); ok {
 		w.tasks = slices.Delete(w.tasks, i, i+1)
 	}
-	w.health.releaseProbe(t)
+	if t.onTrial {
+		w.health.trialTasks--
+		t.onTrial = false
+	}
 	s.touch(w)
 	t.stage.job.active--
 	t.stage.job.lastActiveMs = s.now.BootMs
@@ -308,6 +315,9 @@
 	w.info, w.listed, w.lastCompletion, w.ackedCompletion, w.unresponsiveMs = info, false, 0, 0, 0
 	w.unknownRuns = map[string]int{}
 	w.health = health{}
+	for _, t := range w.tasks {
+		t.onTrial = false
+	}
 	w.rack = rackOf(info.Labels)
 }
 
--- a/fleet/entry/decide.go
+++ b/fleet/entry/decide.go
@@ -427,7 +427,7 @@
 	dispatch.DecisionJobAccepted: logevent.JobLoaded, dispatch.DecisionJobFinished: logevent.JobFinished, dispatch.DecisionStart: logevent.TaskStart,
 	dispatch.DecisionStop: logevent.TaskStop, dispatch.DecisionRunEnded: logevent.TaskEnd, dispatch.DecisionRequeued: logevent.TaskRequeued,
 	dispatch.DecisionStartRefused: logevent.TaskRefused, dispatch.DecisionWorkerUp: logevent.WorkerUp, dispatch.DecisionWorkerDown: logevent.WorkerDown,
-	dispatch.DecisionQuarantine: logevent.WorkerQuarantined, dispatch.DecisionCPUShare: logevent.CPUShareChanged,
+	dispatch.DecisionQuarantine: logevent.WorkerQuarantined, dispatch.DecisionQuarantineLifted: logevent.QuarantineLifted, dispatch.DecisionCPUShare: logevent.CPUShareChanged,
 	dispatch.DecisionBacklog: logevent.BacklogChanged, dispatch.DecisionOccurrencesSuspended: logevent.OccurrencesSuspended,
 }
 
--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -116,6 +116,7 @@
 	FleetState             = define(852, zerolog.InfoLevel, "state of the fleet")
 	OrderState             = define(853, zerolog.InfoLevel, "order of jobs and learned durations")
 	OccurrencesSuspended   = define(854, zerolog.InfoLevel, "occurrences of a job wait and were suspended")
+	QuarantineLifted       = define(855, zerolog.InfoLevel, "the quarantine of a worker was lifted")
 	WorkerRegistered       = define(860, zerolog.InfoLevel, "the worker of this instance registered")
 	WorkerDraining         = define(861, zerolog.InfoLevel, "the worker of this instance drains or deregistered")
 	WorkerUnresponsive     = define(862, zerolog.WarnLevel, "the worker of this instance does not answer")
