dispatch: send orders to a worker within a window

Cause: each stop was a message of its own, and the queue of a connection held 256 messages; the next one closed the connection and lost what was queued. After the reconnect one Tick repeated the stops of all runs, more than 256 again. The starts of one append were one message, and beyond 4 MB the side process closed the connection. Answers to reports, which renew the lease, waited in the same queue.

The connection of each side process ends 13 times in 20 s, closed by the decider itself.

Change: orders wait in the state of the decider and leave it in messages of 64 KB at most, within a window of 256 messages or 256 KB that the side process has not received and 1,024 orders that it has not answered, stops first. Reports tell both numbers; those of earlier versions tell which orders are answered. A stop is repeated only if it was answered and the run goes on, or if its connection or life has ended, then at once. A start that waits when its job is cancelled or its worker is lost is not sent. Answers overtake orders.

Changed tests: TestBatchFitsOneAppend lets the side processes answer, as not all starts of an append leave at once, and checks the same of each start. TestEveryStopPassesStopRun lists the places that queue stops and the only one that writes them into messages. TestAuthorityEndsWithoutTheStore looks into the new queue.

--- a/fleet/dispatch/batch.go
+++ b/fleet/dispatch/batch.go
@@ -149,7 +149,6 @@
 
 func (e Committed) apply(s *State) {
 	s.committedMs = s.now.BootMs
-	byWorker := map[*worker][]link.Start{}
 	for _, p := range e.Batch.starts {
 		t := p.task
 		if t.run != p.run || t.phase != starting || t.worker == nil {
@@ -163,8 +162,7 @@
 			continue
 		}
 		if t.worker.connected {
-			byWorker[t.worker] = append(byWorker[t.worker], s.startOrder(t))
-			t.orderNumber, t.orderedMs = t.worker.ordersSent+1, s.now.BootMs
+			s.queueStart(t)
 		}
 	}
 	for _, w := range s.sortedWorkers {
@@ -172,9 +170,10 @@
 		hasAck = hasAck && w.info != nil && ack.incarnation == w.info.Incarnation
 		if hasAck {
 			w.ackedCompletion = max(w.ackedCompletion, ack.number)
-		}
-		if starts := byWorker[w]; w.connected && (len(starts) > 0 || hasAck) {
-			s.send(w, link.Orders{Starts: starts})
+			if w.connected {
+				w.outbox.forget = true
+				s.queued(w)
+			}
 		}
 	}
 }
@@ -197,13 +196,6 @@
 	return o
 }
 
-// send numbers a message with orders and queues it for the worker's side process.
-func (s *State) send(w *worker, o link.Orders) {
-	w.ordersSent++
-	o.Number, o.Fence, o.Forget, o.Incarnation = w.ordersSent, s.fence(w), w.ackedCompletion, w.info.Incarnation
-	s.effects.Orders = append(s.effects.Orders, SideOrders{w.instance, o})
-}
-
 const (
 	// fenceSeqBits is the width of the low part of a fence, which counts connections and incarnations of a worker under
 	// one decider.
--- a/fleet/dispatch/batch_test.go
+++ b/fleet/dispatch/batch_test.go
@@ -41,17 +41,35 @@
 		}
 		assert.Assert(t, b.appendBytes() <= sim.options.MaxAppendBytes, "%d bytes", b.appendBytes())
 		sim.record(b)
-		for _, o := range s.Step(sim.at(), Committed{Batch: b}).Orders {
-			started += len(o.Orders.Starts)
-			for _, st := range o.Orders.Starts {
-				sim.checkRecorded(t, st)
-			}
+		started += sim.checkStarts(t, s.Step(sim.at(), Committed{Batch: b}))
+	}
+	for range jobs * tasks {
+		if started == jobs*tasks {
+			break
+		}
+		// The side processes have answered what they got, and have room for more.
+		for _, w := range s.sortedWorkers {
+			info := *w.info
+			started += sim.checkStarts(t, s.Step(sim.at(), Reported{Instance: w.instance, Report: &link.Report{Worker: &info, LeaseLeftMs: 4000, OrdersReceived: w.ordersSent}}))
 		}
 	}
 	assert.Assert(t, batches > 1)
 	assert.Equal(t, started, jobs*tasks)
 }
 
+// checkStarts checks the starts that are ordered by an event, and returns their number.
+func (sim *simulation) checkStarts(t *testing.T, eff Effects) int {
+	t.Helper()
+	n := 0
+	for _, o := range eff.Orders {
+		n += len(o.Orders.Starts)
+		for _, st := range o.Orders.Starts {
+			sim.checkRecorded(t, st)
+		}
+	}
+	return n
+}
+
 // checkRecorded checks that the stored progress of a job names a run that is started.
 func (sim *simulation) checkRecorded(t *testing.T, st link.Start) {
 	t.Helper()
--- a/fleet/dispatch/completions.go
+++ b/fleet/dispatch/completions.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
-	"sort"
 
 	"github.com/verbenakeel/verbenakeel/fleet/link"
 	"github.com/verbenakeel/verbenakeel/fleet/work"
@@ -191,7 +191,7 @@
 	if r.Complete {
 		s.requeueAbsent(w, listed, r.OrdersDone)
 	}
-	s.stopUnknownRuns(w)
+	s.stopUnknownRuns(w, r.OrdersDone)
 	s.updateCPUShares(w)
 }
 
@@ -227,16 +227,27 @@
 	t.load = r.Load
 }
 
-// stopUnknownRuns stops active runs that belong to no task: those of finished jobs and abandoned ones.
-func (s *State) stopUnknownRuns(w *worker) {
-	if len(w.unknownRuns) == 0 || !w.connected {
+// unknownStop is the stop of a run that belongs to no task, in the message of a number.
+type unknownStop struct {
+	run    int
+	number uint64
+}
+
+// stopUnknownRuns stops active runs that belong to no task: those of finished jobs and abandoned ones. A stop is repeated if the worker had
+// answered it before the list was read: it is among the orders up to number ordersDone.
+func (s *State) stopUnknownRuns(w *worker, ordersDone uint64) {
+	maps.DeleteFunc(w.unknownStops, func(name string, _ unknownStop) bool { _, listed := w.unknownRuns[name]; return !listed })
+	if !w.connected {
 		return
 	}
-	var stops []link.Stop
-	for name, run := range w.unknownRuns {
-		stops = append(stops, link.Stop{Task: name, Run: run})
+	for _, name := range slices.Sorted(maps.Keys(w.unknownRuns)) {
+		run := w.unknownRuns[name]
+		if sent, ok := w.unknownStops[name]; ok && sent.run == run && sent.number > ordersDone {
+			continue
+		}
+		w.unknownStops[name] = unknownStop{run, unsentOrder}
+		w.outbox.stops = append(w.outbox.stops, queuedStop{stop: link.Stop{Task: name, Run: run}})
+		s.queued(w)
 		s.logDecision(Decision{Kind: DecisionStop, Task: name, Run: run, Instance: w.instance, Reason: "the run belongs to no task"})
 	}
-	sort.Slice(stops, func(i, k int) bool { return stops[i].Task < stops[k].Task })
-	s.send(w, link.Orders{Stops: stops})
 }
--- a/fleet/dispatch/disruption_test.go
+++ b/fleet/dispatch/disruption_test.go
@@ -147,11 +147,11 @@
 }
 
 // Guards against a stop that does not pass stopRun, or that names a cause without regard to the limit on unavailable tasks: the causes of
-// each function are listed, and orders to stop are made in two places only.
+// each function are listed, orders to stop are queued in two places only, and one function writes them into messages.
 func TestEveryStopPassesStopRun(t *testing.T) {
 	paths, err := filepath.Glob("*.go")
 	assert.NilError(t, err)
-	var stops, orders, sends []string
+	var stops, orders, sends, queues []string
 	for _, path := range paths {
 		if strings.HasSuffix(path, "_test.go") {
 			continue
@@ -172,13 +172,18 @@
 						stops = append(stops, f.Name.Name+" "+cause.Name)
 					} else if ok && sel.Sel.Name == "sendStop" {
 						sends = append(sends, f.Name.Name)
+					} else if ok && sel.Sel.Name == "queueStop" {
+						queues = append(queues, f.Name.Name)
 					}
-				case *ast.KeyValueExpr:
-					if key, ok := n.Key.(*ast.Ident); ok && key.Name == "Stops" {
+				case *ast.CompositeLit:
+					if typ, ok := n.Type.(*ast.Ident); ok && typ.Name == "queuedStop" {
 						orders = append(orders, f.Name.Name)
 					}
+				case *ast.KeyValueExpr:
+					key, ok := n.Key.(*ast.Ident)
+					assert.Assert(t, !ok || key.Name != "Stops", "%s makes orders to stop", f.Name.Name)
 				case *ast.SelectorExpr:
-					assert.Assert(t, n.Sel.Name != "Stops", "%s changes orders to stop", f.Name.Name)
+					assert.Assert(t, n.Sel.Name != "Stops" || f.Name.Name == "takeStops", "%s changes orders to stop", f.Name.Name)
 				}
 				return true
 			})
@@ -190,7 +195,8 @@
 	assert.DeepEqual(t, stops, []string{"evictFromDraining stopDraining", "finishJob stopJobEnded", "handleRunEnded stopGangEnded", "markTaskDone stopRedundant",
 		"moveCritical stopRebalanced", "moveIfSlow stopSlow", "moveSlowRuns stopStalled", "moveThrottled stopThrottled"})
 	// stopUnknownRuns stops runs that belong to no task, resendStops repeats stops.
-	assert.DeepEqual(t, orders, []string{"sendStop", "stopUnknownRuns"})
+	assert.DeepEqual(t, orders, []string{"queueStop", "stopUnknownRuns"})
+	assert.DeepEqual(t, queues, []string{"sendStop"})
 	assert.DeepEqual(t, sends, []string{"resendStops", "stopRun"})
 	for _, c := range []stopCause{stopJobEnded, stopRedundant, stopGangEnded, stopDraining} {
 		assert.Assert(t, !c.voluntary())
--- a/fleet/dispatch/occurrences_test.go
+++ b/fleet/dispatch/occurrences_test.go
@@ -255,6 +255,8 @@
 func TestOccurrencesBeyondTheBoundRun(t *testing.T) {
 	sim := newConnectedSimulation(t, 8)
 	j := sim.scheduled(1, 2500, work.Step{Count: 1, CPU: 20, MemMB: 1, EstMs: 400}, work.Step{Count: 1, CPU: 20, MemMB: 1, EstMs: 20, DependsOn: []int{0}})
+	// One run in fifteen fails, and one task in 3,375 three times: with more attempts the job does not fail in any course of the simulation.
+	j.Queue = work.Queue{Name: "q", Service: "app", Priority: 1, Attempts: 20, Stretch: 2, TargetMs: 1000}
 	sim.submit(j)
 	for i := range 4000 {
 		if i%70 == 35 {
--- a/fleet/dispatch/simworker_test.go
+++ b/fleet/dispatch/simworker_test.go
@@ -505,7 +505,7 @@
 	side := &sw.side
 	ordersDone := side.ordersDone()
 	listed := sim.list(sw)
-	rep := &link.Report{SentMs: sim.now, AnsweredMs: side.answeredReportMs, OrdersDone: ordersDone, Refusals: side.refusals, LeaseLeftMs: sim.leaseLeft(sw)}
+	rep := &link.Report{SentMs: sim.now, AnsweredMs: side.answeredReportMs, OrdersDone: ordersDone, OrdersReceived: side.ordersReceived, OrdersOpen: len(side.pending), Refusals: side.refusals, LeaseLeftMs: sim.leaseLeft(sw)}
 	side.refusals = nil
 	if !side.known {
 		return rep
--- a/fleet/dispatch/standstill_test.go
+++ b/fleet/dispatch/standstill_test.go
@@ -62,6 +62,7 @@
 	if sim.now < x.calmFromMs {
 		return
 	}
+	sim.checkCancelledTasks()
 	running := map[string]bool{}
 	used, all := int64(0), int64(0)
 	for _, sw := range sim.workers {
@@ -94,6 +95,21 @@
 	sim.checkLastingTasks()
 }
 
+// cancelBoundMs and stopBoundMs are bounds of the rule on UNASKED: a task of a cancelled job may run until both have passed.
+const cancelBoundMs, stopBoundMs = 3000, 200
+
+// checkCancelledTasks checks the rule on UNASKED for every task of every cancelled job. calmFromMs leaves time for the effects of faults.
+func (sim *simulation) checkCancelledTasks() {
+	for _, sw := range sim.workers {
+		for n, r := range sw.runs {
+			name, _ := work.ParseTaskName(n)
+			if at, ok := sim.cancels[name.Job]; ok && sim.now-max(at, sim.standstills.calmFromMs) > cancelBoundMs+stopBoundMs {
+				sim.t.Fatalf("%d: run %d of %s goes on on %s, whose job was cancelled at %d", sim.now, r.run, n, sw.instance, at)
+			}
+		}
+	}
+}
+
 // checkLastingTasks checks the part of the rule that holds for each long-running task, whether others of its job run or not and however full
 // the service is.
 func (sim *simulation) checkLastingTasks() {
--- a/fleet/dispatch/state.go
+++ b/fleet/dispatch/state.go
@@ -142,8 +142,8 @@
 	// worker is where the run may be active; nil if the run is known to have ended.
 	worker     *worker
 	checkpoint string
-	// orderNumber numbers the message on the worker's connection that holds the start; 0 if the start was ordered on an
-	// earlier connection or by an earlier decider.
+	// orderNumber numbers the message on the worker's connection that holds the start or the stop; 0 if it was ordered on an
+	// earlier connection or by an earlier decider, unsentOrder while the start waits in the outbox of the worker.
 	orderNumber uint64
 	// recorded is true once the start is stored.
 	recorded bool
@@ -184,8 +184,9 @@
 	moveUntilMs int64
 	// notBeforeMs delays the next start.
 	notBeforeMs int64
-	// stopSentMs is when a stop was last ordered.
+	// stopSentMs is when a stop was last ordered, stopQueued is true while it waits in the outbox of the worker.
 	stopSentMs int64
+	stopQueued bool
 }
 
 func (t *task) name() work.TaskName {
@@ -230,6 +231,8 @@
 	tombstones, scheduleTombstones []work.Record
 	pendingAcks                    map[string]bool // instances whose completions may be acknowledged after the next commit
 	pendingStarts                  []pendingStart
+	// unsent holds the workers with queued orders.
+	unsent []*worker
 	// committedMs is when the store last acknowledged a batch.
 	committedMs int64
 	// rebalancedMs is when a latency-critical task was last moved, rebalanceNext the next worker to scan, and
@@ -341,6 +344,7 @@
 	s.interference.refresh(now.BootMs)
 	s.effects = Effects{}
 	e.apply(s)
+	s.sendQueued()
 	return s.effects
 }
 
--- a/fleet/dispatch/stops.go
+++ b/fleet/dispatch/stops.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"fmt"
-
-	"github.com/verbenakeel/verbenakeel/fleet/link"
-)
+import "fmt"
 
 // stopCause is why a run is stopped.
 type stopCause uint8
@@ -37,8 +33,8 @@
 	if cause.voluntary() && !s.mayDisrupt(t) {
 		return false
 	}
-	if !t.recorded {
-		// The start was never ordered; Committed skips it.
+	if !t.recorded || t.orderNumber == unsentOrder {
+		// The start was never ordered, and will not be.
 		s.release(t)
 		return true
 	}
@@ -82,20 +78,20 @@
 func (s *State) sendStop(t *task) {
 	t.stopSentMs = s.now.BootMs
 	if t.worker.connected && t.worker.info != nil {
-		s.send(t.worker, link.Orders{Stops: []link.Stop{{Task: t.name().String(), Run: t.run}}})
-		t.orderNumber = t.worker.ordersSent
+		s.queueStop(t)
 	}
 }
 
-// resendStops repeats stops that had no effect, and stops of runs that were ordered to stop while their worker was
-// unreachable.
+// resendStops repeats stops that the worker has answered and that had no effect, and orders those that ended with a connection or were
+// decided while the worker was unreachable. Its side process repeats a stop until the worker answers.
 func (s *State) resendStops(w *worker) {
 	if !w.connected || w.info == nil {
 		return
 	}
 	for _, t := range w.copyTasks() {
 		ending := t.phase == stopping || t.phase == done
-		if ending && s.now.BootMs-t.stopSentMs > stopResendMs {
+		unanswered := t.stopQueued || t.orderNumber > w.ordersDone
+		if ending && !unanswered && s.now.BootMs-t.stopSentMs > stopResendMs {
 			s.sendStop(t)
 		}
 	}
--- a/fleet/dispatch/throttle.go
+++ b/fleet/dispatch/throttle.go
@@ -153,17 +153,15 @@
 
 // sendCPUShares sends CPU shares that differ from the ones last sent or that were not applied.
 func (s *State) sendCPUShares(w *worker, bestEffort []*task) {
-	var list []link.Throttle
 	text := ""
 	for _, be := range bestEffort {
-		if be.cpuShare != be.sentCPUShare || s.shareNotApplied(be) {
+		if w.connected && (be.cpuShare != be.sentCPUShare || s.shareNotApplied(be)) {
 			be.sentCPUShare, be.shareSentMs = be.cpuShare, s.now.BootMs
-			list = append(list, link.Throttle{Task: be.name().String(), Run: be.run, CPUPercent: be.cpuShare})
+			s.queueThrottle(w, link.Throttle{Task: be.name().String(), Run: be.run, CPUPercent: be.cpuShare})
 			text += fmt.Sprintf(" %s %d%%", be.name(), be.cpuShare)
 		}
 	}
-	if len(list) > 0 && w.connected {
-		s.send(w, link.Orders{Throttles: list})
+	if text != "" {
 		s.logDecision(Decision{Kind: DecisionCPUShare, Instance: w.instance, Reason: "so that latency-critical tasks meet their targets:" + text})
 	}
 }
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -69,8 +69,10 @@
 	answeredReportMs int64
 	// tasks holds the tasks whose run may be active on the worker, sorted by name.
 	tasks []*task
-	// unknownRuns holds active runs that belong to no task.
-	unknownRuns map[string]int
+	// unknownRuns holds active runs that belong to no task, unknownStops their stops.
+	unknownRuns  map[string]int
+	unknownStops map[string]unknownStop
+	outbox       outbox
 	// committedCPU, committedMem and committedGPU are reserved. bestEffortCPU is the CPU demand of best-effort tasks,
 	// which is not reserved, and longRunningCPU that of long-running tasks.
 	longRunningCPU                                          int64
@@ -114,7 +116,7 @@
 	if w := s.workers[instance]; w != nil {
 		return w
 	}
-	w := &worker{instance: instance, unknownRuns: map[string]int{}, lastReportMs: s.now.BootMs}
+	w := &worker{instance: instance, unknownRuns: map[string]int{}, unknownStops: map[string]unknownStop{}, lastReportMs: s.now.BootMs}
 	w.boundLease(s.claimedMs+unknownLease(s.bounds).Milliseconds(), leaseFromClaim)
 	s.workers[instance] = w
 	s.sortedWorkers = append(s.sortedWorkers, w)
@@ -197,6 +199,7 @@
 	t.orderNumber, t.recorded, t.startedMs, t.percent, t.countedPercent, t.load, t.stopSentMs = 0, false, 0, 0, 0, 0, 0
 	t.orderedMs, t.firstPercent, t.wasThrottled, t.resumed = 0, 0, false, false
 	t.cpuShare, t.sentCPUShare, t.shareSentMs, t.headroomFactor, t.overTargetSinceMs = fullCPUShare, fullCPUShare, 0, 0, 0
+	t.stopQueued = false
 	s.placePending = true
 	s.markDirty(t.stage.job)
 }
@@ -209,7 +212,10 @@
 	w.connected, w.listed, w.ordersSent, w.ordersDone, w.lastReportMs, w.answeredReportMs = true, false, 0, 0, s.now.BootMs, 0
 	for _, t := range w.tasks {
 		t.orderNumber = 0
+		t.stopSentMs = 0 // what was not answered ended with the former connection
 	}
+	w.outbox = outbox{listed: w.outbox.listed}
+	clear(w.unknownStops)
 	s.raiseFence(w)
 }
 
@@ -232,6 +238,7 @@
 		s.logDecision(Decision{Kind: DecisionWorkerDown, Instance: w.instance, Reason: "the connection to its side process ended", AgeMs: s.now.BootMs - w.lastReportMs})
 	}
 	w.connected, w.listed = false, false
+	s.dropQueued(w, "the connection to its side process ended before the start was ordered")
 	// The side process may still use the whole lease that it was granted.
 	w.boundLease(max(w.leaseExpiresMs, w.grantExpiresMs), leaseFromGrant)
 }
@@ -264,6 +271,7 @@
 	w.lastReportMs = s.now.BootMs
 	w.reported = r.Worker != nil
 	w.ordersDone = max(w.ordersDone, r.OrdersDone)
+	w.received(r)
 	if until := s.now.BootMs + r.LeaseLeftMs; until > w.leaseExpiresMs || r.AnsweredMs >= w.answeredReportMs {
 		// The side process knows how long the lease can last, but for an answer that is in flight. It may last longer than was
 		// granted, where calls to an earlier incarnation have set it.
@@ -298,9 +306,10 @@
 func (s *State) startIncarnation(w *worker, info *link.Worker) {
 	s.logDecision(Decision{Kind: DecisionWorkerUp, Instance: w.instance,
 		Reason: fmt.Sprintf("id %s, started at %d, %d mCPU, %d MB, labels %v", info.Incarnation.ID, info.Incarnation.StartedMs, info.CPU, info.MemMB, info.Labels)})
+	s.dropQueued(w, "its worker restarted before the start was ordered")
 	if w.info != nil {
 		for _, t := range w.copyTasks() {
-			t.orderNumber = 0
+			t.orderNumber, t.stopSentMs = 0, 0
 			if !t.recorded {
 				s.logTaskDecision(DecisionRunEnded, t, "its worker restarted")
 				s.handleRunEnded(t)
@@ -313,7 +322,8 @@
 	w.lives++
 	w.upMs = s.now.BootMs
 	w.info, w.listed, w.lastCompletion, w.ackedCompletion, w.unresponsiveMs = info, false, 0, 0, 0
-	w.unknownRuns = map[string]int{}
+	clear(w.unknownRuns)
+	clear(w.unknownStops)
 	w.health = health{}
 	for _, t := range w.tasks {
 		t.onTrial = false
--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -612,9 +612,10 @@
 	assert.Assert(t, d.hasAuthority())
 	d.confirmedMs = clock.BootMs() - set.Bounds.AuthorityTimeout.Milliseconds()
 	assert.Assert(t, !d.hasAuthority())
-	out := make(chan link.Orders, 1)
+	out := newSideQueue()
 	d.answerReport(&sideLink{d: d, instance: "side-1", out: out}, &link.Report{SentMs: 5})
-	assert.Equal(t, len(out), 0, "a report was answered, which renews a lease")
+	_, answered := out.take()
+	assert.Assert(t, !answered, "a report was answered, which renews a lease")
 	d.confirmedMs, d.claimLost = clock.BootMs(), true
 	assert.Assert(t, !d.hasAuthority())
 }
--- a/fleet/entry/sides.go
+++ b/fleet/entry/sides.go
@@ -20,8 +20,6 @@
 	maxSideRetry = 800 * time.Millisecond
 	// sideReadTimeout is the time without a report after which a connection is closed; a side process reports every 0.45 s.
 	sideReadTimeout = 1500 * time.Millisecond
-	// sideQueueSize bounds the messages that wait for a slow connection.
-	sideQueueSize = 256
 )
 
 // sideLink is the decider's connection to one side process. The decider's event loop owns its fields.
@@ -33,8 +31,8 @@
 	// dialDirect connects to an address without another entry. It does not change.
 	dialDirect func(ctx context.Context, address string) (net.Conn, error)
 	cancel     context.CancelFunc
-	// out is the send queue of the open connection; nil if there is none.
-	out chan link.Orders
+	// out holds what waits for the open connection; nil if there is none.
+	out *sideQueue
 	// conn is the open connection.
 	conn net.Conn
 	// failureLogged is true while attempts fail, so that only the first failure is logged.
@@ -70,14 +68,10 @@
 	}
 }
 
-// send queues a message. It closes a connection whose queue is full.
+// send queues a message. It closes a connection for which more messages wait than the dispatch state permits.
 func (s *sideLink) send(o link.Orders) {
-	if s.out == nil {
-		return
-	}
-	select {
-	case s.out <- o:
-	default:
+	if s.out != nil && !s.out.put(o) {
+		s.d.entry.log.Log(logevent.SideUnlinked, logevent.Str("instance", s.instance), logevent.Str("reason", "too many messages wait"))
 		s.close()
 	}
 }
@@ -119,9 +113,11 @@
 // serve reads reports from a connection until it ends.
 func (s *sideLink) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
-	out := make(chan link.Orders, sideQueueSize)
+	out := newSideQueue()
 	connected := make(chan struct{})
-	go s.write(ctx, conn, out)
+	writing, stopWriting := context.WithCancel(ctx)
+	defer stopWriting()
+	go s.write(writing, conn, out)
 	s.d.post(func() {
 		defer close(connected)
 		if ctx.Err() != nil {
@@ -143,7 +139,6 @@
 			return
 		}
 		s.out, s.conn = nil, nil
-		close(out)
 		s.d.applyEvent(dispatch.SideDisconnected{Instance: s.instance})
 		s.logFailure(err)
 	})
@@ -154,19 +149,15 @@
 }
 
 // write sends queued messages.
-func (s *sideLink) write(ctx context.Context, conn net.Conn, out <-chan link.Orders) {
+func (s *sideLink) write(ctx context.Context, conn net.Conn, out *sideQueue) {
 	for {
-		select {
-		case <-ctx.Done():
+		o, ok := out.next(ctx)
+		if !ok {
+			return
+		}
+		if err := link.WriteMessage(conn, o); err != nil {
+			_ = conn.Close() // the reader of the connection reports the failure
 			return
-		case o, ok := <-out:
-			if !ok {
-				return
-			}
-			if err := link.WriteMessage(conn, o); err != nil {
-				_ = conn.Close() // the reader of the connection reports the failure
-				return
-			}
 		}
 	}
 }
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -80,8 +80,13 @@
 	Starts    []Start    `cbor:"6,keyasint,omitempty"`
 	Stops     []Stop     `cbor:"7,keyasint,omitempty"`
 	Throttles []Throttle `cbor:"8,keyasint,omitempty"`
+	// More means that further orders wait for room: the side process reports as soon as it has answered most of those that it has.
+	More bool `cbor:"9,keyasint,omitempty"`
 }
 
+// Len returns the number of orders in the message.
+func (o *Orders) Len() int { return len(o.Starts) + len(o.Stops) + len(o.Throttles) }
+
 // Incarnation identifies an incarnation of a worker.
 type Incarnation struct {
 	ID string `cbor:"1,keyasint"`
@@ -185,6 +190,10 @@
 	// of the worker has ended; with Listed, before the list was read.
 	OrdersDone uint64    `cbor:"7,keyasint,omitempty"`
 	Refusals   []Refusal `cbor:"8,keyasint,omitempty"`
+	// OrdersReceived is the highest message number that the side process has received on this connection, and OrdersOpen the number of
+	// starts and stops that are not answered yet. Both are 0 from earlier versions.
+	OrdersReceived uint64 `cbor:"15,keyasint,omitempty"`
+	OrdersOpen     int    `cbor:"16,keyasint,omitempty"`
 	// LeaseLeftMs is the time after which no run of this incarnation can be active unless the lease is renewed. It bounds
 	// how long an unresponsive worker may keep running tasks.
 	LeaseLeftMs int64 `cbor:"9,keyasint"`
--- a/fleet/side/incarnation.go
+++ b/fleet/side/incarnation.go
@@ -296,8 +296,9 @@
 	if refusal != nil {
 		c.orders.refusals = append(c.orders.refusals, *refusal)
 	}
+	due := c.orders.takeReportDue()
 	s.mu.Unlock()
-	if refusal != nil {
+	if refusal != nil || due {
 		s.report(nil, false)
 	}
 }
--- a/fleet/side/side.go
+++ b/fleet/side/side.go
@@ -228,6 +228,15 @@
 	if o.Number == 0 {
 		return
 	}
+	c.orders.reportDue = c.orders.reportDue || o.More
+	s.acceptOrders(c, o)
+	if c.orders.takeReportDue() {
+		go s.report(nil, false)
+	}
+}
+
+// acceptOrders begins to carry out orders, if they are for the present incarnation. The caller holds mu.
+func (s *Side) acceptOrders(c *connection, o *link.Orders) {
 	if s.incarnation == nil || s.incarnation.info.Incarnation != o.Incarnation {
 		for _, st := range o.Starts {
 			c.orders.refusals = append(c.orders.refusals, link.Refusal{Task: st.Task, Run: st.Run, Reason: link.ReasonTerminated})
@@ -294,7 +303,7 @@
 		r.UnresponsiveMs = now - s.incarnation.answeredMs
 	}
 	r.Refusals, c.orders.refusals = c.orders.refusals, nil
-	r.OrdersDone = c.orders.completedUpTo()
+	r.OrdersDone, r.OrdersReceived, r.OrdersOpen = c.orders.completedUpTo(), c.orders.last, c.orders.open
 	if l != nil && l.incarnation == s.incarnation && l.conn == c {
 		for _, e := range l.completions {
 			if e.Number > c.reportedCompletion {
--- a/fleet/side/side_test.go
+++ b/fleet/side/side_test.go
@@ -363,6 +363,25 @@
 	assert.Equal(t, tr.giveUp(), 0)
 }
 
+// Guards against a decider that waits for room on a side process until its next periodic report, and against one report for each answer.
+func TestTrackerTellsOfRoomOnce(t *testing.T) {
+	var tr orderTracker
+	tr.add(1, reportAtOpen+2)
+	tr.reportDue = true
+	assert.Assert(t, !tr.takeReportDue())
+	tr.finish(1)
+	assert.Assert(t, !tr.takeReportDue())
+	tr.finish(1)
+	assert.Equal(t, tr.open, reportAtOpen)
+	assert.Assert(t, tr.takeReportDue())
+	assert.Assert(t, !tr.takeReportDue(), "a report for each order")
+	tr.add(2, 3)
+	tr.finish(7) // of no message
+	assert.Equal(t, tr.open, reportAtOpen+3)
+	assert.Equal(t, tr.giveUp(), reportAtOpen+3)
+	assert.Equal(t, tr.open, 0)
+}
+
 // Guards against a call that returns after its order was given up and leaves the number of unanswered orders below 0, so that
 // no later order of the connection ever counts as carried out.
 func TestTrackerIgnoresLateAnswers(t *testing.T) {
