entry: let the end of a former connection not end the new one

Cause: the end of the old connection is an event of its own and may be handled after the one that the new connection is open; both name the instance only.

Change: connectSide records the end of the old connection before the new one begins. The later event finds that its connection is not the open one.

--- a/fleet/entry/orders_test.go
+++ b/fleet/entry/orders_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,9 +12,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/verbenakeel/verbenakeel/fleet/clock"
 	"github.com/verbenakeel/verbenakeel/fleet/dispatch"
 	"github.com/verbenakeel/verbenakeel/fleet/link"
+	"github.com/verbenakeel/verbenakeel/fleet/work"
+	"github.com/verbenakeel/verbenakeel/logevent"
 	"github.com/verbenakeel/verbenakeel/platform/platformtest"
+	"github.com/verbenakeel/verbenakeel/settings"
+	"github.com/verbenakeel/verbenakeel/telemetry"
 )
 
 // stopsOf returns how many stops a worker has got.
@@ -133,3 +140,41 @@
 	}
 	assert.Equal(t, n, dispatch.MaxTransitMessages+maxFences)
 }
+
+// Guards against a worker that gets no work for good (LOST): its side process has a new address, and the end of the old connection is handled
+// after the beginning of the new one, so that the decider takes the worker for disconnected.
+func TestEndOfFormerConnectionDoesNotEndTheNewOne(t *testing.T) {
+	set := settings.DefaultFleet()
+	set.Bounds = set.Bounds.Derive()
+	var logs bytes.Buffer
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	registry, err := telemetry.New()
+	assert.NilError(t, err)
+	m, err := NewMeters(registry)
+	assert.NilError(t, err)
+	e := &Entry{set: set, log: logevent.New(&logs, "info", "entry-1"), meters: m, relay: &relay{}}
+	d := &decider{entry: e, ctx: ctx, events: make(chan queuedEvent, 16), sides: map[string]*sideLink{}, dialSide: dialSide, confirmedMs: clock.BootMs()}
+	d.state = dispatch.New(set.Bounds, 1, d.now(), dispatch.Options{})
+	address := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		return l.Addr().String()
+	}
+	d.connectSide(work.ProcessAddress{Instance: "side-1", Address: address()})
+	(<-d.events).handle()
+	d.connectSide(work.ProcessAddress{Instance: "side-1", Address: address()})
+	events := []queuedEvent{<-d.events, <-d.events}
+	opened := func() bool { return d.sides["side-1"].conn != nil }
+	for !opened() {
+		assert.Assert(t, len(events) > 0, "the new connection is not open")
+		last := events[len(events)-1]
+		events = events[:len(events)-1]
+		last.handle()
+	}
+	for _, ev := range events {
+		ev.handle()
+	}
+	assert.Assert(t, strings.LastIndex(logs.String(), `"event":824`) > strings.LastIndex(logs.String(), `"event":848`), "%s", logs.String())
+}
--- a/fleet/entry/sides.go
+++ b/fleet/entry/sides.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -46,7 +47,11 @@
 			return
 		}
 		s.cancel()
-		s.close()
+		if s.conn != nil {
+			// The event that the old connection has ended may come after the one that the new connection is open.
+			s.close()
+			s.disconnected(errAddressChanged)
+		}
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	s := &sideLink{d: d, instance: a.Instance, zone: a.Zone, address: a.Address, dialDirect: d.dialSide, cancel: cancel}
@@ -54,6 +59,8 @@
 	go s.run(ctx)
 }
 
+var errAddressChanged = errors.New("the side process has another address now")
+
 func (d *decider) closeSides() {
 	for _, s := range d.sides {
 		s.cancel()
@@ -138,9 +145,7 @@
 		if s.conn != conn {
 			return
 		}
-		s.out, s.conn = nil, nil
-		s.d.applyEvent(dispatch.SideDisconnected{Instance: s.instance})
-		s.logFailure(err)
+		s.disconnected(err)
 	})
 	select {
 	case <-ended:
@@ -148,6 +153,13 @@
 	}
 }
 
+// disconnected records that the open connection has ended.
+func (s *sideLink) disconnected(err error) {
+	s.out, s.conn = nil, nil
+	s.d.applyEvent(dispatch.SideDisconnected{Instance: s.instance})
+	s.logFailure(err)
+}
+
 // write sends queued messages.
 func (s *sideLink) write(ctx context.Context, conn net.Conn, out *sideQueue) {
 	for {
