--- a/fleet/dispatch/outbox_test.go
+++ b/fleet/dispatch/outbox_test.go
@@ -283,6 +283,37 @@
 	}
 }
 
+// Guards against a draining worker, and a new decider, that order more stops at once than a connection takes: the runs that would end with
+// the worker are stopped and go on elsewhere.
+func TestManyRunsLeaveADrainingWorker(t *testing.T) {
+	const tasks = 3000
+	for _, newDecider := range []bool{false, true} {
+		f := newSlowFleet(t, 2, func(*slowSide) {})
+		f.step(JobSubmitted{Job: &work.Job{ID: jobID(1), Queue: work.Queue{Name: "q", Service: "app", Attempts: 3, Stretch: 2},
+			Steps: []work.Step{{Count: tasks, CPU: 4, MemMB: 1, EstMs: 600_000}}, AcceptedMs: f.at().WallMs}})
+		for i := 0; i < 2000 && f.running() < tasks; i++ {
+			f.advance()
+		}
+		assert.Equal(t, f.running(), tasks)
+		if newDecider {
+			job, progress := f.s.jobs[jobID(1)].def, f.s.jobs[jobID(1)].progress()
+			f.s = New(f.s.bounds, 2, f.at(), Options{})
+			f.step(ConfigChanged{Config: &work.Config{Version: 1, Services: map[string]work.Service{"app": {Name: "app"}}}})
+			f.step(JobSubmitted{Job: job, Progress: progress})
+			for _, x := range f.sides {
+				x.transit, x.open, x.received = nil, nil, 0
+				f.step(SideConnected{Instance: x.instance})
+			}
+		}
+		f.sides[0].info.Draining = true
+		for i := 0; i < 400 && (len(f.sides[0].runs) > 0 || f.running() < tasks); i++ {
+			f.advance()
+		}
+		assert.Equal(t, len(f.sides[0].runs), 0)
+		assert.Equal(t, f.running(), tasks)
+	}
+}
+
 // Guards against a start that is sent although its task was given up while it waited for room (UNASKED), and against a task that then waits
 // for the end of a run that never began.
 func TestQueuedStartOfCancelledJobIsNotSent(t *testing.T) {
--- a/fleet/dispatch/quarantine_test.go
+++ b/fleet/dispatch/quarantine_test.go
@@ -85,6 +85,33 @@
 	}
 }
 
+// Guards against the same where runs of a job make no progress: each is stopped, and two of them put a worker into quarantine.
+func TestJobsGoOnBesideStuckJobs(t *testing.T) {
+	const workers = 11
+	sim := newCalmSimulation(t, workers)
+	for n := 1; n <= 4; n++ {
+		j := report(n, work.Step{Count: 3 * workers, CPU: 240, MemMB: 480, EstMs: 1000})
+		sim.stuck[j.ID] = true
+		sim.submit(j)
+	}
+	sim.run(4000)
+	quarantined := 0
+	for _, w := range sim.state.sortedWorkers {
+		if sim.state.unavailability(w) == ObstacleQuarantined {
+			quarantined++
+		}
+	}
+	assert.Equal(t, quarantined, workers)
+	for n := 5; n <= 14; n++ {
+		sim.submit(report(n, work.Step{Count: 6, CPU: 240, MemMB: 480, EstMs: 640}))
+		sim.run(2000)
+	}
+	sim.run(15_000)
+	for n := 5; n <= 14; n++ {
+		assert.Assert(t, sim.hasEnded(jobID(n)), "job %d has not ended", n)
+	}
+}
+
 // Guards against the same under random jobs of which many fail everywhere, some tasks fail by themselves and all kinds of steps come.
 func TestJobsGoOnBesideRandomFailingJobs(t *testing.T) {
 	judged := 0
@@ -237,3 +264,20 @@
 	s.recordFailure(s.sortedWorkers[0], st)
 	assert.Equal(t, s.unavailability(s.sortedWorkers[0]), ObstacleQuarantined)
 }
+
+// Guards against a job that needs the adviser's permission and stands still (LOST): all workers are in quarantine, and the adviser is
+// not asked about any of them before the job may use them.
+func TestAdvisedJobUsesDistrustedWorkersInTime(t *testing.T) {
+	sim := newCalmSimulation(t, 3)
+	sim.adviser = newSimAdviser(1500, 20)
+	for _, w := range sim.state.sortedWorkers {
+		w.health.stalls = failuresToQuarantine
+		w.health.quarantine(sim.now, false)
+	}
+	sim.run(100)
+	j := report(1, work.Step{Count: 2, CPU: 100, MemMB: 10, EstMs: 600_000})
+	j.Queue.Advice = sim.adviser.advice()
+	sim.submit(j)
+	sim.run(standstillMs)
+	assert.Assert(t, sim.state.jobs[jobID(1)].active > 0)
+}
--- a/fleet/dispatch/simulation_test.go
+++ b/fleet/dispatch/simulation_test.go
@@ -60,8 +60,9 @@
 	listedEnds int
 	// soundTasks makes no run fail by itself. With thousands of short runs those that do would put every worker into quarantine.
 	soundTasks bool
-	// failing holds the jobs whose runs all fail, broken the instances whose worker fails every run.
-	failing, broken map[string]bool
+	// failing holds the jobs whose runs all fail, stuck those whose runs make no progress and do not end, and broken the instances whose
+	// worker fails every run.
+	failing, stuck, broken map[string]bool
 	// periodicLoad makes the load of latency-critical tasks a wave, so that the decider predicts it.
 	periodicLoad bool
 	// learned is the interference model that the decider stored last.
@@ -98,11 +99,16 @@
 	run             int
 	beganAt, endsAt int64
 	how             link.Outcome
+	// stuck is true if the run makes no progress.
+	stuck bool
 }
 
 // percent returns the progress of a run; 100 for a long-running one.
 func (r *simRun) percent(now int64) int {
-	if r.endsAt == neverEnds {
+	switch {
+	case r.stuck:
+		return 0
+	case r.endsAt == neverEnds:
 		return 100
 	}
 	return int(min(100*(now-r.beganAt)/(r.endsAt-r.beganAt), 100))
@@ -129,7 +135,7 @@
 // newLivesSimulation is newSimulation with the longest lease and what draws faults that involve several lives of a worker.
 func newLivesSimulation(t *testing.T, seed uint64, workers int, longest time.Duration, lives *rand.Rand) *simulation {
 	sim := &simulation{t: t, listedEnds: fewListedEnds, rng: rand.New(rand.NewPCG(seed, 1)), now: 100_000, stored: map[string][]byte{}, checkpoints: map[string][]byte{}, jobs: map[string]*work.Job{},
-		cancels: map[string]int64{}, startsOn: map[string]int{}, failing: map[string]bool{}, broken: map[string]bool{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failures: map[string][]int64{},
+		cancels: map[string]int64{}, startsOn: map[string]int{}, failing: map[string]bool{}, stuck: map[string]bool{}, broken: map[string]bool{}, started: map[string]int64{}, acknowledged: map[string]bool{}, done: map[string]bool{}, failures: map[string][]int64{},
 		stopped: map[string]bool{}, endedAt: map[string]int64{}, lives: lives}
 	// Every other seed, so that the course of seedsThatFailed stays the same.
 	if seed%2 == 0 {
@@ -349,9 +355,10 @@
 		sim.t.Fatalf("%d: %s commits %s to %d of %d mCPU", sim.now, st.Task, sw.instance, used, sw.info.CPU)
 	}
 	r := &simRun{run: st.Run, how: link.Done, beganAt: sim.now, endsAt: sim.now + step.EstMs/2 + sim.rng.Int64N(step.EstMs)}
-	if step.LongRunning {
+	if step.LongRunning || sim.stuck[j.ID] {
 		r.endsAt = neverEnds
 	}
+	r.stuck = sim.stuck[j.ID]
 	if sim.rng.IntN(15) == 0 && !sim.soundTasks || sim.failing[j.ID] || sim.broken[sw.instance] {
 		r.how = link.Failed
 	}
