dispatch: order queued stops on the next connection, and keep distrusted workers to placement

A connection that takes the place of another without a word of its end left queued stops marked as queued, so that they were never sent: SideConnected drops what is queued now, and resendStops orders it again. A stage kept its permission to use distrusted workers after the placement pass, so that a throttled long-running task could be moved to one: the pass takes it back.

--- a/fleet/dispatch/outbox_test.go
+++ b/fleet/dispatch/outbox_test.go
@@ -314,6 +314,28 @@
 	}
 }
 
+// Guards against stops that are never sent (UNASKED): they wait for room when a new connection takes the place of theirs without a word of
+// the end of the former.
+func TestQueuedStopsAreOrderedOnTheNextConnection(t *testing.T) {
+	const tasks = maxOpenOrders + 500
+	f := newSlowFleet(t, 1, func(x *slowSide) { x.answers = 200 })
+	x := f.sides[0]
+	f.step(JobSubmitted{Job: &work.Job{ID: jobID(1), Queue: work.Queue{Name: "q", Service: "app", Attempts: 3, Stretch: 2},
+		Steps: []work.Step{{Count: tasks, CPU: 4, MemMB: 1, EstMs: 600_000}}, AcceptedMs: f.at().WallMs}})
+	for i := 0; i < 400 && f.running() < tasks; i++ {
+		f.advance()
+	}
+	x.receives = 0
+	f.step(JobCancelled{ID: jobID(1)})
+	assert.Assert(t, len(f.s.sortedWorkers[0].outbox.stops) > 0)
+	x.transit, x.open, x.received, x.receives = nil, nil, 0, 8
+	f.step(SideConnected{Instance: x.instance})
+	for i := 0; i < 400 && f.running() > 0; i++ {
+		f.advance()
+	}
+	assert.Equal(t, f.running(), 0)
+}
+
 // Guards against a start that is sent although its task was given up while it waited for room (UNASKED), and against a task that then waits
 // for the end of a run that never began.
 func TestQueuedStartOfCancelledJobIsNotSent(t *testing.T) {
--- a/fleet/dispatch/place.go
+++ b/fleet/dispatch/place.go
@@ -66,6 +66,9 @@
 		s.placeStage(st)
 	}
 	s.askAdviser()
+	for _, st := range readyStages {
+		st.overdue = false
+	}
 }
 
 // placeStage places the waiting tasks of a stage.
--- a/fleet/dispatch/quarantine_test.go
+++ b/fleet/dispatch/quarantine_test.go
@@ -281,3 +281,15 @@
 	sim.run(standstillMs)
 	assert.Assert(t, sim.state.jobs[jobID(1)].active > 0)
 }
+
+// Guards against a move to a distrusted worker: only placement may use one for a stage that has waited for long.
+func TestOnlyPlacementUsesDistrustedWorkers(t *testing.T) {
+	sim := newCalmSimulation(t, 1)
+	sim.state.sortedWorkers[0].health.quarantine(sim.now+5000, false)
+	sim.run(100)
+	sim.submit(report(1, work.Step{Count: 2, CPU: 3000, MemMB: 10, EstMs: 400, LongRunning: true}))
+	sim.run(standstillMs)
+	st := sim.state.jobs[jobID(1)].stages[0]
+	assert.Equal(t, st.job.active, 1, "the worker has room for one task")
+	assert.Assert(t, !st.overdue)
+}
--- a/fleet/dispatch/workers.go
+++ b/fleet/dispatch/workers.go
@@ -209,6 +209,7 @@
 
 func (e SideConnected) apply(s *State) {
 	w := s.ensureWorker(e.Instance)
+	s.dropQueued(w, "the connection to its side process ended before the start was ordered")
 	w.connected, w.listed, w.ordersSent, w.ordersDone, w.lastReportMs, w.answeredReportMs = true, false, 0, 0, s.now.BootMs, 0
 	for _, t := range w.tasks {
 		t.orderNumber = 0
