--- a/fleet/entry/orders_test.go
+++ b/fleet/entry/orders_test.go
@@ -53,8 +53,11 @@
 		assert.Equal(t, status(id(n), http.MethodPost, fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1,"mem_mb":1,"est_ms":600000}]}`, tasks)), http.StatusOK)
 	}
 	s.until("all tasks to run", func() bool { return len(running(w)) == jobs*tasks })
-	connections := func() string { return linkedSides(e) }
-	before := connections()
+	before := linkedSides(e)
+	ends := map[string]int{}
+	w.Lock()
+	w.OnEnd = func(_ string, _ int, how string) { ends[how]++ }
+	w.Unlock()
 	var wg sync.WaitGroup
 	for n := range jobs {
 		wg.Add(1)
@@ -68,7 +71,10 @@
 	wg.Wait()
 	s.until("every task of every cancelled job to be stopped", func() bool { return len(running(w)) == 0 })
 	assert.Equal(t, stopsOf(w), jobs*tasks, "calls to stop a run")
-	assert.Equal(t, connections(), before, "the connection to the side process has ended")
+	assert.Equal(t, linkedSides(e), before, "the connection to the side process has ended")
+	w.Lock()
+	assert.DeepEqual(t, ends, map[string]int{"stopped": jobs * tasks}) // none by the end of its lease
+	w.Unlock()
 	assert.Equal(t, status(id(jobs), http.MethodPost, `{"spec":"x","steps":[{"count":1,"cpu":1,"mem_mb":1,"est_ms":600000}]}`), http.StatusOK)
 	s.until("another job to start", func() bool { return len(running(w)) == 1 })
 }
